Add the seams: kernel types, HTTP and control transport, module registry, interfaces

Ruled out: one strand per connection (a coroutine and a stream on different strands race in Beast's timers) for one thread per event loop; LEAF errors across coroutines (error objects are per thread) for results that carry the error by value.

--- /dev/null
+++ b/include/deckpitch/event.h
@@ -0,0 +1,44 @@
+// The catalogue of numbered log events; docs/EVENTS.md describes each.
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace deckpitch {
+
+enum class Severity { Debug, Info, Warning, Error };
+
+/// Numbers are for good: a retired one is not given again. 1xxx process,
+/// 2xxx declarations and membership, 3xxx weights, 4xxx requests, 5xxx
+/// platform and other outside interfaces.
+enum class Event : int {
+  ProcessStarted = 1000,
+  ProcessDraining = 1001,
+  ProcessStopped = 1002,
+  SettingsRefused = 1003,
+  ListenFailed = 1004,
+};
+
+struct EventInfo {
+  Event m_Event;
+  Severity m_Severity;
+  std::string_view m_Name;
+};
+
+inline constexpr std::array EventCatalogue{
+    EventInfo{Event::ProcessStarted, Severity::Info, "ProcessStarted"},
+    EventInfo{Event::ProcessDraining, Severity::Info, "ProcessDraining"},
+    EventInfo{Event::ProcessStopped, Severity::Info, "ProcessStopped"},
+    EventInfo{Event::SettingsRefused, Severity::Error, "SettingsRefused"},
+    EventInfo{Event::ListenFailed, Severity::Error, "ListenFailed"},
+};
+
+/// The catalogue's entry, or null for a number that has none.
+constexpr const EventInfo *findEvent(Event Wanted) {
+  for (const EventInfo &Each : EventCatalogue)
+    if (Each.m_Event == Wanted)
+      return &Each;
+  return nullptr;
+}
+
+} // namespace deckpitch
--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,2 @@
+// deckpitchctl: the operators' tool.
+int main() { return 2; }
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,70 @@
+// deckpitchd: one process of the system; its settings name the role.
+#include "daemon/module.h"
+#include "net/log.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+ABSL_FLAG(std::string, settings, "", "file with the settings: JSON with comments");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+ABSL_FLAG(bool, verbose, false, "log debug events too");
+
+namespace {
+
+constexpr int ExitUsage = 2;
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    return std::nullopt;
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+std::optional<deckpitch::Settings> readSettings(const std::string &Path) {
+  const std::optional<std::string> Text = readFile(Path);
+  if (!Text) {
+    std::cerr << Path << ": cannot be read\n";
+    return std::nullopt;
+  }
+  const auto Parsed = deckpitch::outcomeOf([&] { return deckpitch::parseSettings(*Text); });
+  if (Parsed)
+    return *Parsed;
+  std::istringstream Lines(Parsed.error().m_Message);
+  for (std::string Line; std::getline(Lines, Line);)
+    std::cerr << Path << ": " << Line << "\n";
+  return std::nullopt;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  absl::SetProgramUsageMessage("runs one process of deckpitch; --settings=FILE [--check]");
+  absl::FlagsUsageConfig Usage;
+  Usage.version_string = [] { return std::string("deckpitchd " DECKPITCH_VERSION "\n"); };
+  absl::SetFlagsUsageConfig(Usage);
+  absl::ParseCommandLine(Argc, Argv);
+  const std::string Path = absl::GetFlag(FLAGS_settings);
+  if (Path.empty()) {
+    std::cerr << "--settings=FILE is needed; see --help\n";
+    return ExitUsage;
+  }
+  const std::optional<deckpitch::Settings> Value = readSettings(Path);
+  if (!Value)
+    return ExitUsage;
+  if (absl::GetFlag(FLAGS_check)) {
+    std::cout << Path << ": good\n";
+    return 0;
+  }
+  const auto Least = absl::GetFlag(FLAGS_verbose) ? deckpitch::Severity::Debug : deckpitch::Severity::Info;
+  deckpitch::net::setUpLog(Value->m_Instance.m_Text, Least);
+  return deckpitch::daemon::runProcess(*Value);
+}
--- /dev/null
+++ b/src/daemon/process.cc
@@ -0,0 +1,256 @@
+#include "daemon/module.h"
+#include "net/log.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <iostream>
+#include <optional>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace detail {
+
+std::vector<RegisteredModule> &registeredModules() {
+  static std::vector<RegisteredModule> List;
+  return List;
+}
+
+} // namespace detail
+
+namespace {
+
+constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr std::size_t ControlBodyBytes = 2 * 1024 * 1024;
+constexpr std::size_t OperatorConnections = 256;
+
+struct NamedModule {
+  std::string m_Name;
+  std::unique_ptr<Module> m_Module;
+};
+
+/// Hands each request to the route with the longest matching prefix.
+class Router {
+public:
+  explicit Router(std::vector<Route> Routes) : m_Routes(std::move(Routes)) {}
+
+  asio::awaitable<void> operator()(net::HttpRequest Request, net::HttpResponder &Answer) const {
+    const Route *Best = nullptr;
+    bool PathKnown = false;
+    for (const Route &Each : m_Routes) {
+      if (!Request.path().starts_with(Each.m_Prefix))
+        continue;
+      PathKnown = true;
+      const bool Fits = Each.m_Method.empty() || Each.m_Method == Request.m_Method;
+      if (Fits && (!Best || Each.m_Prefix.size() > Best->m_Prefix.size()))
+        Best = &Each;
+    }
+    if (Best) {
+      co_await Best->m_Handler(std::move(Request), Answer);
+      co_return;
+    }
+    if (PathKnown)
+      co_await Answer.send(net::jsonResponse(405, R"({"error":"method not allowed"})"));
+    else
+      co_await Answer.send(net::jsonResponse(404, R"({"error":"no such path"})"));
+  }
+
+private:
+  std::vector<Route> m_Routes;
+};
+
+/// Everything that lives as long as the process runs.
+class Runner {
+public:
+  explicit Runner(Settings Value)
+      : m_Threads(Value.m_Threads), m_Process(std::move(Value), newIncarnation(), m_Threads),
+        m_Signals(m_Threads.control(), SIGINT, SIGTERM) {}
+
+  int run() {
+    makeModules();
+    if (const auto Fault = listen()) {
+      net::log(Event::ListenFailed, {{"error", *Fault}});
+      return 1;
+    }
+    m_Threads.start();
+    asio::post(m_Threads.control(), [this] { startModules(); });
+    m_Done.get_future().wait();
+    m_Bus->stop();
+    m_Requests->stop();
+    m_Operator->stop();
+    m_Threads.stop();
+    net::log(Event::ProcessStopped);
+    return 0;
+  }
+
+private:
+  /// Grows at each start as long as the machine's clock does; membership does
+  /// not rest on it alone.
+  static Incarnation newIncarnation() {
+    const auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return {static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(SinceEpoch).count())};
+  }
+
+  void makeModules() {
+    for (const detail::RegisteredModule &Each : detail::registeredModules())
+      if (Each.m_Role == m_Process.m_Settings.m_Role)
+        m_Modules.push_back({Each.m_Name, Each.m_Make(m_Process)});
+  }
+
+  /// The fault's text, if any.
+  std::optional<std::string> listen() {
+    const auto Listening = outcomeOf([this]() -> Result<bool> {
+      BOOST_LEAF_CHECK(listenAll());
+      return true;
+    });
+    return Listening ? std::nullopt : std::optional(Listening.error().m_Message);
+  }
+
+  Result<void> listenAll() {
+    const Settings &Value = m_Process.m_Settings;
+    std::vector<Route> Requests;
+    std::vector<Route> Operator = ownRoutes();
+    for (NamedModule &Each : m_Modules) {
+      for (Route &Added : Each.m_Module->requestRoutes())
+        Requests.push_back(std::move(Added));
+      for (Route &Added : Each.m_Module->operatorRoutes())
+        Operator.push_back(std::move(Added));
+    }
+    net::HttpLimits RequestLimits;
+    RequestLimits.m_BodyBytes = Value.m_Requests.m_MaxBodyBytes;
+    m_Requests = std::make_unique<net::HttpServer>(m_Threads, Router(std::move(Requests)), RequestLimits);
+    net::HttpLimits OperatorLimits;
+    OperatorLimits.m_BodyBytes = ControlBodyBytes;
+    OperatorLimits.m_Connections = OperatorConnections;
+    m_Operator = std::make_unique<net::HttpServer>(m_Threads, Router(std::move(Operator)), OperatorLimits);
+    m_Bus = std::make_unique<net::ControlBus>(
+        Value.m_Instance, m_Process.m_Incarnation, [this](wire::Envelope Message) {
+          asio::post(m_Threads.control(), [this, Message = std::move(Message)] { deliver(Message); });
+        });
+    m_Process.m_Bus = m_Bus.get();
+    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Requests, m_Requests->listen(Value.m_Listen.m_Requests));
+    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Operator, m_Operator->listen(Value.m_Listen.m_Operator));
+    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Control, m_Bus->listen(Value.m_Listen.m_Control));
+    return {};
+  }
+
+  void deliver(const wire::Envelope &Message) {
+    for (NamedModule &Each : m_Modules)
+      Each.m_Module->onMessage(Message);
+  }
+
+  void startModules() {
+    m_Signals.async_wait([this](const boost::system::error_code &Ec, int) {
+      if (!Ec)
+        beginDrain();
+    });
+    for (NamedModule &Each : m_Modules) {
+      const auto Started = outcomeOf([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(Each.m_Module->start());
+        return true;
+      });
+      if (!Started) {
+        net::log(Event::ListenFailed, {{"module", Each.m_Name}, {"error", Started.error().m_Message}});
+        return finish();
+      }
+    }
+    announce();
+  }
+
+  /// One line on standard output tells whoever started the process its ports.
+  void announce() {
+    const Addresses &Bound = m_Process.m_Addresses;
+    std::cout << boost::json::serialize(boost::json::object{{"instance", m_Process.m_Settings.m_Instance.m_Text},
+                                                            {"control", Bound.m_Control},
+                                                            {"requests", Bound.m_Requests},
+                                                            {"bulk", Bound.m_Bulk},
+                                                            {"operator", Bound.m_Operator}})
+              << std::endl;
+    net::log(Event::ProcessStarted, {{"control", Bound.m_Control}, {"requests", Bound.m_Requests}});
+  }
+
+  void beginDrain() {
+    if (m_Process.m_Leaving.exchange(true))
+      return;
+    net::log(Event::ProcessDraining);
+    for (NamedModule &Each : m_Modules)
+      Each.m_Module->beginDrain();
+    m_DrainEnd = std::chrono::steady_clock::now() + m_Process.m_Settings.m_DrainLimit;
+    pollDrain();
+  }
+
+  void pollDrain() {
+    bool Drained = true;
+    for (const NamedModule &Each : m_Modules)
+      Drained = Drained && Each.m_Module->drained();
+    if (Drained || std::chrono::steady_clock::now() >= m_DrainEnd)
+      return finish();
+    m_DrainTimer.expires_after(DrainPoll);
+    m_DrainTimer.async_wait([this](const boost::system::error_code &Ec) {
+      if (!Ec)
+        pollDrain();
+    });
+  }
+
+  void finish() {
+    for (NamedModule &Each : m_Modules)
+      Each.m_Module->stop();
+    m_Done.set_value();
+  }
+
+  std::vector<Route> ownRoutes() {
+    return {{"GET", "/v1/dump", [this](net::HttpRequest, net::HttpResponder &Answer) { return dump(Answer); }},
+            {"POST", "/v1/drain", [this](net::HttpRequest, net::HttpResponder &Answer) { return drain(Answer); }}};
+  }
+
+  asio::awaitable<void> dump(net::HttpResponder &Answer) {
+    auto OnControl = [this]() -> asio::awaitable<std::string> { co_return dumpText(); };
+    const std::string Text = co_await asio::co_spawn(m_Threads.control(), OnControl, asio::use_awaitable);
+    co_await Answer.send(net::jsonResponse(200, Text));
+  }
+
+  asio::awaitable<void> drain(net::HttpResponder &Answer) {
+    asio::post(m_Threads.control(), [this] { beginDrain(); });
+    co_await Answer.send(net::jsonResponse(202, R"({"state":"leaving"})"));
+  }
+
+  std::string dumpText() const {
+    boost::json::object Modules;
+    for (const NamedModule &Each : m_Modules)
+      Modules[Each.m_Name] = Each.m_Module->dump();
+    boost::json::object Out{{"instance", m_Process.m_Settings.m_Instance.m_Text},
+                            {"incarnation", m_Process.m_Incarnation.m_Value},
+                            {"dataCentre", m_Process.m_Settings.m_DataCentre.m_Text},
+                            {"leaving", m_Process.m_Leaving.load()},
+                            {"controlBytesSent", m_Bus->bytesSent()},
+                            {"controlBytesReceived", m_Bus->bytesReceived()},
+                            {"controlMessagesRefused", m_Bus->messagesRefused()},
+                            {"modules", std::move(Modules)}};
+    return boost::json::serialize(Out);
+  }
+
+  net::IoThreads m_Threads;
+  Process m_Process;
+  asio::signal_set m_Signals;
+  std::vector<NamedModule> m_Modules;
+  std::unique_ptr<net::HttpServer> m_Requests;
+  std::unique_ptr<net::HttpServer> m_Operator;
+  std::unique_ptr<net::ControlBus> m_Bus;
+  std::chrono::steady_clock::time_point m_DrainEnd;
+  asio::steady_timer m_DrainTimer{m_Threads.control()};
+  std::promise<void> m_Done;
+};
+
+} // namespace
+
+int runProcess(Settings Value) {
+  Runner Process(std::move(Value));
+  return Process.run();
+}
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/net/http-server.cc
@@ -0,0 +1,327 @@
+#include "net/address.h"
+#include "net/http.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+
+namespace deckpitch::net {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
+
+void setHeaders(http::fields &Fields, const HttpHeaders &Headers) {
+  for (const HttpHeader &Header : Headers.m_List)
+    Fields.insert(Header.m_Name, Header.m_Value);
+}
+
+class Responder final : public HttpResponder {
+public:
+  Responder(beast::tcp_stream &Stream, std::chrono::milliseconds WriteTimeout, bool KeepAlive)
+      : m_Stream(Stream), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive) {}
+
+  asio::awaitable<bool> send(HttpResponse Response) override {
+    if (m_Started || m_Failed)
+      co_return false;
+    m_Started = true;
+    http::response<http::string_body> Message;
+    Message.version(11);
+    Message.result(Response.m_Status);
+    setHeaders(Message.base(), Response.m_Headers);
+    Message.body() = std::move(Response.m_Body);
+    Message.keep_alive(m_KeepAlive);
+    Message.prepare_payload();
+    m_Stream.expires_after(m_WriteTimeout);
+    auto [Ec, Bytes] = co_await http::async_write(m_Stream, Message, UseAwaitable);
+    m_Failed = static_cast<bool>(Ec);
+    m_Ended = !Ec;
+    co_return !Ec;
+  }
+
+  asio::awaitable<bool> begin(unsigned Status, HttpHeaders Headers) override {
+    if (m_Started || m_Failed)
+      co_return false;
+    m_Started = true;
+    http::response<http::empty_body> Message;
+    Message.version(11);
+    Message.result(Status);
+    setHeaders(Message.base(), Headers);
+    Message.keep_alive(m_KeepAlive);
+    Message.chunked(true);
+    http::response_serializer<http::empty_body> Serializer(Message);
+    m_Stream.expires_after(m_WriteTimeout);
+    auto [Ec, Bytes] = co_await http::async_write_header(m_Stream, Serializer, UseAwaitable);
+    m_Failed = static_cast<bool>(Ec);
+    co_return !Ec;
+  }
+
+  asio::awaitable<bool> write(std::string_view Data) override {
+    if (!m_Started || m_Ended || m_Failed)
+      co_return false;
+    if (Data.empty())
+      co_return true;
+    m_Stream.expires_after(m_WriteTimeout);
+    auto [Ec, Bytes] =
+        co_await asio::async_write(m_Stream, http::make_chunk(asio::buffer(Data.data(), Data.size())), UseAwaitable);
+    m_Failed = static_cast<bool>(Ec);
+    co_return !Ec;
+  }
+
+  asio::awaitable<bool> end() override {
+    if (!m_Started || m_Ended || m_Failed)
+      co_return false;
+    m_Stream.expires_after(m_WriteTimeout);
+    auto [Ec, Bytes] = co_await asio::async_write(m_Stream, http::make_chunk_last(), UseAwaitable);
+    m_Failed = static_cast<bool>(Ec);
+    m_Ended = !Ec;
+    co_return !Ec;
+  }
+
+  void abort() override {
+    m_Failed = true;
+    beast::error_code Ignored;
+    m_Stream.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+  }
+
+  bool started() const override { return m_Started; }
+  void onGone(std::function<void()> Callback) override { m_OnGone = std::move(Callback); }
+
+  void gone() {
+    if (m_Ended || m_Failed)
+      return;
+    m_Failed = true;
+    if (auto Callback = std::exchange(m_OnGone, nullptr))
+      Callback();
+  }
+  bool whole() const { return m_Ended && !m_Failed; }
+
+private:
+  beast::tcp_stream &m_Stream;
+  std::chrono::milliseconds m_WriteTimeout;
+  bool m_KeepAlive;
+  bool m_Started = false;
+  bool m_Ended = false;
+  bool m_Failed = false;
+  std::function<void()> m_OnGone;
+};
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits)
+      : m_Threads(Threads), m_Acceptor(Threads.control()), m_Handler(std::move(Handler)), m_Limits(Limits) {}
+
+  struct Connection {
+    explicit Connection(tcp::socket Socket) : m_Stream(std::move(Socket)) {}
+    beast::tcp_stream m_Stream;
+    std::atomic<bool> m_Busy{false};
+  };
+
+  asio::awaitable<void> acceptLoop() {
+    auto Self = shared_from_this();
+    while (m_Acceptor.is_open()) {
+      auto [Ec, Socket] = co_await m_Acceptor.async_accept(m_Threads.nextWorker(), UseAwaitable);
+      if (Ec == asio::error::operation_aborted || Ec == asio::error::bad_descriptor)
+        co_return;
+      if (Ec) {
+        asio::steady_timer Pause(co_await asio::this_coro::executor, std::chrono::milliseconds(50));
+        co_await Pause.async_wait(UseAwaitable);
+        continue;
+      }
+      Socket.set_option(tcp::no_delay(true), Ec);
+      auto Added = std::make_shared<Connection>(std::move(Socket));
+      if (!add(Added))
+        continue;
+      asio::co_spawn(Added->m_Stream.get_executor(), serve(Added), [Self, Added](std::exception_ptr) {
+        std::lock_guard Lock(Self->m_Mutex);
+        Self->m_Connections.erase(Added.get());
+      });
+    }
+  }
+
+  bool add(const std::shared_ptr<Connection> &Added) {
+    std::lock_guard Lock(m_Mutex);
+    if (m_Draining || m_Connections.size() >= m_Limits.m_Connections)
+      return false;
+    m_Connections.emplace(Added.get(), Added);
+    return true;
+  }
+
+  asio::awaitable<void> refuse(beast::tcp_stream &Stream, unsigned Status, std::string Message) {
+    Responder Answer(Stream, m_Limits.m_WriteTimeout, false);
+    co_await Answer.send(jsonResponse(Status, "{\"error\":\"" + Message + "\"}"));
+    // Read what is still coming for a moment, lest a reset overtake the answer.
+    beast::error_code Ignored;
+    Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+    std::array<char, 4096> Sink;
+    Stream.expires_after(std::chrono::seconds(1));
+    for (int I = 0; I < 256; ++I) {
+      auto [Ec, Bytes] = co_await Stream.async_read_some(asio::buffer(Sink), UseAwaitable);
+      if (Ec)
+        break;
+    }
+  }
+
+  static unsigned statusOf(const beast::error_code &Ec) {
+    if (Ec == http::error::body_limit)
+      return 413;
+    if (Ec == http::error::header_limit)
+      return 431;
+    if (Ec == beast::error::timeout)
+      return 408;
+    return 400;
+  }
+
+  asio::awaitable<void> serve(std::shared_ptr<Connection> Served) {
+    auto Self = shared_from_this();
+    beast::tcp_stream &Stream = Served->m_Stream;
+    beast::flat_buffer Buffer;
+    while (true) {
+      http::request_parser<http::string_body> Parser;
+      Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_HeaderBytes));
+      Parser.body_limit(m_Limits.m_BodyBytes);
+      if (Buffer.size() == 0) {
+        Stream.expires_after(m_Limits.m_IdleTimeout);
+        auto [Ec, Bytes] = co_await Stream.async_read_some(Buffer.prepare(4096), UseAwaitable);
+        if (Ec)
+          co_return;
+        Buffer.commit(Bytes);
+      }
+      Served->m_Busy = true;
+      m_Open.fetch_add(1);
+      Stream.expires_after(m_Limits.m_HeaderTimeout);
+      auto [Ec, Bytes] = co_await http::async_read(Stream, Buffer, Parser, UseAwaitable);
+      if (Ec) {
+        if (Ec != http::error::end_of_stream && Ec != asio::error::connection_reset)
+          co_await refuse(Stream, statusOf(Ec), Ec.message());
+        m_Open.fetch_sub(1);
+        co_return;
+      }
+      const bool Again = co_await answer(Served, Parser.release(), Buffer);
+      m_Open.fetch_sub(1);
+      Served->m_Busy = false;
+      if (!Again || m_Draining)
+        break;
+    }
+    beast::error_code Ignored;
+    Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  }
+
+  /// True when the connection can take another request.
+  asio::awaitable<bool> answer(std::shared_ptr<Connection> Served, http::request<http::string_body> Message,
+                               beast::flat_buffer &Buffer) {
+    HttpRequest Request;
+    Request.m_Method = std::string(Message.method_string());
+    Request.m_Target = std::string(Message.target());
+    for (const auto &Field : Message)
+      Request.m_Headers.add(std::string(Field.name_string()), std::string(Field.value()));
+    const bool KeepAlive = Message.keep_alive() && !m_Draining;
+    Request.m_Body = std::move(Message.body());
+    auto Answer = std::make_shared<Responder>(Served->m_Stream, m_Limits.m_WriteTimeout, KeepAlive);
+    watchForClose(Served, Answer, Buffer);
+    bool Threw = false;
+    try {
+      co_await m_Handler(std::move(Request), *Answer);
+    } catch (const std::exception &) {
+      Threw = true;
+    }
+    if (Threw && !Answer->started())
+      co_await Answer->send(jsonResponse(500, R"({"error":"internal error"})"));
+    else if (!Answer->started())
+      co_await Answer->send(jsonResponse(500, R"({"error":"no answer was given"})"));
+    Served->m_Stream.expires_never();
+    co_return Answer->whole() && KeepAlive;
+  }
+
+  /// Notices a client that closes while its answer is being made.
+  void watchForClose(const std::shared_ptr<Connection> &Served, const std::shared_ptr<Responder> &Answer,
+                     beast::flat_buffer &Buffer) {
+    if (Buffer.size() != 0)
+      return;
+    std::weak_ptr<Responder> Weak = Answer;
+    Served->m_Stream.socket().async_wait(
+        tcp::socket::wait_read, [Served, Weak](const boost::system::error_code &Ec) {
+          auto Watched = Weak.lock();
+          if (!Watched || Ec)
+            return;
+          char Byte = 0;
+          boost::system::error_code Peek;
+          Served->m_Stream.socket().non_blocking(true, Peek);
+          const std::size_t Got =
+              Served->m_Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Peek);
+          if (Peek == asio::error::would_block || (Got > 0 && !Peek))
+            return;
+          Watched->gone();
+        });
+  }
+
+  IoThreads &m_Threads;
+  tcp::acceptor m_Acceptor;
+  HttpHandler m_Handler;
+  HttpLimits m_Limits;
+  std::mutex m_Mutex;
+  std::unordered_map<Connection *, std::shared_ptr<Connection>> m_Connections;
+  std::atomic<bool> m_Draining{false};
+  std::atomic<std::size_t> m_Open{0};
+};
+
+HttpServer::HttpServer(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits)
+    : m_Impl(std::make_shared<Impl>(Threads, std::move(Handler), Limits)) {}
+
+HttpServer::~HttpServer() { stop(); }
+
+Result<std::string> HttpServer::listen(const std::string &Address) {
+  BOOST_LEAF_AUTO(Endpoint, parseEndpoint(Address));
+  boost::system::error_code Ec;
+  tcp::acceptor &Acceptor = m_Impl->m_Acceptor;
+  Acceptor.open(Endpoint.protocol(), Ec);
+  if (!Ec)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Ec);
+  if (!Ec)
+    Acceptor.bind(Endpoint, Ec);
+  if (!Ec)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Ec);
+  if (Ec)
+    return fail(ErrorCode::Unavailable, "cannot listen on " + Address + ": " + Ec.message());
+  const std::string Bound = formatEndpoint(Acceptor.local_endpoint(Ec));
+  asio::co_spawn(Acceptor.get_executor(), m_Impl->acceptLoop(), asio::detached);
+  return Bound;
+}
+
+void HttpServer::drain() {
+  m_Impl->m_Draining = true;
+  asio::post(m_Impl->m_Acceptor.get_executor(), [Impl = m_Impl] {
+    boost::system::error_code Ignored;
+    Impl->m_Acceptor.close(Ignored);
+  });
+  std::lock_guard Lock(m_Impl->m_Mutex);
+  for (auto &[Key, Each] : m_Impl->m_Connections)
+    asio::post(Each->m_Stream.get_executor(), [Each = Each] {
+      if (!Each->m_Busy)
+        Each->m_Stream.cancel();
+    });
+}
+
+void HttpServer::stop() {
+  m_Impl->m_Draining = true;
+  asio::post(m_Impl->m_Acceptor.get_executor(), [Impl = m_Impl] {
+    boost::system::error_code Ignored;
+    Impl->m_Acceptor.close(Ignored);
+  });
+  std::lock_guard Lock(m_Impl->m_Mutex);
+  for (auto &[Key, Each] : m_Impl->m_Connections)
+    asio::post(Each->m_Stream.get_executor(), [Each = Each] { Each->m_Stream.close(); });
+}
+
+std::size_t HttpServer::openRequests() const { return m_Impl->m_Open.load(); }
+
+} // namespace deckpitch::net
--- /dev/null
+++ b/src/net/io-threads.cc
@@ -0,0 +1,32 @@
+#include "net/io-threads.h"
+
+namespace deckpitch::net {
+
+IoThreads::IoThreads(unsigned Workers) {
+  for (unsigned I = 0; I <= Workers; ++I)
+    m_Loops.push_back(std::make_unique<Loop>());
+}
+
+IoThreads::~IoThreads() { stop(); }
+
+void IoThreads::start() {
+  for (auto &Each : m_Loops)
+    Each->m_Thread = std::thread([&Io = Each->m_Io] { Io.run(); });
+}
+
+void IoThreads::stop() {
+  for (auto &Each : m_Loops)
+    Each->m_Io.stop();
+  for (auto &Each : m_Loops)
+    if (Each->m_Thread.joinable())
+      Each->m_Thread.join();
+}
+
+boost::asio::io_context &IoThreads::nextWorker() {
+  if (m_Loops.size() == 1)
+    return control();
+  const std::size_t Turn = m_Next.fetch_add(1, std::memory_order_relaxed);
+  return m_Loops[1 + Turn % (m_Loops.size() - 1)]->m_Io;
+}
+
+} // namespace deckpitch::net
