--- a/include/deckpitch/declaration.h
+++ b/include/deckpitch/declaration.h
@@ -69,6 +69,24 @@
   friend bool operator==(const Declared &, const Declared &) = default;
 };
 
+/// The pool that an instance is to serve, and the weights it may activate
+/// now; those lag behind the pool's declared weights while a rollout is held.
+struct AssignedPool {
+  PoolId m_Pool;
+  WeightsId m_Weights;
+
+  friend bool operator==(const AssignedPool &, const AssignedPool &) = default;
+};
+
+/// Which instance serves which pool. One object of the platform, written by
+/// conditional update only, so that its revision orders all decisions: the
+/// revision is the fencing number of the orders that follow from it.
+struct Assignment {
+  std::map<InstanceId, AssignedPool> m_Instances;
+
+  friend bool operator==(const Assignment &, const Assignment &) = default;
+};
+
 /// All declarations in force at one process: one snapshot, never half of a
 /// change. Complete up to m_Revision.
 struct DeclarationSet {
@@ -76,6 +94,7 @@
   std::map<PoolId, Declared<Pool>> m_Pools;
   std::map<OrganisationId, Declared<Organisation>> m_Organisations;
   std::map<std::string, Declared<Upstream>> m_Upstreams;
+  Declared<Assignment> m_Assignment;
 
   friend bool operator==(const DeclarationSet &, const DeclarationSet &) = default;
 };
@@ -85,8 +104,10 @@
 Result<Pool> parsePool(std::string_view Json);
 Result<Organisation> parseOrganisation(std::string_view Json);
 Result<Upstream> parseUpstream(std::string_view Json);
+Result<Assignment> parseAssignment(std::string_view Json);
 std::string formatPool(const Pool &Value);
 std::string formatOrganisation(const Organisation &Value);
 std::string formatUpstream(const Upstream &Value);
+std::string formatAssignment(const Assignment &Value);
 
 } // namespace deckpitch
--- a/src/kernel/declaration.cc
+++ b/src/kernel/declaration.cc
@@ -147,4 +147,34 @@
   return boost::json::serialize(boost::json::object{{"name", Value.m_Name}, {"checksFencing", Value.m_ChecksFencing}});
 }
 
+Result<Assignment> parseAssignment(std::string_view Json) {
+  BOOST_LEAF_AUTO(Value, parseJson(Json));
+  Problems Found;
+  Assignment Out;
+  JsonObjectReader Reader(Value, "", Found);
+  Reader.array("instances", [&](const boost::json::value &Each, const std::string &Path) {
+    JsonObjectReader Inner(Each, Path, Found);
+    InstanceId Instance;
+    AssignedPool Assigned;
+    Inner.required("instance", Instance.m_Text);
+    Inner.required("pool", Assigned.m_Pool.m_Text);
+    Inner.optional("weights", Assigned.m_Weights.m_Text);
+    Inner.finish();
+    Out.m_Instances[Instance] = Assigned;
+  });
+  Reader.finish();
+  if (!Found.m_List.empty())
+    return failWith(std::move(Found));
+  return Out;
+}
+
+std::string formatAssignment(const Assignment &Value) {
+  boost::json::array Instances;
+  for (const auto &[Instance, Assigned] : Value.m_Instances)
+    Instances.push_back(boost::json::object{{"instance", Instance.m_Text},
+                                            {"pool", Assigned.m_Pool.m_Text},
+                                            {"weights", Assigned.m_Weights.m_Text}});
+  return boost::json::serialize(boost::json::object{{"instances", std::move(Instances)}});
+}
+
 } // namespace deckpitch
