Format the sources with clang-format

Cause: the formatter is the authority on layout and the linter will check it. Ruled out: a wider column limit (the coding standard says 80). Change: clang-format -i over all but the generated code. Measured: not measured; no change of meaning.

--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -1,4 +1,5 @@
-// The platform's object interface as coroutines; platform-http.cc is its adapter.
+// The platform's object interface as coroutines; platform-http.cc is its
+// adapter.
 #pragma once
 
 #include "deckpitch/error.h"
@@ -19,7 +20,8 @@
   Revision m_Revision;
   std::string m_Json; ///< the value; at most 1 MiB
 
-  friend bool operator==(const PlatformObject &, const PlatformObject &) = default;
+  friend bool operator==(const PlatformObject &,
+                         const PlatformObject &) = default;
 };
 
 struct PlatformList {
@@ -47,12 +49,15 @@
 public:
   Platform(HttpClient &Http, std::string Address);
 
-  asio::awaitable<Outcome<PlatformObject>> get(std::string Kind, std::string Name);
+  asio::awaitable<Outcome<PlatformObject>> get(std::string Kind,
+                                               std::string Name);
   asio::awaitable<Outcome<PlatformList>> list(std::string Kind);
   /// Replaces the object if it still has that revision; gives the new one.
   asio::awaitable<Outcome<Revision>> update(PlatformObject Object);
-  asio::awaitable<Outcome<Revision>> create(std::string Kind, std::string Name, std::string Json);
-  asio::awaitable<Outcome<Revision>> remove(std::string Kind, std::string Name, Revision Seen);
+  asio::awaitable<Outcome<Revision>> create(std::string Kind, std::string Name,
+                                            std::string Json);
+  asio::awaitable<Outcome<Revision>> remove(std::string Kind, std::string Name,
+                                            Revision Seen);
   /// Calls back for each event until the watch ends; then tells why. NotFound
   /// means that Since is too old: list again.
   asio::awaitable<Error> watch(std::vector<std::string> Kinds, Revision Since,
