--- /dev/null
+++ b/include/deckpitch/request-gate.h
@@ -0,0 +1,28 @@
+// Whether an agent lets a request through to its engine or service.
+#pragma once
+
+#include "deckpitch/membership.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace deckpitch {
+
+/// What the entry bound a request to when it chose the instance.
+struct RequestBinding {
+  PoolId m_Pool;
+  WeightsId m_Weights;  ///< empty for services
+  std::string m_Digest; ///< hex; empty for services
+  Incarnation m_Incarnation;
+
+  friend bool operator==(const RequestBinding &,
+                         const RequestBinding &) = default;
+};
+
+/// Why a request may not run here; nothing when it may.
+std::optional<std::string_view> refusalOf(const RequestBinding &Bound,
+                                          const ServingReport &Serving,
+                                          Incarnation Own, bool Leaving);
+
+} // namespace deckpitch
--- /dev/null
+++ b/src/daemon/agent-forward.cc
@@ -0,0 +1,195 @@
+#include "daemon/agent-forward.h"
+#include "deckpitch/request-outcome.h"
+#include "deckpitch/token-stream.h"
+#include "net/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+#include <array>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds CancelLimit{1'000};
+constexpr std::chrono::milliseconds EngineConnect{500};
+constexpr std::size_t MaxServiceAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxRefusalBytes = 64 * 1024;
+constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
+constexpr unsigned WeightsConflict = 409;
+constexpr unsigned FirstServerError = 500;
+
+std::uint64_t firstIndexOf(const std::string &Body) {
+  boost::json::error_code Ec;
+  const boost::json::value Parsed = boost::json::parse(Body, Ec);
+  if (Ec || !Parsed.is_object())
+    return 0;
+  const boost::json::value *From =
+      Parsed.get_object().if_contains("resume_from");
+  if (!From)
+    return 0;
+  const auto Index = From->to_number<std::uint64_t>(Ec);
+  return Ec ? 0 : Index;
+}
+
+void copyHeader(const net::HttpHeaders &From, net::HttpHeaders &To,
+                const char *Name) {
+  const std::string_view Value = From.find(Name);
+  if (!Value.empty())
+    To.add(Name, std::string(Value));
+}
+
+} // namespace
+
+net::HttpResponse agentAnswer(unsigned Status, std::string_view Outcome,
+                              std::string_view Reason,
+                              const std::string &RequestId) {
+  const boost::json::object Body{{"error", Reason}, {"outcome", Outcome}};
+  auto Response = net::jsonResponse(Status, boost::json::serialize(Body));
+  Response.m_Headers.add(header::Outcome, std::string(Outcome));
+  Response.m_Headers.add(header::RequestId, RequestId);
+  return Response;
+}
+
+asio::awaitable<void> cancelAtEngine(Process &In, std::string RequestId) {
+  net::HttpRequest Cancel;
+  Cancel.m_Method = "DELETE";
+  Cancel.m_Target = "/v1/requests/" + RequestId;
+  const net::CallLimits Limits{.m_Connect = CancelLimit,
+                               .m_FirstByte = CancelLimit,
+                               .m_BetweenBytes = CancelLimit};
+  co_await In.m_Http.call(In.m_Settings.m_Upstream.m_Address, std::move(Cancel),
+                          Limits);
+}
+
+EngineForward::EngineForward(Process &In, BoundRequest Request,
+                             net::HttpResponder &Answer)
+    : m_Process(In), m_Request(std::move(Request)), m_Answer(Answer) {
+  m_Answer.onGone([this] { callerGone(); });
+}
+
+EngineForward::~EngineForward() { m_Answer.onGone(nullptr); }
+
+net::HttpRequest EngineForward::engineRequest() const {
+  net::HttpRequest Out;
+  Out.m_Method = m_Request.m_Http.m_Method;
+  Out.m_Target = m_Request.m_Http.m_Target;
+  Out.m_Body = m_Request.m_Http.m_Body;
+  const net::HttpHeaders &Given = m_Request.m_Http.m_Headers;
+  copyHeader(Given, Out.m_Headers, header::ContentType);
+  copyHeader(Given, Out.m_Headers, header::RequestId);
+  copyHeader(Given, Out.m_Headers, header::Priority);
+  copyHeader(Given, Out.m_Headers, header::Weights);
+  return Out;
+}
+
+asio::awaitable<void> EngineForward::run() {
+  const auto Left = milliseconds(m_Request.m_TimeLeft);
+  const net::CallLimits Limits{
+      .m_Connect = EngineConnect, .m_FirstByte = Left, .m_BetweenBytes = Left};
+  auto Opened = co_await m_Process.m_Http.open(
+      m_Process.m_Settings.m_Upstream.m_Address, engineRequest(), Limits);
+  if (m_Gone)
+    co_return;
+  if (!Opened) {
+    const bool NeverSent = Opened.error().m_Code == ErrorCode::Unavailable;
+    const auto Outcome =
+        NeverSent ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+    co_await m_Answer.send(agentAnswer(
+        502, toText(Outcome), Opened.error().m_Message, m_Request.m_Id));
+    co_return;
+  }
+  net::HttpStream &Stream = **Opened;
+  m_Open = &Stream;
+  if (Stream.status() == 200)
+    co_await passStream(Stream);
+  else
+    co_await passRefusal(Stream);
+  m_Open = nullptr;
+}
+
+asio::awaitable<void> EngineForward::passRefusal(net::HttpStream &Stream) {
+  net::HttpResponse Response;
+  Response.m_Status = Stream.status();
+  while (Response.m_Body.size() < MaxRefusalBytes) {
+    auto Piece = co_await Stream.read();
+    if (!Piece || Piece->empty())
+      break;
+    Response.m_Body += *Piece;
+  }
+  RequestOutcome Outcome = RequestOutcome::Answered;
+  if (Response.m_Status == WeightsConflict)
+    Outcome = RequestOutcome::NotRun;
+  else if (Response.m_Status >= FirstServerError)
+    Outcome = RequestOutcome::Unknown;
+  Response.m_Headers.add(header::ContentType, "application/json");
+  Response.m_Headers.add(header::Outcome, std::string(toText(Outcome)));
+  Response.m_Headers.add(header::RequestId, m_Request.m_Id);
+  co_await m_Answer.send(std::move(Response));
+}
+
+asio::awaitable<void> EngineForward::passStream(net::HttpStream &Stream) {
+  TokenStreamChecker Checker(
+      {.m_RequestId = m_Request.m_Id,
+       .m_Weights = m_Request.m_Binding.m_Weights,
+       .m_Digest = m_Request.m_Binding.m_Digest,
+       .m_FirstIndex = firstIndexOf(m_Request.m_Http.m_Body)});
+  net::HttpHeaders Headers;
+  Headers.add(header::ContentType, "text/event-stream");
+  Headers.add(header::Outcome, std::string(toText(RequestOutcome::Answered)));
+  Headers.add(header::RequestId, m_Request.m_Id);
+  bool Good = co_await m_Answer.begin(200, std::move(Headers));
+  while (Good) {
+    auto Piece = co_await Stream.read();
+    if (!Piece || m_Gone)
+      break;
+    if (Piece->empty() && Checker.finished()) {
+      co_await m_Answer.write(StreamEnd);
+      co_await m_Answer.end();
+      co_return;
+    }
+    const StreamStep Step = Checker.feed(*Piece);
+    Good = co_await m_Answer.write(Step.m_Events);
+    if (Step.m_Fault != StreamFault::None)
+      net::log(Event::UpstreamAnswerRefused,
+               {{"request", m_Request.m_Id}, {"fault", toText(Step.m_Fault)}});
+    if (Step.m_Fault != StreamFault::None || Piece->empty())
+      break;
+  }
+  m_Answer.abort();
+  if (!Checker.finished())
+    co_await cancelAtEngine(m_Process, m_Request.m_Id);
+}
+
+void EngineForward::callerGone() {
+  m_Gone = true;
+  if (m_Open)
+    m_Open->cancel();
+  asio::co_spawn(m_Process.m_Threads.nextWorker(),
+                 cancelAtEngine(m_Process, m_Request.m_Id), asio::detached);
+}
+
+asio::awaitable<Outcome<net::HttpResponse>>
+callService(Process &In, const BoundRequest &Request) {
+  net::HttpRequest Out;
+  Out.m_Method = Request.m_Http.m_Method;
+  Out.m_Target = Request.m_Http.m_Target;
+  Out.m_Body = Request.m_Http.m_Body;
+  const net::HttpHeaders &Given = Request.m_Http.m_Headers;
+  copyHeader(Given, Out.m_Headers, header::ContentType);
+  copyHeader(Given, Out.m_Headers, header::RequestId);
+  copyHeader(Given, Out.m_Headers, header::IdempotencyKey);
+  const auto Left = milliseconds(Request.m_TimeLeft);
+  const net::CallLimits Limits{.m_Connect = EngineConnect,
+                               .m_FirstByte = Left,
+                               .m_BetweenBytes = Left,
+                               .m_BodyBytes = MaxServiceAnswerBytes};
+  co_return co_await In.m_Http.call(In.m_Settings.m_Upstream.m_Address,
+                                    std::move(Out), Limits);
+}
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/call-headers.h
@@ -0,0 +1,45 @@
+// Names of the headers that callers, entries and agents exchange.
+#pragma once
+
+#include "deckpitch/time.h"
+
+#include <chrono>
+
+namespace deckpitch::daemon::header {
+
+inline constexpr char Organisation[] = "X-Organisation";
+inline constexpr char DeadlineMs[] = "X-Deadline-Ms";
+inline constexpr char Priority[] = "X-Priority";
+inline constexpr char IdempotencyKey[] = "Idempotency-Key";
+inline constexpr char Idempotent[] = "X-Idempotent";
+inline constexpr char Outcome[] = "X-Outcome";
+inline constexpr char RetryAfterMs[] = "Retry-After-Ms";
+inline constexpr char RetryAfter[] = "Retry-After";
+inline constexpr char RequestId[] = "X-Request-Id";
+inline constexpr char Replayed[] = "X-Replayed";
+inline constexpr char ContentType[] = "Content-Type";
+
+// From entry to agent.
+inline constexpr char Pool[] = "X-Pool";
+inline constexpr char Weights[] = "X-Weights";
+inline constexpr char WeightsDigest[] = "X-Weights-Digest";
+inline constexpr char Incarnation[] = "X-Incarnation";
+inline constexpr char ClaimKey[] = "X-Claim-Key";
+inline constexpr char ClaimAttempt[] = "X-Claim-Attempt";
+inline constexpr char ClaimTicket[] = "X-Claim-Ticket";
+
+} // namespace deckpitch::daemon::header
+
+namespace deckpitch::daemon {
+
+/// The time that decisions get.
+inline TimePoint now() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+inline std::chrono::milliseconds milliseconds(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value);
+}
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/entry-chat.cc
@@ -0,0 +1,295 @@
+#include "daemon/entry-chat.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// An upstream that gives nothing for so long is taken for stalled.
+constexpr std::chrono::milliseconds StallLimit{5'000};
+constexpr std::chrono::milliseconds NoUpstreamRetry{500};
+constexpr std::chrono::milliseconds CancelLimit{1'000};
+constexpr std::size_t PrefixBytes = 256;
+constexpr std::size_t MaxPassedOnBytes = 1024 * 1024;
+constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
+
+std::uint64_t prefixHashOf(const boost::json::object &Body) {
+  const boost::json::value *Messages = Body.if_contains("messages");
+  if (!Messages)
+    return 0;
+  const std::string Text = boost::json::serialize(*Messages);
+  return XXH64(Text.data(), std::min(Text.size(), PrefixBytes), 0);
+}
+
+asio::awaitable<void> cancelAt(Process &In, std::string Address,
+                               std::string RequestId) {
+  net::HttpRequest Cancel;
+  Cancel.m_Method = "DELETE";
+  Cancel.m_Target = "/v1/requests/" + RequestId;
+  const net::CallLimits Limits{.m_Connect = CancelLimit,
+                               .m_FirstByte = CancelLimit,
+                               .m_BetweenBytes = CancelLimit};
+  co_await In.m_Http.call(std::move(Address), std::move(Cancel), Limits);
+}
+
+} // namespace
+
+ChatCall::ChatCall(EntryContext &In, CallerRequest Call,
+                   net::HttpResponder &Answer)
+    : m_Context(In), m_Call(std::move(Call)), m_Answer(Answer),
+      m_Routes(In.m_Routes.routes()) {}
+
+ChatCall::~ChatCall() { m_Answer.onGone(nullptr); }
+
+std::optional<NotRun> ChatCall::prepare() {
+  boost::json::error_code Ec;
+  boost::json::value Parsed = boost::json::parse(m_Call.m_Http.m_Body, Ec);
+  if (Ec || !Parsed.is_object())
+    return NotRun{.m_Status = 400, .m_Reason = "the body is not a JSON object"};
+  m_Body = std::move(Parsed.get_object());
+  const boost::json::value *Model = m_Body.if_contains("model");
+  if (!Model || !Model->is_string())
+    return NotRun{.m_Status = 400, .m_Reason = "model: expected a string"};
+  if (const boost::json::value *Stream = m_Body.if_contains("stream"))
+    m_Streaming = Stream->is_bool() && Stream->get_bool();
+  if (m_Body.contains("resume_from"))
+    return NotRun{.m_Status = 400, .m_Reason = "resume_from: not for callers"};
+  const boost::json::string &Name = Model->get_string();
+  m_Pool = findEnginePool(m_Routes->m_Table, {Name.data(), Name.size()});
+  if (!m_Pool)
+    return NotRun{.m_Status = 404,
+                  .m_Reason = "no pool or model '" + std::string(Name) + "'"};
+  m_Body["stream"] = true;
+  m_Hints.m_PrefixHash = prefixHashOf(m_Body);
+  return std::nullopt;
+}
+
+asio::awaitable<RequestOutcome> ChatCall::run() {
+  if (const auto Refusal = prepare()) {
+    co_await m_Answer.send(notRunResponse(*Refusal));
+    co_return RequestOutcome::NotRun;
+  }
+  m_Answer.onGone([this] { callerGone(); });
+  m_Context.m_RetryBudget.deposit();
+  AttemptEnd End = AttemptEnd::Unreachable;
+  while (true) {
+    const UpstreamRoute *To =
+        pickUpstream(*m_Routes, *m_Pool,
+                     m_Context.m_Process.m_Settings.m_DataCentre, m_Hints);
+    if (!To)
+      break;
+    End = co_await attempt(*To);
+    if (m_Gone)
+      co_return RequestOutcome::Unknown;
+    if (End == AttemptEnd::Whole)
+      co_return co_await finish();
+    if (!retryAllowed(End))
+      break;
+    m_Context.m_Counters.m_Retries.fetch_add(1, std::memory_order_relaxed);
+    m_Routes = m_Context.m_Routes.routes();
+    const auto Pool = m_Routes->m_Table.m_Pools.find(m_Pool->m_Pool.m_Id);
+    if (Pool == m_Routes->m_Table.m_Pools.end())
+      break;
+    m_Pool = &Pool->second;
+  }
+  const bool MayHaveRun = End == AttemptEnd::Lost || m_NextIndex > 0;
+  co_return co_await giveUp(MayHaveRun ? RequestOutcome::Unknown
+                                       : RequestOutcome::NotRun);
+}
+
+bool ChatCall::retryAllowed(AttemptEnd End) {
+  const bool Allowed =
+      !needsBudget(End) ||
+      (m_Call.m_Terms.m_Idempotent && m_Context.m_RetryBudget.withdraw());
+  const CallState State{.m_Idempotent = m_Call.m_Terms.m_Idempotent,
+                        .m_Attempts = m_Attempts,
+                        .m_OtherUpstream = true,
+                        .m_BudgetAllows = Allowed,
+                        .m_TimeLeft = now() < m_Call.m_Deadline};
+  return afterAttempt(End, State) == NextStep::TryAnother;
+}
+
+std::string ChatCall::resumeBody() const {
+  boost::json::object Body = m_Body;
+  if (m_NextIndex > 0)
+    Body["resume_from"] = m_NextIndex;
+  return boost::json::serialize(Body);
+}
+
+asio::awaitable<AttemptEnd> ChatCall::attempt(const UpstreamRoute &To) {
+  ++m_Attempts;
+  m_Hints.m_Tried.insert(To.m_Instance);
+  m_Upstream = To.m_Address;
+  const InFlightGuard Counted(m_Routes->m_Counters.at(To.m_Instance));
+  net::HttpRequest Request = boundRequest(m_Call, m_Pool->m_Pool.m_Id, To);
+  Request.m_Headers.add(header::ContentType, "application/json");
+  Request.m_Body = resumeBody();
+  const Duration Left = m_Call.m_Deadline - now();
+  const auto Limit = attemptLimit(Left, m_Call.m_Terms.m_Idempotent);
+  const net::CallLimits Limits{.m_FirstByte = Limit,
+                               .m_BetweenBytes = StallLimit};
+  auto Opened = co_await m_Context.m_Process.m_Http.open(
+      To.m_Address, std::move(Request), Limits);
+  if (!Opened)
+    co_return attemptEndOf(Opened.error());
+  net::HttpStream &Stream = **Opened;
+  const AttemptEnd Told = attemptEndOf(Stream.headers(), m_Call.m_Id);
+  if (Told != AttemptEnd::Whole)
+    co_return Told;
+  if (Stream.status() != 200)
+    co_return co_await passOn(Stream);
+  m_Hints.m_Weights = To.m_Weights;
+  m_Hints.m_Digest = To.m_Digest;
+  m_Open = &Stream;
+  StreamBinding Bound{.m_RequestId = m_Call.m_Id,
+                      .m_Weights = To.m_Weights,
+                      .m_Digest = toHex(To.m_Digest),
+                      .m_FirstIndex = m_NextIndex};
+  const AttemptEnd End = co_await readStream(Stream, std::move(Bound));
+  m_Open = nullptr;
+  co_return End;
+}
+
+asio::awaitable<AttemptEnd> ChatCall::readStream(net::HttpStream &Stream,
+                                                 StreamBinding Bound) {
+  if (m_NextIndex > 0)
+    m_Context.m_Counters.m_Resumed.fetch_add(1, std::memory_order_relaxed);
+  TokenStreamChecker Checker(std::move(Bound));
+  while (true) {
+    auto Piece = co_await Stream.read();
+    if (!Piece || m_Gone)
+      co_return AttemptEnd::Lost;
+    if (Piece->empty())
+      co_return Checker.finished() ? AttemptEnd::Whole : AttemptEnd::Lost;
+    const StreamStep Step = Checker.feed(*Piece);
+    m_Context.m_Counters.m_Tokens.fetch_add(Checker.nextIndex() - m_NextIndex,
+                                            std::memory_order_relaxed);
+    m_NextIndex = Checker.nextIndex();
+    const bool Delivered = co_await deliver(Step);
+    if (!Delivered)
+      m_Gone = true;
+    if (m_Gone || Step.m_Fault != StreamFault::None)
+      co_return AttemptEnd::Lost;
+  }
+}
+
+asio::awaitable<bool> ChatCall::deliver(const StreamStep &Step) {
+  if (!m_Streaming) {
+    m_Content += Step.m_Content;
+    co_return true;
+  }
+  if (Step.m_Events.empty())
+    co_return true;
+  const bool Begun = co_await beginStream();
+  if (!Begun)
+    co_return false;
+  co_return co_await m_Answer.write(Step.m_Events);
+}
+
+asio::awaitable<bool> ChatCall::beginStream() {
+  if (m_Answer.started())
+    co_return true;
+  net::HttpHeaders Headers;
+  Headers.add(header::ContentType, "text/event-stream");
+  Headers.add(header::Outcome, std::string(toText(RequestOutcome::Answered)));
+  Headers.add(header::RequestId, m_Call.m_Id);
+  Headers.add(header::Weights, m_Hints.m_Weights.m_Text);
+  co_return co_await m_Answer.begin(200, std::move(Headers));
+}
+
+asio::awaitable<AttemptEnd> ChatCall::passOn(net::HttpStream &Stream) {
+  net::HttpResponse Response;
+  Response.m_Status = Stream.status();
+  while (true) {
+    auto Piece = co_await Stream.read();
+    if (!Piece)
+      co_return AttemptEnd::Lost;
+    if (Piece->empty())
+      break;
+    Response.m_Body += *Piece;
+    if (Response.m_Body.size() > MaxPassedOnBytes)
+      co_return AttemptEnd::Lost;
+  }
+  Response.m_Headers.add(header::ContentType, std::string(Stream.headers().find(
+                                                  header::ContentType)));
+  m_PassedOn = std::move(Response);
+  co_return AttemptEnd::Whole;
+}
+
+asio::awaitable<RequestOutcome> ChatCall::finish() {
+  if (m_Streaming && !m_PassedOn) {
+    bool Good = co_await beginStream();
+    if (Good)
+      Good = co_await m_Answer.write(StreamEnd);
+    if (Good)
+      co_await m_Answer.end();
+    co_return RequestOutcome::Answered;
+  }
+  net::HttpResponse Response;
+  if (m_PassedOn) {
+    Response = std::move(*m_PassedOn);
+  } else {
+    const boost::json::value Choice{
+        {"index", 0},
+        {"message", {{"role", "assistant"}, {"content", m_Content}}},
+        {"finish_reason", "stop"}};
+    const boost::json::object Body{
+        {"id", m_Call.m_Id},
+        {"object", "chat.completion"},
+        {"model", m_Body.at("model")},
+        {"choices", boost::json::array{Choice}},
+        {"usage", {{"completion_tokens", m_NextIndex}}},
+        {"weights", m_Hints.m_Weights.m_Text},
+        {"digest", toHex(m_Hints.m_Digest)}};
+    Response = net::jsonResponse(200, boost::json::serialize(Body));
+  }
+  Response.m_Headers.add(header::Outcome,
+                         std::string(toText(RequestOutcome::Answered)));
+  Response.m_Headers.add(header::RequestId, m_Call.m_Id);
+  co_await m_Answer.send(std::move(Response));
+  co_return RequestOutcome::Answered;
+}
+
+asio::awaitable<RequestOutcome> ChatCall::giveUp(RequestOutcome Outcome) {
+  const Duration RetryAfter = jittered(NoUpstreamRetry);
+  if (m_Answer.started()) {
+    const boost::json::object Event{
+        {"id", m_Call.m_Id},
+        {"error",
+         {{"message", "the stream broke and cannot be resumed"},
+          {"type", toText(Outcome)}}},
+        {"outcome", toText(Outcome)},
+        {"retry_after_ms", milliseconds(RetryAfter).count()}};
+    const std::string Text =
+        "event: error\ndata: " + boost::json::serialize(Event) + "\n\n";
+    co_await m_Answer.write(Text);
+    co_await m_Answer.end();
+    co_return Outcome;
+  }
+  net::HttpResponse Response =
+      Outcome == RequestOutcome::Unknown
+          ? unknownResponse("no upstream gave a whole answer", RetryAfter)
+          : notRunResponse({.m_Reason = "no upstream is ready to take it",
+                            .m_RetryAfter = RetryAfter});
+  co_await m_Answer.send(std::move(Response));
+  co_return Outcome;
+}
+
+void ChatCall::callerGone() {
+  m_Gone = true;
+  if (m_Open) {
+    m_Open->cancel();
+    return;
+  }
+  Process &In = m_Context.m_Process;
+  asio::co_spawn(In.m_Threads.nextWorker(),
+                 cancelAt(In, m_Upstream, m_Call.m_Id), asio::detached);
+}
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/entry-routes.cc
@@ -0,0 +1,110 @@
+#include "daemon/entry-routes.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <random>
+
+namespace deckpitch::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds RefreshPeriod{20};
+/// Until an upstream's agent says what it can take.
+constexpr double DefaultLimit = 64;
+
+std::minstd_rand &generator() {
+  thread_local std::minstd_rand Random{std::random_device{}()};
+  return Random;
+}
+
+bool fits(const UpstreamRoute &Route, const PickHints &Hints) {
+  if (Hints.m_Tried.contains(Route.m_Instance))
+    return false;
+  return Hints.m_Weights.empty() || (Route.m_Weights == Hints.m_Weights &&
+                                     Route.m_Digest == Hints.m_Digest);
+}
+
+std::uint64_t rankOf(const UpstreamRoute &Route, std::uint64_t PrefixHash) {
+  if (PrefixHash == 0)
+    return 0;
+  const std::string &Name = Route.m_Instance.m_Text;
+  return XXH64(Name.data(), Name.size(), PrefixHash) | 1;
+}
+
+Candidate candidateOf(const UpstreamRoute &Route,
+                      const UpstreamCounters &Counters,
+                      const DataCentreId &Home, const PickHints &Hints) {
+  const std::uint32_t Own = Counters.m_InFlight.load();
+  const double Others = std::max(0.0, double(Route.m_Load.m_InFlight) -
+                                          Counters.m_InFlightAtReport.load());
+  const double Limit =
+      Route.m_Load.m_Limit > 0 ? Route.m_Load.m_Limit : DefaultLimit;
+  return {.m_Own = Own,
+          .m_Others = Others,
+          .m_Limit = Limit,
+          .m_Rank = rankOf(Route, Hints.m_PrefixHash),
+          .m_Near = Route.m_DataCentre == Home,
+          .m_Suspect = Route.m_Suspect};
+}
+
+} // namespace
+
+RouteSource::RouteSource(Process &In)
+    : m_Process(In), m_Timer(In.m_Threads.control()) {}
+
+void RouteSource::start() { poll(); }
+void RouteSource::stop() { m_Timer.cancel(); }
+
+void RouteSource::poll() {
+  const std::uint64_t Declarations = m_Process.m_Declarations.generation();
+  const std::uint64_t Membership = m_Process.m_Membership.generation();
+  if (Declarations != m_DeclarationsSeen || Membership != m_MembershipSeen) {
+    m_DeclarationsSeen = Declarations;
+    m_MembershipSeen = Membership;
+    rebuild();
+  }
+  m_Timer.expires_after(RefreshPeriod);
+  m_Timer.async_wait([this](const boost::system::error_code &Ec) {
+    if (!Ec)
+      poll();
+  });
+}
+
+void RouteSource::rebuild() {
+  const auto Before = m_Routes.load();
+  auto Next = std::make_shared<EntryRoutes>();
+  Next->m_Table = buildRoutes(*m_Process.m_Declarations.load(),
+                              *m_Process.m_Membership.load());
+  for (const auto &[Name, Pool] : Next->m_Table.m_Pools) {
+    for (const UpstreamRoute &Each : Pool.m_Upstreams) {
+      const auto Known = Before->m_Counters.find(Each.m_Instance);
+      auto &Counters = Next->m_Counters[Each.m_Instance];
+      Counters = Known != Before->m_Counters.end()
+                     ? Known->second
+                     : std::make_shared<UpstreamCounters>();
+      Counters->m_InFlightAtReport = Counters->m_InFlight.load();
+    }
+  }
+  m_Routes.publish(std::move(Next));
+}
+
+const UpstreamRoute *pickUpstream(const EntryRoutes &Routes,
+                                  const PoolRoute &Pool,
+                                  const DataCentreId &Home,
+                                  const PickHints &Hints) {
+  std::vector<Candidate> Candidates;
+  for (std::size_t I = 0; I < Pool.m_Upstreams.size(); ++I) {
+    const UpstreamRoute &Route = Pool.m_Upstreams[I];
+    if (!fits(Route, Hints))
+      continue;
+    Candidate Added = candidateOf(
+        Route, *Routes.m_Counters.at(Route.m_Instance), Home, Hints);
+    Added.m_Index = I;
+    Candidates.push_back(Added);
+  }
+  const auto Chosen = chooseUpstream(Candidates, generator());
+  return Chosen ? &Pool.m_Upstreams[*Chosen] : nullptr;
+}
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/entry-routes.h
@@ -0,0 +1,83 @@
+// The entry's route table and what it counts for each upstream.
+#pragma once
+
+#include "daemon/module.h"
+#include "deckpitch/routing.h"
+#include "deckpitch/snapshot.h"
+#include "deckpitch/upstream-choice.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace deckpitch::daemon {
+
+/// One upstream as this entry sees it; outlives route tables.
+struct UpstreamCounters {
+  std::atomic<std::uint32_t> m_InFlight{0};
+  /// Of m_InFlight, when the load report in force came.
+  std::atomic<std::uint32_t> m_InFlightAtReport{0};
+};
+
+/// Counts one attempt in flight for as long as it lives.
+class InFlightGuard {
+public:
+  explicit InFlightGuard(std::shared_ptr<UpstreamCounters> Counted)
+      : m_Counted(std::move(Counted)) {
+    m_Counted->m_InFlight.fetch_add(1, std::memory_order_relaxed);
+  }
+  ~InFlightGuard() {
+    m_Counted->m_InFlight.fetch_sub(1, std::memory_order_relaxed);
+  }
+  InFlightGuard(const InFlightGuard &) = delete;
+  InFlightGuard &operator=(const InFlightGuard &) = delete;
+
+private:
+  std::shared_ptr<UpstreamCounters> m_Counted;
+};
+
+/// What requests read: never changed once published.
+struct EntryRoutes {
+  RouteTable m_Table;
+  std::map<InstanceId, std::shared_ptr<UpstreamCounters>> m_Counters;
+};
+
+/// Rebuilds the routes when declarations or membership changed, at most once
+/// in RefreshPeriod, on the control loop.
+class RouteSource {
+public:
+  explicit RouteSource(Process &In);
+
+  void start();
+  void stop();
+  std::shared_ptr<const EntryRoutes> routes() const { return m_Routes.load(); }
+
+private:
+  void poll();
+  void rebuild();
+
+  Process &m_Process;
+  boost::asio::steady_timer m_Timer;
+  std::uint64_t m_DeclarationsSeen = 0;
+  std::uint64_t m_MembershipSeen = 0;
+  SnapshotCell<EntryRoutes> m_Routes;
+};
+
+/// What an attempt must or must not go to.
+struct PickHints {
+  std::set<InstanceId> m_Tried; ///< not again
+  WeightsId m_Weights;          ///< empty: any
+  Digest m_Digest;              ///< with m_Weights
+  std::uint64_t m_PrefixHash = 0;
+};
+
+/// The upstream for the next attempt; null when none can take it.
+const UpstreamRoute *pickUpstream(const EntryRoutes &Routes,
+                                  const PoolRoute &Pool,
+                                  const DataCentreId &Home,
+                                  const PickHints &Hints);
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/entry-service.cc
@@ -0,0 +1,111 @@
+#include "daemon/entry-service.h"
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds NoUpstreamRetry{500};
+constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
+
+} // namespace
+
+ServiceCall::ServiceCall(EntryContext &In, CallerRequest Call,
+                         net::HttpResponder &Answer)
+    : m_Context(In), m_Call(std::move(Call)), m_Answer(Answer),
+      m_Routes(In.m_Routes.routes()),
+      m_Pool(findServicePool(m_Routes->m_Table, m_Call.m_Http.path())) {}
+
+asio::awaitable<RequestOutcome> ServiceCall::run() {
+  if (!m_Pool) {
+    auto Response =
+        notRunResponse({.m_Status = 404, .m_Reason = "no such path"});
+    co_return co_await answer(RequestOutcome::NotRun, std::move(Response));
+  }
+  co_return co_await runUnkeyed();
+}
+
+asio::awaitable<RequestOutcome> ServiceCall::runUnkeyed() {
+  m_Context.m_RetryBudget.deposit();
+  AttemptEnd End = AttemptEnd::Unreachable;
+  while (true) {
+    const UpstreamRoute *To =
+        pickUpstream(*m_Routes, *m_Pool,
+                     m_Context.m_Process.m_Settings.m_DataCentre, m_Hints);
+    if (!To)
+      break;
+    End = co_await attempt(*To);
+    if (End == AttemptEnd::Whole)
+      co_return co_await answer(RequestOutcome::Answered,
+                                std::move(m_Response));
+    if (!retryAllowed(End))
+      break;
+    m_Context.m_Counters.m_Retries.fetch_add(1, std::memory_order_relaxed);
+  }
+  const Duration RetryAfter = jittered(NoUpstreamRetry);
+  const bool MayHaveRun = End == AttemptEnd::Lost;
+  net::HttpResponse Response =
+      MayHaveRun
+          ? unknownResponse("no whole answer came", RetryAfter)
+          : notRunResponse({.m_Reason = "no upstream is ready to take it",
+                            .m_RetryAfter = RetryAfter});
+  const auto Outcome =
+      MayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun;
+  co_return co_await answer(Outcome, std::move(Response));
+}
+
+bool ServiceCall::retryAllowed(AttemptEnd End) {
+  const bool Allowed =
+      !needsBudget(End) ||
+      (m_Call.m_Terms.m_Idempotent && m_Context.m_RetryBudget.withdraw());
+  const CallState State{.m_Idempotent = m_Call.m_Terms.m_Idempotent,
+                        .m_Attempts = m_Attempts,
+                        .m_OtherUpstream = true,
+                        .m_BudgetAllows = Allowed,
+                        .m_TimeLeft = now() < m_Call.m_Deadline};
+  return afterAttempt(End, State) == NextStep::TryAnother;
+}
+
+asio::awaitable<AttemptEnd> ServiceCall::attempt(const UpstreamRoute &To) {
+  ++m_Attempts;
+  m_Hints.m_Tried.insert(To.m_Instance);
+  const InFlightGuard Counted(m_Routes->m_Counters.at(To.m_Instance));
+  net::HttpRequest Request = boundRequest(m_Call, m_Pool->m_Pool.m_Id, To);
+  Request.m_Headers.add(
+      header::ContentType,
+      std::string(m_Call.m_Http.m_Headers.find(header::ContentType)));
+  if (!m_Call.m_Terms.m_IdempotencyKey.empty())
+    Request.m_Headers.add(header::IdempotencyKey,
+                          m_Call.m_Terms.m_IdempotencyKey);
+  Request.m_Body = m_Call.m_Http.m_Body;
+  const auto Limit =
+      attemptLimit(m_Call.m_Deadline - now(), m_Call.m_Terms.m_Idempotent);
+  const net::CallLimits Limits{.m_FirstByte = Limit,
+                               .m_BetweenBytes = Limit,
+                               .m_BodyBytes = MaxAnswerBytes};
+  auto Got = co_await m_Context.m_Process.m_Http.call(
+      To.m_Address, std::move(Request), Limits);
+  if (!Got)
+    co_return attemptEndOf(Got.error());
+  const AttemptEnd End = attemptEndOf(Got->m_Headers, m_Call.m_Id);
+  if (End == AttemptEnd::Whole) {
+    m_Response.m_Status = Got->m_Status;
+    m_Response.m_Body = std::move(Got->m_Body);
+    m_Response.m_Headers.add(
+        header::ContentType,
+        std::string(Got->m_Headers.find(header::ContentType)));
+    m_Response.m_Headers.add(header::Outcome,
+                             std::string(toText(RequestOutcome::Answered)));
+  }
+  co_return End;
+}
+
+asio::awaitable<RequestOutcome>
+ServiceCall::answer(RequestOutcome Outcome, net::HttpResponse Response) {
+  Response.m_Headers.add(header::RequestId, m_Call.m_Id);
+  co_await m_Answer.send(std::move(Response));
+  co_return Outcome;
+}
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/entry-service.h
@@ -0,0 +1,35 @@
+// One caller's request to a plain service on its way through an entry.
+#pragma once
+
+#include "daemon/entry-context.h"
+
+#include <optional>
+
+namespace deckpitch::daemon {
+
+/// Runs one request; its answer is read whole before it is passed on. Lives
+/// on one worker.
+class ServiceCall {
+public:
+  ServiceCall(EntryContext &In, CallerRequest Call, net::HttpResponder &Answer);
+
+  boost::asio::awaitable<RequestOutcome> run();
+
+private:
+  boost::asio::awaitable<AttemptEnd> attempt(const UpstreamRoute &To);
+  boost::asio::awaitable<RequestOutcome> runUnkeyed();
+  boost::asio::awaitable<RequestOutcome> answer(RequestOutcome Outcome,
+                                                net::HttpResponse Response);
+  bool retryAllowed(AttemptEnd End);
+
+  EntryContext &m_Context;
+  CallerRequest m_Call;
+  net::HttpResponder &m_Answer;
+  std::shared_ptr<const EntryRoutes> m_Routes;
+  const PoolRoute *m_Pool = nullptr;
+  PickHints m_Hints;
+  std::uint32_t m_Attempts = 0;
+  net::HttpResponse m_Response;
+};
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/test/request-path-fixture.h
@@ -0,0 +1,351 @@
+// An entry, agents and fake upstreams in one process, over real sockets.
+#pragma once
+
+#include "daemon/call-headers.h"
+#include "daemon/module.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <memory>
+#include <string>
+
+namespace deckpitch::test {
+
+namespace asio = boost::asio;
+
+/// Runs the modules of one role as the daemon does, without its own process.
+class ModuleHost {
+public:
+  explicit ModuleHost(Settings Value, Incarnation Life = {1})
+      : m_Process(std::move(Value), Life, m_Threads) {
+    for (const auto &Each : daemon::detail::registeredModules())
+      if (Each.m_Role == m_Process.m_Settings.m_Role &&
+          Each.m_Name == "requests")
+        m_Module = Each.m_Make(m_Process);
+    m_Routes = m_Module->requestRoutes();
+    m_Server = std::make_unique<net::HttpServer>(
+        m_Threads,
+        [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+          return route(std::move(Request), Answer);
+        });
+    m_Process.m_Addresses.m_Requests = *m_Server->listen("127.0.0.1:0");
+    m_Threads.start();
+    onControl([this] { (void)m_Module->start(); });
+  }
+
+  ~ModuleHost() {
+    onControl([this] { m_Module->stop(); });
+    m_Server->stop();
+    m_Threads.stop();
+  }
+
+  const std::string &address() const {
+    return m_Process.m_Addresses.m_Requests;
+  }
+  daemon::Process &process() { return m_Process; }
+  boost::json::object dump() {
+    boost::json::object Out;
+    onControl([&] { Out = m_Module->dump(); });
+    return Out;
+  }
+  void drain() {
+    onControl([this] {
+      m_Process.m_Leaving = true;
+      m_Module->beginDrain();
+    });
+  }
+  bool drained() {
+    bool Value = false;
+    onControl([&] { Value = m_Module->drained(); });
+    return Value;
+  }
+  void onControl(const std::function<void()> &Body) {
+    std::promise<void> Done;
+    asio::post(m_Threads.control(), [&] {
+      Body();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+
+private:
+  asio::awaitable<void> route(net::HttpRequest Request,
+                              net::HttpResponder &Answer) {
+    const daemon::Route *Best = nullptr;
+    for (const daemon::Route &Each : m_Routes) {
+      const bool Fits =
+          Each.m_Method.empty() || Each.m_Method == Request.m_Method;
+      if (Fits && Request.path().starts_with(Each.m_Prefix) &&
+          (!Best || Each.m_Prefix.size() > Best->m_Prefix.size()))
+        Best = &Each;
+    }
+    co_await Best->m_Handler(std::move(Request), Answer);
+  }
+
+  net::IoThreads m_Threads{2};
+  daemon::Process m_Process;
+  std::unique_ptr<daemon::Module> m_Module;
+  std::vector<daemon::Route> m_Routes;
+  std::unique_ptr<net::HttpServer> m_Server;
+};
+
+/// Switches of a fake upstream; set before requests come.
+struct FakeFaults {
+  std::atomic<int> m_BreakAfterTokens{-1}; ///< breaks once, then heals
+  std::atomic<int> m_MixAfterTokens{-1};
+  std::atomic<int> m_Status{200};
+  std::atomic<bool> m_Hang{false};
+  std::atomic<bool> m_OtherId{false};
+  std::atomic<int> m_TokenDelayMs{0};
+};
+
+/// An engine that answers "t0 t1 ..." or, for other paths, a plain service
+/// that counts its runs.
+class FakeUpstream {
+public:
+  explicit FakeUpstream(std::string Weights = "m@1", int Tokens = 8)
+      : m_Weights(std::move(Weights)), m_Tokens(Tokens),
+        m_Server(m_Threads,
+                 [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+                   return answer(std::move(Request), Answer);
+                 }) {
+    m_Address = *m_Server.listen("127.0.0.1:0");
+    m_Threads.start();
+  }
+  ~FakeUpstream() {
+    m_Server.stop();
+    m_Threads.stop();
+  }
+
+  const std::string &address() const { return m_Address; }
+  std::string digest() const {
+    return toHex(digestOf(
+        std::span(reinterpret_cast<const std::uint8_t *>(m_Weights.data()),
+                  m_Weights.size())));
+  }
+  /// What a whole answer says.
+  std::string content() const {
+    std::string Text;
+    for (int I = 0; I < m_Tokens; ++I)
+      Text += token(I);
+    return Text;
+  }
+
+  FakeFaults m_Faults;
+  std::atomic<int> m_Runs{0};
+  std::atomic<int> m_Cancels{0};
+
+private:
+  static std::string token(int Index) {
+    return "t" + std::to_string(Index) + " ";
+  }
+
+  asio::awaitable<void> answer(net::HttpRequest Request,
+                               net::HttpResponder &Answer) {
+    if (Request.m_Method == "DELETE") {
+      ++m_Cancels;
+      net::HttpResponse Done;
+      Done.m_Status = 204;
+      co_await Answer.send(std::move(Done));
+      co_return;
+    }
+    while (m_Faults.m_Hang)
+      co_await pause(5);
+    ++m_Runs;
+    if (m_Faults.m_Status != 200) {
+      co_await Answer.send(net::jsonResponse(m_Faults.m_Status, "{}"));
+      co_return;
+    }
+    if (Request.path() == "/v1/chat/completions")
+      co_await stream(Request, Answer);
+    else
+      co_await Answer.send(net::jsonResponse(200, Request.m_Body));
+  }
+
+  asio::awaitable<void> pause(int Milliseconds) {
+    asio::steady_timer Timer(co_await asio::this_coro::executor,
+                             std::chrono::milliseconds(Milliseconds));
+    co_await Timer.async_wait(asio::use_awaitable);
+  }
+
+  asio::awaitable<void> stream(const net::HttpRequest &Request,
+                               net::HttpResponder &Answer) {
+    const auto Body = boost::json::parse(Request.m_Body).get_object();
+    int Index = 0;
+    if (Body.contains("resume_from"))
+      Index = Body.at("resume_from").to_number<int>();
+    std::string Id(Request.m_Headers.find(daemon::header::RequestId));
+    if (m_Faults.m_OtherId)
+      Id = "another";
+    co_await Answer.begin(200, {});
+    for (; Index < m_Tokens; ++Index) {
+      if (m_Faults.m_BreakAfterTokens == Index) {
+        m_Faults.m_BreakAfterTokens = -1;
+        Answer.abort();
+        co_return;
+      }
+      if (m_Faults.m_TokenDelayMs > 0)
+        co_await pause(m_Faults.m_TokenDelayMs);
+      const bool Mixed =
+          m_Faults.m_MixAfterTokens >= 0 && Index >= m_Faults.m_MixAfterTokens;
+      const boost::json::object Event{
+          {"id", Id},
+          {"index", Index},
+          {"token", token(Index)},
+          {"weights", m_Weights},
+          {"digest", Mixed ? std::string(64, '0') : digest()},
+          {"choices",
+           boost::json::array{
+               {{"index", 0}, {"delta", {{"content", token(Index)}}}}}}};
+      const std::string Text =
+          "data: " + boost::json::serialize(Event) + "\n\n";
+      const bool Listening = co_await Answer.write(Text);
+      if (!Listening)
+        co_return;
+    }
+    co_await Answer.write("data: [DONE]\n\n");
+    co_await Answer.end();
+  }
+
+  std::string m_Weights;
+  int m_Tokens;
+  net::IoThreads m_Threads{2};
+  net::HttpServer m_Server;
+  std::string m_Address;
+};
+
+/// One entry in front of agents that serve one engine pool "chat" (model "m")
+/// or one service pool "orders" (path "/orders").
+class RequestPath {
+public:
+  explicit RequestPath(PoolKind Kind, int Agents = 1) : m_Kind(Kind) {
+    Settings Value;
+    Value.m_Role = Role::Entry;
+    Value.m_Instance = {"entry-1"};
+    Value.m_DataCentre = {"lahore"};
+    m_Entry = std::make_unique<ModuleHost>(Value);
+    for (int I = 0; I < Agents; ++I)
+      addAgent();
+    publish();
+  }
+
+  void addAgent() {
+    m_Upstreams.push_back(std::make_unique<FakeUpstream>());
+    FakeUpstream &Upstream = *m_Upstreams.back();
+    Settings Value;
+    Value.m_Role = Role::Agent;
+    Value.m_Instance = {"agent-" + std::to_string(m_Agents.size())};
+    Value.m_DataCentre = {"lahore"};
+    Value.m_Upstream.m_Kind = m_Kind;
+    Value.m_Upstream.m_Address = Upstream.address();
+    const Incarnation Life{100 + m_Agents.size()};
+    m_Agents.push_back(std::make_unique<ModuleHost>(Value, Life));
+    auto Serving = std::make_shared<ServingReport>(servingOf(Upstream));
+    m_Agents.back()->process().m_Serving.publish(Serving);
+  }
+
+  /// Makes the entry's routes from the agents as they are.
+  void publish() {
+    auto Declarations = std::make_shared<DeclarationSet>();
+    Pool Declared;
+    Declared.m_Id = poolId();
+    Declared.m_Kind = m_Kind;
+    Declared.m_Model = m_Kind == PoolKind::Engine ? "m" : "";
+    Declared.m_Version = "1";
+    Declared.m_Path = m_Kind == PoolKind::Service ? "/orders" : "";
+    Declarations->m_Pools[Declared.m_Id] = {{1}, Declared};
+    auto View = std::make_shared<MembershipView>();
+    for (auto &Each : m_Agents) {
+      daemon::Process &Agent = Each->process();
+      Member Added;
+      Added.m_Id = Agent.m_Settings.m_Instance;
+      Added.m_Incarnation = Agent.m_Incarnation;
+      Added.m_DataCentre = Agent.m_Settings.m_DataCentre;
+      Added.m_Addresses.m_Requests = Each->address();
+      Added.m_Serving = *Agent.m_Serving.load();
+      View->m_Members[Added.m_Id] = Added;
+    }
+    daemon::Process &Entry = m_Entry->process();
+    Entry.m_Declarations.publish(std::move(Declarations));
+    Entry.m_Membership.publish(std::move(View));
+    waitUntil([&] {
+      return m_Entry->dump().at("pools").as_object().contains(
+                 poolId().m_Text) &&
+             m_Entry->dump()
+                     .at("pools")
+                     .at(poolId().m_Text)
+                     .as_object()
+                     .size() == m_Agents.size();
+    });
+  }
+
+  PoolId poolId() const {
+    return {m_Kind == PoolKind::Engine ? "chat" : "orders"};
+  }
+
+  Outcome<net::HttpResponse> call(net::HttpRequest Request) {
+    return net::callAndWait(m_Entry->address(), std::move(Request));
+  }
+
+  Outcome<net::HttpResponse> chat(bool Stream, net::HttpHeaders Headers = {}) {
+    net::HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Target = "/v1/chat/completions";
+    Request.m_Headers = std::move(Headers);
+    Request.m_Body = boost::json::serialize(boost::json::object{
+        {"model", "chat"}, {"stream", Stream}, {"messages", {}}});
+    return call(std::move(Request));
+  }
+
+  static void waitUntil(const std::function<bool()> &Holds) {
+    asio::io_context Io;
+    asio::steady_timer Timer(Io);
+    for (int I = 0; I < 5'000 && !Holds(); ++I) {
+      Timer.expires_after(std::chrono::milliseconds(2));
+      Timer.wait();
+    }
+    ASSERT_TRUE(Holds());
+  }
+
+  ServingReport servingOf(const FakeUpstream &Upstream) const {
+    ServingReport Report;
+    Report.m_Pool = poolId();
+    Report.m_Ready = true;
+    if (m_Kind == PoolKind::Engine) {
+      Report.m_Weights = {"m@1"};
+      Report.m_Digest =
+          *outcomeOf([&] { return parseDigest(Upstream.digest()); });
+    }
+    return Report;
+  }
+
+  PoolKind m_Kind;
+  std::vector<std::unique_ptr<FakeUpstream>> m_Upstreams;
+  std::vector<std::unique_ptr<ModuleHost>> m_Agents;
+  std::unique_ptr<ModuleHost> m_Entry;
+};
+
+inline std::string outcomeHeader(const net::HttpResponse &Response) {
+  return std::string(Response.m_Headers.find(daemon::header::Outcome));
+}
+
+/// The concatenated content of a stream's events; empty without its end.
+inline std::string contentOfStream(const std::string &Body) {
+  if (!Body.ends_with("data: [DONE]\n\n"))
+    return {};
+  std::string Content;
+  std::size_t Begin = 0;
+  while (true) {
+    const std::size_t End = Body.find("\n\n", Begin);
+    const std::string Data = Body.substr(Begin + 6, End - Begin - 6);
+    if (Data == "[DONE]")
+      return Content;
+    Content += std::string(boost::json::parse(Data).at("token").as_string());
+    Begin = End + 2;
+  }
+}
+
+} // namespace deckpitch::test
--- /dev/null
+++ b/test/request-path-test.cc
@@ -0,0 +1,152 @@
+#include "request-path-fixture.h"
+
+using namespace deckpitch;
+using namespace deckpitch::test;
+
+namespace {
+
+TEST(RequestPath, GivesAWholeAnswerOfTheBoundWeights) {
+  RequestPath Path(PoolKind::Engine);
+  const auto Whole = Path.chat(false);
+  ASSERT_TRUE(Whole);
+  EXPECT_EQ(Whole->m_Status, 200u) << Whole->m_Body;
+  EXPECT_EQ(outcomeHeader(*Whole), "answered");
+  const auto Body = boost::json::parse(Whole->m_Body);
+  EXPECT_EQ(Body.at("choices").at(0).at("message").at("content").as_string(),
+            Path.m_Upstreams[0]->content());
+  EXPECT_EQ(Body.at("weights").as_string(), "m@1");
+}
+
+TEST(RequestPath, StreamsTheSameTokens) {
+  RequestPath Path(PoolKind::Engine);
+  const auto Streamed = Path.chat(true);
+  ASSERT_TRUE(Streamed);
+  EXPECT_EQ(contentOfStream(Streamed->m_Body), Path.m_Upstreams[0]->content());
+}
+
+TEST(RequestPath, PassesPlainServicesByPathPrefix) {
+  RequestPath Path(PoolKind::Service);
+  net::HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Target = "/orders/7?x=1";
+  Request.m_Body = R"({"basket":1})";
+  const auto Got = Path.call(Request);
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(Got->m_Body, Request.m_Body);
+  EXPECT_EQ(outcomeHeader(*Got), "answered");
+  Request.m_Target = "/ordersother";
+  EXPECT_EQ(outcomeHeader(*Path.call(Request)), "not-run");
+  EXPECT_EQ(Path.m_Upstreams[0]->m_Runs, 1);
+}
+
+TEST(RequestPath, AddressesNameThisEntryUntilItLeaves) {
+  RequestPath Path(PoolKind::Engine);
+  net::HttpRequest Request;
+  Request.m_Target = "/v1/addresses";
+  auto Body = boost::json::parse(Path.call(Request)->m_Body);
+  EXPECT_EQ(Body.at("entries").as_array().size(), 1u);
+  EXPECT_EQ(Body.at("validMs").to_number<int>(), 10'000);
+  Path.m_Entry->drain();
+  Body = boost::json::parse(Path.call(Request)->m_Body);
+  EXPECT_TRUE(Body.at("entries").as_array().empty());
+}
+
+TEST(RequestPath, ALeavingEntryRefusesWithNotRun) {
+  RequestPath Path(PoolKind::Engine);
+  Path.m_Entry->drain();
+  const auto Got = Path.chat(false);
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(outcomeHeader(*Got), "not-run");
+  EXPECT_EQ(Path.m_Upstreams[0]->m_Runs, 0);
+}
+
+TEST(RequestPath, AnAgentRefusesWhatItDoesNotServeNow) {
+  RequestPath Path(PoolKind::Engine, 2);
+  auto Changed = std::make_shared<ServingReport>(
+      *Path.m_Agents[0]->process().m_Serving.load());
+  Changed->m_Weights = {"m@2"};
+  Path.m_Agents[0]->process().m_Serving.publish(Changed);
+  for (int I = 0; I < 8; ++I)
+    EXPECT_EQ(outcomeHeader(*Path.chat(false)), "answered");
+  EXPECT_EQ(Path.m_Upstreams[0]->m_Runs, 0);
+  EXPECT_EQ(Path.m_Upstreams[1]->m_Runs, 8);
+}
+
+TEST(RequestPath, ResumesABrokenStreamWithoutDoubledOrMissingTokens) {
+  for (const int BreakAt : {0, 1, 5, 7}) {
+    RequestPath Path(PoolKind::Engine, 2);
+    for (auto &Each : Path.m_Upstreams)
+      Each->m_Faults.m_BreakAfterTokens = BreakAt;
+    // One break for each upstream would leave none to resume on.
+    Path.m_Upstreams[1]->m_Faults.m_BreakAfterTokens = -1;
+    for (int I = 0; I < 4; ++I)
+      EXPECT_EQ(contentOfStream(Path.chat(true)->m_Body),
+                Path.m_Upstreams[0]->content())
+          << "broken at " << BreakAt;
+  }
+}
+
+TEST(RequestPath, NeverPassesOnMixedWeights) {
+  RequestPath Path(PoolKind::Engine, 1);
+  Path.m_Upstreams[0]->m_Faults.m_MixAfterTokens = 3;
+  const auto Whole = Path.chat(false);
+  EXPECT_EQ(outcomeHeader(*Whole), "unknown");
+  const auto Streamed = Path.chat(true);
+  ASSERT_TRUE(Streamed);
+  EXPECT_EQ(contentOfStream(Streamed->m_Body), "");
+  EXPECT_EQ(Streamed->m_Body.find(std::string(64, '0')), std::string::npos);
+  EXPECT_NE(Streamed->m_Body.find("\"outcome\":\"unknown\""),
+            std::string::npos);
+}
+
+TEST(RequestPath, NeverPassesOnAnotherRequestsAnswer) {
+  RequestPath Path(PoolKind::Engine, 1);
+  Path.m_Upstreams[0]->m_Faults.m_OtherId = true;
+  EXPECT_EQ(outcomeHeader(*Path.chat(false)), "unknown");
+}
+
+TEST(RequestPath, CancelsWhenTheCallerGoesAway) {
+  RequestPath Path(PoolKind::Engine, 1);
+  Path.m_Upstreams[0]->m_Faults.m_TokenDelayMs = 50;
+  net::HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Target = "/v1/chat/completions";
+  Request.m_Body = R"({"model":"m","stream":true,"messages":[]})";
+  asio::io_context Io;
+  net::HttpClient Client;
+  auto Body = [&]() -> asio::awaitable<void> {
+    auto Stream = co_await Client.open(Path.m_Entry->address(), Request);
+    co_await (*Stream)->read();
+  };
+  asio::co_spawn(Io, Body, asio::detached);
+  Io.run();
+  RequestPath::waitUntil([&] { return Path.m_Upstreams[0]->m_Cancels > 0; });
+  RequestPath::waitUntil(
+      [&] { return Path.m_Agents[0]->process().m_InFlight == 0; });
+}
+
+TEST(RequestPath, RefusesBadInputWithoutTouchingAnUpstream) {
+  RequestPath Path(PoolKind::Engine, 1);
+  const std::vector<std::string> Bodies{"",
+                                        "[]",
+                                        "{",
+                                        R"({"model":7})",
+                                        R"({"model":"other"})",
+                                        R"({"model":"m","resume_from":3})"};
+  for (const std::string &Body : Bodies) {
+    net::HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Target = "/v1/chat/completions";
+    Request.m_Body = Body;
+    const auto Got = Path.call(Request);
+    ASSERT_TRUE(Got) << Body;
+    EXPECT_EQ(outcomeHeader(*Got), "not-run") << Body;
+    EXPECT_GE(Got->m_Status, 400u);
+  }
+  net::HttpHeaders Headers;
+  Headers.add("X-Priority", "highest");
+  EXPECT_EQ(Path.chat(false, Headers)->m_Status, 400u);
+  EXPECT_EQ(Path.m_Upstreams[0]->m_Runs, 0);
+}
+
+} // namespace
