Add the platform's HTTP adapter

Cause: every lane needs the platform port met. Change: object calls with If-Match/If-None-Match, the chunked watch, the instance list; each call is counted. A write answered 5xx is Timeout, not Unavailable: it may have taken effect. Process holds the one Platform, so that its calls are counted in one place. Ruled out: giving the current object with a Conflict (it takes one more call only when there is a conflict). Not measured; not yet run against a stand-in.

--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -8,6 +8,7 @@
 #include "net/control-bus.h"
 #include "net/http.h"
 #include "net/io-threads.h"
+#include "net/platform.h"
 
 #include <boost/json/object.hpp>
 
@@ -30,6 +31,7 @@
   const Incarnation m_Incarnation;
   net::IoThreads &m_Threads;
   net::HttpClient m_Http;
+  net::Platform m_Platform{m_Http, m_Settings.m_Platform}; ///< entries only
   Addresses m_Addresses; ///< bound addresses; set before any start()
   net::ControlBus *m_Bus = nullptr;
 
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -1,4 +1,5 @@
-// The platform's object interface as coroutines; platform-http.cc is its adapter.
+// The platform's object interface as coroutines; platform-http.cc is its
+// adapter.
 #pragma once
 
 #include "deckpitch/error.h"
@@ -19,7 +20,8 @@
   Revision m_Revision;
   std::string m_Json; ///< the value; at most 1 MiB
 
-  friend bool operator==(const PlatformObject &, const PlatformObject &) = default;
+  friend bool operator==(const PlatformObject &,
+                         const PlatformObject &) = default;
 };
 
 struct PlatformList {
@@ -42,26 +44,34 @@
 };
 
 /// Every call costs. Errors: NotFound, Conflict (a precondition failed),
-/// Unavailable (not done), Timeout (a write may have taken effect: read back).
+/// Unavailable (not done), Timeout (a write may have taken effect: read back),
+/// InvalidInput (refused, or an answer that cannot be read).
 class Platform {
 public:
   Platform(HttpClient &Http, std::string Address);
 
-  asio::awaitable<Outcome<PlatformObject>> get(std::string Kind, std::string Name);
+  asio::awaitable<Outcome<PlatformObject>> get(std::string Kind,
+                                               std::string Name);
   asio::awaitable<Outcome<PlatformList>> list(std::string Kind);
   /// Replaces the object if it still has that revision; gives the new one.
   asio::awaitable<Outcome<Revision>> update(PlatformObject Object);
-  asio::awaitable<Outcome<Revision>> create(std::string Kind, std::string Name, std::string Json);
-  asio::awaitable<Outcome<Revision>> remove(std::string Kind, std::string Name, Revision Seen);
-  /// Calls back for each event until the watch ends; then tells why. NotFound
-  /// means that Since is too old: list again.
+  asio::awaitable<Outcome<Revision>> create(std::string Kind, std::string Name,
+                                            std::string Json);
+  asio::awaitable<Outcome<Revision>> remove(std::string Kind, std::string Name,
+                                            Revision Seen);
+  /// Calls back for each event until the watch ends or the callback returns
+  /// false; then tells why. NotFound means that Since is too old: list again.
   asio::awaitable<Error> watch(std::vector<std::string> Kinds, Revision Since,
-                               std::function<void(PlatformEvent)> OnEvent);
+                               std::function<bool(PlatformEvent)> OnEvent);
   asio::awaitable<Outcome<std::vector<PlatformInstance>>> instances();
 
-  std::uint64_t calls() const;
+  /// Calls made so far; a watch counts as one when it is opened.
+  std::uint64_t calls() const { return m_Calls.load(); }
 
 private:
+  asio::awaitable<Outcome<HttpResponse>> exchange(HttpRequest Request);
+  asio::awaitable<Outcome<Revision>> write(HttpRequest Request);
+
   HttpClient &m_Http;
   std::string m_Address;
   std::atomic<std::uint64_t> m_Calls{0};
