--- a/include/deckpitch/declaration.h
+++ b/include/deckpitch/declaration.h
@@ -99,12 +99,21 @@
   friend bool operator==(const DeclarationSet &, const DeclarationSet &) = default;
 };
 
+/// What a parser does with keys that it does not know: operators' input is
+/// refused, what a newer release has stored is read as far as it is known.
+enum class UnknownKeys { Refuse, Ignore };
+
 /// Parse one declared object's JSON; every fault is found at once and loaded
 /// as Problems beside an InvalidInput Error.
-Result<Pool> parsePool(std::string_view Json);
-Result<Organisation> parseOrganisation(std::string_view Json);
-Result<Upstream> parseUpstream(std::string_view Json);
-Result<Assignment> parseAssignment(std::string_view Json);
+Result<Pool> parsePool(std::string_view Json,
+                       UnknownKeys Unknown = UnknownKeys::Refuse);
+Result<Organisation>
+parseOrganisation(std::string_view Json,
+                  UnknownKeys Unknown = UnknownKeys::Refuse);
+Result<Upstream> parseUpstream(std::string_view Json,
+                               UnknownKeys Unknown = UnknownKeys::Refuse);
+Result<Assignment> parseAssignment(std::string_view Json,
+                                   UnknownKeys Unknown = UnknownKeys::Refuse);
 std::string formatPool(const Pool &Value);
 std::string formatOrganisation(const Organisation &Value);
 std::string formatUpstream(const Upstream &Value);
--- a/include/deckpitch/error.h
+++ b/include/deckpitch/error.h
@@ -46,6 +46,8 @@
 /// Every fault of a document at once.
 struct Problems {
   std::vector<Problem> m_List;
+  /// Leaves unknown keys alone: what a newer release wrote must stay readable.
+  bool m_AllowUnknown = false;
 
   friend bool operator==(const Problems &, const Problems &) = default;
 };
--- a/include/deckpitch/membership.h
+++ b/include/deckpitch/membership.h
@@ -15,6 +15,14 @@
 
 enum class MemberState { Alive, Suspect, Leaving, Gone };
 
+/// Where the knowledge of a member's state comes from.
+enum class MemberSource {
+  Heartbeat, ///< heard from the member itself
+  Entry,     ///< told by another entry
+  Silence,   ///< no heartbeat in time at the entries that watch the member
+  Platform,  ///< the platform's list of instances
+};
+
 /// "host:port" by IP for each port; empty where a role has none.
 struct Addresses {
   std::string m_Control;  ///< ZeroMQ
@@ -55,6 +63,7 @@
   std::string m_UpstreamName; ///< names an Upstream declaration
   Addresses m_Addresses;
   MemberState m_State = MemberState::Alive;
+  MemberSource m_Source = MemberSource::Heartbeat;
   Revision m_InForce; ///< declarations it applies
   ServingReport m_Serving;
   LoadReport m_Load;
--- /dev/null
+++ b/src/kernel/declaration-store.cc
@@ -0,0 +1,215 @@
+#include "deckpitch/declaration-store.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+
+namespace deckpitch {
+
+namespace {
+
+/// Deletions kept for replicas that lag; more than a day's changes.
+constexpr std::size_t KeptDeletions = 2'000;
+
+std::uint64_t hashOf(const DeclaredObject &Object) {
+  const std::string Text = Object.m_Kind + '/' + Object.m_Name + '/' +
+                           std::to_string(Object.m_Revision.m_Value);
+  return XXH64(Text.data(), Text.size(), 0);
+}
+
+template <typename Map, typename Key, typename Parse>
+bool switchEntry(Map &In, const Key &Name, const DeclaredObject &Object,
+                 Parse Read) {
+  if (Object.m_Deleted) {
+    In.erase(Name);
+    return true;
+  }
+  const auto Parsed =
+      outcomeOf([&] { return Read(Object.m_Json, UnknownKeys::Ignore); });
+  if (!Parsed)
+    return false;
+  In[Name] = {Object.m_Revision, *Parsed};
+  return true;
+}
+
+} // namespace
+
+const std::vector<std::string> &replicatedKinds() {
+  static const std::vector<std::string> Kinds{
+      std::string(PoolsKind), std::string(OrganisationsKind),
+      std::string(UpstreamsKind), std::string(AssignmentsKind)};
+  return Kinds;
+}
+
+bool DeclarationStore::accept(const DeclaredObject &Object) {
+  const auto &Kinds = replicatedKinds();
+  if (std::find(Kinds.begin(), Kinds.end(), Object.m_Kind) == Kinds.end())
+    return false;
+  const Key At{Object.m_Kind, Object.m_Name};
+  if (Object.m_Revision <= m_ForgottenUpTo && !m_Objects.contains(At))
+    return false; // older than a deletion that is no longer kept
+  DeclaredObject &Held = m_Objects[At];
+  if (Object.m_Revision <= Held.m_Revision)
+    return false;
+  const bool WasLive = Held.m_Revision.m_Value > 0 && !Held.m_Deleted;
+  if (WasLive)
+    m_Digest -= hashOf(Held);
+  Held = Object;
+  if (!Held.m_Deleted)
+    m_Digest += hashOf(Held);
+  switchParsed(Held);
+  return WasLive || !Held.m_Deleted;
+}
+
+void DeclarationStore::switchParsed(const DeclaredObject &Object) {
+  DeclarationSet &Set = m_Snapshot;
+  bool Read = true;
+  if (Object.m_Kind == PoolsKind)
+    Read = switchEntry(Set.m_Pools, PoolId{Object.m_Name}, Object, parsePool);
+  else if (Object.m_Kind == OrganisationsKind)
+    Read = switchEntry(Set.m_Organisations, OrganisationId{Object.m_Name},
+                       Object, parseOrganisation);
+  else if (Object.m_Kind == UpstreamsKind)
+    Read = switchEntry(Set.m_Upstreams, Object.m_Name, Object, parseUpstream);
+  else if (Object.m_Revision > Set.m_Assignment.m_Revision) {
+    std::map<int, Declared<Assignment>> One;
+    Read = switchEntry(One, 0, Object, parseAssignment);
+    if (Read)
+      Set.m_Assignment = Object.m_Deleted
+                             ? Declared<Assignment>{Object.m_Revision, {}}
+                             : One[0];
+  }
+  m_Unreadable += Read ? 0 : 1;
+}
+
+bool DeclarationStore::deleteMissing(const std::string &Kind, Revision AsOf,
+                                     const std::vector<DeclaredObject> &Items) {
+  std::set<std::string_view> Named;
+  for (const DeclaredObject &Each : Items)
+    if (Each.m_Kind == Kind && !Each.m_Deleted)
+      Named.insert(Each.m_Name);
+  std::vector<DeclaredObject> Deleted;
+  for (const auto &[At, Held] : m_Objects)
+    if (At.m_Kind == Kind && !Held.m_Deleted && Held.m_Revision < AsOf &&
+        !Named.contains(At.m_Name))
+      Deleted.push_back({Kind, At.m_Name, AsOf, true, {}});
+  for (const DeclaredObject &Each : Deleted)
+    accept(Each);
+  return !Deleted.empty();
+}
+
+void DeclarationStore::advance(const std::string &Kind, Revision To) {
+  Revision &Complete = m_Complete[Kind];
+  Complete = std::max(Complete, To);
+  m_Snapshot.m_Revision = revision();
+  forgetOldDeletions();
+}
+
+Revision DeclarationStore::revision() const {
+  if (m_Complete.size() < replicatedKinds().size())
+    return {};
+  const auto Least = std::min_element(
+      m_Complete.begin(), m_Complete.end(),
+      [](const auto &A, const auto &B) { return A.second < B.second; });
+  return Least->second;
+}
+
+DeclarationStore::Effect
+DeclarationStore::applyList(const std::string &Kind, Revision AsOf,
+                            const std::vector<DeclaredObject> &Items) {
+  const Revision Before = revision();
+  bool Changed = false;
+  for (const DeclaredObject &Each : Items)
+    Changed = accept(Each) || Changed;
+  if (AsOf > m_Complete[Kind])
+    Changed = deleteMissing(Kind, AsOf, Items) || Changed;
+  advance(Kind, AsOf);
+  return Changed || revision() > Before ? Effect::Changed : Effect::None;
+}
+
+DeclarationStore::Effect
+DeclarationStore::applyEvent(const DeclaredObject &Object) {
+  return accept(Object) ? Effect::Changed : Effect::None;
+}
+
+bool DeclarationStore::applyWhole(const DeclarationUpdate &Update) {
+  bool Changed = false;
+  for (const DeclaredObject &Each : Update.m_Objects)
+    Changed = accept(Each) || Changed;
+  if (Update.m_Revision <= revision())
+    return Changed;
+  for (const std::string &Kind : replicatedKinds())
+    Changed =
+        deleteMissing(Kind, Update.m_Revision, Update.m_Objects) || Changed;
+  return Changed;
+}
+
+DeclarationStore::Effect
+DeclarationStore::applyUpdate(const DeclarationUpdate &Update) {
+  const Revision Before = revision();
+  bool Changed = false;
+  if (Update.m_Whole) {
+    Changed = applyWhole(Update);
+  } else if (Update.m_Since > Before && Update.m_Digest != m_Digest) {
+    return Effect::Gap;
+  } else {
+    for (const DeclaredObject &Each : Update.m_Objects)
+      Changed = accept(Each) || Changed;
+  }
+  for (const std::string &Kind : replicatedKinds())
+    advance(Kind, Update.m_Revision);
+  return Changed || revision() > Before ? Effect::Changed : Effect::None;
+}
+
+DeclarationUpdate DeclarationStore::changesSince(Revision Have) const {
+  if (Have < m_ForgottenUpTo || Have.m_Value == 0)
+    return whole();
+  DeclarationUpdate Update{Have, revision(), false, m_Digest, {}};
+  for (const auto &[At, Held] : m_Objects)
+    if (Held.m_Revision > Have)
+      Update.m_Objects.push_back(Held);
+  return Update;
+}
+
+DeclarationUpdate DeclarationStore::whole() const {
+  DeclarationUpdate Update{{}, revision(), true, m_Digest, {}};
+  for (const auto &[At, Held] : m_Objects)
+    Update.m_Objects.push_back(Held);
+  return Update;
+}
+
+const DeclaredObject *DeclarationStore::find(const std::string &Kind,
+                                             const std::string &Name) const {
+  const auto Found = m_Objects.find({Kind, Name});
+  if (Found == m_Objects.end() || Found->second.m_Deleted)
+    return nullptr;
+  return &Found->second;
+}
+
+std::vector<DeclaredObject>
+DeclarationStore::list(const std::string &Kind) const {
+  std::vector<DeclaredObject> Items;
+  for (const auto &[At, Held] : m_Objects)
+    if (At.m_Kind == Kind && !Held.m_Deleted)
+      Items.push_back(Held);
+  return Items;
+}
+
+void DeclarationStore::forgetOldDeletions() {
+  if (m_Objects.size() <= KeptDeletions)
+    return;
+  std::vector<std::pair<Revision, Key>> Deletions;
+  for (const auto &[At, Held] : m_Objects)
+    if (Held.m_Deleted && Held.m_Revision <= revision())
+      Deletions.emplace_back(Held.m_Revision, At);
+  if (Deletions.size() <= KeptDeletions)
+    return;
+  std::sort(Deletions.begin(), Deletions.end());
+  Deletions.resize(Deletions.size() - KeptDeletions / 2);
+  for (const auto &[At, Name] : Deletions)
+    m_Objects.erase(Name);
+  m_ForgottenUpTo = std::max(m_ForgottenUpTo, Deletions.back().first);
+}
+
+} // namespace deckpitch
--- a/src/kernel/declaration.cc
+++ b/src/kernel/declaration.cc
@@ -60,9 +60,10 @@
   return WeightsId{Value.m_Model + Adapter + "@" + Value.m_Version};
 }
 
-Result<Pool> parsePool(std::string_view Json) {
+Result<Pool> parsePool(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Pool Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.required("name", Out.m_Id.m_Text);
@@ -109,9 +110,10 @@
   return boost::json::serialize(Out);
 }
 
-Result<Organisation> parseOrganisation(std::string_view Json) {
+Result<Organisation> parseOrganisation(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Organisation Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.required("name", Out.m_Id.m_Text);
@@ -129,9 +131,10 @@
       {"name", Value.m_Id.m_Text}, {"share", Value.m_Share}, {"maxInFlight", Value.m_MaxInFlight}});
 }
 
-Result<Upstream> parseUpstream(std::string_view Json) {
+Result<Upstream> parseUpstream(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Upstream Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.required("name", Out.m_Name);
@@ -147,9 +150,10 @@
   return boost::json::serialize(boost::json::object{{"name", Value.m_Name}, {"checksFencing", Value.m_ChecksFencing}});
 }
 
-Result<Assignment> parseAssignment(std::string_view Json) {
+Result<Assignment> parseAssignment(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Assignment Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.array("instances", [&](const boost::json::value &Each, const std::string &Path) {
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -172,6 +172,8 @@
 }
 
 void JsonObjectReader::finish() {
+  if (m_Found->m_AllowUnknown)
+    return;
   if (!m_Object)
     return;
   for (const auto &Each : *m_Object) {
