--- a/include/deckpitch/declaration.h
+++ b/include/deckpitch/declaration.h
@@ -21,7 +21,8 @@
   DataCentreId m_DataCentre;
   std::uint32_t m_Ready = 0; ///< instances that should be ready there
 
-  friend auto operator<=>(const DataCentreReadiness &, const DataCentreReadiness &) = default;
+  friend auto operator<=>(const DataCentreReadiness &,
+                          const DataCentreReadiness &) = default;
 };
 
 /// A pool and its limits are one object, so that they switch together.
@@ -96,7 +97,8 @@
   std::map<std::string, Declared<Upstream>> m_Upstreams;
   Declared<Assignment> m_Assignment;
 
-  friend bool operator==(const DeclarationSet &, const DeclarationSet &) = default;
+  friend bool operator==(const DeclarationSet &,
+                         const DeclarationSet &) = default;
 };
 
 /// What a parser does with keys that it does not know: operators' input is
--- a/include/deckpitch/error.h
+++ b/include/deckpitch/error.h
@@ -17,14 +17,14 @@
 
 /// What went wrong, as far as the one who handles it must tell cases apart.
 enum class ErrorCode {
-  InvalidInput,  ///< the sender must change what it sends
-  NotFound,      ///< no such object
-  Conflict,      ///< another write came first
-  Unavailable,   ///< the other side is down, or refuses for now
-  Timeout,       ///< no answer in time: the effect is unknown
-  StaleFence,    ///< an order carried an old fencing number
-  CorruptData,   ///< a digest does not match
-  Unsupported,   ///< the other side lacks the ability
+  InvalidInput, ///< the sender must change what it sends
+  NotFound,     ///< no such object
+  Conflict,     ///< another write came first
+  Unavailable,  ///< the other side is down, or refuses for now
+  Timeout,      ///< no answer in time: the effect is unknown
+  StaleFence,   ///< an order carried an old fencing number
+  CorruptData,  ///< a digest does not match
+  Unsupported,  ///< the other side lacks the ability
 };
 
 struct Error {
@@ -74,7 +74,9 @@
         return Outcome<Value>(std::move(*Got));
       },
       [](const Error &Fault) { return Outcome<Value>(Fault); },
-      [] { return Outcome<Value>(Error{ErrorCode::Unavailable, "unknown error"}); });
+      [] {
+        return Outcome<Value>(Error{ErrorCode::Unavailable, "unknown error"});
+      });
 }
 
 } // namespace deckpitch
--- a/include/deckpitch/id.h
+++ b/include/deckpitch/id.h
@@ -40,7 +40,8 @@
 /// Number that an order to an upstream carries; an older one must not win.
 struct FencingNumber {
   std::uint64_t m_Value = 0;
-  friend auto operator<=>(const FencingNumber &, const FencingNumber &) = default;
+  friend auto operator<=>(const FencingNumber &,
+                          const FencingNumber &) = default;
 };
 
 } // namespace deckpitch
--- a/include/deckpitch/json-reader.h
+++ b/include/deckpitch/json-reader.h
@@ -31,23 +31,30 @@
 ///   Reader.finish();
 class JsonObjectReader {
 public:
-  JsonObjectReader(const boost::json::value &Value, std::string Path, Problems &Found);
+  JsonObjectReader(const boost::json::value &Value, std::string Path,
+                   Problems &Found);
 
   bool has(std::string_view Key) const;
   void required(std::string_view Key, std::string &Out);
   void optional(std::string_view Key, std::string &Out);
   void optional(std::string_view Key, bool &Out);
-  void optional(std::string_view Key, std::uint32_t &Out, std::uint32_t Least, std::uint32_t Most);
-  void optional(std::string_view Key, std::uint64_t &Out, std::uint64_t Least, std::uint64_t Most);
+  void optional(std::string_view Key, std::uint32_t &Out, std::uint32_t Least,
+                std::uint32_t Most);
+  void optional(std::string_view Key, std::uint64_t &Out, std::uint64_t Least,
+                std::uint64_t Most);
   /// A number of milliseconds.
-  void optional(std::string_view Key, std::chrono::milliseconds &Out, std::chrono::milliseconds Least,
+  void optional(std::string_view Key, std::chrono::milliseconds &Out,
+                std::chrono::milliseconds Least,
                 std::chrono::milliseconds Most);
   /// One of the given words; gives its index.
-  void choice(std::string_view Key, std::size_t &Out, const std::vector<std::string_view> &Words,
+  void choice(std::string_view Key, std::size_t &Out,
+              const std::vector<std::string_view> &Words,
               bool IsRequired = false);
-  void object(std::string_view Key, const std::function<void(JsonObjectReader &)> &Read);
+  void object(std::string_view Key,
+              const std::function<void(JsonObjectReader &)> &Read);
   void array(std::string_view Key,
-             const std::function<void(const boost::json::value &, const std::string &Path)> &ReadEach);
+             const std::function<void(const boost::json::value &,
+                                      const std::string &Path)> &ReadEach);
   /// Reports a fault found by the caller.
   void problem(std::string_view Key, std::string Expected);
   /// Reports every key that nobody asked for.
--- a/include/deckpitch/manifest.h
+++ b/include/deckpitch/manifest.h
@@ -32,8 +32,12 @@
   Digest m_Whole;
   std::vector<Digest> m_Chunks;
 
-  std::uint32_t chunkCount() const { return static_cast<std::uint32_t>(m_Chunks.size()); }
-  std::uint64_t chunkOffset(std::uint32_t Index) const { return std::uint64_t{Index} * m_ChunkBytes; }
+  std::uint32_t chunkCount() const {
+    return static_cast<std::uint32_t>(m_Chunks.size());
+  }
+  std::uint64_t chunkOffset(std::uint32_t Index) const {
+    return std::uint64_t{Index} * m_ChunkBytes;
+  }
   std::uint32_t chunkLength(std::uint32_t Index) const;
 
   friend bool operator==(const Manifest &, const Manifest &) = default;
--- a/include/deckpitch/membership.h
+++ b/include/deckpitch/membership.h
@@ -43,7 +43,8 @@
   std::uint32_t m_ChunksTotal = 0;
   std::string m_Condition; ///< e.g. "Copying", "Activating", "Serving"
 
-  friend bool operator==(const ServingReport &, const ServingReport &) = default;
+  friend bool operator==(const ServingReport &,
+                         const ServingReport &) = default;
 };
 
 /// Load as the agent sees it; lags behind by a heartbeat.
@@ -74,7 +75,8 @@
 struct MembershipView {
   std::map<InstanceId, Member> m_Members;
 
-  friend bool operator==(const MembershipView &, const MembershipView &) = default;
+  friend bool operator==(const MembershipView &,
+                         const MembershipView &) = default;
 };
 
 } // namespace deckpitch
--- a/include/deckpitch/snapshot.h
+++ b/include/deckpitch/snapshot.h
@@ -16,7 +16,8 @@
 ///   Cell.publish(std::make_shared<const Routes>(NewRoutes));
 template <typename T> class SnapshotCell {
 public:
-  explicit SnapshotCell(std::shared_ptr<const T> Initial = std::make_shared<const T>())
+  explicit SnapshotCell(
+      std::shared_ptr<const T> Initial = std::make_shared<const T>())
       : m_Current(std::move(Initial)) {}
 
   void publish(std::shared_ptr<const T> Next) {
@@ -33,7 +34,9 @@
     return m_Current;
   }
 
-  std::uint64_t generation() const { return m_Generation.load(std::memory_order_acquire); }
+  std::uint64_t generation() const {
+    return m_Generation.load(std::memory_order_acquire);
+  }
 
 private:
   mutable std::mutex m_Mutex;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -12,7 +12,8 @@
 #include <optional>
 #include <sstream>
 
-ABSL_FLAG(std::string, settings, "", "file with the settings: JSON with comments");
+ABSL_FLAG(std::string, settings, "",
+          "file with the settings: JSON with comments");
 ABSL_FLAG(bool, check, false, "check the settings and exit");
 ABSL_FLAG(bool, verbose, false, "log debug events too");
 
@@ -35,7 +36,8 @@
     std::cerr << Path << ": cannot be read\n";
     return std::nullopt;
   }
-  const auto Parsed = deckpitch::outcomeOf([&] { return deckpitch::parseSettings(*Text); });
+  const auto Parsed =
+      deckpitch::outcomeOf([&] { return deckpitch::parseSettings(*Text); });
   if (Parsed)
     return *Parsed;
   std::istringstream Lines(Parsed.error().m_Message);
@@ -47,9 +49,12 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  absl::SetProgramUsageMessage("runs one process of deckpitch; --settings=FILE [--check]");
+  absl::SetProgramUsageMessage(
+      "runs one process of deckpitch; --settings=FILE [--check]");
   absl::FlagsUsageConfig Usage;
-  Usage.version_string = [] { return std::string("deckpitchd " DECKPITCH_VERSION "\n"); };
+  Usage.version_string = [] {
+    return std::string("deckpitchd " DECKPITCH_VERSION "\n");
+  };
   absl::SetFlagsUsageConfig(Usage);
   absl::ParseCommandLine(Argc, Argv);
   const std::string Path = absl::GetFlag(FLAGS_settings);
@@ -64,7 +69,8 @@
     std::cout << Path << ": good\n";
     return 0;
   }
-  const auto Least = absl::GetFlag(FLAGS_verbose) ? deckpitch::Severity::Debug : deckpitch::Severity::Info;
+  const auto Least = absl::GetFlag(FLAGS_verbose) ? deckpitch::Severity::Debug
+                                                  : deckpitch::Severity::Info;
   deckpitch::net::setUpLog(Value->m_Instance.m_Text, Least);
   return deckpitch::daemon::runProcess(*Value);
 }
--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -37,10 +37,10 @@
 
   SnapshotCell<DeclarationSet> m_Declarations; ///< by the declarations module
   SnapshotCell<MembershipView> m_Membership;   ///< by the membership module
-  SnapshotCell<ServingReport> m_Serving;       ///< agents: by the weights module
-  std::atomic<std::uint32_t> m_InFlight{0};    ///< agents: by the requests module
-  std::atomic<std::uint32_t> m_Waiting{0};     ///< agents: by the requests module
-  std::atomic<bool> m_Leaving{false};          ///< set once, when draining begins
+  SnapshotCell<ServingReport> m_Serving;    ///< agents: by the weights module
+  std::atomic<std::uint32_t> m_InFlight{0}; ///< agents: by the requests module
+  std::atomic<std::uint32_t> m_Waiting{0};  ///< agents: by the requests module
+  std::atomic<bool> m_Leaving{false};       ///< set once, when draining begins
 };
 
 /// A path prefix of one of the process's HTTP ports. Handlers run on workers.
@@ -70,7 +70,8 @@
 };
 
 template <typename T>
-concept ModuleType = std::derived_from<T, Module> && std::constructible_from<T, Process &>;
+concept ModuleType =
+    std::derived_from<T, Module> && std::constructible_from<T, Process &>;
 
 namespace detail {
 
@@ -90,7 +91,8 @@
 template <ModuleType T> struct Registration {
   Registration(std::string Name, Role For) {
     detail::registeredModules().push_back(
-        {std::move(Name), For, [](Process &In) { return std::make_unique<T>(In); }});
+        {std::move(Name), For,
+         [](Process &In) { return std::make_unique<T>(In); }});
   }
 };
 
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -39,14 +39,16 @@
 public:
   explicit Router(std::vector<Route> Routes) : m_Routes(std::move(Routes)) {}
 
-  asio::awaitable<void> operator()(net::HttpRequest Request, net::HttpResponder &Answer) const {
+  asio::awaitable<void> operator()(net::HttpRequest Request,
+                                   net::HttpResponder &Answer) const {
     const Route *Best = nullptr;
     bool PathKnown = false;
     for (const Route &Each : m_Routes) {
       if (!Request.path().starts_with(Each.m_Prefix))
         continue;
       PathKnown = true;
-      const bool Fits = Each.m_Method.empty() || Each.m_Method == Request.m_Method;
+      const bool Fits =
+          Each.m_Method.empty() || Each.m_Method == Request.m_Method;
       if (Fits && (!Best || Each.m_Prefix.size() > Best->m_Prefix.size()))
         Best = &Each;
     }
@@ -55,9 +57,11 @@
       co_return;
     }
     if (PathKnown)
-      co_await Answer.send(net::jsonResponse(405, R"({"error":"method not allowed"})"));
+      co_await Answer.send(
+          net::jsonResponse(405, R"({"error":"method not allowed"})"));
     else
-      co_await Answer.send(net::jsonResponse(404, R"({"error":"no such path"})"));
+      co_await Answer.send(
+          net::jsonResponse(404, R"({"error":"no such path"})"));
   }
 
 private:
@@ -68,7 +72,8 @@
 class Runner {
 public:
   explicit Runner(Settings Value)
-      : m_Threads(Value.m_Threads), m_Process(std::move(Value), newIncarnation(), m_Threads),
+      : m_Threads(Value.m_Threads),
+        m_Process(std::move(Value), newIncarnation(), m_Threads),
         m_Signals(m_Threads.control(), SIGINT, SIGTERM) {}
 
   int run() {
@@ -93,7 +98,9 @@
   /// not rest on it alone.
   static Incarnation newIncarnation() {
     const auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return {static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(SinceEpoch).count())};
+    return {static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(SinceEpoch)
+            .count())};
   }
 
   void makeModules() {
@@ -108,7 +115,8 @@
       BOOST_LEAF_CHECK(listenAll());
       return true;
     });
-    return Listening ? std::nullopt : std::optional(Listening.error().m_Message);
+    return Listening ? std::nullopt
+                     : std::optional(Listening.error().m_Message);
   }
 
   Result<void> listenAll() {
@@ -123,19 +131,27 @@
     }
     net::HttpLimits RequestLimits;
     RequestLimits.m_BodyBytes = Value.m_Requests.m_MaxBodyBytes;
-    m_Requests = std::make_unique<net::HttpServer>(m_Threads, Router(std::move(Requests)), RequestLimits);
+    m_Requests = std::make_unique<net::HttpServer>(
+        m_Threads, Router(std::move(Requests)), RequestLimits);
     net::HttpLimits OperatorLimits;
     OperatorLimits.m_BodyBytes = ControlBodyBytes;
     OperatorLimits.m_Connections = OperatorConnections;
-    m_Operator = std::make_unique<net::HttpServer>(m_Threads, Router(std::move(Operator)), OperatorLimits);
+    m_Operator = std::make_unique<net::HttpServer>(
+        m_Threads, Router(std::move(Operator)), OperatorLimits);
     m_Bus = std::make_unique<net::ControlBus>(
-        Value.m_Instance, m_Process.m_Incarnation, [this](wire::Envelope Message) {
-          asio::post(m_Threads.control(), [this, Message = std::move(Message)] { deliver(Message); });
+        Value.m_Instance, m_Process.m_Incarnation,
+        [this](wire::Envelope Message) {
+          asio::post(m_Threads.control(), [this, Message = std::move(Message)] {
+            deliver(Message);
+          });
         });
     m_Process.m_Bus = m_Bus.get();
-    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Requests, m_Requests->listen(Value.m_Listen.m_Requests));
-    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Operator, m_Operator->listen(Value.m_Listen.m_Operator));
-    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Control, m_Bus->listen(Value.m_Listen.m_Control));
+    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Requests,
+                      m_Requests->listen(Value.m_Listen.m_Requests));
+    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Operator,
+                      m_Operator->listen(Value.m_Listen.m_Operator));
+    BOOST_LEAF_ASSIGN(m_Process.m_Addresses.m_Control,
+                      m_Bus->listen(Value.m_Listen.m_Control));
     return {};
   }
 
@@ -155,7 +171,8 @@
         return true;
       });
       if (!Started) {
-        net::log(Event::ListenFailed, {{"module", Each.m_Name}, {"error", Started.error().m_Message}});
+        net::log(Event::ListenFailed, {{"module", Each.m_Name},
+                                       {"error", Started.error().m_Message}});
         return finish();
       }
     }
@@ -165,13 +182,15 @@
   /// One line on standard output tells whoever started the process its ports.
   void announce() {
     const Addresses &Bound = m_Process.m_Addresses;
-    std::cout << boost::json::serialize(boost::json::object{{"instance", m_Process.m_Settings.m_Instance.m_Text},
-                                                            {"control", Bound.m_Control},
-                                                            {"requests", Bound.m_Requests},
-                                                            {"bulk", Bound.m_Bulk},
-                                                            {"operator", Bound.m_Operator}})
+    std::cout << boost::json::serialize(boost::json::object{
+                     {"instance", m_Process.m_Settings.m_Instance.m_Text},
+                     {"control", Bound.m_Control},
+                     {"requests", Bound.m_Requests},
+                     {"bulk", Bound.m_Bulk},
+                     {"operator", Bound.m_Operator}})
               << std::endl;
-    net::log(Event::ProcessStarted, {{"control", Bound.m_Control}, {"requests", Bound.m_Requests}});
+    net::log(Event::ProcessStarted,
+             {{"control", Bound.m_Control}, {"requests", Bound.m_Requests}});
   }
 
   void beginDrain() {
@@ -180,7 +199,8 @@
     net::log(Event::ProcessDraining);
     for (NamedModule &Each : m_Modules)
       Each.m_Module->beginDrain();
-    m_DrainEnd = std::chrono::steady_clock::now() + m_Process.m_Settings.m_DrainLimit;
+    m_DrainEnd =
+        std::chrono::steady_clock::now() + m_Process.m_Settings.m_DrainLimit;
     pollDrain();
   }
 
@@ -204,13 +224,22 @@
   }
 
   std::vector<Route> ownRoutes() {
-    return {{"GET", "/v1/dump", [this](net::HttpRequest, net::HttpResponder &Answer) { return dump(Answer); }},
-            {"POST", "/v1/drain", [this](net::HttpRequest, net::HttpResponder &Answer) { return drain(Answer); }}};
+    return {{"GET", "/v1/dump",
+             [this](net::HttpRequest, net::HttpResponder &Answer) {
+               return dump(Answer);
+             }},
+            {"POST", "/v1/drain",
+             [this](net::HttpRequest, net::HttpResponder &Answer) {
+               return drain(Answer);
+             }}};
   }
 
   asio::awaitable<void> dump(net::HttpResponder &Answer) {
-    auto OnControl = [this]() -> asio::awaitable<std::string> { co_return dumpText(); };
-    const std::string Text = co_await asio::co_spawn(m_Threads.control(), OnControl, asio::use_awaitable);
+    auto OnControl = [this]() -> asio::awaitable<std::string> {
+      co_return dumpText();
+    };
+    const std::string Text = co_await asio::co_spawn(
+        m_Threads.control(), OnControl, asio::use_awaitable);
     co_await Answer.send(net::jsonResponse(200, Text));
   }
 
@@ -223,14 +252,15 @@
     boost::json::object Modules;
     for (const NamedModule &Each : m_Modules)
       Modules[Each.m_Name] = Each.m_Module->dump();
-    boost::json::object Out{{"instance", m_Process.m_Settings.m_Instance.m_Text},
-                            {"incarnation", m_Process.m_Incarnation.m_Value},
-                            {"dataCentre", m_Process.m_Settings.m_DataCentre.m_Text},
-                            {"leaving", m_Process.m_Leaving.load()},
-                            {"controlBytesSent", m_Bus->bytesSent()},
-                            {"controlBytesReceived", m_Bus->bytesReceived()},
-                            {"controlMessagesRefused", m_Bus->messagesRefused()},
-                            {"modules", std::move(Modules)}};
+    boost::json::object Out{
+        {"instance", m_Process.m_Settings.m_Instance.m_Text},
+        {"incarnation", m_Process.m_Incarnation.m_Value},
+        {"dataCentre", m_Process.m_Settings.m_DataCentre.m_Text},
+        {"leaving", m_Process.m_Leaving.load()},
+        {"controlBytesSent", m_Bus->bytesSent()},
+        {"controlBytesReceived", m_Bus->bytesReceived()},
+        {"controlMessagesRefused", m_Bus->messagesRefused()},
+        {"modules", std::move(Modules)}};
     return boost::json::serialize(Out);
   }
 
--- a/src/kernel/declaration.cc
+++ b/src/kernel/declaration.cc
@@ -11,25 +11,31 @@
 namespace {
 
 constexpr std::size_t MaxNameBytes = 100;
-constexpr std::string_view NameCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+constexpr std::string_view NameCharacters =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
 
 /// Names become parts of paths and of weights ids, so their characters are few.
-void checkName(JsonObjectReader &Reader, std::string_view Key, const std::string &Name) {
-  const bool Fits = Name.size() <= MaxNameBytes && Name.find_first_not_of(NameCharacters) == std::string::npos;
+void checkName(JsonObjectReader &Reader, std::string_view Key,
+               const std::string &Name) {
+  const bool Fits = Name.size() <= MaxNameBytes &&
+                    Name.find_first_not_of(NameCharacters) == std::string::npos;
   if (!Fits)
     Reader.problem(Key, "at most 100 letters, digits, '-', '_' or '.'");
 }
 
-void readReadiness(JsonObjectReader &Reader, Problems &Found, std::vector<DataCentreReadiness> &Out) {
-  Reader.array("readiness", [&](const boost::json::value &Each, const std::string &Path) {
+void readReadiness(JsonObjectReader &Reader, Problems &Found,
+                   std::vector<DataCentreReadiness> &Out) {
+  Reader.array("readiness", [&](const boost::json::value &Each,
+                                const std::string &Path) {
     JsonObjectReader Inner(Each, Path, Found);
     DataCentreReadiness Readiness;
     Inner.required("dataCentre", Readiness.m_DataCentre.m_Text);
     Inner.optional("ready", Readiness.m_Ready, 0, 100'000);
     Inner.finish();
-    const bool Twice = std::any_of(Out.begin(), Out.end(), [&](const DataCentreReadiness &Other) {
-      return Other.m_DataCentre == Readiness.m_DataCentre;
-    });
+    const bool Twice = std::any_of(
+        Out.begin(), Out.end(), [&](const DataCentreReadiness &Other) {
+          return Other.m_DataCentre == Readiness.m_DataCentre;
+        });
     if (Twice)
       Inner.problem("dataCentre", "each data centre once");
     Out.push_back(std::move(Readiness));
@@ -56,7 +62,8 @@
 WeightsId weightsOf(const Pool &Value) {
   if (Value.m_Kind == PoolKind::Service)
     return {};
-  const std::string Adapter = Value.m_Adapter.empty() ? "" : "+" + Value.m_Adapter;
+  const std::string Adapter =
+      Value.m_Adapter.empty() ? "" : "+" + Value.m_Adapter;
   return WeightsId{Value.m_Model + Adapter + "@" + Value.m_Version};
 }
 
@@ -101,16 +108,19 @@
   }
   boost::json::array Readiness;
   for (const DataCentreReadiness &Each : Value.m_Readiness)
-    Readiness.push_back(boost::json::object{{"dataCentre", Each.m_DataCentre.m_Text}, {"ready", Each.m_Ready}});
+    Readiness.push_back(boost::json::object{
+        {"dataCentre", Each.m_DataCentre.m_Text}, {"ready", Each.m_Ready}});
   Out["readiness"] = std::move(Readiness);
-  Out["prefer"] = Value.m_Preference == Preference::Time ? "time" : "origin-bytes";
+  Out["prefer"] =
+      Value.m_Preference == Preference::Time ? "time" : "origin-bytes";
   Out["paused"] = Value.m_Paused;
   Out["queueLimit"] = Value.m_QueueLimit;
   Out["maxUnavailable"] = Value.m_MaxUnavailable;
   return boost::json::serialize(Out);
 }
 
-Result<Organisation> parseOrganisation(std::string_view Json, UnknownKeys Unknown) {
+Result<Organisation> parseOrganisation(std::string_view Json,
+                                       UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
   Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
@@ -127,8 +137,10 @@
 }
 
 std::string formatOrganisation(const Organisation &Value) {
-  return boost::json::serialize(boost::json::object{
-      {"name", Value.m_Id.m_Text}, {"share", Value.m_Share}, {"maxInFlight", Value.m_MaxInFlight}});
+  return boost::json::serialize(
+      boost::json::object{{"name", Value.m_Id.m_Text},
+                          {"share", Value.m_Share},
+                          {"maxInFlight", Value.m_MaxInFlight}});
 }
 
 Result<Upstream> parseUpstream(std::string_view Json, UnknownKeys Unknown) {
@@ -147,7 +159,8 @@
 }
 
 std::string formatUpstream(const Upstream &Value) {
-  return boost::json::serialize(boost::json::object{{"name", Value.m_Name}, {"checksFencing", Value.m_ChecksFencing}});
+  return boost::json::serialize(boost::json::object{
+      {"name", Value.m_Name}, {"checksFencing", Value.m_ChecksFencing}});
 }
 
 Result<Assignment> parseAssignment(std::string_view Json, UnknownKeys Unknown) {
@@ -156,16 +169,17 @@
   Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Assignment Out;
   JsonObjectReader Reader(Value, "", Found);
-  Reader.array("instances", [&](const boost::json::value &Each, const std::string &Path) {
-    JsonObjectReader Inner(Each, Path, Found);
-    InstanceId Instance;
-    AssignedPool Assigned;
-    Inner.required("instance", Instance.m_Text);
-    Inner.required("pool", Assigned.m_Pool.m_Text);
-    Inner.optional("weights", Assigned.m_Weights.m_Text);
-    Inner.finish();
-    Out.m_Instances[Instance] = Assigned;
-  });
+  Reader.array("instances",
+               [&](const boost::json::value &Each, const std::string &Path) {
+                 JsonObjectReader Inner(Each, Path, Found);
+                 InstanceId Instance;
+                 AssignedPool Assigned;
+                 Inner.required("instance", Instance.m_Text);
+                 Inner.required("pool", Assigned.m_Pool.m_Text);
+                 Inner.optional("weights", Assigned.m_Weights.m_Text);
+                 Inner.finish();
+                 Out.m_Instances[Instance] = Assigned;
+               });
   Reader.finish();
   if (!Found.m_List.empty())
     return failWith(std::move(Found));
@@ -175,10 +189,12 @@
 std::string formatAssignment(const Assignment &Value) {
   boost::json::array Instances;
   for (const auto &[Instance, Assigned] : Value.m_Instances)
-    Instances.push_back(boost::json::object{{"instance", Instance.m_Text},
-                                            {"pool", Assigned.m_Pool.m_Text},
-                                            {"weights", Assigned.m_Weights.m_Text}});
-  return boost::json::serialize(boost::json::object{{"instances", std::move(Instances)}});
+    Instances.push_back(
+        boost::json::object{{"instance", Instance.m_Text},
+                            {"pool", Assigned.m_Pool.m_Text},
+                            {"weights", Assigned.m_Weights.m_Text}});
+  return boost::json::serialize(
+      boost::json::object{{"instances", std::move(Instances)}});
 }
 
 } // namespace deckpitch
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -24,7 +24,8 @@
 }
 
 template <typename Number> std::string rangeText(Number Least, Number Most) {
-  return "a whole number from " + std::to_string(Least) + " to " + std::to_string(Most);
+  return "a whole number from " + std::to_string(Least) + " to " +
+         std::to_string(Most);
 }
 
 } // namespace
@@ -36,40 +37,48 @@
   boost::json::stream_parser Parser({}, Options);
   boost::json::error_code Ec;
   const std::size_t Consumed = Parser.write_some(Text.data(), Text.size(), Ec);
-  if (!Ec && Consumed < Text.size() && Text.find_first_not_of(" \t\r\n", Consumed) != std::string_view::npos)
+  if (!Ec && Consumed < Text.size() &&
+      Text.find_first_not_of(" \t\r\n", Consumed) != std::string_view::npos)
     Ec = boost::json::error::extra_data;
   if (!Ec)
     Parser.finish(Ec);
   if (!Ec)
     return Parser.release();
   const Position At = positionOf(Text, Consumed);
-  return fail(ErrorCode::InvalidInput, "line " + std::to_string(At.m_Line) + ", column " +
-                                           std::to_string(At.m_Column) + ": not JSON: " + Ec.message());
+  return fail(ErrorCode::InvalidInput,
+              "line " + std::to_string(At.m_Line) + ", column " +
+                  std::to_string(At.m_Column) + ": not JSON: " + Ec.message());
 }
 
 std::string formatProblems(const Problems &Found) {
   std::string Text;
   for (const Problem &Each : Found.m_List)
-    Text += (Text.empty() ? "" : "\n") + Each.m_Path + ": found " + Each.m_Value + ", expected " + Each.m_Expected;
+    Text += (Text.empty() ? "" : "\n") + Each.m_Path + ": found " +
+            Each.m_Value + ", expected " + Each.m_Expected;
   return Text;
 }
 
 boost::leaf::error_id failWith(Problems Found) {
   std::string Message = formatProblems(Found);
-  return boost::leaf::new_error(Error{ErrorCode::InvalidInput, std::move(Message)}, std::move(Found));
+  return boost::leaf::new_error(
+      Error{ErrorCode::InvalidInput, std::move(Message)}, std::move(Found));
 }
 
-JsonObjectReader::JsonObjectReader(const boost::json::value &Value, std::string Path, Problems &Found)
+JsonObjectReader::JsonObjectReader(const boost::json::value &Value,
+                                   std::string Path, Problems &Found)
     : m_Object(Value.if_object()), m_Path(std::move(Path)), m_Found(&Found) {
   if (!m_Object)
-    m_Found->m_List.push_back({m_Path.empty() ? "document" : m_Path, boost::json::serialize(Value), "an object"});
+    m_Found->m_List.push_back({m_Path.empty() ? "document" : m_Path,
+                               boost::json::serialize(Value), "an object"});
 }
 
 std::string JsonObjectReader::pathOf(std::string_view Key) const {
   return m_Path.empty() ? std::string(Key) : m_Path + "." + std::string(Key);
 }
 
-bool JsonObjectReader::has(std::string_view Key) const { return m_Object && m_Object->contains(Key); }
+bool JsonObjectReader::has(std::string_view Key) const {
+  return m_Object && m_Object->contains(Key);
+}
 
 const boost::json::value *JsonObjectReader::take(std::string_view Key) {
   m_Taken.emplace_back(Key);
@@ -77,8 +86,11 @@
 }
 
 void JsonObjectReader::problem(std::string_view Key, std::string Expected) {
-  const boost::json::value *Value = m_Object ? m_Object->if_contains(Key) : nullptr;
-  m_Found->m_List.push_back({pathOf(Key), Value ? boost::json::serialize(*Value) : "nothing", std::move(Expected)});
+  const boost::json::value *Value =
+      m_Object ? m_Object->if_contains(Key) : nullptr;
+  m_Found->m_List.push_back({pathOf(Key),
+                             Value ? boost::json::serialize(*Value) : "nothing",
+                             std::move(Expected)});
 }
 
 void JsonObjectReader::required(std::string_view Key, std::string &Out) {
@@ -105,37 +117,45 @@
     problem(Key, "true or false");
 }
 
-void JsonObjectReader::optional(std::string_view Key, std::uint64_t &Out, std::uint64_t Least, std::uint64_t Most) {
+void JsonObjectReader::optional(std::string_view Key, std::uint64_t &Out,
+                                std::uint64_t Least, std::uint64_t Most) {
   const boost::json::value *Value = take(Key);
   if (!Value)
     return;
   boost::json::error_code Ec;
-  const auto Number = Value->is_number() ? Value->to_number<std::uint64_t>(Ec) : 0;
+  const auto Number =
+      Value->is_number() ? Value->to_number<std::uint64_t>(Ec) : 0;
   if (!Value->is_number() || Ec || Number < Least || Number > Most)
     return problem(Key, rangeText(Least, Most));
   Out = Number;
 }
 
-void JsonObjectReader::optional(std::string_view Key, std::uint32_t &Out, std::uint32_t Least, std::uint32_t Most) {
+void JsonObjectReader::optional(std::string_view Key, std::uint32_t &Out,
+                                std::uint32_t Least, std::uint32_t Most) {
   std::uint64_t Wide = Out;
   optional(Key, Wide, Least, Most);
   Out = static_cast<std::uint32_t>(Wide);
 }
 
-void JsonObjectReader::optional(std::string_view Key, std::chrono::milliseconds &Out, std::chrono::milliseconds Least,
+void JsonObjectReader::optional(std::string_view Key,
+                                std::chrono::milliseconds &Out,
+                                std::chrono::milliseconds Least,
                                 std::chrono::milliseconds Most) {
   auto Count = static_cast<std::uint64_t>(Out.count());
-  optional(Key, Count, static_cast<std::uint64_t>(Least.count()), static_cast<std::uint64_t>(Most.count()));
+  optional(Key, Count, static_cast<std::uint64_t>(Least.count()),
+           static_cast<std::uint64_t>(Most.count()));
   Out = std::chrono::milliseconds(Count);
 }
 
-void JsonObjectReader::choice(std::string_view Key, std::size_t &Out, const std::vector<std::string_view> &Words,
+void JsonObjectReader::choice(std::string_view Key, std::size_t &Out,
+                              const std::vector<std::string_view> &Words,
                               bool IsRequired) {
   const boost::json::value *Value = take(Key);
   if (!Value && !IsRequired)
     return;
   if (Value && Value->is_string()) {
-    const std::string_view Word(Value->get_string().data(), Value->get_string().size());
+    const std::string_view Word(Value->get_string().data(),
+                                Value->get_string().size());
     const auto Found = std::find(Words.begin(), Words.end(), Word);
     if (Found != Words.end()) {
       Out = static_cast<std::size_t>(Found - Words.begin());
@@ -149,7 +169,8 @@
     problem(Key, std::move(Expected));
 }
 
-void JsonObjectReader::object(std::string_view Key, const std::function<void(JsonObjectReader &)> &Read) {
+void JsonObjectReader::object(
+    std::string_view Key, const std::function<void(JsonObjectReader &)> &Read) {
   const boost::json::value *Value = take(Key);
   if (!Value)
     return;
@@ -160,7 +181,8 @@
 
 void JsonObjectReader::array(
     std::string_view Key,
-    const std::function<void(const boost::json::value &, const std::string &Path)> &ReadEach) {
+    const std::function<void(const boost::json::value &,
+                             const std::string &Path)> &ReadEach) {
   const boost::json::value *Value = take(Key);
   if (!Value)
     return;
@@ -179,7 +201,8 @@
   for (const auto &Each : *m_Object) {
     const std::string_view Key(Each.key().data(), Each.key().size());
     if (std::find(m_Taken.begin(), m_Taken.end(), Key) == m_Taken.end())
-      m_Found->m_List.push_back({pathOf(Key), boost::json::serialize(Each.value()), "no such key"});
+      m_Found->m_List.push_back(
+          {pathOf(Key), boost::json::serialize(Each.value()), "no such key"});
   }
 }
 
--- a/src/net/address.cc
+++ b/src/net/address.cc
@@ -15,7 +15,8 @@
   const auto Ip = boost::asio::ip::make_address(Host, Ec);
   std::uint16_t Port = 0;
   const char *End = Text.data() + Text.size();
-  const auto [Last, PortError] = std::from_chars(Text.data() + Colon + 1, End, Port);
+  const auto [Last, PortError] =
+      std::from_chars(Text.data() + Colon + 1, End, Port);
   if (Ec || PortError != std::errc{} || Last != End)
     return fail(ErrorCode::InvalidInput, "'" + Text + "' is not ip:port");
   return boost::asio::ip::tcp::endpoint(Ip, Port);
--- a/src/net/control-bus.cc
+++ b/src/net/control-bus.cc
@@ -33,7 +33,8 @@
 
 struct ControlBus::Impl {
   Impl(InstanceId Self, Incarnation Life, Handler OnMessage)
-      : m_Self(std::move(Self)), m_Life(Life), m_OnMessage(std::move(OnMessage)) {}
+      : m_Self(std::move(Self)), m_Life(Life),
+        m_OnMessage(std::move(OnMessage)) {}
 
   void wake() {
     std::lock_guard Lock(m_Mutex);
@@ -42,7 +43,8 @@
   }
 
   void run() {
-    zmq::pollitem_t Items[] = {{m_Receiver.handle(), 0, ZMQ_POLLIN, 0}, {m_WakeReceiver.handle(), 0, ZMQ_POLLIN, 0}};
+    zmq::pollitem_t Items[] = {{m_Receiver.handle(), 0, ZMQ_POLLIN, 0},
+                               {m_WakeReceiver.handle(), 0, ZMQ_POLLIN, 0}};
     while (!m_Stopping) {
       zmq::poll(Items, 2, std::chrono::milliseconds(1000));
       drainWakes();
@@ -83,10 +85,12 @@
       } catch (const zmq::error_t &) {
         return;
       }
-      Found = m_Peers.emplace(Message.m_Address, Peer{std::move(Socket), {}}).first;
+      Found =
+          m_Peers.emplace(Message.m_Address, Peer{std::move(Socket), {}}).first;
     }
     Found->second.m_Used = std::chrono::steady_clock::now();
-    if (Found->second.m_Socket.send(zmq::buffer(Message.m_Bytes), zmq::send_flags::dontwait))
+    if (Found->second.m_Socket.send(zmq::buffer(Message.m_Bytes),
+                                    zmq::send_flags::dontwait))
       m_Sent += Message.m_Bytes.size();
   }
 
@@ -95,7 +99,9 @@
     while (m_Receiver.recv(Part, zmq::recv_flags::dontwait)) {
       m_Received += Part.size();
       wire::Envelope Message;
-      const bool Whole = !Part.more() && Message.ParseFromArray(Part.data(), static_cast<int>(Part.size()));
+      const bool Whole =
+          !Part.more() &&
+          Message.ParseFromArray(Part.data(), static_cast<int>(Part.size()));
       if (!Whole || Message.sender().empty()) {
         ++m_Refused;
         continue;
@@ -106,7 +112,9 @@
 
   void dropIdlePeers() {
     const auto Now = std::chrono::steady_clock::now();
-    std::erase_if(m_Peers, [&](const auto &Each) { return Now - Each.second.m_Used > IdlePeerLifetime; });
+    std::erase_if(m_Peers, [&](const auto &Each) {
+      return Now - Each.second.m_Used > IdlePeerLifetime;
+    });
   }
 
   InstanceId m_Self;
@@ -127,7 +135,8 @@
 };
 
 ControlBus::ControlBus(InstanceId Self, Incarnation Life, Handler OnMessage)
-    : m_Impl(std::make_unique<Impl>(std::move(Self), Life, std::move(OnMessage))) {}
+    : m_Impl(std::make_unique<Impl>(std::move(Self), Life,
+                                    std::move(OnMessage))) {}
 
 ControlBus::~ControlBus() { stop(); }
 
@@ -144,7 +153,8 @@
     Bus.m_WakeSender = zmq::socket_t(Bus.m_Context, zmq::socket_type::pair);
     Bus.m_WakeSender.connect(WakeAddress);
   } catch (const zmq::error_t &Fault) {
-    return fail(ErrorCode::Unavailable, "cannot listen on " + Address + ": " + Fault.what());
+    return fail(ErrorCode::Unavailable,
+                "cannot listen on " + Address + ": " + Fault.what());
   }
   const std::string Bound = Bus.m_Receiver.get(zmq::sockopt::last_endpoint);
   Bus.m_Thread = std::thread([&Bus] { Bus.run(); });
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -21,7 +21,8 @@
 constexpr std::size_t ReadPieceBytes = 64 * 1024;
 
 struct Connection {
-  explicit Connection(asio::any_io_executor Executor) : m_Stream(std::move(Executor)) {}
+  explicit Connection(asio::any_io_executor Executor)
+      : m_Stream(std::move(Executor)) {}
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
 
@@ -32,7 +33,8 @@
     char Byte = 0;
     boost::system::error_code Ec;
     m_Stream.socket().non_blocking(true, Ec);
-    m_Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Ec);
+    m_Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                              Ec);
     return Ec == asio::error::would_block;
   }
 };
@@ -44,11 +46,13 @@
   friend auto operator<=>(const PoolKey &, const PoolKey &) = default;
 };
 
-Error unavailable(const std::string &Address, const boost::system::error_code &Ec) {
+Error unavailable(const std::string &Address,
+                  const boost::system::error_code &Ec) {
   return Error{ErrorCode::Unavailable, Address + ": " + Ec.message()};
 }
 
-Error unanswered(const std::string &Address, const boost::system::error_code &Ec) {
+Error unanswered(const std::string &Address,
+                 const boost::system::error_code &Ec) {
   return Error{ErrorCode::Timeout, Address + ": " + Ec.message()};
 }
 
@@ -83,19 +87,22 @@
 
 class Stream final : public HttpStream {
 public:
-  Stream(std::shared_ptr<HttpClient::Impl> Pool, PoolKey Key, std::unique_ptr<Connection> Used, CallLimits Limits)
-      : m_Pool(std::move(Pool)), m_Key(std::move(Key)), m_Connection(std::move(Used)), m_Limits(Limits) {
+  Stream(std::shared_ptr<HttpClient::Impl> Pool, PoolKey Key,
+         std::unique_ptr<Connection> Used, CallLimits Limits)
+      : m_Pool(std::move(Pool)), m_Key(std::move(Key)),
+        m_Connection(std::move(Used)), m_Limits(Limits) {
     m_Parser.body_limit(boost::none);
   }
 
   asio::awaitable<boost::system::error_code> readHeader() {
     m_Connection->m_Stream.expires_after(m_Limits.m_FirstByte);
-    auto [Ec, Bytes] =
-        co_await http::async_read_header(m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, UseAwaitable);
+    auto [Ec, Bytes] = co_await http::async_read_header(
+        m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, UseAwaitable);
     if (Ec)
       co_return Ec;
     for (const auto &Field : m_Parser.get())
-      m_Headers.add(std::string(Field.name_string()), std::string(Field.value()));
+      m_Headers.add(std::string(Field.name_string()),
+                    std::string(Field.value()));
     co_return boost::system::error_code{};
   }
 
@@ -112,8 +119,9 @@
       m_Parser.get().body().data = Piece.data();
       m_Parser.get().body().size = Piece.size();
       m_Connection->m_Stream.expires_after(m_Limits.m_BetweenBytes);
-      auto [Ec, Bytes] =
-          co_await http::async_read_some(m_Connection->m_Stream, m_Connection->m_Buffer, m_Parser, UseAwaitable);
+      auto [Ec, Bytes] = co_await http::async_read_some(m_Connection->m_Stream,
+                                                        m_Connection->m_Buffer,
+                                                        m_Parser, UseAwaitable);
       if (Ec && Ec != http::error::need_buffer)
         co_return unanswered(m_Key.m_Address, Ec);
       Piece.resize(Piece.size() - m_Parser.get().body().size);
@@ -126,7 +134,8 @@
     if (!m_Connection)
       return;
     boost::system::error_code Ignored;
-    m_Connection->m_Stream.socket().shutdown(tcp::socket::shutdown_both, Ignored);
+    m_Connection->m_Stream.socket().shutdown(tcp::socket::shutdown_both,
+                                             Ignored);
   }
 
 private:
@@ -144,11 +153,13 @@
   HttpHeaders m_Headers;
 };
 
-asio::awaitable<Outcome<std::unique_ptr<Connection>>> connect(asio::any_io_executor Executor, const std::string &Address,
-                                                              std::chrono::milliseconds Limit) {
+asio::awaitable<Outcome<std::unique_ptr<Connection>>>
+connect(asio::any_io_executor Executor, const std::string &Address,
+        std::chrono::milliseconds Limit) {
   const auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
-    co_return Error{ErrorCode::InvalidInput, "'" + Address + "' is not ip:port"};
+    co_return Error{ErrorCode::InvalidInput,
+                    "'" + Address + "' is not ip:port"};
   auto Fresh = std::make_unique<Connection>(std::move(Executor));
   Fresh->m_Stream.expires_after(Limit);
   auto [Ec] = co_await Fresh->m_Stream.async_connect(*Endpoint, UseAwaitable);
@@ -163,8 +174,8 @@
 HttpClient::HttpClient() : m_Impl(std::make_shared<Impl>()) {}
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<Outcome<std::unique_ptr<HttpStream>>> HttpClient::open(std::string Address, HttpRequest Request,
-                                                                       CallLimits Limits) {
+asio::awaitable<Outcome<std::unique_ptr<HttpStream>>>
+HttpClient::open(std::string Address, HttpRequest Request, CallLimits Limits) {
   auto Impl = m_Impl;
   auto Executor = co_await asio::this_coro::executor;
   const PoolKey Key{&Executor.context(), Address};
@@ -188,19 +199,22 @@
       Used = std::move(*Fresh);
     }
     Used->m_Stream.expires_after(Limits.m_FirstByte);
-    auto [Ec, Bytes] = co_await http::async_write(Used->m_Stream, Message, UseAwaitable);
+    auto [Ec, Bytes] =
+        co_await http::async_write(Used->m_Stream, Message, UseAwaitable);
     auto Answer = std::make_unique<Stream>(Impl, Key, std::move(Used), Limits);
     if (!Ec)
       Ec = co_await Answer->readHeader();
     if (!Ec)
       co_return std::unique_ptr<HttpStream>(std::move(Answer));
-    const bool Closed = Ec == http::error::end_of_stream || Ec == asio::error::connection_reset;
+    const bool Closed =
+        Ec == http::error::end_of_stream || Ec == asio::error::connection_reset;
     if (!(Kept && MayRepeat && Closed))
       co_return unanswered(Address, Ec);
   }
 }
 
-asio::awaitable<Outcome<HttpResponse>> HttpClient::call(std::string Address, HttpRequest Request, CallLimits Limits) {
+asio::awaitable<Outcome<HttpResponse>>
+HttpClient::call(std::string Address, HttpRequest Request, CallLimits Limits) {
   auto Opened = co_await open(std::move(Address), std::move(Request), Limits);
   if (!Opened)
     co_return Opened.error();
@@ -215,17 +229,23 @@
     if (Piece->empty())
       co_return Response;
     if (Response.m_Body.size() + Piece->size() > Limits.m_BodyBytes)
-      co_return Error{ErrorCode::InvalidInput, "the answer is larger than the limit"};
+      co_return Error{ErrorCode::InvalidInput,
+                      "the answer is larger than the limit"};
     Response.m_Body += *Piece;
   }
 }
 
-Outcome<HttpResponse> callAndWait(const std::string &Address, HttpRequest Request, CallLimits Limits) {
+Outcome<HttpResponse> callAndWait(const std::string &Address,
+                                  HttpRequest Request, CallLimits Limits) {
   asio::io_context Io;
   HttpClient Client;
-  Outcome<HttpResponse> Answer = Error{ErrorCode::Unavailable, "the call did not end"};
+  Outcome<HttpResponse> Answer =
+      Error{ErrorCode::Unavailable, "the call did not end"};
   asio::co_spawn(
-      Io, [&]() -> asio::awaitable<void> { Answer = co_await Client.call(Address, std::move(Request), Limits); },
+      Io,
+      [&]() -> asio::awaitable<void> {
+        Answer = co_await Client.call(Address, std::move(Request), Limits);
+      },
       asio::detached);
   Io.run();
   return Answer;
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -26,8 +26,10 @@
 
 class Responder final : public HttpResponder {
 public:
-  Responder(beast::tcp_stream &Stream, std::chrono::milliseconds WriteTimeout, bool KeepAlive)
-      : m_Stream(Stream), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive) {}
+  Responder(beast::tcp_stream &Stream, std::chrono::milliseconds WriteTimeout,
+            bool KeepAlive)
+      : m_Stream(Stream), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive) {
+  }
 
   asio::awaitable<bool> send(HttpResponse Response) override {
     if (m_Started || m_Failed)
@@ -41,7 +43,8 @@
     Message.keep_alive(m_KeepAlive);
     Message.prepare_payload();
     m_Stream.expires_after(m_WriteTimeout);
-    auto [Ec, Bytes] = co_await http::async_write(m_Stream, Message, UseAwaitable);
+    auto [Ec, Bytes] =
+        co_await http::async_write(m_Stream, Message, UseAwaitable);
     m_Failed = static_cast<bool>(Ec);
     m_Ended = !Ec;
     co_return !Ec;
@@ -59,7 +62,8 @@
     Message.chunked(true);
     http::response_serializer<http::empty_body> Serializer(Message);
     m_Stream.expires_after(m_WriteTimeout);
-    auto [Ec, Bytes] = co_await http::async_write_header(m_Stream, Serializer, UseAwaitable);
+    auto [Ec, Bytes] =
+        co_await http::async_write_header(m_Stream, Serializer, UseAwaitable);
     m_Failed = static_cast<bool>(Ec);
     co_return !Ec;
   }
@@ -70,8 +74,9 @@
     if (Data.empty())
       co_return true;
     m_Stream.expires_after(m_WriteTimeout);
-    auto [Ec, Bytes] =
-        co_await asio::async_write(m_Stream, http::make_chunk(asio::buffer(Data.data(), Data.size())), UseAwaitable);
+    auto [Ec, Bytes] = co_await asio::async_write(
+        m_Stream, http::make_chunk(asio::buffer(Data.data(), Data.size())),
+        UseAwaitable);
     m_Failed = static_cast<bool>(Ec);
     co_return !Ec;
   }
@@ -80,7 +85,8 @@
     if (!m_Started || m_Ended || m_Failed)
       co_return false;
     m_Stream.expires_after(m_WriteTimeout);
-    auto [Ec, Bytes] = co_await asio::async_write(m_Stream, http::make_chunk_last(), UseAwaitable);
+    auto [Ec, Bytes] = co_await asio::async_write(
+        m_Stream, http::make_chunk_last(), UseAwaitable);
     m_Failed = static_cast<bool>(Ec);
     m_Ended = !Ec;
     co_return !Ec;
@@ -93,7 +99,9 @@
   }
 
   bool started() const override { return m_Started; }
-  void onGone(std::function<void()> Callback) override { m_OnGone = std::move(Callback); }
+  void onGone(std::function<void()> Callback) override {
+    m_OnGone = std::move(Callback);
+  }
 
   void gone() {
     if (m_Ended || m_Failed)
@@ -118,7 +126,8 @@
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits)
-      : m_Threads(Threads), m_Acceptor(Threads.control()), m_Handler(std::move(Handler)), m_Limits(Limits) {}
+      : m_Threads(Threads), m_Acceptor(Threads.control()),
+        m_Handler(std::move(Handler)), m_Limits(Limits) {}
 
   struct Connection {
     explicit Connection(tcp::socket Socket) : m_Stream(std::move(Socket)) {}
@@ -129,11 +138,14 @@
   asio::awaitable<void> acceptLoop() {
     auto Self = shared_from_this();
     while (m_Acceptor.is_open()) {
-      auto [Ec, Socket] = co_await m_Acceptor.async_accept(m_Threads.nextWorker(), UseAwaitable);
-      if (Ec == asio::error::operation_aborted || Ec == asio::error::bad_descriptor)
+      auto [Ec, Socket] = co_await m_Acceptor.async_accept(
+          m_Threads.nextWorker(), UseAwaitable);
+      if (Ec == asio::error::operation_aborted ||
+          Ec == asio::error::bad_descriptor)
         co_return;
       if (Ec) {
-        asio::steady_timer Pause(co_await asio::this_coro::executor, std::chrono::milliseconds(50));
+        asio::steady_timer Pause(co_await asio::this_coro::executor,
+                                 std::chrono::milliseconds(50));
         co_await Pause.async_wait(UseAwaitable);
         continue;
       }
@@ -141,10 +153,11 @@
       auto Added = std::make_shared<Connection>(std::move(Socket));
       if (!add(Added))
         continue;
-      asio::co_spawn(Added->m_Stream.get_executor(), serve(Added), [Self, Added](std::exception_ptr) {
-        std::lock_guard Lock(Self->m_Mutex);
-        Self->m_Connections.erase(Added.get());
-      });
+      asio::co_spawn(Added->m_Stream.get_executor(), serve(Added),
+                     [Self, Added](std::exception_ptr) {
+                       std::lock_guard Lock(Self->m_Mutex);
+                       Self->m_Connections.erase(Added.get());
+                     });
     }
   }
 
@@ -156,16 +169,19 @@
     return true;
   }
 
-  asio::awaitable<void> refuse(beast::tcp_stream &Stream, unsigned Status, std::string Message) {
+  asio::awaitable<void> refuse(beast::tcp_stream &Stream, unsigned Status,
+                               std::string Message) {
     Responder Answer(Stream, m_Limits.m_WriteTimeout, false);
-    co_await Answer.send(jsonResponse(Status, "{\"error\":\"" + Message + "\"}"));
+    co_await Answer.send(
+        jsonResponse(Status, "{\"error\":\"" + Message + "\"}"));
     // Read what is still coming for a moment, lest a reset overtake the answer.
     beast::error_code Ignored;
     Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
     std::array<char, 4096> Sink;
     Stream.expires_after(std::chrono::seconds(1));
     for (int I = 0; I < 256; ++I) {
-      auto [Ec, Bytes] = co_await Stream.async_read_some(asio::buffer(Sink), UseAwaitable);
+      auto [Ec, Bytes] =
+          co_await Stream.async_read_some(asio::buffer(Sink), UseAwaitable);
       if (Ec)
         break;
     }
@@ -191,7 +207,8 @@
       Parser.body_limit(m_Limits.m_BodyBytes);
       if (Buffer.size() == 0) {
         Stream.expires_after(m_Limits.m_IdleTimeout);
-        auto [Ec, Bytes] = co_await Stream.async_read_some(Buffer.prepare(4096), UseAwaitable);
+        auto [Ec, Bytes] =
+            co_await Stream.async_read_some(Buffer.prepare(4096), UseAwaitable);
         if (Ec)
           co_return;
         Buffer.commit(Bytes);
@@ -199,9 +216,11 @@
       Served->m_Busy = true;
       m_Open.fetch_add(1);
       Stream.expires_after(m_Limits.m_HeaderTimeout);
-      auto [Ec, Bytes] = co_await http::async_read(Stream, Buffer, Parser, UseAwaitable);
+      auto [Ec, Bytes] =
+          co_await http::async_read(Stream, Buffer, Parser, UseAwaitable);
       if (Ec) {
-        if (Ec != http::error::end_of_stream && Ec != asio::error::connection_reset)
+        if (Ec != http::error::end_of_stream &&
+            Ec != asio::error::connection_reset)
           co_await refuse(Stream, statusOf(Ec), Ec.message());
         m_Open.fetch_sub(1);
         co_return;
@@ -217,16 +236,19 @@
   }
 
   /// True when the connection can take another request.
-  asio::awaitable<bool> answer(std::shared_ptr<Connection> Served, http::request<http::string_body> Message,
+  asio::awaitable<bool> answer(std::shared_ptr<Connection> Served,
+                               http::request<http::string_body> Message,
                                beast::flat_buffer &Buffer) {
     HttpRequest Request;
     Request.m_Method = std::string(Message.method_string());
     Request.m_Target = std::string(Message.target());
     for (const auto &Field : Message)
-      Request.m_Headers.add(std::string(Field.name_string()), std::string(Field.value()));
+      Request.m_Headers.add(std::string(Field.name_string()),
+                            std::string(Field.value()));
     const bool KeepAlive = Message.keep_alive() && !m_Draining;
     Request.m_Body = std::move(Message.body());
-    auto Answer = std::make_shared<Responder>(Served->m_Stream, m_Limits.m_WriteTimeout, KeepAlive);
+    auto Answer = std::make_shared<Responder>(
+        Served->m_Stream, m_Limits.m_WriteTimeout, KeepAlive);
     watchForClose(Served, Answer, Buffer);
     bool Threw = false;
     try {
@@ -237,27 +259,30 @@
     if (Threw && !Answer->started())
       co_await Answer->send(jsonResponse(500, R"({"error":"internal error"})"));
     else if (!Answer->started())
-      co_await Answer->send(jsonResponse(500, R"({"error":"no answer was given"})"));
+      co_await Answer->send(
+          jsonResponse(500, R"({"error":"no answer was given"})"));
     Served->m_Stream.expires_never();
     co_return Answer->whole() && KeepAlive;
   }
 
   /// Notices a client that closes while its answer is being made.
-  void watchForClose(const std::shared_ptr<Connection> &Served, const std::shared_ptr<Responder> &Answer,
+  void watchForClose(const std::shared_ptr<Connection> &Served,
+                     const std::shared_ptr<Responder> &Answer,
                      beast::flat_buffer &Buffer) {
     if (Buffer.size() != 0)
       return;
     std::weak_ptr<Responder> Weak = Answer;
     Served->m_Stream.socket().async_wait(
-        tcp::socket::wait_read, [Served, Weak](const boost::system::error_code &Ec) {
+        tcp::socket::wait_read,
+        [Served, Weak](const boost::system::error_code &Ec) {
           auto Watched = Weak.lock();
           if (!Watched || Ec)
             return;
           char Byte = 0;
           boost::system::error_code Peek;
           Served->m_Stream.socket().non_blocking(true, Peek);
-          const std::size_t Got =
-              Served->m_Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Peek);
+          const std::size_t Got = Served->m_Stream.socket().receive(
+              asio::buffer(&Byte, 1), tcp::socket::message_peek, Peek);
           if (Peek == asio::error::would_block || (Got > 0 && !Peek))
             return;
           Watched->gone();
@@ -274,7 +299,8 @@
   std::atomic<std::size_t> m_Open{0};
 };
 
-HttpServer::HttpServer(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits)
+HttpServer::HttpServer(IoThreads &Threads, HttpHandler Handler,
+                       HttpLimits Limits)
     : m_Impl(std::make_shared<Impl>(Threads, std::move(Handler), Limits)) {}
 
 HttpServer::~HttpServer() { stop(); }
@@ -291,7 +317,8 @@
   if (!Ec)
     Acceptor.listen(asio::socket_base::max_listen_connections, Ec);
   if (Ec)
-    return fail(ErrorCode::Unavailable, "cannot listen on " + Address + ": " + Ec.message());
+    return fail(ErrorCode::Unavailable,
+                "cannot listen on " + Address + ": " + Ec.message());
   const std::string Bound = formatEndpoint(Acceptor.local_endpoint(Ec));
   asio::co_spawn(Acceptor.get_executor(), m_Impl->acceptLoop(), asio::detached);
   return Bound;
@@ -319,7 +346,8 @@
   });
   std::lock_guard Lock(m_Impl->m_Mutex);
   for (auto &[Key, Each] : m_Impl->m_Connections)
-    asio::post(Each->m_Stream.get_executor(), [Each = Each] { Each->m_Stream.close(); });
+    asio::post(Each->m_Stream.get_executor(),
+               [Each = Each] { Each->m_Stream.close(); });
 }
 
 std::size_t HttpServer::openRequests() const { return m_Impl->m_Open.load(); }
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -31,8 +31,10 @@
 std::string percentDecode(std::string_view Text) {
   std::string Out;
   for (std::size_t I = 0; I < Text.size(); ++I) {
-    if (Text[I] == '%' && I + 2 < Text.size() && hexDigit(Text[I + 1]) >= 0 && hexDigit(Text[I + 2]) >= 0) {
-      Out.push_back(static_cast<char>(hexDigit(Text[I + 1]) * 16 + hexDigit(Text[I + 2])));
+    if (Text[I] == '%' && I + 2 < Text.size() && hexDigit(Text[I + 1]) >= 0 &&
+        hexDigit(Text[I + 2]) >= 0) {
+      Out.push_back(static_cast<char>(hexDigit(Text[I + 1]) * 16 +
+                                      hexDigit(Text[I + 2])));
       I += 2;
       continue;
     }
@@ -48,10 +50,13 @@
   std::size_t Begin = Target.find('?');
   while (Begin != std::string_view::npos && Begin < Target.size()) {
     const std::size_t End = Target.find('&', Begin + 1);
-    const std::string_view Pair = Target.substr(Begin + 1, End == std::string_view::npos ? End : End - Begin - 1);
+    const std::string_view Pair = Target.substr(
+        Begin + 1, End == std::string_view::npos ? End : End - Begin - 1);
     const std::size_t Equals = Pair.find('=');
     if (Pair.substr(0, Equals) == Name)
-      return Equals == std::string_view::npos ? "" : percentDecode(Pair.substr(Equals + 1));
+      return Equals == std::string_view::npos
+                 ? ""
+                 : percentDecode(Pair.substr(Equals + 1));
     Begin = End;
   }
   return {};
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -29,7 +29,9 @@
 
   /// The first value of that name, or empty.
   std::string_view find(std::string_view Name) const;
-  void add(std::string Name, std::string Value) { m_List.push_back({std::move(Name), std::move(Value)}); }
+  void add(std::string Name, std::string Value) {
+    m_List.push_back({std::move(Name), std::move(Value)});
+  }
 };
 
 struct HttpRequest {
@@ -66,18 +68,21 @@
   /// Breaks the connection: the client sees that the answer is not whole.
   virtual void abort() = 0;
   virtual bool started() const = 0;
-  /// Calls back, at most once, when the client goes away before the answer's end.
+  /// Calls back, at most once, when the client goes away before the answer's
+  /// end.
   virtual void onGone(std::function<void()> Callback) = 0;
 };
 
-using HttpHandler = std::function<asio::awaitable<void>(HttpRequest, HttpResponder &)>;
+using HttpHandler =
+    std::function<asio::awaitable<void>(HttpRequest, HttpResponder &)>;
 
 struct HttpLimits {
   std::size_t m_HeaderBytes = 16 * 1024;
   std::size_t m_BodyBytes = 4 * 1024 * 1024;
-  std::chrono::milliseconds m_HeaderTimeout{10'000}; ///< for a whole request to arrive
-  std::chrono::milliseconds m_IdleTimeout{60'000};   ///< between requests
-  std::chrono::milliseconds m_WriteTimeout{30'000};  ///< without progress
+  std::chrono::milliseconds m_HeaderTimeout{
+      10'000}; ///< for a whole request to arrive
+  std::chrono::milliseconds m_IdleTimeout{60'000};  ///< between requests
+  std::chrono::milliseconds m_WriteTimeout{30'000}; ///< without progress
   std::size_t m_Connections = 20'000;
 };
 
@@ -106,7 +111,8 @@
 
 struct CallLimits {
   std::chrono::milliseconds m_Connect{1'000};
-  std::chrono::milliseconds m_FirstByte{30'000}; ///< request sent to headers read
+  std::chrono::milliseconds m_FirstByte{
+      30'000}; ///< request sent to headers read
   std::chrono::milliseconds m_BetweenBytes{30'000};
   std::size_t m_BodyBytes = 64 * 1024 * 1024;
 };
@@ -125,9 +131,10 @@
 };
 
 /// Keeps connections for reuse, apart for each loop: a call runs wholly on the
-/// loop of the coroutine that makes it. A call is never repeated by the client, but
-/// for a GET on a kept connection that turned out closed. Errors: Unavailable
-/// when the request cannot have reached the server, Timeout when it may have.
+/// loop of the coroutine that makes it. A call is never repeated by the client,
+/// but for a GET on a kept connection that turned out closed. Errors:
+/// Unavailable when the request cannot have reached the server, Timeout when it
+/// may have.
 class HttpClient {
 public:
   HttpClient();
@@ -135,9 +142,10 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  asio::awaitable<Outcome<HttpResponse>> call(std::string Address, HttpRequest Request, CallLimits Limits = {});
-  asio::awaitable<Outcome<std::unique_ptr<HttpStream>>> open(std::string Address, HttpRequest Request,
-                                                             CallLimits Limits = {});
+  asio::awaitable<Outcome<HttpResponse>>
+  call(std::string Address, HttpRequest Request, CallLimits Limits = {});
+  asio::awaitable<Outcome<std::unique_ptr<HttpStream>>>
+  open(std::string Address, HttpRequest Request, CallLimits Limits = {});
 
   struct Impl;
 
@@ -146,6 +154,7 @@
 };
 
 /// Runs one call on an io_context of its own; for tools and tests.
-Outcome<HttpResponse> callAndWait(const std::string &Address, HttpRequest Request, CallLimits Limits = {});
+Outcome<HttpResponse> callAndWait(const std::string &Address,
+                                  HttpRequest Request, CallLimits Limits = {});
 
 } // namespace deckpitch::net
--- a/src/net/io-threads.h
+++ b/src/net/io-threads.h
@@ -36,7 +36,8 @@
 private:
   struct Loop {
     boost::asio::io_context m_Io{1};
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_Work{m_Io.get_executor()};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        m_Work{m_Io.get_executor()};
     std::thread m_Thread;
   };
   std::vector<std::unique_ptr<Loop>> m_Loops;
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -24,7 +24,8 @@
 }
 
 log4cxx::LoggerPtr logger() {
-  static const log4cxx::LoggerPtr Logger = log4cxx::Logger::getLogger("deckpitch");
+  static const log4cxx::LoggerPtr Logger =
+      log4cxx::Logger::getLogger("deckpitch");
   return Logger;
 }
 
@@ -44,9 +45,10 @@
 } // namespace
 
 void setUpLog(std::string_view Process, Severity Least) {
-  const auto Layout = std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p " +
-                                                               std::string(Process) + " %m%n");
-  const auto Appender = std::make_shared<log4cxx::ConsoleAppender>(Layout, "System.err");
+  const auto Layout = std::make_shared<log4cxx::PatternLayout>(
+      "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p " + std::string(Process) + " %m%n");
+  const auto Appender =
+      std::make_shared<log4cxx::ConsoleAppender>(Layout, "System.err");
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(Appender);
   logger()->setLevel(levelOf(Least));
@@ -54,10 +56,12 @@
 
 void log(Event Which, std::initializer_list<LogField> Fields) {
   const EventInfo *Info = findEvent(Which);
-  const log4cxx::LevelPtr Level = levelOf(Info ? Info->m_Severity : Severity::Error);
+  const log4cxx::LevelPtr Level =
+      levelOf(Info ? Info->m_Severity : Severity::Error);
   if (!logger()->isEnabledFor(Level))
     return;
-  std::string Line = std::to_string(static_cast<int>(Which)) + " " + std::string(Info ? Info->m_Name : "Unlisted");
+  std::string Line = std::to_string(static_cast<int>(Which)) + " " +
+                     std::string(Info ? Info->m_Name : "Unlisted");
   for (const LogField &Field : Fields)
     Line += " " + std::string(Field.m_Name) + "=" + quote(Field.m_Value);
   logger()->forcedLog(Level, Line);
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -12,8 +12,10 @@
 
 /// One named value of an event.
 struct LogField {
-  LogField(std::string_view Name, std::string_view Value) : m_Name(Name), m_Value(Value) {}
-  LogField(std::string_view Name, std::uint64_t Value) : m_Name(Name), m_Value(std::to_string(Value)) {}
+  LogField(std::string_view Name, std::string_view Value)
+      : m_Name(Name), m_Value(Value) {}
+  LogField(std::string_view Name, std::uint64_t Value)
+      : m_Name(Name), m_Value(std::to_string(Value)) {}
 
   std::string_view m_Name;
   std::string m_Value;
