--- /dev/null
+++ b/support/standins/engine.cc
@@ -0,0 +1,498 @@
+// A model engine: streams tokens that follow from prompt and weights.
+#include "standins/engine-queue.h"
+#include "standins/engine-weights.h"
+#include "standins/executions.h"
+#include "standins/standin.h"
+#include "standins/token.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace deckpitch::standins {
+
+namespace json = boost::json;
+
+namespace {
+
+using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr milliseconds HangPoll{20};
+constexpr std::size_t CachedPrefixes = 64;
+constexpr std::size_t MaxCacheEvents = 1024;
+constexpr std::size_t MaxKvEntries = 256;
+constexpr std::uint32_t MaxTokens = 100'000;
+constexpr std::size_t EngineBodyBytes = 64 * 1024 * 1024;
+
+struct EngineFaults {
+  milliseconds m_DelayFirstToken{0};
+  milliseconds m_DelayToken{0};
+  bool m_AcceptAndHang = false;
+  std::uint64_t m_BreakAfterTokens = 0; ///< 0: never
+  bool m_StrictFencing = false;
+  milliseconds m_LoadLag{0};
+  bool m_LoseOrderAnswers = false;
+};
+
+struct Completion {
+  std::string m_Model;
+  std::string m_Prompt;
+  std::uint32_t m_Tokens = DefaultMaxTokens;
+  std::uint32_t m_From = 0;
+  bool m_Stream = false;
+};
+
+struct LoadSeen {
+  SteadyClock::time_point m_Taken;
+  json::object m_Load;
+};
+
+struct CacheEvent {
+  SteadyClock::time_point m_At;
+  std::uint64_t m_Sequence = 0;
+  bool m_Stored = true;
+  std::uint64_t m_Prefix = 0;
+};
+
+std::uint32_t numberOf(const json::object &Object, std::string_view Key,
+                       std::uint32_t Default) {
+  const json::value *Found = Object.if_contains(Key);
+  if (!Found)
+    return Default;
+  boost::system::error_code Ec;
+  const auto Number = Found->to_number<std::uint32_t>(Ec);
+  return Ec ? Default : std::min(Number, MaxTokens);
+}
+
+Completion parseCompletion(const json::object &Body) {
+  Completion Out;
+  if (const json::value *Model = Body.if_contains("model"))
+    Out.m_Model = Model->is_string() ? Model->get_string().c_str() : "";
+  Out.m_Prompt = promptOf(Body);
+  Out.m_Tokens = numberOf(Body, "max_tokens", DefaultMaxTokens);
+  Out.m_From = numberOf(Body, "resume_from", 0);
+  const json::value *Stream = Body.if_contains("stream");
+  Out.m_Stream = Stream && Stream->is_bool() && Stream->get_bool();
+  return Out;
+}
+
+std::uint64_t parseNumber(std::string_view Text) {
+  std::uint64_t Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Number;
+}
+
+/// The prefixes in the engine's cache, and the events it publishes about them.
+class PrefixCache {
+public:
+  void use(std::uint64_t Prefix) {
+    const auto [At, Added] = m_Held.insert(Prefix);
+    if (!Added)
+      return;
+    m_Order.push_back(Prefix);
+    publish(true, Prefix);
+    if (m_Order.size() <= CachedPrefixes)
+      return;
+    publish(false, m_Order.front());
+    m_Held.erase(m_Order.front());
+    m_Order.pop_front();
+  }
+
+  json::object since(std::uint64_t Since, SteadyClock::time_point Until) const {
+    json::array Events;
+    std::uint64_t Next = Since;
+    for (const CacheEvent &Each : m_Events) {
+      if (Each.m_Sequence < Since || Each.m_At > Until)
+        continue;
+      Next = Each.m_Sequence + 1;
+      Events.push_back(
+          json::object{{"sequence", Each.m_Sequence},
+                       {"type", Each.m_Stored ? "stored" : "evicted"},
+                       {"prefix", Each.m_Prefix}});
+    }
+    return {{"next", Next}, {"events", std::move(Events)}};
+  }
+
+  double used() const {
+    return static_cast<double>(m_Order.size()) / CachedPrefixes;
+  }
+
+private:
+  void publish(bool Stored, std::uint64_t Prefix) {
+    m_Events.push_back({SteadyClock::now(), m_Next++, Stored, Prefix});
+    if (m_Events.size() > MaxCacheEvents)
+      m_Events.pop_front();
+  }
+
+  std::set<std::uint64_t> m_Held;
+  std::deque<std::uint64_t> m_Order;
+  std::deque<CacheEvent> m_Events;
+  std::uint64_t m_Next = 1;
+};
+
+net::HttpLimits engineLimits() {
+  net::HttpLimits Limits;
+  Limits.m_BodyBytes = EngineBodyBytes;
+  return Limits;
+}
+
+class Engine final : public StandIn {
+public:
+  explicit Engine(EngineOptions Options)
+      : StandIn(engineLimits()), m_Options(Options),
+        m_Weights(
+            Options.m_Slots, Options.m_StagingBytes,
+            [this](const std::string &Wanted) { return isRunning(Wanted); }),
+        m_Queue(Options.m_Concurrency) {
+    m_Faults.m_StrictFencing = Options.m_StrictFencing;
+  }
+
+  std::string_view kind() const override { return "engine"; }
+
+protected:
+  asio::awaitable<void> serve(net::HttpRequest Request,
+                              net::HttpResponder &Answer) override {
+    const std::string Path(Request.path());
+    if (Path == "/v1/chat/completions" && Request.m_Method == "POST") {
+      co_await complete(std::move(Request), Answer);
+      co_return;
+    }
+    if (Path == "/v1/engine/orders" && Request.m_Method == "POST") {
+      net::HttpResponse Response = order(Request);
+      if (m_Faults.m_LoseOrderAnswers)
+        co_return Answer.abort();
+      co_await Answer.send(std::move(Response));
+      co_return;
+    }
+    co_await Answer.send(answer(std::move(Request)));
+  }
+
+  asio::awaitable<bool> control(const net::HttpRequest &Request,
+                                net::HttpResponder &Answer) override {
+    if (Request.path() != "/_standin/executions")
+      co_return false;
+    co_await Answer.send(
+        net::jsonResponse(200, json::serialize(m_Executions.list())));
+    co_return true;
+  }
+
+  void setFaults(SwitchReader &Faults) override {
+    m_Faults = {};
+    m_Faults.m_StrictFencing = m_Options.m_StrictFencing;
+    Faults.read("delayFirstTokenMs", m_Faults.m_DelayFirstToken);
+    Faults.read("delayTokenMs", m_Faults.m_DelayToken);
+    Faults.read("acceptAndHang", m_Faults.m_AcceptAndHang);
+    Faults.read("breakAfterTokens", m_Faults.m_BreakAfterTokens);
+    Faults.read("strictFencing", m_Faults.m_StrictFencing);
+    Faults.read("loadLagMs", m_Faults.m_LoadLag);
+    Faults.read("loseOrderAnswers", m_Faults.m_LoseOrderAnswers);
+  }
+
+  json::object counters() const override {
+    return {{"requests", m_Requests},      {"completed", m_Completed},
+            {"stopped", m_Stopped},        {"broken", m_Broken},
+            {"tokens", m_Tokens},          {"orders", m_Orders},
+            {"staleOrders", m_StaleOrders}};
+  }
+
+private:
+  net::HttpResponse answer(net::HttpRequest Request) {
+    const std::string Path(Request.path());
+    const bool IsGet = Request.m_Method == "GET";
+    if (Path.starts_with("/v1/engine/staging/"))
+      return m_Weights.staging(std::move(Request));
+    if (Path == "/v1/engine/status" && IsGet)
+      return status();
+    if (Path == "/v1/engine/cache-events" && IsGet)
+      return jsonObjectResponse(
+          200, m_Cache.since(parseNumber(Request.query("since")),
+                             SteadyClock::now() - m_Faults.m_LoadLag));
+    if (Path.starts_with("/v1/requests/") && Request.m_Method == "DELETE")
+      return cancel(below(Path, "/v1/requests/"));
+    if (Path.starts_with("/v1/kv/"))
+      return kv(below(Path, "/v1/kv/"), std::move(Request));
+    return errorResponse(404, "no such path");
+  }
+
+  net::HttpResponse status() {
+    json::object Out{{"role", m_Role}, {"fence", m_Fence}};
+    m_Weights.describe(Out);
+    const auto Now = SteadyClock::now();
+    if (Now - m_LoadSeen.m_Taken >= m_Faults.m_LoadLag)
+      m_LoadSeen = {Now,
+                    {{"running", m_Queue.running()},
+                     {"waiting", m_Queue.waiting()},
+                     {"limit", m_Queue.limit()},
+                     {"cacheUsed", m_Cache.used()}}};
+    Out["load"] = m_LoadSeen.m_Load;
+    return jsonObjectResponse(200, Out);
+  }
+
+  net::HttpResponse order(const net::HttpRequest &Request) {
+    const json::value Value = parseBody(Request.m_Body);
+    const json::object *Order = asObject(Value);
+    if (!Order)
+      return errorResponse(400, "expected a JSON object");
+    ++m_Orders;
+    boost::system::error_code Ec;
+    const json::value *Given = Order->if_contains("fence");
+    const auto Fence = Given ? Given->to_number<std::uint64_t>(Ec) : 0;
+    if (Ec)
+      return errorResponse(400, "fence is not a number");
+    if (m_Faults.m_StrictFencing && Fence < m_Fence) {
+      ++m_StaleOrders;
+      return errorResponse(409, "stale fence");
+    }
+    m_Fence = Fence;
+    const json::value *Name = Order->if_contains("order");
+    const json::value *Role = Order->if_contains("role");
+    if (!Name)
+      return errorResponse(400, "expected an order");
+    if (*Name == "load")
+      return m_Weights.load(*Order);
+    if (*Name == "activate")
+      return m_Weights.activate(*Order);
+    if (*Name == "unload")
+      return m_Weights.unload(*Order);
+    if (*Name != "role" || !Role || !Role->is_string())
+      return errorResponse(400, "no such order");
+    m_Role = Role->get_string().c_str();
+    return jsonObjectResponse(200, {{"role", m_Role}});
+  }
+
+  net::HttpResponse cancel(const std::string &Id) {
+    const auto [First, Last] = m_ById.equal_range(Id);
+    for (auto Each = First; Each != Last; ++Each)
+      Each->second->stop();
+    net::HttpResponse Response;
+    Response.m_Status = 204;
+    return Response;
+  }
+
+  net::HttpResponse kv(const std::string &Id, net::HttpRequest Request) {
+    if (Request.m_Method == "PUT") {
+      if (m_Kv.size() >= MaxKvEntries)
+        m_Kv.erase(m_Kv.begin());
+      m_Kv.insert_or_assign(Id, std::move(Request.m_Body));
+      net::HttpResponse Response;
+      Response.m_Status = 204;
+      return Response;
+    }
+    const auto Found = m_Kv.find(Id);
+    if (Found == m_Kv.end())
+      return errorResponse(404, "no such request");
+    net::HttpResponse Response;
+    Response.m_Body = Found->second;
+    return Response;
+  }
+
+  bool isRunning(const std::string &Weights) const {
+    for (const auto &[Id, Each] : m_ById)
+      if (Each->m_Weights == Weights)
+        return true;
+    return false;
+  }
+
+  asio::awaitable<void> complete(net::HttpRequest Request,
+                                 net::HttpResponder &Answer) {
+    ++m_Requests;
+    const json::value Value = parseBody(Request.m_Body);
+    const json::object *Body = asObject(Value);
+    if (!Body) {
+      co_await Answer.send(errorResponse(400, "expected a JSON object"));
+      co_return;
+    }
+    if (m_Queue.waiting() >= m_Options.m_QueueLimit) {
+      co_await Answer.send(errorResponse(429, "the queue is full"));
+      co_return;
+    }
+    auto Self =
+        std::make_shared<EngineRequest>(co_await asio::this_coro::executor);
+    Self->m_Id = std::string(Request.m_Headers.find("X-Request-Id"));
+    Self->m_Priority = static_cast<std::uint32_t>(
+        parseNumber(Request.m_Headers.find("X-Priority")));
+    std::weak_ptr<EngineRequest> Weak = Self;
+    Answer.onGone([Weak] {
+      if (const auto Left = Weak.lock())
+        Left->stop();
+    });
+    while (m_Faults.m_AcceptAndHang && !Self->m_Stopped)
+      co_await pause(HangPoll);
+    const auto Place = m_ById.emplace(Self->m_Id, Self);
+    const bool Admitted = co_await m_Queue.enter(Self);
+    if (Admitted) {
+      co_await run(Self, Request, parseCompletion(*Body), Answer);
+      m_Queue.leave();
+    } else {
+      ++m_Stopped;
+      Answer.abort();
+    }
+    m_ById.erase(Place);
+  }
+
+  /// Binds the request to the weights that serve now, and answers it.
+  asio::awaitable<void> run(EngineRequestPtr Self,
+                            const net::HttpRequest &Request, Completion Wanted,
+                            net::HttpResponder &Answer) {
+    const std::string_view Expected = Request.m_Headers.find("X-Weights");
+    if (m_Weights.active().empty()) {
+      co_await Answer.send(errorResponse(503, "no weights are active"));
+      co_return;
+    }
+    if (!Expected.empty() && Expected != m_Weights.active()) {
+      co_await Answer.send(otherWeights());
+      co_return;
+    }
+    Self->m_Weights = m_Weights.active();
+    Self->m_Digest = m_Weights.activeDigest();
+    m_Executions.record(Request);
+    m_Cache.use(prefixHash(Wanted.m_Prompt));
+    if (Wanted.m_Stream)
+      co_await stream(Self, Wanted, Answer);
+    else
+      co_await sendWhole(Self, Wanted, Answer);
+  }
+
+  /// Waits for a token's time; false when the request is to end.
+  asio::awaitable<bool> awaitToken(EngineRequestPtr Self, bool IsFirst) {
+    const milliseconds Delay =
+        IsFirst ? m_Faults.m_DelayFirstToken : m_Faults.m_DelayToken;
+    if (Delay.count() > 0 && !Self->m_Stopped) {
+      Self->m_Timer.expires_after(Delay);
+      co_await Self->m_Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return !Self->m_Stopped;
+  }
+
+  void remember(const EngineRequest &Self, std::uint32_t Next) {
+    if (Self.m_Id.empty())
+      return;
+    if (m_Kv.size() >= MaxKvEntries)
+      m_Kv.erase(m_Kv.begin());
+    m_Kv.insert_or_assign(
+        Self.m_Id, json::serialize(json::object{{"id", Self.m_Id},
+                                                {"weights", Self.m_Weights},
+                                                {"digest", Self.m_Digest},
+                                                {"next", Next}}));
+  }
+
+  asio::awaitable<void> stream(EngineRequestPtr Self, const Completion &Wanted,
+                               net::HttpResponder &Answer) {
+    net::HttpHeaders Headers;
+    Headers.add("Content-Type", "text/event-stream");
+    Headers.add("X-Weights", Self->m_Weights);
+    std::uint32_t Sent = 0;
+    for (std::uint32_t I = Wanted.m_From; I < Wanted.m_Tokens; ++I) {
+      const bool Goes = co_await awaitToken(Self, Sent == 0);
+      const bool Breaks = m_Faults.m_BreakAfterTokens != 0 &&
+                          Sent >= m_Faults.m_BreakAfterTokens;
+      if (!Goes || Breaks) {
+        ++(Goes ? m_Broken : m_Stopped);
+        co_return Answer.abort();
+      }
+      if (Sent == 0 && !co_await Answer.begin(200, Headers))
+        co_return;
+      if (!co_await Answer.write(event(*Self, Wanted, I)))
+        co_return;
+      remember(*Self, I + 1);
+      ++m_Tokens;
+      ++Sent;
+    }
+    if (Sent == 0 && !co_await Answer.begin(200, Headers))
+      co_return;
+    if (!co_await Answer.write("data: [DONE]\n\n"))
+      co_return;
+    if (co_await Answer.end())
+      ++m_Completed;
+  }
+
+  static std::string event(const EngineRequest &Self, const Completion &Wanted,
+                           std::uint32_t Index) {
+    const std::string Token = tokenAt(Wanted.m_Prompt, Self.m_Digest, Index);
+    const bool IsLast = Index + 1 == Wanted.m_Tokens;
+    const json::object Choice{
+        {"index", 0},
+        {"delta", json::object{{"content", Token}}},
+        {"finish_reason", IsLast ? json::value("stop") : json::value()}};
+    const json::object Event{
+        {"id", Self.m_Id},         {"object", "chat.completion.chunk"},
+        {"model", Wanted.m_Model}, {"index", Index},
+        {"token", Token},          {"weights", Self.m_Weights},
+        {"digest", Self.m_Digest}, {"choices", json::array{Choice}}};
+    return "data: " + json::serialize(Event) + "\n\n";
+  }
+
+  net::HttpResponse otherWeights() const {
+    return jsonObjectResponse(409, {{"error", "other weights are active"},
+                                    {"weights", m_Weights.active()}});
+  }
+
+  static net::HttpResponse wholeAnswer(const EngineRequest &Self,
+                                       const Completion &Wanted,
+                                       std::string Text) {
+    const json::object Choice{
+        {"index", 0},
+        {"message",
+         json::object{{"role", "assistant"}, {"content", std::move(Text)}}},
+        {"finish_reason", "stop"}};
+    const json::object Usage{
+        {"completion_tokens", Wanted.m_Tokens - Wanted.m_From}};
+    return jsonObjectResponse(200, {{"id", Self.m_Id},
+                                    {"object", "chat.completion"},
+                                    {"model", Wanted.m_Model},
+                                    {"weights", Self.m_Weights},
+                                    {"digest", Self.m_Digest},
+                                    {"choices", json::array{Choice}},
+                                    {"usage", Usage}});
+  }
+
+  asio::awaitable<void> sendWhole(EngineRequestPtr Self,
+                                  const Completion &Wanted,
+                                  net::HttpResponder &Answer) {
+    std::string Text;
+    for (std::uint32_t I = Wanted.m_From; I < Wanted.m_Tokens; ++I) {
+      const bool Goes = co_await awaitToken(Self, I == Wanted.m_From);
+      if (!Goes) {
+        ++m_Stopped;
+        co_return Answer.abort();
+      }
+      Text += tokenAt(Wanted.m_Prompt, Self->m_Digest, I);
+      ++m_Tokens;
+    }
+    const bool Sent =
+        co_await Answer.send(wholeAnswer(*Self, Wanted, std::move(Text)));
+    m_Completed += Sent ? 1 : 0;
+  }
+
+  EngineOptions m_Options;
+  EngineFaults m_Faults;
+  EngineWeights m_Weights;
+  EngineQueue m_Queue;
+  Executions m_Executions;
+  PrefixCache m_Cache;
+  LoadSeen m_LoadSeen;
+  std::string m_Role = "mixed";
+  std::uint64_t m_Fence = 0;
+  std::multimap<std::string, EngineRequestPtr> m_ById;
+  std::map<std::string, std::string> m_Kv;
+  std::uint64_t m_Requests = 0;
+  std::uint64_t m_Completed = 0;
+  std::uint64_t m_Stopped = 0;
+  std::uint64_t m_Broken = 0;
+  std::uint64_t m_Tokens = 0;
+  std::uint64_t m_Orders = 0;
+  std::uint64_t m_StaleOrders = 0;
+};
+
+} // namespace
+
+std::unique_ptr<StandIn> makeEngine(EngineOptions Options) {
+  return std::make_unique<Engine>(Options);
+}
+
+} // namespace deckpitch::standins
