Add the claim log, the agents' records and keyed calls (not tested yet)

Cause: a non-idempotent call with a key must run at most once over entries that share nothing but the platform. Considered: an owner agent for each key (its views may differ, so epochs would need agreement) and tickets alone (a repeat on another entry is not seen). Change: a log of claims by conditional create, group commit, grants checked against the age of the position; agents keep bounded records and fence.

--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -87,32 +87,35 @@
   return Out;
 }
 
-asio::awaitable<void> EngineForward::run() {
+asio::awaitable<ForwardEnd> EngineForward::run() {
   const auto Left = milliseconds(m_Request.m_TimeLeft);
   const net::CallLimits Limits{
       .m_Connect = EngineConnect, .m_FirstByte = Left, .m_BetweenBytes = Left};
   auto Opened = co_await m_Process.m_Http.open(
       m_Process.m_Settings.m_Upstream.m_Address, engineRequest(), Limits);
   if (m_Gone)
-    co_return;
+    co_return ForwardEnd::Lost;
   if (!Opened) {
     const bool NeverSent = Opened.error().m_Code == ErrorCode::Unavailable;
     const auto Outcome =
         NeverSent ? RequestOutcome::NotRun : RequestOutcome::Unknown;
     co_await m_Answer.send(agentAnswer(
         502, toText(Outcome), Opened.error().m_Message, m_Request.m_Id));
-    co_return;
+    co_return NeverSent ? ForwardEnd::NeverRan : ForwardEnd::Lost;
   }
   net::HttpStream &Stream = **Opened;
   m_Open = &Stream;
+  ForwardEnd End = ForwardEnd::Lost;
   if (Stream.status() == 200)
-    co_await passStream(Stream);
+    End = co_await passStream(Stream);
   else
-    co_await passRefusal(Stream);
+    End = co_await passRefusal(Stream);
   m_Open = nullptr;
+  co_return End;
 }
 
-asio::awaitable<void> EngineForward::passRefusal(net::HttpStream &Stream) {
+asio::awaitable<ForwardEnd>
+EngineForward::passRefusal(net::HttpStream &Stream) {
   net::HttpResponse Response;
   Response.m_Status = Stream.status();
   while (Response.m_Body.size() < MaxRefusalBytes) {
@@ -130,9 +133,11 @@
   Response.m_Headers.add(header::Outcome, std::string(toText(Outcome)));
   Response.m_Headers.add(header::RequestId, m_Request.m_Id);
   co_await m_Answer.send(std::move(Response));
+  co_return Outcome == RequestOutcome::Unknown ? ForwardEnd::Lost
+                                               : ForwardEnd::NeverRan;
 }
 
-asio::awaitable<void> EngineForward::passStream(net::HttpStream &Stream) {
+asio::awaitable<ForwardEnd> EngineForward::passStream(net::HttpStream &Stream) {
   TokenStreamChecker Checker(
       {.m_RequestId = m_Request.m_Id,
        .m_Weights = m_Request.m_Binding.m_Weights,
@@ -150,7 +155,7 @@
     if (Piece->empty() && Checker.finished()) {
       co_await m_Answer.write(StreamEnd);
       co_await m_Answer.end();
-      co_return;
+      co_return ForwardEnd::Whole;
     }
     const StreamStep Step = Checker.feed(*Piece);
     Good = co_await m_Answer.write(Step.m_Events);
@@ -163,6 +168,7 @@
   m_Answer.abort();
   if (!Checker.finished())
     co_await cancelAtEngine(m_Process, m_Request.m_Id);
+  co_return Checker.finished() ? ForwardEnd::Whole : ForwardEnd::Lost;
 }
 
 void EngineForward::callerGone() {
--- a/src/daemon/agent-forward.h
+++ b/src/daemon/agent-forward.h
@@ -3,6 +3,7 @@
 
 #include "daemon/call-headers.h"
 #include "daemon/module.h"
+#include "deckpitch/call-records.h"
 #include "deckpitch/request-gate.h"
 
 #include <memory>
@@ -14,9 +15,17 @@
   std::string m_Id;
   RequestBinding m_Binding;
   Duration m_TimeLeft{};
+  std::optional<KeyedRun> m_Keyed;
   net::HttpRequest m_Http;
 };
 
+/// What became of a request at the engine or service.
+enum class ForwardEnd {
+  Whole,
+  NeverRan, ///< it was not reached, or refused the request
+  Lost,
+};
+
 /// Streams a chat completion from the engine, letting through only events of
 /// this request and of the bound weights. Breaks the answer otherwise.
 class EngineForward {
@@ -24,11 +33,11 @@
   EngineForward(Process &In, BoundRequest Request, net::HttpResponder &Answer);
   ~EngineForward();
 
-  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<ForwardEnd> run();
 
 private:
-  boost::asio::awaitable<void> passStream(net::HttpStream &Stream);
-  boost::asio::awaitable<void> passRefusal(net::HttpStream &Stream);
+  boost::asio::awaitable<ForwardEnd> passStream(net::HttpStream &Stream);
+  boost::asio::awaitable<ForwardEnd> passRefusal(net::HttpStream &Stream);
   net::HttpRequest engineRequest() const;
   void callerGone();
 
--- a/src/daemon/agent-requests.cc
+++ b/src/daemon/agent-requests.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 
 #include <charconv>
+#include <mutex>
 
 namespace deckpitch::daemon {
 
@@ -32,6 +33,30 @@
   return Value;
 }
 
+std::optional<KeyedRun> keyedRunOf(const net::HttpHeaders &Headers) {
+  const std::string_view Key = Headers.find(header::ClaimKey);
+  if (Key.empty())
+    return std::nullopt;
+  return KeyedRun{std::string(Key),
+                  static_cast<std::uint32_t>(
+                      numberOf(Headers.find(header::ClaimAttempt), 0)),
+                  numberOf(Headers.find(header::ClaimTicket), 0)};
+}
+
+std::string_view toText(RunState State) {
+  switch (State) {
+  case RunState::NeverRan:
+    return "never-ran";
+  case RunState::Running:
+    return "running";
+  case RunState::Done:
+    return "done";
+  case RunState::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 /// The entries' side of an agent: the gate before its engine or service.
 class AgentRequests final : public Module {
 public:
@@ -46,13 +71,28 @@
                               net::HttpResponder &Answer);
   asio::awaitable<void> serveBound(BoundRequest Request,
                                    net::HttpResponder &Answer);
-  asio::awaitable<void> serveService(BoundRequest Request,
+  asio::awaitable<void> serveService(const BoundRequest &Request,
                                      net::HttpResponder &Answer);
+  asio::awaitable<void> serveKeyed(BoundRequest Request,
+                                   net::HttpResponder &Answer);
+  asio::awaitable<void> giveTicket(net::HttpRequest Request,
+                                   net::HttpResponder &Answer);
+  asio::awaitable<void> fence(net::HttpRequest Request,
+                              net::HttpResponder &Answer);
+  RunAdmission admit(const KeyedRun &Run);
+  void record(const KeyedRun &Run, ForwardEnd End);
+  net::HttpResponse fenceAnswer(const KeyedRun &Run);
+  bool isForThisLife(const net::HttpRequest &Request) const;
+  bool isService() const {
+    return m_Process.m_Settings.m_Upstream.m_Kind == PoolKind::Service;
+  }
   asio::awaitable<void> cancel(net::HttpRequest Request,
                                net::HttpResponder &Answer);
   BoundRequest read(net::HttpRequest Request) const;
 
   Process &m_Process;
+  std::mutex m_RecordsMutex; ///< held for look-ups only
+  CallRecords m_Records;
   std::atomic<std::uint64_t> m_Admitted{0};
   std::atomic<std::uint64_t> m_Refused{0};
 };
@@ -64,7 +104,16 @@
   auto Cancel = [this](net::HttpRequest Request, net::HttpResponder &Answer) {
     return cancel(std::move(Request), Answer);
   };
-  return {{"", "/", Serve}, {"DELETE", "/v1/requests/", Cancel}};
+  auto Ticket = [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+    return giveTicket(std::move(Request), Answer);
+  };
+  auto Fence = [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+    return fence(std::move(Request), Answer);
+  };
+  return {{"", "/", Serve},
+          {"DELETE", "/v1/requests/", Cancel},
+          {"GET", agentpath::Ticket, Ticket},
+          {"POST", agentpath::Fence, Fence}};
 }
 
 BoundRequest AgentRequests::read(net::HttpRequest Request) const {
@@ -80,7 +129,8 @@
                         std::string(Headers.find(header::WeightsDigest)),
                     .m_Incarnation = {numberOf(
                         Headers.find(header::Incarnation), 0)}},
-      .m_TimeLeft = std::chrono::milliseconds(Left)};
+      .m_TimeLeft = std::chrono::milliseconds(Left),
+      .m_Keyed = keyedRunOf(Headers)};
   Read.m_Http = std::move(Request);
   return Read;
 }
@@ -107,36 +157,125 @@
 
 asio::awaitable<void> AgentRequests::serveBound(BoundRequest Request,
                                                 net::HttpResponder &Answer) {
-  if (m_Process.m_Settings.m_Upstream.m_Kind == PoolKind::Service) {
-    co_await serveService(std::move(Request), Answer);
+  if (Request.m_Keyed) {
+    co_await serveKeyed(std::move(Request), Answer);
+  } else if (isService()) {
+    co_await serveService(Request, Answer);
+  } else {
+    EngineForward Forward(m_Process, std::move(Request), Answer);
+    co_await Forward.run();
+  }
+}
+
+RunAdmission AgentRequests::admit(const KeyedRun &Run) {
+  std::lock_guard Lock(m_RecordsMutex);
+  return m_Records.admit(Run, now());
+}
+
+void AgentRequests::record(const KeyedRun &Run, ForwardEnd End) {
+  std::lock_guard Lock(m_RecordsMutex);
+  if (End == ForwardEnd::NeverRan)
+    m_Records.neverRan(Run.m_Key, now());
+  else if (End == ForwardEnd::Lost)
+    m_Records.lost(Run.m_Key, now());
+  else
+    m_Records.done(Run.m_Key, now());
+}
+
+asio::awaitable<void> AgentRequests::serveKeyed(BoundRequest Request,
+                                                net::HttpResponder &Answer) {
+  const KeyedRun Run = *Request.m_Keyed;
+  const RunAdmission Admission = admit(Run);
+  if (Admission != RunAdmission::Start) {
+    const bool IsRefused = Admission == RunAdmission::Refused;
+    const auto Outcome =
+        IsRefused ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+    co_await Answer.send(agentAnswer(409, toText(Outcome),
+                                     "the key's run may not start here",
+                                     Request.m_Id));
+    co_return;
+  }
+  if (isService()) {
+    co_await serveService(Request, Answer);
     co_return;
   }
   EngineForward Forward(m_Process, std::move(Request), Answer);
-  co_await Forward.run();
+  const ForwardEnd End = co_await Forward.run();
+  record(Run, End);
 }
 
-asio::awaitable<void> AgentRequests::serveService(BoundRequest Request,
+/// What became of a keyed run is recorded before it is told, so that whoever
+/// asks after the answer finds it.
+asio::awaitable<void> AgentRequests::serveService(const BoundRequest &Request,
                                                   net::HttpResponder &Answer) {
   auto Got = co_await callService(m_Process, Request);
   if (!Got) {
     const bool NeverSent = Got.error().m_Code == ErrorCode::Unavailable;
     const auto Outcome =
         NeverSent ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+    if (Request.m_Keyed)
+      record(*Request.m_Keyed,
+             NeverSent ? ForwardEnd::NeverRan : ForwardEnd::Lost);
     co_await Answer.send(
         agentAnswer(502, toText(Outcome), Got.error().m_Message, Request.m_Id));
     co_return;
   }
+  const std::string Type(Got->m_Headers.find(header::ContentType));
+  if (Request.m_Keyed) {
+    std::lock_guard Lock(m_RecordsMutex);
+    m_Records.done(Request.m_Keyed->m_Key, now(),
+                   StoredAnswer{Got->m_Status, Type, Got->m_Body});
+  }
   net::HttpResponse Response;
   Response.m_Status = Got->m_Status;
   Response.m_Body = std::move(Got->m_Body);
-  Response.m_Headers.add(header::ContentType,
-                         std::string(Got->m_Headers.find(header::ContentType)));
+  Response.m_Headers.add(header::ContentType, Type);
   Response.m_Headers.add(header::Outcome,
                          std::string(toText(RequestOutcome::Answered)));
   Response.m_Headers.add(header::RequestId, Request.m_Id);
   co_await Answer.send(std::move(Response));
 }
 
+bool AgentRequests::isForThisLife(const net::HttpRequest &Request) const {
+  return numberOf(Request.m_Headers.find(header::Incarnation), 0) ==
+         m_Process.m_Incarnation.m_Value;
+}
+
+asio::awaitable<void> AgentRequests::giveTicket(net::HttpRequest Request,
+                                                net::HttpResponder &Answer) {
+  net::HttpResponse Response = net::jsonResponse(200, "{}");
+  Response.m_Headers.add(header::ClaimTicket,
+                         std::to_string(CallRecords::ticketAt(now())));
+  if (!isForThisLife(Request) || m_Process.m_Leaving.load())
+    Response = net::jsonResponse(409, R"({"error":"no tickets here"})");
+  co_await Answer.send(std::move(Response));
+}
+
+net::HttpResponse AgentRequests::fenceAnswer(const KeyedRun &Run) {
+  std::lock_guard Lock(m_RecordsMutex);
+  const RunState State = m_Records.fence(Run, now());
+  const auto Stored = m_Records.answerOf(Run.m_Key);
+  net::HttpResponse Response;
+  Response.m_Headers.add(header::RunState, std::string(toText(State)));
+  if (State != RunState::Done || !Stored)
+    return Response;
+  Response.m_Headers.add(header::StoredStatus,
+                         std::to_string(Stored->m_Status));
+  Response.m_Headers.add(header::ContentType, Stored->m_ContentType);
+  Response.m_Body = Stored->m_Body;
+  return Response;
+}
+
+asio::awaitable<void> AgentRequests::fence(net::HttpRequest Request,
+                                           net::HttpResponder &Answer) {
+  const auto Run = keyedRunOf(Request.m_Headers);
+  net::HttpResponse Response =
+      net::jsonResponse(409, R"({"error":"not this life of the instance"})");
+  if (Run && isForThisLife(Request))
+    Response = fenceAnswer(*Run);
+  co_await Answer.send(std::move(Response));
+}
+
 asio::awaitable<void> AgentRequests::cancel(net::HttpRequest Request,
                                             net::HttpResponder &Answer) {
   if (m_Process.m_Settings.m_Upstream.m_Kind != PoolKind::Engine ||
--- a/src/daemon/call-headers.h
+++ b/src/daemon/call-headers.h
@@ -27,9 +27,19 @@
 inline constexpr char ClaimKey[] = "X-Claim-Key";
 inline constexpr char ClaimAttempt[] = "X-Claim-Attempt";
 inline constexpr char ClaimTicket[] = "X-Claim-Ticket";
+inline constexpr char RunState[] = "X-Run-State";
+inline constexpr char StoredStatus[] = "X-Stored-Status";
 
 } // namespace deckpitch::daemon::header
 
+namespace deckpitch::daemon::agentpath {
+
+// An agent's own paths on its request port; no service path starts so.
+inline constexpr char Ticket[] = "/_agent/ticket";
+inline constexpr char Fence[] = "/_agent/fence";
+
+} // namespace deckpitch::daemon::agentpath
+
 namespace deckpitch::daemon {
 
 /// The time that decisions get.
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -76,6 +76,37 @@
     co_return RequestOutcome::NotRun;
   }
   m_Answer.onGone([this] { callerGone(); });
+  if (!m_Call.m_Terms.m_Idempotent && !m_Call.m_Terms.m_IdempotencyKey.empty())
+    co_return co_await runKeyed();
+  co_return co_await runUnkeyed();
+}
+
+asio::awaitable<RequestOutcome> ChatCall::runKeyed() {
+  KeyedCall Keyed(m_Context, m_Call, m_Pool->m_Pool.m_Id, *this);
+  KeyedResult Result = co_await Keyed.run();
+  if (m_Gone)
+    co_return RequestOutcome::Unknown;
+  if (Result.m_Outcome == RequestOutcome::Answered && !Result.m_Replay)
+    co_return co_await finish();
+  if (m_Answer.started())
+    co_return co_await giveUp(Result.m_Outcome);
+  net::HttpResponse Response = Result.m_Replay
+                                   ? replayResponse(*Result.m_Replay)
+                                   : failureResponse(Result);
+  co_await m_Answer.send(std::move(Response));
+  co_return Result.m_Outcome;
+}
+
+asio::awaitable<AttemptEnd>
+ChatCall::sendClaimed(std::shared_ptr<const EntryRoutes> Routes,
+                      UpstreamRoute To, Claim Claimed) {
+  m_Routes = std::move(Routes);
+  m_Pool = &m_Routes->m_Table.m_Pools.at(m_Pool->m_Pool.m_Id);
+  m_Claim = std::move(Claimed);
+  co_return co_await attempt(To);
+}
+
+asio::awaitable<RequestOutcome> ChatCall::runUnkeyed() {
   m_Context.m_RetryBudget.deposit();
   AttemptEnd End = AttemptEnd::Unreachable;
   while (true) {
@@ -129,6 +160,8 @@
   const InFlightGuard Counted(m_Routes->m_Counters.at(To.m_Instance));
   net::HttpRequest Request = boundRequest(m_Call, m_Pool->m_Pool.m_Id, To);
   Request.m_Headers.add(header::ContentType, "application/json");
+  if (m_Claim)
+    addClaim(Request.m_Headers, *m_Claim);
   Request.m_Body = resumeBody();
   const Duration Left = m_Call.m_Deadline - now();
   const auto Limit = attemptLimit(Left, m_Call.m_Terms.m_Idempotent);
--- a/src/daemon/entry-chat.h
+++ b/src/daemon/entry-chat.h
@@ -1,7 +1,7 @@
 // One caller's chat completion on its way through an entry.
 #pragma once
 
-#include "daemon/entry-context.h"
+#include "daemon/entry-keyed.h"
 #include "deckpitch/token-stream.h"
 
 #include <boost/json/object.hpp>
@@ -13,16 +13,21 @@
 /// Runs one request: tries upstreams until one gives the whole answer,
 /// resuming a broken one where it stopped, or tells the caller at once that
 /// there will be none. Lives on one worker.
-class ChatCall {
+class ChatCall final : private ClaimedSender {
 public:
   ChatCall(EntryContext &In, CallerRequest Call, net::HttpResponder &Answer);
-  ~ChatCall();
+  ~ChatCall() override;
 
   boost::asio::awaitable<RequestOutcome> run();
 
 private:
   /// Why the request cannot be passed on, if so.
   std::optional<NotRun> prepare();
+  boost::asio::awaitable<RequestOutcome> runUnkeyed();
+  boost::asio::awaitable<RequestOutcome> runKeyed();
+  boost::asio::awaitable<AttemptEnd>
+  sendClaimed(std::shared_ptr<const EntryRoutes> Routes, UpstreamRoute To,
+              Claim Claimed) override;
   boost::asio::awaitable<AttemptEnd> attempt(const UpstreamRoute &To);
   boost::asio::awaitable<AttemptEnd> readStream(net::HttpStream &Stream,
                                                 StreamBinding Bound);
@@ -49,7 +54,8 @@
   std::string m_Content;
   std::optional<net::HttpResponse> m_PassedOn;
   net::HttpStream *m_Open = nullptr;
-  std::string m_Upstream; ///< address of the attempt under way
+  std::string m_Upstream;       ///< address of the attempt under way
+  std::optional<Claim> m_Claim; ///< of the attempt under way
   bool m_Gone = false;
 };
 
--- a/src/daemon/entry-context.h
+++ b/src/daemon/entry-context.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/call-headers.h"
+#include "daemon/claim-service.h"
 #include "daemon/entry-routes.h"
 #include "daemon/module.h"
 #include "deckpitch/call-terms.h"
@@ -28,10 +29,12 @@
 };
 
 struct EntryContext {
-  explicit EntryContext(Process &In) : m_Process(In), m_Routes(In) {}
+  explicit EntryContext(Process &In)
+      : m_Process(In), m_Routes(In), m_Claims(In) {}
 
   Process &m_Process;
   RouteSource m_Routes;
+  ClaimService m_Claims;
   RetryBudget m_RetryBudget;
   EntryCounters m_Counters;
   std::atomic<std::uint64_t> m_NextRequest{1};
--- a/src/daemon/entry-requests.cc
+++ b/src/daemon/entry-requests.cc
@@ -69,10 +69,14 @@
 
 Result<void> EntryRequests::start() {
   m_Context.m_Routes.start();
+  m_Context.m_Claims.start();
   return {};
 }
 
-void EntryRequests::stop() { m_Context.m_Routes.stop(); }
+void EntryRequests::stop() {
+  m_Context.m_Claims.stop();
+  m_Context.m_Routes.stop();
+}
 
 bool EntryRequests::drained() const {
   return m_Context.m_Counters.m_Open.load() == 0;
@@ -172,6 +176,7 @@
           {"retries", Counters.m_Retries.load()},
           {"resumed", Counters.m_Resumed.load()},
           {"tokens", Counters.m_Tokens.load()},
+          {"claims", m_Context.m_Claims.dump()},
           {"pools", std::move(Pools)}};
 }
 
--- a/src/daemon/entry-routes.h
+++ b/src/daemon/entry-routes.h
@@ -4,6 +4,7 @@
 #include "daemon/module.h"
 #include "deckpitch/routing.h"
 #include "deckpitch/snapshot.h"
+#include "deckpitch/time.h"
 #include "deckpitch/upstream-choice.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -15,8 +16,16 @@
 
 namespace deckpitch::daemon {
 
+/// An agent's clock as it was told last.
+struct TicketSeen {
+  Incarnation m_Incarnation;
+  std::uint64_t m_Ticket = 0;
+  TimePoint m_At;
+};
+
 /// One upstream as this entry sees it; outlives route tables.
 struct UpstreamCounters {
+  SnapshotCell<TicketSeen> m_Ticket;
   std::atomic<std::uint32_t> m_InFlight{0};
   /// Of m_InFlight, when the load report in force came.
   std::atomic<std::uint32_t> m_InFlightAtReport{0};
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -23,9 +23,31 @@
         notRunResponse({.m_Status = 404, .m_Reason = "no such path"});
     co_return co_await answer(RequestOutcome::NotRun, std::move(Response));
   }
+  if (!m_Call.m_Terms.m_Idempotent && !m_Call.m_Terms.m_IdempotencyKey.empty())
+    co_return co_await runKeyed();
   co_return co_await runUnkeyed();
 }
 
+asio::awaitable<RequestOutcome> ServiceCall::runKeyed() {
+  KeyedCall Keyed(m_Context, m_Call, m_Pool->m_Pool.m_Id, *this);
+  KeyedResult Result = co_await Keyed.run();
+  net::HttpResponse Response = Result.m_Replay
+                                   ? replayResponse(*Result.m_Replay)
+                                   : std::move(m_Response);
+  if (Result.m_Outcome != RequestOutcome::Answered)
+    Response = failureResponse(Result);
+  co_return co_await answer(Result.m_Outcome, std::move(Response));
+}
+
+asio::awaitable<AttemptEnd>
+ServiceCall::sendClaimed(std::shared_ptr<const EntryRoutes> Routes,
+                         UpstreamRoute To, Claim Claimed) {
+  m_Routes = std::move(Routes);
+  m_Pool = &m_Routes->m_Table.m_Pools.at(m_Pool->m_Pool.m_Id);
+  m_Claim = std::move(Claimed);
+  co_return co_await attempt(To);
+}
+
 asio::awaitable<RequestOutcome> ServiceCall::runUnkeyed() {
   m_Context.m_RetryBudget.deposit();
   AttemptEnd End = AttemptEnd::Unreachable;
@@ -78,6 +100,8 @@
   if (!m_Call.m_Terms.m_IdempotencyKey.empty())
     Request.m_Headers.add(header::IdempotencyKey,
                           m_Call.m_Terms.m_IdempotencyKey);
+  if (m_Claim)
+    addClaim(Request.m_Headers, *m_Claim);
   Request.m_Body = m_Call.m_Http.m_Body;
   const auto Limit =
       attemptLimit(m_Call.m_Deadline - now(), m_Call.m_Terms.m_Idempotent);
--- a/src/daemon/entry-service.h
+++ b/src/daemon/entry-service.h
@@ -1,7 +1,7 @@
 // One caller's request to a plain service on its way through an entry.
 #pragma once
 
-#include "daemon/entry-context.h"
+#include "daemon/entry-keyed.h"
 
 #include <optional>
 
@@ -9,15 +9,19 @@
 
 /// Runs one request; its answer is read whole before it is passed on. Lives
 /// on one worker.
-class ServiceCall {
+class ServiceCall final : private ClaimedSender {
 public:
   ServiceCall(EntryContext &In, CallerRequest Call, net::HttpResponder &Answer);
 
   boost::asio::awaitable<RequestOutcome> run();
 
 private:
+  boost::asio::awaitable<AttemptEnd>
+  sendClaimed(std::shared_ptr<const EntryRoutes> Routes, UpstreamRoute To,
+              Claim Claimed) override;
   boost::asio::awaitable<AttemptEnd> attempt(const UpstreamRoute &To);
   boost::asio::awaitable<RequestOutcome> runUnkeyed();
+  boost::asio::awaitable<RequestOutcome> runKeyed();
   boost::asio::awaitable<RequestOutcome> answer(RequestOutcome Outcome,
                                                 net::HttpResponse Response);
   bool retryAllowed(AttemptEnd End);
@@ -29,6 +33,7 @@
   const PoolRoute *m_Pool = nullptr;
   PickHints m_Hints;
   std::uint32_t m_Attempts = 0;
+  std::optional<Claim> m_Claim; ///< of the attempt under way
   net::HttpResponse m_Response;
 };
 
