--- /dev/null
+++ b/test/cluster.h
@@ -0,0 +1,110 @@
+// A whole system of real processes for tests: stand-ins, entries, agents.
+#pragma once
+
+#include "harness.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace deckpitch::test {
+
+struct ClusterOptions {
+  std::uint32_t m_Entries = 2;
+  std::uint32_t m_Engines = 2;
+  std::uint32_t m_Services = 0;
+  std::uint32_t m_Slots = 2;
+  std::uint32_t m_Concurrency = 8;
+  bool m_StrictFencing = false;
+  bool m_Store = false; ///< gives agents the weight store besides the origin
+  std::vector<std::string> m_DataCentres{"lahore"}; ///< agents in turn
+  std::string m_ServicePool = "orders";
+};
+
+/// A deckpitchd and what it announced.
+struct Node {
+  std::string m_Instance;
+  std::string m_Settings; ///< path
+  std::string m_Control;
+  std::string m_Requests;
+  std::string m_Bulk;
+  std::string m_Operator;
+  std::optional<Child> m_Process;
+};
+
+/// A stand-in with a process of its own.
+struct StandInNode {
+  std::string m_Kind;
+  std::string m_Address;
+  std::optional<Child> m_Process;
+};
+
+/// Starts everything; each process can be killed, frozen and restarted.
+///
+///   Cluster Under({.m_Engines = 4});
+///   ASSERT_TRUE(Under.start());
+///   const std::string Digest = Under.addWeights("m@1", 1 << 20, 1 << 16);
+///   ASSERT_TRUE(Under.declarePool("chat", "m", "1"));
+///   ASSERT_TRUE(eventually([&] { return Under.enginesServing("m@1") == 4; }));
+class Cluster {
+public:
+  explicit Cluster(ClusterOptions Options) : m_Options(std::move(Options)) {}
+
+  /// False, with failure() saying why, when a process did not come up.
+  bool start();
+  const std::string &failure() const { return m_Failure; }
+
+  const std::string &platform() const { return m_Platform.m_Address; }
+  const std::string &origin() const { return m_Origin.m_Address; }
+  const std::string &store() const { return m_Store.m_Address; }
+  StandInNode &engine(std::size_t I) { return m_Engines.at(I); }
+  StandInNode &service(std::size_t I) { return m_Services.at(I); }
+  Node &entry(std::size_t I) { return m_Entries.at(I); }
+  /// Agents of engines come first, then those of services.
+  Node &agent(std::size_t I) { return m_Agents.at(I); }
+  std::size_t entries() const { return m_Entries.size(); }
+  std::size_t agents() const { return m_Agents.size(); }
+  std::size_t engines() const { return m_Engines.size(); }
+
+  /// Starts the process again on the addresses it had; empty: it is up.
+  bool restart(Node &Which);
+  bool restart(StandInNode &Which);
+
+  /// Makes content at the origin (and store); gives its whole digest in hex.
+  std::string addWeights(const std::string &Weights, std::uint64_t Bytes,
+                         std::uint32_t ChunkBytes, std::uint64_t Seed = 1);
+  /// Creates or replaces an engine pool through an entry's operators' port.
+  bool declarePool(const std::string &Name, const std::string &Model,
+                   const std::string &Version, std::size_t Entry = 0);
+  bool declareServicePool(const std::string &Path, std::size_t Entry = 0);
+  /// Creates or replaces any declared object; gives the HTTP status.
+  unsigned declare(const std::string &Kind, const std::string &Name,
+                   const std::string &Json, std::size_t Entry = 0);
+  /// Engines whose active weights are these, by their own word.
+  std::size_t enginesServing(const std::string &Weights) const;
+  /// The words of every process on standard error, for a failed test.
+  std::string logs() const;
+
+private:
+  bool startStandIn(StandInNode &Out, const std::string &Kind,
+                    const std::string &Listen);
+  bool startNode(Node &Out, const std::string &SettingsText);
+  bool awaitNode(Node &Out);
+  std::string entrySettings(std::size_t I) const;
+  std::string agentSettings(std::size_t I) const;
+  bool fail(const std::string &Why);
+
+  ClusterOptions m_Options;
+  ScratchDirectory m_Scratch;
+  std::string m_Failure;
+  StandInNode m_Platform;
+  StandInNode m_Origin;
+  StandInNode m_Store;
+  std::vector<StandInNode> m_Engines;
+  std::vector<StandInNode> m_Services;
+  std::vector<Node> m_Entries;
+  std::vector<Node> m_Agents;
+};
+
+} // namespace deckpitch::test
