--- a/src/kernel/declaration.cc
+++ b/src/kernel/declaration.cc
@@ -67,9 +67,10 @@
   return WeightsId{Value.m_Model + Adapter + "@" + Value.m_Version};
 }
 
-Result<Pool> parsePool(std::string_view Json) {
+Result<Pool> parsePool(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Pool Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.required("name", Out.m_Id.m_Text);
@@ -118,9 +119,11 @@
   return boost::json::serialize(Out);
 }
 
-Result<Organisation> parseOrganisation(std::string_view Json) {
+Result<Organisation> parseOrganisation(std::string_view Json,
+                                       UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Organisation Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.required("name", Out.m_Id.m_Text);
@@ -140,9 +143,10 @@
                           {"maxInFlight", Value.m_MaxInFlight}});
 }
 
-Result<Upstream> parseUpstream(std::string_view Json) {
+Result<Upstream> parseUpstream(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Upstream Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.required("name", Out.m_Name);
@@ -159,9 +163,10 @@
       {"name", Value.m_Name}, {"checksFencing", Value.m_ChecksFencing}});
 }
 
-Result<Assignment> parseAssignment(std::string_view Json) {
+Result<Assignment> parseAssignment(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
+  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Assignment Out;
   JsonObjectReader Reader(Value, "", Found);
   Reader.array("instances",
