--- a/include/deckpitch/json-reader.h
+++ b/include/deckpitch/json-reader.h
@@ -57,6 +57,8 @@
                                       const std::string &Path)> &ReadEach);
   /// Reports a fault found by the caller.
   void problem(std::string_view Key, std::string Expected);
+  /// Accepts the keys that nobody asked for.
+  void ignoreRest() { m_IgnoreRest = true; }
   /// Reports every key that nobody asked for.
   void finish();
 
@@ -68,6 +70,7 @@
   std::string m_Path;
   Problems *m_Found;
   std::vector<std::string> m_Taken;
+  bool m_IgnoreRest = false;
 };
 
 } // namespace deckpitch
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -194,7 +194,7 @@
 }
 
 void JsonObjectReader::finish() {
-  if (!m_Object)
+  if (!m_Object || m_IgnoreRest)
     return;
   for (const auto &Each : *m_Object) {
     const std::string_view Key(Each.key().data(), Each.key().size());
