--- a/src/kernel/claim-log.cc
+++ b/src/kernel/claim-log.cc
@@ -211,6 +211,7 @@
   if (Whole)
     m_TrustedAt = m_StartedAt;
   advance();
+  settleTaken();
 }
 
 /// Grants only while the position is still known to be whole: a process that
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -87,7 +87,7 @@
 
 class Stream final : public HttpStream {
 public:
-  Stream(std::shared_ptr<HttpClient::Impl> Pool, PoolKey Key,
+  Stream(std::weak_ptr<HttpClient::Impl> Pool, PoolKey Key,
          std::unique_ptr<Connection> Used, CallLimits Limits)
       : m_Pool(std::move(Pool)), m_Key(std::move(Key)),
         m_Connection(std::move(Used)), m_Limits(Limits) {
@@ -141,11 +141,13 @@
 private:
   void finish() {
     if (m_Connection && m_Parser.get().keep_alive())
-      m_Pool->giveBack(m_Key, std::move(m_Connection));
+      if (const auto Pool = m_Pool.lock())
+        Pool->giveBack(m_Key, std::move(m_Connection));
     m_Connection.reset();
   }
 
-  std::shared_ptr<HttpClient::Impl> m_Pool;
+  /// Not an owner: kept connections must end before their loops do.
+  std::weak_ptr<HttpClient::Impl> m_Pool;
   PoolKey m_Key;
   std::unique_ptr<Connection> m_Connection;
   CallLimits m_Limits;
@@ -176,7 +178,7 @@
 
 asio::awaitable<Outcome<std::unique_ptr<HttpStream>>>
 HttpClient::open(std::string Address, HttpRequest Request, CallLimits Limits) {
-  auto Impl = m_Impl;
+  const std::weak_ptr<Impl> Pool = m_Impl;
   auto Executor = co_await asio::this_coro::executor;
   const PoolKey Key{&Executor.context(), Address};
   http::request<http::string_body> Message;
@@ -190,7 +192,9 @@
   Message.prepare_payload();
   const bool MayRepeat = Request.m_Method == "GET";
   while (true) {
-    auto Used = Impl->takeIdle(Key);
+    std::unique_ptr<Connection> Used;
+    if (const auto Kept = Pool.lock())
+      Used = Kept->takeIdle(Key);
     const bool Kept = Used != nullptr;
     if (!Kept) {
       auto Fresh = co_await connect(Executor, Address, Limits.m_Connect);
@@ -201,7 +205,7 @@
     Used->m_Stream.expires_after(Limits.m_FirstByte);
     auto [Ec, Bytes] =
         co_await http::async_write(Used->m_Stream, Message, UseAwaitable);
-    auto Answer = std::make_unique<Stream>(Impl, Key, std::move(Used), Limits);
+    auto Answer = std::make_unique<Stream>(Pool, Key, std::move(Used), Limits);
     if (!Ec)
       Ec = co_await Answer->readHeader();
     if (!Ec)
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -294,7 +294,8 @@
   HttpHandler m_Handler;
   HttpLimits m_Limits;
   std::mutex m_Mutex;
-  std::unordered_map<Connection *, std::shared_ptr<Connection>> m_Connections;
+  /// Each is owned by its serve(), so that it ends with its own loop.
+  std::unordered_map<Connection *, std::weak_ptr<Connection>> m_Connections;
   std::atomic<bool> m_Draining{false};
   std::atomic<std::size_t> m_Open{0};
 };
@@ -331,11 +332,15 @@
     Impl->m_Acceptor.close(Ignored);
   });
   std::lock_guard Lock(m_Impl->m_Mutex);
-  for (auto &[Key, Each] : m_Impl->m_Connections)
-    asio::post(Each->m_Stream.get_executor(), [Each = Each] {
-      if (!Each->m_Busy)
-        Each->m_Stream.cancel();
+  for (auto &[Key, Each] : m_Impl->m_Connections) {
+    const auto Open = Each.lock();
+    if (!Open)
+      continue;
+    asio::post(Open->m_Stream.get_executor(), [Open] {
+      if (!Open->m_Busy)
+        Open->m_Stream.cancel();
     });
+  }
 }
 
 void HttpServer::stop() {
@@ -346,8 +351,9 @@
   });
   std::lock_guard Lock(m_Impl->m_Mutex);
   for (auto &[Key, Each] : m_Impl->m_Connections)
-    asio::post(Each->m_Stream.get_executor(),
-               [Each = Each] { Each->m_Stream.close(); });
+    if (const auto Open = Each.lock())
+      asio::post(Open->m_Stream.get_executor(),
+                 [Open] { Open->m_Stream.close(); });
 }
 
 std::size_t HttpServer::openRequests() const { return m_Impl->m_Open.load(); }
--- a/src/net/io-threads.cc
+++ b/src/net/io-threads.cc
@@ -7,7 +7,13 @@
     m_Loops.push_back(std::make_unique<Loop>());
 }
 
-IoThreads::~IoThreads() { stop(); }
+/// What waits on a worker may use what lives on the control loop, so that one
+/// ends last.
+IoThreads::~IoThreads() {
+  stop();
+  while (!m_Loops.empty())
+    m_Loops.pop_back();
+}
 
 void IoThreads::start() {
   for (auto &Each : m_Loops)
