Add declarations, membership and resources modules: the thin path

Change: replica with newer-wins objects and digests, heartbeats to two entries chosen by rendezvous, records exchanged among entries, conditional writes resolved by reading back.

--- a/include/deckpitch/declaration.h
+++ b/include/deckpitch/declaration.h
@@ -62,10 +62,20 @@
   friend bool operator==(const Upstream &, const Upstream &) = default;
 };
 
+/// Who changed a declared object last, and when.
+struct ChangeNote {
+  std::string m_By;         ///< as the operator's tool named them
+  std::uint64_t m_AtMs = 0; ///< wall clock of the entry that accepted it
+  std::string m_Write;      ///< names the one write that made this version
+
+  friend bool operator==(const ChangeNote &, const ChangeNote &) = default;
+};
+
 /// One declared object with its place in the platform's history.
 template <typename T> struct Declared {
   Revision m_Revision;
   T m_Value;
+  ChangeNote m_Change;
 
   friend bool operator==(const Declared &, const Declared &) = default;
 };
@@ -121,4 +131,8 @@
 std::string formatUpstream(const Upstream &Value);
 std::string formatAssignment(const Assignment &Value);
 
+/// The note stands beside the value's own keys in the stored JSON.
+std::string addChangeNote(const std::string &Json, const ChangeNote &Note);
+ChangeNote readChangeNote(std::string_view Json);
+
 } // namespace deckpitch
--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -17,6 +17,7 @@
   ProcessStopped = 1002,
   SettingsRefused = 1003,
   ListenFailed = 1004,
+  DeclarationAccepted = 2000,
 };
 
 struct EventInfo {
@@ -31,6 +32,8 @@
     EventInfo{Event::ProcessStopped, Severity::Info, "ProcessStopped"},
     EventInfo{Event::SettingsRefused, Severity::Error, "SettingsRefused"},
     EventInfo{Event::ListenFailed, Severity::Error, "ListenFailed"},
+    EventInfo{Event::DeclarationAccepted, Severity::Info,
+              "DeclarationAccepted"},
 };
 
 /// The catalogue's entry, or null for a number that has none.
--- a/include/deckpitch/membership-table.h
+++ b/include/deckpitch/membership-table.h
@@ -51,8 +51,8 @@
 public:
   MembershipTable(Member Self, MembershipSettings Limits);
 
-  /// Replaces this entry's own member.
-  void setSelf(Member Self);
+  /// Replaces this entry's own member, at its next heartbeat.
+  void setSelf(Member Self, std::uint64_t Sequence);
   /// A whole heartbeat from the member itself. False when it is an old one.
   bool heard(TimePoint Now, const MemberRecord &Record);
   /// A short heartbeat. False when the member's whole record is not known.
--- /dev/null
+++ b/src/daemon/declarations-entry.cc
@@ -0,0 +1,99 @@
+#include "daemon/clock.h"
+#include "daemon/declarations-exchange.h"
+#include "daemon/declarations-follower.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Entries that a change is sent to at once; each passes it on.
+constexpr std::size_t EntriesPerChange = 4;
+
+/// Follows the platform and passes changes on to agents and other entries.
+class EntryDeclarations final : public Module {
+public:
+  explicit EntryDeclarations(Process &In)
+      : m_Process(In),
+        m_Exchange(In, [this](Revision Since) { spread(Since); }),
+        m_Follower(In, m_Exchange), m_Random(std::random_device{}()) {}
+
+  Result<void> start() override {
+    m_Follower.start();
+    return {};
+  }
+
+  void onMessage(const wire::Envelope &Message) override {
+    if (Message.has_membership() && Message.membership().has_heartbeat())
+      rememberAgent(Message);
+    m_Exchange.onMessage(Message);
+  }
+
+  void stop() override { m_Follower.stop(); }
+
+  boost::json::object dump() const override {
+    boost::json::object Out = m_Exchange.dump();
+    Out["platformCalls"] = m_Process.m_Platform.calls();
+    Out["follower"] = m_Follower.dump();
+    return Out;
+  }
+
+private:
+  struct Agent {
+    std::string m_Address;
+    TimePoint m_Heard;
+  };
+
+  /// Changes are sent at once to the agents whose first choice this is; their
+  /// second entry finds by the next heartbeat whether they arrived.
+  void rememberAgent(const wire::Envelope &Message) {
+    const wire::Heartbeat &Beat = Message.membership().heartbeat();
+    const InstanceId Id{Message.sender()};
+    if (Beat.first())
+      m_Agents[Id] = {Beat.address(), now()};
+    else
+      m_Agents.erase(Id);
+  }
+
+  void spread(Revision Since) {
+    const Duration Limit = m_Process.m_Settings.m_Membership.m_GoneAfter;
+    std::erase_if(m_Agents, [&](const auto &Each) {
+      return now() - Each.second.m_Heard > Limit;
+    });
+    for (const auto &[Id, Each] : m_Agents)
+      m_Exchange.sendChanges(Each.m_Address, Since);
+    for (const std::string &Each : someEntries())
+      m_Exchange.sendChanges(Each, Since);
+  }
+
+  std::vector<std::string> someEntries() {
+    std::vector<std::string> Others;
+    const auto View = m_Process.m_Membership.load();
+    for (const auto &[Id, Each] : View->m_Members)
+      if (Each.m_Role == Role::Entry && Each.m_State != MemberState::Gone &&
+          Id != m_Process.m_Settings.m_Instance)
+        Others.push_back(Each.m_Addresses.m_Control);
+    std::shuffle(Others.begin(), Others.end(), m_Random);
+    Others.resize(std::min(Others.size(), EntriesPerChange));
+    return Others;
+  }
+
+  Process &m_Process;
+  DeclarationExchange m_Exchange;
+  PlatformFollower m_Follower;
+  std::map<InstanceId, Agent> m_Agents;
+  std::mt19937_64 m_Random;
+};
+
+const Registration<EntryDeclarations> Registered("declarations", Role::Entry);
+
+} // namespace
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/declarations-follower.cc
@@ -0,0 +1,139 @@
+#include "daemon/declarations-follower.h"
+
+#include "daemon/clock.h"
+#include "net/log.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A change that no event told is in force this much later at worst.
+constexpr std::chrono::seconds ListEvery{8};
+/// An event is confirmed by lists after this; more events join in.
+constexpr std::chrono::milliseconds ConfirmAfter{200};
+constexpr std::chrono::milliseconds LeastBetweenLists{1'000};
+constexpr std::chrono::milliseconds FirstBackOff{250};
+constexpr std::chrono::milliseconds MostBackOff{15'000};
+constexpr unsigned MostDoublings = 6;
+
+Duration backOff(unsigned Failures) {
+  const Duration Long =
+      FirstBackOff * (1U << std::min(Failures, MostDoublings));
+  return std::min<Duration>(Long, MostBackOff);
+}
+
+} // namespace
+
+PlatformFollower::PlatformFollower(Process &In, DeclarationExchange &Exchange)
+    : m_Process(In), m_Exchange(Exchange), m_ListTimer(In.m_Threads.control()),
+      m_WatchTimer(In.m_Threads.control()), m_Random(std::random_device{}()) {}
+
+void PlatformFollower::start() {
+  auto &Loop = m_Process.m_Threads.control();
+  asio::co_spawn(Loop, listLoop(), asio::detached);
+  asio::co_spawn(Loop, watchLoop(), asio::detached);
+}
+
+void PlatformFollower::stop() {
+  m_Stopping = true;
+  m_ListTimer.cancel();
+  m_WatchTimer.cancel();
+}
+
+Duration PlatformFollower::jittered(Duration Value) {
+  std::uniform_real_distribution<double> Share(0.5, 1.0);
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(Value.count()) * Share(m_Random)));
+}
+
+asio::awaitable<void> PlatformFollower::pause(asio::steady_timer &Timer,
+                                              Duration For) {
+  Timer.expires_after(For);
+  co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<bool> PlatformFollower::listAll() {
+  m_Confirm = TimePoint::max();
+  for (const std::string &Kind : replicatedKinds()) {
+    const auto List = co_await m_Process.m_Platform.list(Kind);
+    if (!List || m_Stopping)
+      co_return false;
+    std::vector<DeclaredObject> Items;
+    for (const net::PlatformObject &Each : List->m_Items)
+      Items.push_back({Kind, Each.m_Name, Each.m_Revision, false, Each.m_Json});
+    m_Exchange.apply("platform", [&](DeclarationStore &Store) {
+      return Store.applyList(Kind, List->m_Revision, Items);
+    });
+  }
+  ++m_Lists;
+  co_return true;
+}
+
+asio::awaitable<void> PlatformFollower::listLoop() {
+  while (!m_Stopping) {
+    const bool Listed = co_await listAll();
+    m_Failures = Listed ? 0 : m_Failures + 1;
+    m_Exchange.tick();
+    if (!Listed) {
+      co_await pause(m_ListTimer, jittered(backOff(m_Failures)));
+      continue;
+    }
+    m_WatchTimer.cancel();
+    const TimePoint Began = now();
+    co_await pause(m_ListTimer, LeastBetweenLists);
+    while (!m_Stopping && now() < std::min(m_Confirm, Began + ListEvery))
+      co_await pause(m_ListTimer,
+                     std::min(m_Confirm, Began + ListEvery) - now());
+  }
+}
+
+asio::awaitable<void> PlatformFollower::watchLoop() {
+  while (!m_Stopping) {
+    const Revision Since = m_Exchange.store().revision();
+    if (m_Failures > 0 || Since.m_Value == 0) {
+      co_await pause(m_WatchTimer, ListEvery); // the list loop wakes it
+      continue;
+    }
+    ++m_Watches;
+    const Error End = co_await m_Process.m_Platform.watch(
+        replicatedKinds(), Since,
+        [this](const net::PlatformEvent &Event) { return onEvent(Event); });
+    if (!m_Stopping)
+      co_await pause(m_WatchTimer, jittered(FirstBackOff * 4));
+  }
+}
+
+bool PlatformFollower::onEvent(const net::PlatformEvent &Event) {
+  if (m_Stopping)
+    return false;
+  if (Event.m_Type == net::PlatformEvent::Type::Bookmark)
+    return true;
+  ++m_Events;
+  const bool Deleted = Event.m_Type == net::PlatformEvent::Type::Delete;
+  const net::PlatformObject &Object = Event.m_Object;
+  m_Exchange.apply("platform", [&](DeclarationStore &Store) {
+    return Store.applyEvent({Object.m_Kind, Object.m_Name, Object.m_Revision,
+                             Deleted, Deleted ? "" : Object.m_Json});
+  });
+  if (m_Confirm == TimePoint::max()) {
+    m_Confirm = now() + ConfirmAfter;
+    m_ListTimer.cancel();
+  }
+  return true;
+}
+
+boost::json::object PlatformFollower::dump() const {
+  return {{"lists", m_Lists},
+          {"watches", m_Watches},
+          {"events", m_Events},
+          {"failures", m_Failures}};
+}
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/declarations-follower.h
@@ -0,0 +1,47 @@
+// Follows the platform's declared objects: lists make complete, a watch hints.
+#pragma once
+
+#include "daemon/declarations-exchange.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <random>
+
+namespace deckpitch::daemon {
+
+/// Runs on the control loop of an entry. A watch's event is applied at once
+/// and confirmed by lists soon after, since events may be dropped or out of
+/// order; lists are repeated now and then for what no event told.
+class PlatformFollower {
+public:
+  PlatformFollower(Process &In, DeclarationExchange &Exchange);
+
+  void start();
+  void stop();
+  boost::json::object dump() const;
+
+private:
+  boost::asio::awaitable<void> listLoop();
+  boost::asio::awaitable<void> watchLoop();
+  boost::asio::awaitable<bool> listAll();
+  boost::asio::awaitable<void> pause(boost::asio::steady_timer &Timer,
+                                     Duration For);
+  bool onEvent(const net::PlatformEvent &Event);
+  Duration jittered(Duration Value);
+
+  Process &m_Process;
+  DeclarationExchange &m_Exchange;
+  boost::asio::steady_timer m_ListTimer;
+  boost::asio::steady_timer m_WatchTimer;
+  std::mt19937_64 m_Random;
+  TimePoint m_Confirm = TimePoint::max(); ///< when lists are due early
+  std::uint64_t m_Lists = 0;
+  std::uint64_t m_Watches = 0;
+  std::uint64_t m_Events = 0;
+  unsigned m_Failures = 0;
+  bool m_Stopping = false;
+};
+
+} // namespace deckpitch::daemon
--- /dev/null
+++ b/src/daemon/membership-entry.cc
@@ -0,0 +1,298 @@
+#include "daemon/clock.h"
+#include "daemon/membership-self.h"
+#include "daemon/membership-wire.h"
+#include "daemon/module.h"
+#include "net/log.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Records in one message to another entry; bounds the bytes for each period.
+constexpr std::size_t ChangesPerMessage = 20;
+/// Entries that an agent is told of; a few more than it speaks to.
+constexpr std::size_t EntriesToldToAgents = 8;
+/// Heartbeats between two attempts to reach an address from the settings that
+/// no known member has.
+constexpr std::uint64_t SeedEvery = 5;
+/// Heartbeats with a differing view before everything is exchanged.
+constexpr unsigned DifferencesBeforeExchange = 3;
+constexpr std::chrono::milliseconds PublishDelay{10};
+
+/// Hears heartbeats, exchanges records with a few other entries and publishes
+/// the joined view.
+class EntryMembership final : public Module {
+public:
+  explicit EntryMembership(Process &In)
+      : m_Process(In), m_Writer(In), m_Timer(In.m_Threads.control()),
+        m_PublishTimer(In.m_Threads.control()),
+        m_Random(std::random_device{}()) {}
+
+  Result<void> start() override {
+    m_Writer.advance();
+    m_Table.emplace(m_Writer.member(), m_Process.m_Settings.m_Membership);
+    publish();
+    asio::co_spawn(m_Process.m_Threads.control(), run(), asio::detached);
+    return {};
+  }
+
+  void onMessage(const wire::Envelope &Message) override {
+    if (!Message.has_membership() || !m_Table)
+      return;
+    const wire::MembershipMessage &Body = Message.membership();
+    if (Body.has_heartbeat())
+      onHeartbeat(Message, Body.heartbeat());
+    else if (Body.has_reply())
+      m_Writer.replied(InstanceId{Message.sender()}, Body.reply());
+    else if (Body.has_update())
+      onUpdate(Body.update());
+    else if (Body.has_question())
+      onQuestion(Body.question());
+  }
+
+  void beginDrain() override { beat(); }
+  void stop() override {
+    m_Stopping = true;
+    m_Timer.cancel();
+    m_PublishTimer.cancel();
+  }
+
+  boost::json::object dump() const override {
+    static constexpr std::array States{"alive", "suspect", "leaving", "gone"};
+    static constexpr std::array Sources{"heartbeat", "entry", "silence",
+                                        "platform"};
+    boost::json::object Members;
+    for (const MemberRecord &Each : m_Table->records()) {
+      const Member &Of = Each.m_Member;
+      Members[Of.m_Id.m_Text] = boost::json::object{
+          {"state", States[static_cast<std::size_t>(Of.m_State)]},
+          {"source", Sources[static_cast<std::size_t>(Of.m_Source)]},
+          {"incarnation", Of.m_Incarnation.m_Value},
+          {"sequence", Each.m_Sequence},
+          {"inForce", Of.m_InForce.m_Value}};
+    }
+    return {{"members", std::move(Members)}, {"digest", m_Table->digest()}};
+  }
+
+private:
+  asio::awaitable<void> run() {
+    const auto Period = m_Process.m_Settings.m_Membership.m_Heartbeat;
+    while (!m_Stopping) {
+      beat();
+      m_Timer.expires_after(Period);
+      co_await m_Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+
+  void beat() {
+    m_Writer.advance();
+    m_Table->setSelf(m_Writer.member(), m_Writer.sequence());
+    for (const SilenceQuestion &Each : m_Table->tick(now()))
+      ask(Each);
+    for (const InstanceId &Each : targets())
+      sendTo(Each);
+    if (m_Writer.sequence() % SeedEvery == 1)
+      greetSeeds();
+    publishSoon();
+  }
+
+  /// The entries that watch this one, and another one by chance.
+  std::vector<InstanceId> targets() {
+    std::vector<InstanceId> Chosen = m_Table->watchersOf(m_Writer.member());
+    std::vector<EntryCandidate> Others = m_Table->entries();
+    std::erase_if(Others, [&](const EntryCandidate &Each) {
+      return Each.m_Id == m_Writer.member().m_Id ||
+             std::find(Chosen.begin(), Chosen.end(), Each.m_Id) != Chosen.end();
+    });
+    if (Others.empty())
+      return Chosen;
+    std::uniform_int_distribution<std::size_t> Any(0, Others.size() - 1);
+    Chosen.push_back(Others[Any(m_Random)].m_Id);
+    return Chosen;
+  }
+
+  std::string addressOf(const InstanceId &Id) const {
+    const MemberRecord *Found = m_Table->find(Id);
+    return Found ? Found->m_Member.m_Addresses.m_Control : std::string();
+  }
+
+  void sendTo(const InstanceId &To) {
+    const std::string Address = addressOf(To);
+    sendHeartbeat(To, Address);
+    sendRecords(Address, m_Table->takeChanges(ChangesPerMessage));
+  }
+
+  void sendHeartbeat(const InstanceId &To, const std::string &Address) {
+    wire::Envelope Message;
+    *Message.mutable_membership() =
+        m_Writer.messageFor(To, m_Process.m_DeclarationsDigest.load());
+    Message.mutable_membership()->mutable_heartbeat()->set_view_digest(
+        m_Table->digest());
+    m_Process.m_Bus->send(Address, std::move(Message));
+  }
+
+  void sendRecords(const std::string &Address,
+                   const std::vector<MemberRecord> &Records) {
+    if (Records.empty())
+      return;
+    wire::Envelope Message;
+    auto *Update = Message.mutable_membership()->mutable_update();
+    for (const MemberRecord &Each : Records)
+      *Update->add_members() = toWire(Each);
+    m_Process.m_Bus->send(Address, std::move(Message));
+  }
+
+  /// Addresses from the settings find others at the start, and join two sets
+  /// of entries that do not know of each other.
+  void greetSeeds() {
+    for (const std::string &Seed : m_Process.m_Settings.m_Entries)
+      if (Seed != m_Process.m_Addresses.m_Control && !knowsAddress(Seed))
+        sendHeartbeat(InstanceId{Seed}, Seed);
+  }
+
+  bool knowsAddress(const std::string &Address) const {
+    for (const EntryCandidate &Each : m_Table->entries())
+      if (addressOf(Each.m_Id) == Address)
+        return true;
+    return false;
+  }
+
+  void ask(const SilenceQuestion &About) {
+    for (const InstanceId &Each : About.m_Watchers) {
+      wire::Envelope Message;
+      auto *Question = Message.mutable_membership()->mutable_question();
+      Question->set_id(About.m_Silent.m_Text);
+      Question->set_address(m_Process.m_Addresses.m_Control);
+      m_Process.m_Bus->send(addressOf(Each), std::move(Message));
+    }
+  }
+
+  void onQuestion(const wire::MemberQuestion &Question) {
+    if (Question.id().empty())
+      return sendRecords(Question.address(), m_Table->records());
+    const MemberRecord *Found = m_Table->find(InstanceId{Question.id()});
+    if (Found)
+      sendRecords(Question.address(), {*Found});
+  }
+
+  void onUpdate(const wire::MemberUpdate &Update) {
+    bool News = false;
+    for (const wire::Member &Each : Update.members())
+      if (!Each.id().empty())
+        News = m_Table->merge(now(), fromWire(Each)) || News;
+    if (News)
+      publishSoon();
+  }
+
+  void onHeartbeat(const wire::Envelope &Message, const wire::Heartbeat &Beat) {
+    const InstanceId From{Message.sender()};
+    bool Known = true;
+    if (Beat.has_member()) {
+      MemberRecord Record = fromWire(Beat.member());
+      Record.m_Member.m_Id = From;
+      Record.m_Member.m_Incarnation.m_Value = Message.incarnation();
+      m_Table->heard(now(), Record);
+    } else {
+      Known = m_Table->heardShort(now(), {From,
+                                          {Message.incarnation()},
+                                          Beat.sequence(),
+                                          {Beat.short_form().in_force()},
+                                          fromWire(Beat.short_form().load())});
+    }
+    reply(From, Beat, Known);
+    compareViews(From, Beat);
+    publishSoon();
+  }
+
+  void reply(const InstanceId &To, const wire::Heartbeat &Beat, bool Known) {
+    wire::Envelope Message;
+    auto *Reply = Message.mutable_membership()->mutable_reply();
+    Reply->set_sequence(Beat.sequence());
+    Reply->set_send_whole(!Known);
+    Reply->set_in_force(m_Writer.member().m_InForce.m_Value);
+    Reply->set_declarations_digest(m_Process.m_DeclarationsDigest.load());
+    Reply->set_address(m_Process.m_Addresses.m_Control);
+    const MemberRecord *Sender = m_Table->find(To);
+    if (Sender && Sender->m_Member.m_Role == Role::Agent)
+      tellEntries(*Sender, Beat.has_member(), *Reply);
+    m_Process.m_Bus->send(Beat.address(), std::move(Message));
+  }
+
+  /// An agent is told its nearest entries when they change for it, and with
+  /// each whole heartbeat.
+  void tellEntries(const MemberRecord &Agent, bool Whole,
+                   wire::HeartbeatReply &Reply) {
+    const Member &To = Agent.m_Member;
+    const std::vector<InstanceId> Near = chooseEntries(
+        To.m_Id, To.m_DataCentre, m_Table->entries(), EntriesToldToAgents);
+    std::vector<InstanceId> &Told = m_Told[To.m_Id];
+    if (!Whole && Told == Near)
+      return;
+    for (const InstanceId &Each : Near)
+      if (const MemberRecord *Found = m_Table->find(Each))
+        *Reply.add_entries() = toWire(*Found);
+    for (const InstanceId &Before : Told)
+      if (const MemberRecord *Found = m_Table->find(Before);
+          Found && Found->m_Member.m_State == MemberState::Gone)
+        *Reply.add_entries() = toWire(*Found);
+    Told = Near;
+  }
+
+  void compareViews(const InstanceId &From, const wire::Heartbeat &Beat) {
+    if (Beat.view_digest() == 0 || Beat.view_digest() == m_Table->digest()) {
+      m_Differences.erase(From);
+      return;
+    }
+    if (++m_Differences[From] < DifferencesBeforeExchange)
+      return;
+    m_Differences.erase(From);
+    sendRecords(Beat.address(), m_Table->records());
+    wire::Envelope Message;
+    Message.mutable_membership()->mutable_question()->set_address(
+        m_Process.m_Addresses.m_Control);
+    m_Process.m_Bus->send(Beat.address(), std::move(Message));
+  }
+
+  void publishSoon() {
+    if (m_PublishPending)
+      return;
+    m_PublishPending = true;
+    m_PublishTimer.expires_after(PublishDelay);
+    m_PublishTimer.async_wait([this](const boost::system::error_code &Ec) {
+      m_PublishPending = false;
+      if (!Ec)
+        publish();
+    });
+  }
+
+  void publish() {
+    auto Next = std::make_shared<const MembershipView>(m_Table->view());
+    if (*Next != *m_Process.m_Membership.load())
+      m_Process.m_Membership.publish(std::move(Next));
+  }
+
+  Process &m_Process;
+  HeartbeatWriter m_Writer;
+  asio::steady_timer m_Timer;
+  asio::steady_timer m_PublishTimer;
+  std::mt19937_64 m_Random;
+  std::optional<MembershipTable> m_Table;
+  std::map<InstanceId, std::vector<InstanceId>> m_Told;
+  std::map<InstanceId, unsigned> m_Differences;
+  bool m_PublishPending = false;
+  bool m_Stopping = false;
+};
+
+const Registration<EntryMembership> Registered("membership", Role::Entry);
+
+} // namespace
+
+} // namespace deckpitch::daemon
--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -36,6 +36,8 @@
   net::ControlBus *m_Bus = nullptr;
 
   SnapshotCell<DeclarationSet> m_Declarations; ///< by the declarations module
+  /// Of the replica of declarations; by the declarations module.
+  std::atomic<std::uint64_t> m_DeclarationsDigest{0};
   SnapshotCell<MembershipView> m_Membership;   ///< by the membership module
   SnapshotCell<ServingReport> m_Serving;    ///< agents: by the weights module
   std::atomic<std::uint32_t> m_InFlight{0}; ///< agents: by the requests module
--- /dev/null
+++ b/src/daemon/resources-write.cc
@@ -0,0 +1,91 @@
+#include "daemon/resources-write.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int MostAttempts = 4;
+constexpr std::chrono::milliseconds PauseBeforeReadBack{100};
+
+using Kind = WriteOutcome::Kind;
+
+asio::awaitable<Outcome<Revision>> writeOnce(net::Platform &At,
+                                             const WriteRequest &Request) {
+  if (!Request.m_Json)
+    co_return co_await At.remove(Request.m_Kind, Request.m_Name,
+                                 *Request.m_Expected);
+  if (!Request.m_Expected)
+    co_return co_await At.create(Request.m_Kind, Request.m_Name,
+                                 *Request.m_Json);
+  co_return co_await At.update(
+      {Request.m_Kind, Request.m_Name, *Request.m_Expected, *Request.m_Json});
+}
+
+/// Compares values, whatever the order of keys the platform gives them in.
+bool sameJson(const std::string &A, const std::string &B) {
+  boost::json::error_code Ec;
+  const boost::json::value Left = boost::json::parse(A, Ec);
+  if (Ec)
+    return false;
+  const boost::json::value Right = boost::json::parse(B, Ec);
+  return !Ec && Left == Right;
+}
+
+/// What the object read back says of the write, if it says anything.
+std::optional<WriteOutcome> judge(const WriteRequest &Request,
+                                  const Outcome<net::PlatformObject> &Read) {
+  if (!Read) {
+    const bool Absent = Read.error().m_Code == ErrorCode::NotFound;
+    if (Absent && !Request.m_Json)
+      return WriteOutcome{Kind::Done, {}, {}, {}};
+    if (Absent && Request.m_Expected)
+      return WriteOutcome{Kind::Conflict, {}, {}, "the object is gone"};
+    return std::nullopt;
+  }
+  if (Request.m_Json && sameJson(Read->m_Json, *Request.m_Json))
+    return WriteOutcome{Kind::Done, Read->m_Revision, {}, {}};
+  if (Request.m_Expected && Read->m_Revision <= *Request.m_Expected)
+    return std::nullopt; // as it was, or a stale read
+  return WriteOutcome{Kind::Conflict, {}, *Read, "the object has changed"};
+}
+
+} // namespace
+
+asio::awaitable<WriteOutcome> writeResolved(net::Platform &At,
+                                            WriteRequest Request) {
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  bool MayHaveWritten = false;
+  std::string Reason;
+  for (int Attempt = 0; Attempt < MostAttempts; ++Attempt) {
+    const auto Wrote = co_await writeOnce(At, Request);
+    if (Wrote)
+      co_return WriteOutcome{Kind::Done, *Wrote, {}, {}};
+    const ErrorCode Code = Wrote.error().m_Code;
+    Reason = Wrote.error().m_Message;
+    if (Code == ErrorCode::InvalidInput)
+      co_return WriteOutcome{Kind::NotDone, {}, {}, Reason};
+    if (Code == ErrorCode::Unavailable && !MayHaveWritten)
+      co_return WriteOutcome{Kind::NotDone, {}, {}, Reason};
+    MayHaveWritten = MayHaveWritten || Code == ErrorCode::Timeout;
+    if (Code == ErrorCode::Timeout) {
+      Pause.expires_after(PauseBeforeReadBack);
+      co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    const auto Read = co_await At.get(Request.m_Kind, Request.m_Name);
+    const std::optional<WriteOutcome> Known = judge(Request, Read);
+    if (Known)
+      co_return *Known;
+    const bool CannotAsk = !Read && Read.error().m_Code != ErrorCode::NotFound;
+    if (CannotAsk)
+      Reason = Read.error().m_Message;
+  }
+  co_return WriteOutcome{
+      MayHaveWritten ? Kind::Unknown : Kind::NotDone, {}, {}, Reason};
+}
+
+} // namespace deckpitch::daemon
--- a/src/kernel/declaration-store.cc
+++ b/src/kernel/declaration-store.cc
@@ -29,7 +29,7 @@
       outcomeOf([&] { return Read(Object.m_Json, UnknownKeys::Ignore); });
   if (!Parsed)
     return false;
-  In[Name] = {Object.m_Revision, *Parsed};
+  In[Name] = {Object.m_Revision, *Parsed, readChangeNote(Object.m_Json)};
   return true;
 }
 
--- a/src/kernel/declaration.cc
+++ b/src/kernel/declaration.cc
@@ -197,4 +197,28 @@
       boost::json::object{{"instances", std::move(Instances)}});
 }
 
+std::string addChangeNote(const std::string &Json, const ChangeNote &Note) {
+  boost::json::value Value = boost::json::parse(Json);
+  Value.as_object()["changed"] = boost::json::object{
+      {"by", Note.m_By}, {"atMs", Note.m_AtMs}, {"write", Note.m_Write}};
+  return boost::json::serialize(Value);
+}
+
+ChangeNote readChangeNote(std::string_view Json) {
+  boost::json::error_code Ec;
+  const boost::json::value Value = boost::json::parse(Json, Ec);
+  const boost::json::value *Found =
+      !Ec && Value.is_object() ? Value.get_object().if_contains("changed")
+                               : nullptr;
+  if (!Found || !Found->is_object())
+    return {};
+  Problems Ignored;
+  ChangeNote Note;
+  JsonObjectReader Reader(*Found, "changed", Ignored);
+  Reader.optional("by", Note.m_By);
+  Reader.optional("atMs", Note.m_AtMs, std::uint64_t{0}, UINT64_MAX);
+  Reader.optional("write", Note.m_Write);
+  return Note;
+}
+
 } // namespace deckpitch
--- a/src/kernel/membership-table.cc
+++ b/src/kernel/membership-table.cc
@@ -58,15 +58,15 @@
 
 MembershipTable::MembershipTable(Member Self, MembershipSettings Limits)
     : m_SelfId(Self.m_Id), m_Limits(Limits) {
-  setSelf(std::move(Self));
+  setSelf(std::move(Self), 0);
 }
 
-void MembershipTable::setSelf(Member Self) {
+void MembershipTable::setSelf(Member Self, std::uint64_t Sequence) {
   Known &Own = m_Known[m_SelfId];
   if (worthTelling(Own.m_Record.m_Member, Self))
     Own.m_Told = 0;
   Own.m_Record.m_Member = std::move(Self);
-  ++Own.m_Record.m_Sequence;
+  Own.m_Record.m_Sequence = Sequence;
 }
 
 bool MembershipTable::take(TimePoint Now, const MemberRecord &Record,
@@ -128,9 +128,7 @@
   const bool Wrong = Record.m_Member.m_State != Own.m_Record.m_Member.m_State;
   if (!AboutThisLife || !Wrong)
     return false;
-  // Refutes what others think of this entry.
-  Own.m_Record.m_Sequence =
-      std::max(Own.m_Record.m_Sequence, Record.m_Sequence) + 1;
+  // The next heartbeat has a newer sequence and refutes it.
   Own.m_Told = 0;
   return true;
 }
