--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -18,6 +18,7 @@
   SettingsRefused = 1003,
   ListenFailed = 1004,
   DeclarationAccepted = 2000,
+  UpstreamAnswerRefused = 4000,
 };
 
 struct EventInfo {
@@ -34,6 +35,8 @@
     EventInfo{Event::ListenFailed, Severity::Error, "ListenFailed"},
     EventInfo{Event::DeclarationAccepted, Severity::Info,
               "DeclarationAccepted"},
+    EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
+              "UpstreamAnswerRefused"},
 };
 
 /// The catalogue's entry, or null for a number that has none.
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -194,9 +194,7 @@
 }
 
 void JsonObjectReader::finish() {
-  if (m_Found->m_AllowUnknown)
-    return;
-  if (!m_Object)
+  if (!m_Object || m_IgnoreRest || m_Found->m_AllowUnknown)
     return;
   for (const auto &Each : *m_Object) {
     const std::string_view Key(Each.key().data(), Each.key().size());
