--- a/include/deckpitch/declaration-store.h
+++ b/include/deckpitch/declaration-store.h
@@ -77,7 +77,7 @@
   /// Equal at replicas that hold the same versions of the same objects.
   std::uint64_t digest() const { return m_Digest; }
   /// False until anything was learnt from the platform or from a peer.
-  bool filled() const { return revision().m_Value > 0; }
+  bool filled() const { return m_Complete.size() >= replicatedKinds().size(); }
   const DeclaredObject *find(const std::string &Kind,
                              const std::string &Name) const;
   std::vector<DeclaredObject> list(const std::string &Kind) const;
--- a/src/daemon/declarations-follower.cc
+++ b/src/daemon/declarations-follower.cc
@@ -97,7 +97,7 @@
 asio::awaitable<void> PlatformFollower::watchLoop() {
   while (!m_Stopping) {
     const Revision Since = m_Exchange.store().revision();
-    if (m_Failures > 0 || Since.m_Value == 0) {
+    if (m_Failures > 0 || m_Lists == 0) {
       co_await pause(m_WatchTimer, ListEvery); // the list loop wakes it
       continue;
     }
--- a/src/kernel/declaration-store.cc
+++ b/src/kernel/declaration-store.cc
@@ -107,7 +107,7 @@
 }
 
 Revision DeclarationStore::revision() const {
-  if (m_Complete.size() < replicatedKinds().size())
+  if (!filled())
     return {};
   const auto Least = std::min_element(
       m_Complete.begin(), m_Complete.end(),
