Admit by learned limits, fair shares and deadlines; eject failing upstreams

Cause: nothing bounded what an entry sends or lets wait. Considered: a limit for the pool (one slow upstream would lower all), CoDel (drops late where the deadline is known at once); taken: AIMD per upstream on the time to the first byte, one deadline-bounded queue for each pool. A key known to be claimed is asked about first, so repeats are answered while the platform is down or no instance is ready.

--- a/include/deckpitch/upstream-choice.h
+++ b/include/deckpitch/upstream-choice.h
@@ -1,6 +1,8 @@
 // Picks the upstream of one attempt.
 #pragma once
 
+#include "deckpitch/time.h"
+
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -14,13 +16,29 @@
   std::size_t m_Index = 0;  ///< the caller's name for it
   std::uint32_t m_Own = 0;  ///< in flight from this entry: exact
   double m_Others = 0;      ///< in flight from others: as last reported
-  double m_Limit = 1;       ///< what it can take at once
+  double m_Limit = 1;       ///< what it can take at once, from all
+  double m_OwnLimit = 1;    ///< what this entry has learned to send it
   std::uint64_t m_Rank = 0; ///< of the prompt's prefix; 0 when it has none
   bool m_Near = false;      ///< same data centre
   bool m_Suspect = false;   ///< heartbeats are late
   bool m_Ejected = false;   ///< failed more than its peers lately
 
   double load() const { return (m_Own + m_Others) / m_Limit; }
+  bool hasRoom() const { return m_Own < m_OwnLimit; }
+};
+
+/// Keeps an upstream that fails again and again out of the choice for a
+/// while, longer each time.
+class Ejection {
+public:
+  void failed(TimePoint Now);
+  void succeeded();
+  TimePoint until() const { return m_Until; }
+
+private:
+  std::uint32_t m_Failures = 0; ///< in a row
+  std::uint32_t m_Times = 0;    ///< ejected without a success since
+  TimePoint m_Until;
 };
 
 namespace detail {
--- a/src/daemon/claim-service.cc
+++ b/src/daemon/claim-service.cc
@@ -91,6 +91,19 @@
   co_return Self->m_Settled;
 }
 
+asio::awaitable<std::optional<Claim>> ClaimService::find(std::string Key) {
+  co_return co_await asio::co_spawn(m_Process.m_Threads.control(),
+                                    findHere(std::move(Key)),
+                                    asio::use_awaitable);
+}
+
+asio::awaitable<std::optional<Claim>> ClaimService::findHere(std::string Key) {
+  const Claim *Found = m_Shards[shardOf(Key, Shards)]->m_Log.find(Key);
+  if (!Found)
+    co_return std::nullopt;
+  co_return *Found;
+}
+
 /// Hands out what the log has settled. One whose waiter has given up is
 /// dropped, so nothing runs under it.
 void ClaimService::deliver(Shard &Of) {
--- a/src/daemon/claim-service.h
+++ b/src/daemon/claim-service.h
@@ -22,6 +22,8 @@
   /// Claims a run, or tells who has. Refused at once when the platform cannot
   /// be asked, and at GiveUpAt at the latest.
   boost::asio::awaitable<ClaimSettled> claim(Claim Wanted, TimePoint GiveUpAt);
+  /// The claim that stands for a key, as far as this entry knows.
+  boost::asio::awaitable<std::optional<Claim>> find(std::string Key);
   boost::json::object dump() const;
 
 private:
@@ -40,6 +42,7 @@
 
   boost::asio::awaitable<ClaimSettled> claimHere(Claim Wanted,
                                                  TimePoint GiveUpAt);
+  boost::asio::awaitable<std::optional<Claim>> findHere(std::string Key);
   boost::asio::awaitable<void> pump(Shard &Of);
   boost::asio::awaitable<void> perform(Shard &Of, ListLog Action);
   boost::asio::awaitable<void> perform(Shard &Of, ReadLog Action);
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -157,7 +157,9 @@
   ++m_Attempts;
   m_Hints.m_Tried.insert(To.m_Instance);
   m_Upstream = To.m_Address;
-  const InFlightGuard Counted(m_Routes->m_Counters.at(To.m_Instance));
+  const auto Counters = m_Routes->m_Counters.at(To.m_Instance);
+  const InFlightGuard Counted(Counters);
+  const TimePoint SentAt = now();
   net::HttpRequest Request = boundRequest(m_Call, m_Pool->m_Pool.m_Id, To);
   Request.m_Headers.add(header::ContentType, "application/json");
   if (m_Claim)
@@ -169,12 +171,18 @@
                                .m_BetweenBytes = StallLimit};
   auto Opened = co_await m_Context.m_Process.m_Http.open(
       To.m_Address, std::move(Request), Limits);
-  if (!Opened)
+  if (!Opened) {
+    if (!m_Gone)
+      Counters->failed();
     co_return attemptEndOf(Opened.error());
+  }
   net::HttpStream &Stream = **Opened;
   const AttemptEnd Told = attemptEndOf(Stream.headers(), m_Call.m_Id);
+  if (Told == AttemptEnd::Lost)
+    Counters->failed();
   if (Told != AttemptEnd::Whole)
     co_return Told;
+  Counters->answered(now() - SentAt);
   if (Stream.status() != 200)
     co_return co_await passOn(Stream);
   m_Hints.m_Weights = To.m_Weights;
@@ -186,6 +194,8 @@
                       .m_FirstIndex = m_NextIndex};
   const AttemptEnd End = co_await readStream(Stream, std::move(Bound));
   m_Open = nullptr;
+  if (End == AttemptEnd::Lost && !m_Gone)
+    Counters->failed();
   co_return End;
 }
 
@@ -320,6 +330,8 @@
     m_Open->cancel();
     return;
   }
+  if (m_Upstream.empty())
+    return;
   Process &In = m_Context.m_Process;
   asio::co_spawn(In.m_Threads.nextWorker(),
                  cancelAt(In, m_Upstream, m_Call.m_Id), asio::detached);
--- a/src/daemon/entry-context.cc
+++ b/src/daemon/entry-context.cc
@@ -49,6 +49,12 @@
   return Response;
 }
 
+net::HttpResponse overloadResponse(const AdmissionDecision &Decision) {
+  return notRunResponse({.m_Status = 429,
+                         .m_Reason = "the pool is busy",
+                         .m_RetryAfter = jittered(Decision.m_RetryAfter)});
+}
+
 net::HttpResponse unknownResponse(std::string Reason, Duration RetryAfter) {
   auto Response = failureResponse(504, RequestOutcome::Unknown, Reason, {});
   addRetryAfter(Response.m_Headers, RetryAfter);
--- a/src/daemon/entry-context.h
+++ b/src/daemon/entry-context.h
@@ -5,6 +5,7 @@
 #include "daemon/claim-service.h"
 #include "daemon/entry-routes.h"
 #include "daemon/module.h"
+#include "daemon/pool-gate.h"
 #include "deckpitch/call-terms.h"
 #include "deckpitch/request-outcome.h"
 #include "deckpitch/retry.h"
@@ -36,6 +37,7 @@
   RouteSource m_Routes;
   ClaimService m_Claims;
   RetryBudget m_RetryBudget;
+  PoolGates m_Gates;
   EntryCounters m_Counters;
   std::atomic<std::uint64_t> m_NextRequest{1};
 };
@@ -57,6 +59,8 @@
 };
 
 net::HttpResponse notRunResponse(const NotRun &Why);
+/// The refusal of a request that may not run or wait.
+net::HttpResponse overloadResponse(const AdmissionDecision &Decision);
 net::HttpResponse unknownResponse(std::string Reason, Duration RetryAfter);
 
 /// A request to an agent, bound to what the instance must be at this moment.
--- a/src/daemon/entry-keyed.cc
+++ b/src/daemon/entry-keyed.cc
@@ -76,7 +76,15 @@
       m_Key(claimKeyOf(Call.m_Terms.m_Organisation, m_Pool,
                        Call.m_Terms.m_IdempotencyKey)) {}
 
+/// A key that is known to be claimed is asked about first: its answer needs
+/// neither the platform nor a ready instance.
 asio::awaitable<KeyedResult> KeyedCall::run() {
+  std::optional<Claim> Standing = co_await m_Context.m_Claims.find(m_Key);
+  if (Standing) {
+    std::optional<KeyedResult> Known = co_await consult(std::move(*Standing));
+    if (Known)
+      co_return std::move(*Known);
+  }
   for (int Round = 0; Round < MaxRounds; ++Round) {
     if (now() >= m_Call.m_Deadline)
       break;
--- a/src/daemon/entry-routes.cc
+++ b/src/daemon/entry-routes.cc
@@ -1,4 +1,5 @@
 #include "daemon/entry-routes.h"
+#include "daemon/call-headers.h"
 
 #include <xxhash.h>
 
@@ -43,13 +44,54 @@
   return {.m_Own = Own,
           .m_Others = Others,
           .m_Limit = Limit,
+          .m_OwnLimit = Counters.limit(),
           .m_Rank = rankOf(Route, Hints.m_PrefixHash),
           .m_Near = Route.m_DataCentre == Home,
-          .m_Suspect = Route.m_Suspect};
+          .m_Suspect = Route.m_Suspect,
+          .m_Ejected = Counters.ejected(now())};
 }
 
 } // namespace
 
+namespace {
+
+/// Whether the table before had the same load report of that upstream.
+bool sameReport(const EntryRoutes &Before, const PoolId &Pool,
+                const UpstreamRoute &Route) {
+  const auto Known = Before.m_Table.m_Pools.find(Pool);
+  if (Known == Before.m_Table.m_Pools.end())
+    return false;
+  for (const UpstreamRoute &Each : Known->second.m_Upstreams)
+    if (Each.m_Instance == Route.m_Instance)
+      return Each.m_Load == Route.m_Load;
+  return false;
+}
+
+} // namespace
+
+void UpstreamCounters::answered(Duration Latency) {
+  std::lock_guard Lock(m_Mutex);
+  m_Learned.sample(Latency, m_InFlight.load(), now());
+  m_Ejection.succeeded();
+  m_Limit.store(m_Learned.limit(), std::memory_order_relaxed);
+}
+
+void UpstreamCounters::failed() {
+  std::lock_guard Lock(m_Mutex);
+  m_Learned.overloaded(now());
+  m_Ejection.failed(now());
+  m_Limit.store(m_Learned.limit(), std::memory_order_relaxed);
+  m_EjectedUntil.store(m_Ejection.until().time_since_epoch().count(),
+                       std::memory_order_relaxed);
+}
+
+double capacityOf(const EntryRoutes &Routes, const PoolRoute &Pool) {
+  double Sum = 0;
+  for (const UpstreamRoute &Each : Pool.m_Upstreams)
+    Sum += Routes.m_Counters.at(Each.m_Instance)->limit();
+  return Sum;
+}
+
 RouteSource::RouteSource(Process &In)
     : m_Process(In), m_Timer(In.m_Threads.control()) {}
 
@@ -83,7 +125,8 @@
       Counters = Known != Before->m_Counters.end()
                      ? Known->second
                      : std::make_shared<UpstreamCounters>();
-      Counters->m_InFlightAtReport = Counters->m_InFlight.load();
+      if (!sameReport(*Before, Name, Each))
+        Counters->m_InFlightAtReport = Counters->m_InFlight.load();
     }
   }
   m_Routes.publish(std::move(Next));
--- a/src/daemon/entry-routes.h
+++ b/src/daemon/entry-routes.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/module.h"
+#include "deckpitch/admission.h"
 #include "deckpitch/routing.h"
 #include "deckpitch/snapshot.h"
 #include "deckpitch/time.h"
@@ -12,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 
 namespace deckpitch::daemon {
@@ -24,11 +26,28 @@
 };
 
 /// One upstream as this entry sees it; outlives route tables.
-struct UpstreamCounters {
+class UpstreamCounters {
+public:
+  /// An attempt got its first byte after that long.
+  void answered(Duration Latency);
+  void failed();
+  double limit() const { return m_Limit.load(std::memory_order_relaxed); }
+  bool ejected(TimePoint Now) const {
+    return Now.time_since_epoch().count() <
+           m_EjectedUntil.load(std::memory_order_relaxed);
+  }
+
   SnapshotCell<TicketSeen> m_Ticket;
   std::atomic<std::uint32_t> m_InFlight{0};
   /// Of m_InFlight, when the load report in force came.
   std::atomic<std::uint32_t> m_InFlightAtReport{0};
+
+private:
+  std::mutex m_Mutex; ///< held to learn from one attempt only
+  ConcurrencyLimit m_Learned;
+  Ejection m_Ejection;
+  std::atomic<double> m_Limit{ConcurrencyLimit().limit()};
+  std::atomic<Duration::rep> m_EjectedUntil{0};
 };
 
 /// Counts one attempt in flight for as long as it lives.
@@ -75,6 +94,9 @@
   SnapshotCell<EntryRoutes> m_Routes;
 };
 
+/// How many requests the pool's upstreams take at once from this entry.
+double capacityOf(const EntryRoutes &Routes, const PoolRoute &Pool);
+
 /// What an attempt must or must not go to.
 struct PickHints {
   std::set<InstanceId> m_Tried; ///< not again
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -92,7 +92,9 @@
 asio::awaitable<AttemptEnd> ServiceCall::attempt(const UpstreamRoute &To) {
   ++m_Attempts;
   m_Hints.m_Tried.insert(To.m_Instance);
-  const InFlightGuard Counted(m_Routes->m_Counters.at(To.m_Instance));
+  const auto Counters = m_Routes->m_Counters.at(To.m_Instance);
+  const InFlightGuard Counted(Counters);
+  const TimePoint SentAt = now();
   net::HttpRequest Request = boundRequest(m_Call, m_Pool->m_Pool.m_Id, To);
   Request.m_Headers.add(
       header::ContentType,
@@ -110,10 +112,15 @@
                                .m_BodyBytes = MaxAnswerBytes};
   auto Got = co_await m_Context.m_Process.m_Http.call(
       To.m_Address, std::move(Request), Limits);
-  if (!Got)
+  if (!Got) {
+    Counters->failed();
     co_return attemptEndOf(Got.error());
+  }
   const AttemptEnd End = attemptEndOf(Got->m_Headers, m_Call.m_Id);
+  if (End == AttemptEnd::Lost)
+    Counters->failed();
   if (End == AttemptEnd::Whole) {
+    Counters->answered(now() - SentAt);
     m_Response.m_Status = Got->m_Status;
     m_Response.m_Body = std::move(Got->m_Body);
     m_Response.m_Headers.add(
--- a/src/kernel/upstream-choice.cc
+++ b/src/kernel/upstream-choice.cc
@@ -2,6 +2,31 @@
 
 #include <algorithm>
 
+namespace deckpitch {
+
+namespace {
+
+constexpr std::uint32_t FailuresToEject = 5;
+constexpr std::chrono::seconds FirstEjection{2};
+constexpr std::uint32_t MostDoublings = 5;
+
+} // namespace
+
+void Ejection::failed(TimePoint Now) {
+  if (++m_Failures < FailuresToEject)
+    return;
+  m_Failures = 0;
+  m_Until = Now + FirstEjection * (1U << std::min(m_Times, MostDoublings));
+  ++m_Times;
+}
+
+void Ejection::succeeded() {
+  m_Failures = 0;
+  m_Times = 0;
+}
+
+} // namespace deckpitch
+
 namespace deckpitch::detail {
 
 namespace {
@@ -34,7 +59,7 @@
 std::vector<Candidate> preferredCandidates(std::span<const Candidate> All) {
   const std::vector<Candidate> Healthy = healthyCandidates(All);
   const auto Roomy =
-      keepIf(Healthy, [](const Candidate &Each) { return Each.load() < 1.0; });
+      keepIf(Healthy, [](const Candidate &Each) { return Each.hasRoom(); });
   const auto Near =
       keepIf(Roomy, [](const Candidate &Each) { return Each.m_Near; });
   if (!Near.empty())
--- a/test/request-path-fixture.h
+++ b/test/request-path-fixture.h
@@ -99,6 +99,8 @@
   std::atomic<int> m_Status{200};
   std::atomic<bool> m_Hang{false};
   std::atomic<bool> m_OtherId{false};
+  std::atomic<bool> m_DieAfterRun{false}; ///< plain service: answers nothing
+  std::atomic<int> m_RunMs{0};            ///< plain service: how long it runs
   std::atomic<int> m_TokenDelayMs{0};
 };
 
@@ -161,6 +163,16 @@
     }
     if (Request.path() == "/v1/chat/completions")
       co_await stream(Request, Answer);
+    else
+      co_await serve(Request, Answer);
+  }
+
+  asio::awaitable<void> serve(const net::HttpRequest &Request,
+                              net::HttpResponder &Answer) {
+    if (m_Faults.m_RunMs > 0)
+      co_await pause(m_Faults.m_RunMs);
+    if (m_Faults.m_DieAfterRun)
+      Answer.abort();
     else
       co_await Answer.send(net::jsonResponse(200, Request.m_Body));
   }
@@ -221,12 +233,17 @@
 /// or one service pool "orders" (path "/orders").
 class RequestPath {
 public:
-  explicit RequestPath(PoolKind Kind, int Agents = 1) : m_Kind(Kind) {
-    Settings Value;
-    Value.m_Role = Role::Entry;
-    Value.m_Instance = {"entry-1"};
-    Value.m_DataCentre = {"lahore"};
-    m_Entry = std::make_unique<ModuleHost>(Value);
+  explicit RequestPath(PoolKind Kind, int Agents = 1, int Entries = 1,
+                       const std::string &Platform = "")
+      : m_Kind(Kind) {
+    for (int I = 0; I < Entries; ++I) {
+      Settings Value;
+      Value.m_Role = Role::Entry;
+      Value.m_Instance = {"entry-" + std::to_string(I)};
+      Value.m_DataCentre = {"lahore"};
+      Value.m_Platform = Platform;
+      m_Entries.push_back(std::make_unique<ModuleHost>(Value));
+    }
     for (int I = 0; I < Agents; ++I)
       addAgent();
     publish();
@@ -268,26 +285,30 @@
       Added.m_Serving = *Agent.m_Serving.load();
       View->m_Members[Added.m_Id] = Added;
     }
-    daemon::Process &Entry = m_Entry->process();
-    Entry.m_Declarations.publish(std::move(Declarations));
-    Entry.m_Membership.publish(std::move(View));
-    waitUntil([&] {
-      return m_Entry->dump().at("pools").as_object().contains(
-                 poolId().m_Text) &&
-             m_Entry->dump()
-                     .at("pools")
-                     .at(poolId().m_Text)
-                     .as_object()
-                     .size() == m_Agents.size();
-    });
+    for (auto &Each : m_Entries) {
+      Each->process().m_Declarations.publish(Declarations);
+      Each->process().m_Membership.publish(View);
+      waitUntil([&] { return routesOf(*Each) == m_Agents.size(); });
+    }
+  }
+
+  /// How many upstreams the entry knows for the pool.
+  std::size_t routesOf(ModuleHost &Entry) const {
+    const auto Dump = Entry.dump();
+    const auto &Pools = Dump.at("pools").as_object();
+    const auto *Pool = Pools.if_contains(poolId().m_Text);
+    return Pool ? Pool->as_object().size() : 0;
   }
 
   PoolId poolId() const {
     return {m_Kind == PoolKind::Engine ? "chat" : "orders"};
   }
 
-  Outcome<net::HttpResponse> call(net::HttpRequest Request) {
-    return net::callAndWait(m_Entry->address(), std::move(Request));
+  ModuleHost &entry(std::size_t I = 0) { return *m_Entries.at(I); }
+
+  Outcome<net::HttpResponse> call(net::HttpRequest Request,
+                                  std::size_t Entry = 0) {
+    return net::callAndWait(entry(Entry).address(), std::move(Request));
   }
 
   Outcome<net::HttpResponse> chat(bool Stream, net::HttpHeaders Headers = {}) {
@@ -325,7 +346,7 @@
   PoolKind m_Kind;
   std::vector<std::unique_ptr<FakeUpstream>> m_Upstreams;
   std::vector<std::unique_ptr<ModuleHost>> m_Agents;
-  std::unique_ptr<ModuleHost> m_Entry;
+  std::vector<std::unique_ptr<ModuleHost>> m_Entries;
 };
 
 inline std::string outcomeHeader(const net::HttpResponse &Response) {
--- a/test/request-path-test.cc
+++ b/test/request-path-test.cc
@@ -46,14 +46,14 @@
   auto Body = boost::json::parse(Path.call(Request)->m_Body);
   EXPECT_EQ(Body.at("entries").as_array().size(), 1u);
   EXPECT_EQ(Body.at("validMs").to_number<int>(), 10'000);
-  Path.m_Entry->drain();
+  Path.entry().drain();
   Body = boost::json::parse(Path.call(Request)->m_Body);
   EXPECT_TRUE(Body.at("entries").as_array().empty());
 }
 
 TEST(RequestPath, ALeavingEntryRefusesWithNotRun) {
   RequestPath Path(PoolKind::Engine);
-  Path.m_Entry->drain();
+  Path.entry().drain();
   const auto Got = Path.chat(false);
   ASSERT_TRUE(Got);
   EXPECT_EQ(outcomeHeader(*Got), "not-run");
@@ -115,7 +115,7 @@
   asio::io_context Io;
   net::HttpClient Client;
   auto Body = [&]() -> asio::awaitable<void> {
-    auto Stream = co_await Client.open(Path.m_Entry->address(), Request);
+    auto Stream = co_await Client.open(Path.entry().address(), Request);
     co_await (*Stream)->read();
   };
   asio::co_spawn(Io, Body, asio::detached);
