--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -23,5 +23,5 @@
 # The macro lets clang 14 accept the coroutines of this standard library.
 [ -z "$files" ] || xargs -P "$jobs" -n 1 \
   clang-tidy -p build-lint --quiet --extra-arg=-D__cpp_impl_coroutine=201902L \
-  --extra-arg=-Wno-unknown-warning-option <<<"$files" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
+  --extra-arg=-Wno-gnu-statement-expression <<<"$files" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
 echo "clang-tidy: clean"
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -26,7 +26,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds DrainPoll{20};
-constexpr std::size_t ControlBodyBytes = 2 * 1024 * 1024;
+constexpr std::size_t ControlBodyBytes = std::size_t{2} * 1024 * 1024;
 constexpr std::size_t OperatorConnections = 256;
 
 struct NamedModule {
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -34,7 +34,7 @@
 void readWeights(JsonObjectReader &Reader, WeightsSettings &Out) {
   Reader.optional("origin", Out.m_Origin);
   Reader.optional("store", Out.m_Store);
-  Reader.optional("memoryBytes", Out.m_MemoryBytes, 1024 * 1024, MaxBytes);
+  Reader.optional("memoryBytes", Out.m_MemoryBytes, 1024ULL * 1024, MaxBytes);
   Reader.optional("uploadBytesPerSecond", Out.m_UploadBytesPerSecond, 0,
                   MaxBytes);
   Reader.optional("downloadBytesPerSecond", Out.m_DownloadBytesPerSecond, 0,
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -18,7 +18,7 @@
 
 constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t MaxIdlePerAddress = 256;
-constexpr std::size_t ReadPieceBytes = 64 * 1024;
+constexpr std::size_t ReadPieceBytes = std::size_t{64} * 1024;
 
 struct Connection {
   explicit Connection(asio::any_io_executor Executor)
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -319,7 +319,7 @@
   if (Ec)
     return fail(ErrorCode::Unavailable,
                 "cannot listen on " + Address + ": " + Ec.message());
-  const std::string Bound = formatEndpoint(Acceptor.local_endpoint(Ec));
+  std::string Bound = formatEndpoint(Acceptor.local_endpoint(Ec));
   asio::co_spawn(Acceptor.get_executor(), m_Impl->acceptLoop(), asio::detached);
   return Bound;
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -77,8 +77,8 @@
     std::function<asio::awaitable<void>(HttpRequest, HttpResponder &)>;
 
 struct HttpLimits {
-  std::size_t m_HeaderBytes = 16 * 1024;
-  std::size_t m_BodyBytes = 4 * 1024 * 1024;
+  std::size_t m_HeaderBytes = std::size_t{16} * 1024;
+  std::size_t m_BodyBytes = std::size_t{4} * 1024 * 1024;
   std::chrono::milliseconds m_HeaderTimeout{
       10'000}; ///< for a whole request to arrive
   std::chrono::milliseconds m_IdleTimeout{60'000};  ///< between requests
@@ -114,7 +114,7 @@
   std::chrono::milliseconds m_FirstByte{
       30'000}; ///< request sent to headers read
   std::chrono::milliseconds m_BetweenBytes{30'000};
-  std::size_t m_BodyBytes = 64 * 1024 * 1024;
+  std::size_t m_BodyBytes = std::size_t{64} * 1024 * 1024;
 };
 
 /// An answer whose body is read piece by piece. Dropping it before its end
