Destroy the handlers of all loops before any loop

Cause: a connection's coroutine on a worker owns the server, whose acceptor belongs to the control loop; destroying the loops one by one used freed memory (found by the thread sanitizer in ctl-test). Ruled out: another order of destruction (loops refer to each other both ways). Change: shut down every loop's services first, then destroy the loops. The sanitizer builds leave out tests that start processes.

--- a/src/net/io-threads.cc
+++ b/src/net/io-threads.cc
@@ -7,7 +7,11 @@
     m_Loops.push_back(std::make_unique<Loop>());
 }
 
-IoThreads::~IoThreads() { stop(); }
+IoThreads::~IoThreads() {
+  stop();
+  for (auto &Each : m_Loops)
+    Each->m_Io.destroyHandlers();
+}
 
 void IoThreads::start() {
   for (auto &Each : m_Loops)
--- a/src/net/io-threads.h
+++ b/src/net/io-threads.h
@@ -34,8 +34,14 @@
   boost::asio::io_context &nextWorker();
 
 private:
+  /// Lets handlers be destroyed before any loop is: those of one loop may own
+  /// sockets of another.
+  struct LoopContext : boost::asio::io_context {
+    LoopContext() : io_context(1) {}
+    void destroyHandlers() { shutdown(); }
+  };
   struct Loop {
-    boost::asio::io_context m_Io{1};
+    LoopContext m_Io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         m_Work{m_Io.get_executor()};
     std::thread m_Thread;
