Add deckpitch-load: bounded chat load that checks every token

Cause: the demo, the measurements and the fault tests all need to know whether each answer was whole and of one version of weights.

--- /dev/null
+++ b/support/load/load-run.cc
@@ -0,0 +1,164 @@
+#include "load/load-run.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace deckpitch::load {
+
+namespace json = boost::json;
+
+namespace {
+
+using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t MaxDetails = 10;
+constexpr milliseconds PauseAfterFailure{50};
+constexpr milliseconds MaxRetryPause{2'000};
+constexpr std::array Verdicts{Verdict::Whole, Verdict::NotRun, Verdict::Unknown,
+                              Verdict::Broken, Verdict::Mixed};
+
+struct NamedQuantile {
+  const char *m_Name;
+  double m_Quantile;
+};
+constexpr std::array Quantiles{NamedQuantile{"p50", 0.50},
+                               NamedQuantile{"p95", 0.95},
+                               NamedQuantile{"p99", 0.99}};
+
+double seconds(std::chrono::nanoseconds Length) {
+  return std::chrono::duration<double>(Length).count();
+}
+
+} // namespace
+
+std::uint64_t LoadReport::count(Verdict Which) const {
+  const auto Found = m_Verdicts.find(Which);
+  return Found == m_Verdicts.end() ? 0 : Found->second;
+}
+
+double LoadReport::firstTokenMs(double Quantile) const {
+  if (m_FirstTokens.empty())
+    return 0;
+  std::vector<std::chrono::nanoseconds> Sorted = m_FirstTokens;
+  std::sort(Sorted.begin(), Sorted.end());
+  const auto Rank = static_cast<std::size_t>(
+      Quantile * static_cast<double>(Sorted.size() - 1) + 0.5);
+  return std::chrono::duration<double, std::milli>(Sorted[Rank]).count();
+}
+
+json::object toJson(const LoadReport &Report) {
+  json::object Out{{"sent", Report.m_Sent},
+                   {"seconds", seconds(Report.m_Took)}};
+  for (Verdict Each : Verdicts)
+    Out[nameOf(Each)] = Report.count(Each);
+  json::object FirstToken;
+  for (const NamedQuantile &Each : Quantiles)
+    FirstToken[Each.m_Name] = Report.firstTokenMs(Each.m_Quantile);
+  Out["firstTokenMs"] = std::move(FirstToken);
+  json::object ByWeights;
+  for (const auto &[Weights, Count] : Report.m_WholeByWeights)
+    ByWeights[Weights] = Count;
+  Out["wholeByWeights"] = std::move(ByWeights);
+  json::array Details;
+  for (const std::string &Each : Report.m_Details)
+    Details.emplace_back(Each);
+  Out["details"] = std::move(Details);
+  return Out;
+}
+
+std::string toLines(const LoadReport &Report) {
+  std::string Out = "sent " + std::to_string(Report.m_Sent) + " requests\n";
+  for (Verdict Each : Verdicts)
+    Out += std::string(nameOf(Each)) + " " +
+           std::to_string(Report.count(Each)) + " answers\n";
+  for (const NamedQuantile &Each : Quantiles) {
+    char Line[64];
+    std::snprintf(Line, sizeof(Line), "firstToken.%s %.2f ms\n", Each.m_Name,
+                  Report.firstTokenMs(Each.m_Quantile));
+    Out += Line;
+  }
+  return Out;
+}
+
+LoadReport LoadRun::run() {
+  asio::io_context Io{1};
+  m_Begin = SteadyClock::now();
+  asio::co_spawn(Io, runAll(), asio::detached);
+  Io.run();
+  m_Report.m_Took = SteadyClock::now() - m_Begin;
+  return m_Report;
+}
+
+bool LoadRun::over() const {
+  return m_Stopped || m_Report.m_Sent >= m_Options.m_Requests ||
+         SteadyClock::now() - m_Begin >= m_Options.m_Duration;
+}
+
+asio::awaitable<void> LoadRun::runAll() {
+  while (m_Entries.empty() && !over()) {
+    m_Entries = co_await findEntries(m_Http, m_Options.m_Entries);
+    if (m_Entries.empty())
+      co_await pause(PauseAfterFailure);
+  }
+  auto Executor = co_await asio::this_coro::executor;
+  for (std::uint32_t I = 0; I < m_Options.m_Callers; ++I)
+    asio::co_spawn(Executor, caller(I), asio::detached);
+}
+
+asio::awaitable<void> LoadRun::pause(milliseconds Length) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Length);
+  co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+ChatRequest LoadRun::requestOf(std::uint32_t Number) const {
+  ChatRequest Out;
+  Out.m_Model = m_Options.m_Model;
+  Out.m_Prompt = "request " + std::to_string(Number) + " of the load";
+  Out.m_Tokens = m_Options.m_Tokens;
+  Out.m_Deadline = m_Options.m_Deadline;
+  if (!m_Options.m_Organisations.empty())
+    Out.m_Organisation =
+        m_Options.m_Organisations[Number % m_Options.m_Organisations.size()];
+  if (Number % 100 < m_Options.m_UrgentPercent)
+    Out.m_Priority = "urgent";
+  return Out;
+}
+
+asio::awaitable<void> LoadRun::caller(std::uint32_t Number) {
+  std::size_t Entry = Number;
+  while (!over()) {
+    const auto Request = requestOf(static_cast<std::uint32_t>(m_Report.m_Sent));
+    ++m_Report.m_Sent;
+    const std::string Address = m_Entries[Entry % m_Entries.size()];
+    const ChatAnswer Answer = co_await ask(m_Http, Address, Request);
+    record(Answer);
+    milliseconds Wait = m_Options.m_Pause;
+    if (Answer.m_Verdict == Verdict::NotRun)
+      Wait = std::clamp(Answer.m_RetryAfter, PauseAfterFailure, MaxRetryPause);
+    if (Answer.m_Verdict == Verdict::Broken) {
+      ++Entry;
+      Wait = std::max(Wait, PauseAfterFailure);
+    }
+    if (Wait.count() > 0)
+      co_await pause(Wait);
+  }
+}
+
+void LoadRun::record(const ChatAnswer &Answer) {
+  ++m_Report.m_Verdicts[Answer.m_Verdict];
+  if (Answer.m_Verdict == Verdict::Whole) {
+    ++m_Report.m_WholeByWeights[Answer.m_Weights];
+    m_Report.m_FirstTokens.push_back(Answer.m_FirstToken);
+    return;
+  }
+  if (m_Report.m_Details.size() < MaxDetails)
+    m_Report.m_Details.push_back(std::string(nameOf(Answer.m_Verdict)) + ": " +
+                                 Answer.m_Detail);
+}
+
+} // namespace deckpitch::load
