Prove the stand-ins' contracts and faults in tables over HTTP

Cause: a stand-in that answers wrongly would hide or invent product faults. Ruled out: in-process stand-ins; the tests reach the real HTTP interface.

--- a/support/load/chat-client.cc
+++ b/support/load/chat-client.cc
@@ -25,10 +25,13 @@
   const json::object Message{{"role", "user"}, {"content", Request.m_Prompt}};
   json::array Messages;
   Messages.push_back(Message);
-  return {{"model", Request.m_Model},
-          {"stream", true},
-          {"max_tokens", Request.m_Tokens},
-          {"messages", std::move(Messages)}};
+  json::object Body{{"model", Request.m_Model},
+                    {"stream", true},
+                    {"max_tokens", Request.m_Tokens},
+                    {"messages", std::move(Messages)}};
+  if (Request.m_From > 0)
+    Body["resume_from"] = Request.m_From;
+  return Body;
 }
 
 net::HttpRequest httpRequest(const ChatRequest &Request) {
@@ -44,6 +47,8 @@
     Out.m_Headers.add("X-Organisation", Request.m_Organisation);
   if (!Request.m_Key.empty())
     Out.m_Headers.add("Idempotency-Key", Request.m_Key);
+  for (const net::HttpHeader &Each : Request.m_Headers.m_List)
+    Out.m_Headers.add(Each.m_Name, Each.m_Value);
   return Out;
 }
 
@@ -56,7 +61,8 @@
 class AnswerReader {
 public:
   explicit AnswerReader(const ChatRequest &Request)
-      : m_Request(Request), m_Prompt(standins::promptOf(bodyOf(Request))) {}
+      : m_Request(Request), m_Prompt(standins::promptOf(bodyOf(Request))),
+        m_Next(Request.m_From) {}
 
   /// False once the answer is wrong or at its end.
   bool take(const std::string &Piece) {
@@ -81,7 +87,7 @@
       return true; // comments keep connections open
     const std::string Data = Event.substr(EventPrefix.size());
     if (Data == LastEvent) {
-      const bool All = m_Answer.m_Tokens == m_Request.m_Tokens;
+      const bool All = m_Next == m_Request.m_Tokens;
       return finish(All ? Verdict::Whole : Verdict::Broken,
                     All ? "" : "ended after too few tokens");
     }
@@ -99,13 +105,14 @@
       m_Answer.m_Weights = textOf(Event, "weights");
     }
     const json::value *Index = Event.if_contains("index");
-    if (!Index || *Index != m_Answer.m_Tokens)
+    if (!Index || *Index != m_Next)
       return finish(Verdict::Mixed, "a token is missing or came twice");
     const std::string Expected =
-        standins::tokenAt(m_Prompt, m_Answer.m_Digest, m_Answer.m_Tokens);
+        standins::tokenAt(m_Prompt, m_Answer.m_Digest, m_Next);
     if (Digest != m_Answer.m_Digest || contentOf(Event) != Expected)
       return finish(Verdict::Mixed, "a token is of other weights or prompt");
     ++m_Answer.m_Tokens;
+    ++m_Next;
     return true;
   }
 
@@ -128,6 +135,7 @@
 
   const ChatRequest &m_Request;
   std::string m_Prompt;
+  std::uint32_t m_Next; ///< index of the token expected next
   std::string m_Buffer;
   ChatAnswer m_Answer;
   bool m_Done = false;
@@ -205,6 +213,25 @@
   co_return Reader.answer();
 }
 
+namespace {
+
+asio::awaitable<void> askInto(net::HttpClient &Http, std::string Entry,
+                              ChatRequest Request, ChatAnswer &Out) {
+  Out = co_await ask(Http, std::move(Entry), std::move(Request));
+}
+
+} // namespace
+
+ChatAnswer askAndWait(const std::string &Entry, ChatRequest Request) {
+  asio::io_context Io;
+  net::HttpClient Http;
+  ChatAnswer Answer;
+  asio::co_spawn(Io, askInto(Http, Entry, std::move(Request), Answer),
+                 asio::detached);
+  Io.run();
+  return Answer;
+}
+
 asio::awaitable<std::vector<std::string>>
 findEntries(net::HttpClient &Http, std::vector<std::string> Known) {
   std::vector<std::string> Found;
--- a/support/load/chat-client.h
+++ b/support/load/chat-client.h
@@ -31,7 +31,9 @@
   std::string m_Organisation;
   std::string m_Priority = "normal";
   std::chrono::milliseconds m_Deadline{30'000};
-  std::string m_Key; ///< idempotency key; may be empty
+  std::string m_Key;          ///< idempotency key; may be empty
+  std::uint32_t m_From = 0;   ///< index of the first token wanted
+  net::HttpHeaders m_Headers; ///< further ones, for engines asked directly
 };
 
 struct ChatAnswer {
@@ -49,6 +51,9 @@
 asio::awaitable<ChatAnswer> ask(net::HttpClient &Http, std::string Entry,
                                 ChatRequest Request);
 
+/// The same on an io_context of its own.
+ChatAnswer askAndWait(const std::string &Entry, ChatRequest Request);
+
 /// The entries that one of the known entries names; empty without an answer.
 asio::awaitable<std::vector<std::string>>
 findEntries(net::HttpClient &Http, std::vector<std::string> Known);
--- a/support/standins/engine.cc
+++ b/support/standins/engine.cc
@@ -223,7 +223,8 @@
     json::object Out{{"role", m_Role}, {"fence", m_Fence}};
     m_Weights.describe(Out);
     const auto Now = SteadyClock::now();
-    if (Now - m_LoadSeen.m_Taken >= m_Faults.m_LoadLag)
+    if (m_LoadSeen.m_Load.empty() ||
+        Now - m_LoadSeen.m_Taken >= m_Faults.m_LoadLag)
       m_LoadSeen = {Now,
                     {{"running", m_Queue.running()},
                      {"waiting", m_Queue.waiting()},
--- a/support/standins/platform.cc
+++ b/support/standins/platform.cc
@@ -152,6 +152,7 @@
     for (const auto &[Kind, Count] : m_Calls)
       Out[Kind] = Count;
     Out["watchesOpen"] = m_Watches.size();
+    Out["watchEvents"] = m_EventsSent;
     Out["revision"] = m_Store.revision();
     return Out;
   }
@@ -331,6 +332,7 @@
       if (Entry && Self.m_Kinds.contains(Entry->m_Object.m_Kind))
         Lines.push_back(formatEvent(*Entry));
     }
+    m_EventsSent += Lines.size();
     Self.m_Sent = m_Store.revision();
     if (m_Faults.m_ReorderWatchEvents)
       std::reverse(Lines.begin(), Lines.end());
@@ -348,6 +350,7 @@
   PlatformFaults m_Faults;
   std::map<std::string, std::uint64_t> m_Calls;
   std::set<Watch *> m_Watches;
+  std::uint64_t m_EventsSent = 0;
   std::deque<InstanceList> m_InstanceLists;
 };
 
--- a/test/harness.cc
+++ b/test/harness.cc
@@ -1,5 +1,6 @@
 #include "harness.h"
 
+#include <boost/asio.hpp>
 #include <boost/json.hpp>
 
 #include <fcntl.h>
@@ -8,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -178,6 +180,35 @@
   return net::callAndWait(Address, std::move(Request), TestCall);
 }
 
+std::vector<std::string> readLines(const std::string &Address,
+                                   const std::string &Target,
+                                   std::size_t Count) {
+  boost::asio::io_context Io;
+  net::HttpClient Http;
+  std::vector<std::string> Lines;
+  const auto Read = [&]() -> boost::asio::awaitable<void> {
+    net::HttpRequest Request;
+    Request.m_Target = Target;
+    auto Opened = co_await Http.open(Address, std::move(Request), TestCall);
+    std::string Buffer;
+    while (Opened && Lines.size() < Count) {
+      const auto Piece = co_await (*Opened)->read();
+      if (!Piece || Piece->empty())
+        co_return;
+      Buffer += *Piece;
+      std::size_t End = 0;
+      while ((End = Buffer.find('\n')) != std::string::npos) {
+        Lines.push_back(Buffer.substr(0, End));
+        Buffer.erase(0, End + 1);
+      }
+    }
+  };
+  boost::asio::co_spawn(Io, Read, boost::asio::detached);
+  Io.run();
+  Lines.resize(std::min(Lines.size(), Count));
+  return Lines;
+}
+
 unsigned statusOf(const Outcome<net::HttpResponse> &Answer) {
   return Answer ? Answer->m_Status : 0;
 }
--- a/test/harness.h
+++ b/test/harness.h
@@ -96,6 +96,11 @@
                                 const std::string &Target,
                                 std::string Body = "",
                                 net::HttpHeaders Headers = {});
+/// Reads the first lines of an answer that does not end, then hangs up; fewer
+/// when it ends before.
+std::vector<std::string> readLines(const std::string &Address,
+                                   const std::string &Target,
+                                   std::size_t Count);
 /// The status of the call, or 0 without an answer.
 unsigned statusOf(const Outcome<net::HttpResponse> &Answer);
 /// The answer's body as JSON; null when there is none.
--- /dev/null
+++ b/test/standin-contract-test.cc
@@ -0,0 +1,310 @@
+#include "http-script.h"
+#include "standins/content.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace deckpitch;
+using namespace deckpitch::test;
+
+namespace {
+
+const std::string Create = "If-None-Match: *";
+const std::string Pool = "/v1/objects/pools/a";
+
+HttpStep match(const std::string &Method, const std::string &Revision,
+               const std::string &Body, unsigned Status,
+               const std::string &Contains = "") {
+  return {Method, Pool,   "If-Match: \"" + Revision + "\"",
+          Body,   Status, Contains};
+}
+
+const HttpStep CreatePool{"PUT",        Pool, Create,
+                          R"({"x":1})", 201,  R"({"revision":1})"};
+
+class PlatformContract : public StandInScript {};
+TEST_P(PlatformContract, Holds) { runOn("platform"); }
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, PlatformContract,
+    testing::Values(
+        HttpScript{"CreatesOnce",
+                   {CreatePool,
+                    {"PUT", Pool, Create, "{}", 409, R"("revision":1)"},
+                    {"GET", Pool, "", "", 200, R"("value":{"x":1})"}}},
+        HttpScript{"UpdatesOnTheSeenRevisionOnly",
+                   {match("PUT", "1", "{}", 404), CreatePool,
+                    match("PUT", "1", R"({"x":2})", 200, R"({"revision":2})"),
+                    match("PUT", "1", R"({"x":3})", 409, R"("value":{"x":2})"),
+                    match("PUT", "\"", "{}", 400)}},
+        HttpScript{"DeletesOnTheSeenRevisionOnly",
+                   {CreatePool,
+                    match("DELETE", "7", "", 409),
+                    match("DELETE", "1", "", 200, R"({"revision":2})"),
+                    match("DELETE", "1", "", 404),
+                    {"GET", Pool, "", "", 404, ""}}},
+        HttpScript{"RefusesAWriteWithoutAPrecondition",
+                   {{"PUT", Pool, "", "{}", 428, ""},
+                    CreatePool,
+                    {"DELETE", Pool, "", "", 428, ""}}},
+        HttpScript{"RefusesWhatIsNotJson",
+                   {{"PUT", Pool, Create, "{", 400, ""},
+                    {"GET", Pool, "", "", 404, ""}}},
+        HttpScript{
+            "RefusesAValueAboveOneMebibyte",
+            {{"PUT", Pool, Create,
+              "\"" + std::string(1024 * 1024 - 1, 'x') + "\"", 413, ""},
+             {"PUT", Pool, Create,
+              "\"" + std::string(1024 * 1024 - 2, 'x') + "\"", 201, ""}}},
+        HttpScript{"ListsAWholeKindAsOfOneRevision",
+                   {CreatePool,
+                    {"PUT", "/v1/objects/leases/b", Create, "{}", 201, ""},
+                    {"GET", "/v1/objects/pools", "", "", 200,
+                     R"({"revision":2,"items":[{"kind":"pools","name":"a")"},
+                    {"GET", "/v1/objects/claims", "", "", 200,
+                     R"({"revision":2,"items":[]})"}}},
+        HttpScript{"OutageRefusesWithoutEffect",
+                   {CreatePool,
+                    faults(R"({"outage":true})"),
+                    {"GET", Pool, "", "", 503, ""},
+                    match("PUT", "1", "{}", 503),
+                    faults("{}"),
+                    {"GET", Pool, "", "", 200, R"("revision":1)"}}},
+        HttpScript{"LosesTheAnswerOfAWriteThatTookEffect",
+                   {CreatePool,
+                    faults(R"({"loseAnswers":1})"),
+                    match("PUT", "1", R"({"x":2})", 0),
+                    {"GET", Pool, "", "", 200, R"("revision":2)"},
+                    match("PUT", "2", R"({"x":3})", 200)}},
+        HttpScript{
+            "ReadsAnswerAsOfSomeRevisionsAgo",
+            {CreatePool,
+             match("PUT", "1", R"({"x":2})", 200),
+             faults(R"({"staleReadRevisions":1})"),
+             {"GET", Pool, "", "", 200, R"("value":{"x":1})"},
+             {"GET", "/v1/objects/pools", "", "", 200,
+              R"({"revision":1,"items":[{"kind":"pools","name":"a","revision":1)"},
+             faults(R"({"staleReadRevisions":9})"),
+             {"GET", Pool, "", "", 404, ""},
+             match("PUT", "2", R"({"x":3})", 200)}},
+        HttpScript{"RefusesAWatchThatIsTooOld",
+                   {CreatePool,
+                    match("PUT", "1", "{}", 200),
+                    {"POST", "/_standin/compact", "", "", 200, ""},
+                    {"GET", "/v1/watch?kinds=pools&since=1", "", "", 410, ""}}},
+        HttpScript{"ListOfInstancesLags",
+                   {faults(R"({"instanceListLagMs":3600000})"),
+                    {"PUT", "/_standin/instances", "",
+                     R"({"items":[{"name":"i"}]})", 200, ""},
+                    {"GET", "/v1/instances", "", "", 200, R"({"items":[]})"},
+                    faults("{}"),
+                    {"GET", "/v1/instances", "", "", 200, R"("name":"i")"}}},
+        HttpScript{
+            "CountsEachCall",
+            {CreatePool,
+             {"GET", Pool, "", "", 200, ""},
+             faults(R"({"outage":true})"),
+             {"GET", Pool, "", "", 503, ""},
+             {"GET", "/_standin/counters", "", "", 200, R"("create":1)"},
+             {"GET", "/_standin/counters", "", "", 200, R"("get":1)"},
+             {"GET", "/_standin/counters", "", "", 200, R"("refused":1)"},
+             {"GET", "/_standin/counters", "", "", 200, R"("total":3)"}}},
+        HttpScript{"RefusesUnknownFaults",
+                   {{"PUT", "/_standin/faults", "", R"({"outrage":true})", 422,
+                     "outrage"},
+                    {"PUT", "/_standin/faults", "", R"({"delayMs":"x"})", 422,
+                     "delayMs"}}}),
+    nameOf);
+
+class StandInWatch : public testing::Test {
+protected:
+  void SetUp() override {
+    const boost::json::object Said = m_Process.announcement();
+    m_Address = Said.at("address").as_string().c_str();
+    run(m_Address, {"three writes",
+                    {CreatePool, match("PUT", "1", "{}", 200),
+                     match("DELETE", "2", "", 200)}});
+  }
+
+  /// The first lines of a watch over the writes, as "type revision".
+  std::vector<std::string> watch(const std::string &Since, std::size_t Count) {
+    std::vector<std::string> Out;
+    for (const std::string &Line : readLines(
+             m_Address, "/v1/watch?kinds=pools,leases&since=" + Since, Count)) {
+      const boost::json::value Event = boost::json::parse(Line);
+      Out.push_back(std::string(Event.at("type").as_string().c_str()) + " " +
+                    boost::json::serialize(Event.at("revision")));
+    }
+    return Out;
+  }
+
+  using Words = std::vector<std::string>;
+  Child m_Process{"deckpitch-standins", {"--kind=platform"}};
+  std::string m_Address;
+};
+
+TEST_F(StandInWatch, ContinuesInOrderAndThenBookmarks) {
+  EXPECT_EQ(watch("0", 4), (Words{"put 1", "put 2", "delete 3", "bookmark 3"}));
+  EXPECT_EQ(watch("2", 2), (Words{"delete 3", "bookmark 3"}));
+}
+
+TEST_F(StandInWatch, RepeatsEvents) {
+  ASSERT_TRUE(setFaults(m_Address, R"({"repeatWatchEvents":true})"));
+  EXPECT_EQ(watch("1", 4), (Words{"put 2", "put 2", "delete 3", "delete 3"}));
+}
+
+TEST_F(StandInWatch, ReordersEvents) {
+  ASSERT_TRUE(setFaults(m_Address, R"({"reorderWatchEvents":true})"));
+  EXPECT_EQ(watch("0", 3), (Words{"delete 3", "put 2", "put 1"}));
+}
+
+TEST_F(StandInWatch, DeliversAWriteToAnOpenWatchAndBreaksIt) {
+  std::vector<std::string> Seen;
+  std::thread Watcher([&] { Seen = watch("3", 1'000'000); });
+  EXPECT_TRUE(
+      eventually([&] { return counterOf(m_Address, "watchesOpen") == 1; }));
+  run(m_Address,
+      {"a write", {{"PUT", "/v1/objects/leases/l", Create, "{}", 201, ""}}});
+  EXPECT_TRUE(
+      eventually([&] { return counterOf(m_Address, "watchEvents") == 1; }));
+  EXPECT_TRUE(setFaults(m_Address, R"({"dropWatches":true})"));
+  Watcher.join();
+  EXPECT_EQ(std::count(Seen.begin(), Seen.end(), "put 4"), 1);
+  EXPECT_EQ(counterOf(m_Address, "watchesOpen"), 0U);
+}
+
+class OriginContract : public StandInScript {};
+TEST_P(OriginContract, Holds) { runOn("origin"); }
+
+const HttpStep MakeContent{"PUT", "/_standin/weights/m@1",
+                           "",    R"({"bytes":100,"chunkBytes":40,"seed":7})",
+                           200,   R"("bytes":100)"};
+
+HttpStep content(const std::string &Range, unsigned Status) {
+  return {"GET", "/v1/weights/m@1/content", "Range: bytes=" + Range, "", Status,
+          ""};
+}
+HttpStep bytesSent(const std::string &Count) {
+  return {"GET", "/_standin/counters",       "", "",
+          200,   R"("bytes":)" + Count + ","};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, OriginContract,
+    testing::Values(
+        HttpScript{"GivesManifestAndRanges",
+                   {{"GET", "/v1/weights/m@1/manifest", "", "", 404, ""},
+                    MakeContent,
+                    {"GET", "/v1/weights/m@1/manifest", "", "", 200,
+                     R"("weights":"m@1")"},
+                    content("0-9", 206),
+                    content("80-200", 206),
+                    content("100-", 416),
+                    content("9-3", 416),
+                    content("x-3", 416),
+                    bytesSent("30")}},
+        HttpScript{"OutageSendsNothing",
+                   {MakeContent, faults(R"({"outage":true})"),
+                    content("0-9", 503), bytesSent("0"), faults("{}"),
+                    content("0-9", 206)}},
+        HttpScript{
+            "RefusesContentOfNoSize",
+            {{"PUT", "/_standin/weights/m@1", "", R"({"bytes":0})", 422, ""}}},
+        HttpScript{"ShapedLinkSendsTheSame",
+                   {MakeContent, faults(R"({"bytesPerSecond":100000})"),
+                    content("0-99", 206), bytesSent("100")}}),
+    nameOf);
+
+class StandInOrigin : public testing::Test {
+protected:
+  void SetUp() override {
+    m_Address = m_Process.announcement().at("address").as_string().c_str();
+    run(m_Address, {"content", {MakeContent}});
+  }
+
+  Outcome<net::HttpResponse> read(std::chrono::milliseconds Patience) {
+    net::HttpRequest Request;
+    Request.m_Target = "/v1/weights/m@1/content";
+    net::CallLimits Limits;
+    Limits.m_BetweenBytes = Patience;
+    return net::callAndWait(m_Address, std::move(Request), Limits);
+  }
+
+  Child m_Process{"deckpitch-standins", {"--kind=origin"}};
+  std::string m_Address;
+};
+
+TEST_F(StandInOrigin, CorruptsJustTheNamedChunks) {
+  const std::string Good = standins::contentBytes(7, 0, 100);
+  EXPECT_EQ(read(WaitCap)->m_Body, Good);
+  ASSERT_TRUE(setFaults(m_Address, R"({"corruptChunks":[1]})"));
+  const std::string Bad = read(WaitCap)->m_Body;
+  ASSERT_EQ(Bad.size(), Good.size());
+  EXPECT_EQ(Bad.substr(0, 40), Good.substr(0, 40));
+  EXPECT_NE(Bad.substr(40, 40), Good.substr(40, 40));
+  EXPECT_EQ(Bad.substr(80), Good.substr(80));
+}
+
+TEST_F(StandInOrigin, StallsWithoutClosingUntilHealed) {
+  ASSERT_TRUE(setFaults(m_Address, R"({"stallAfterBytes":10})"));
+  EXPECT_FALSE(read(std::chrono::milliseconds(200)));
+  EXPECT_EQ(counterOf(m_Address, "bytes"), 10U);
+  std::thread Healer([&] {
+    EXPECT_TRUE(
+        eventually([&] { return counterOf(m_Address, "bytes") == 20; }));
+    EXPECT_TRUE(setFaults(m_Address, "{}"));
+  });
+  const auto Whole = read(WaitCap);
+  Healer.join();
+  ASSERT_TRUE(Whole);
+  EXPECT_EQ(Whole->m_Body, standins::contentBytes(7, 0, 100));
+}
+
+class StoreContract : public StandInScript {};
+TEST_P(StoreContract, Holds) { runOn("store"); }
+
+INSTANTIATE_TEST_SUITE_P(Rows, StoreContract,
+                         testing::Values(HttpScript{
+                             "RefusesBeyondItsRate",
+                             {MakeContent, faults(R"({"requestsPerSecond":1})"),
+                              content("0-9", 206), content("0-9", 429),
+                              faults(R"({"requestsPerSecond":0})"),
+                              content("0-9", 206)}}),
+                         nameOf);
+
+class ServiceContract : public StandInScript {};
+TEST_P(ServiceContract, Holds) { runOn("service"); }
+
+const HttpStep Book{"POST", "/book", "Idempotency-Key: k",
+                    "slot", 200,     R"("body":"slot")"};
+HttpStep executions(const std::string &List) {
+  return {"GET", "/_standin/executions", "", "", 200, List};
+}
+HttpStep broken(HttpStep Step) {
+  Step.m_Status = 0;
+  Step.m_Contains.clear();
+  return Step;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rows, ServiceContract,
+    testing::Values(
+        HttpScript{
+            "RecordsByKeyElseByRequestId",
+            {Book,
+             {"GET", "/x", "X-Request-Id: r", "", 200, ""},
+             executions(R"([{"key":"k","count":1},{"key":"r","count":1}])")}},
+        HttpScript{"DiesBeforeTheRun",
+                   {faults(R"({"dieBefore":1})"), broken(Book),
+                    executions("[]"), Book,
+                    executions(R"([{"key":"k","count":1}])")}},
+        HttpScript{"DiesAfterTheRun",
+                   {faults(R"({"dieAfter":true})"), broken(Book), broken(Book),
+                    executions(R"([{"key":"k","count":2}])")}},
+        HttpScript{"HealthIsNoRun",
+                   {{"GET", "/v1/health", "", "", 200, ""}, executions("[]")}}),
+    nameOf);
+
+} // namespace
