--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -44,7 +44,8 @@
 };
 
 /// Every call costs. Errors: NotFound, Conflict (a precondition failed),
-/// Unavailable (not done), Timeout (a write may have taken effect: read back).
+/// Unavailable (not done), Timeout (a write may have taken effect: read back),
+/// InvalidInput (refused, or an answer that cannot be read).
 class Platform {
 public:
   Platform(HttpClient &Http, std::string Address);
@@ -58,15 +59,19 @@
                                             std::string Json);
   asio::awaitable<Outcome<Revision>> remove(std::string Kind, std::string Name,
                                             Revision Seen);
-  /// Calls back for each event until the watch ends; then tells why. NotFound
-  /// means that Since is too old: list again.
+  /// Calls back for each event until the watch ends or the callback returns
+  /// false; then tells why. NotFound means that Since is too old: list again.
   asio::awaitable<Error> watch(std::vector<std::string> Kinds, Revision Since,
-                               std::function<void(PlatformEvent)> OnEvent);
+                               std::function<bool(PlatformEvent)> OnEvent);
   asio::awaitable<Outcome<std::vector<PlatformInstance>>> instances();
 
-  std::uint64_t calls() const;
+  /// Calls made so far; a watch counts as one when it is opened.
+  std::uint64_t calls() const { return m_Calls.load(); }
 
 private:
+  asio::awaitable<Outcome<HttpResponse>> exchange(HttpRequest Request);
+  asio::awaitable<Outcome<Revision>> write(HttpRequest Request);
+
   HttpClient &m_Http;
   std::string m_Address;
   std::atomic<std::uint64_t> m_Calls{0};
