--- /dev/null
+++ b/include/deckpitch/engine-status.h
@@ -0,0 +1,48 @@
+// What a model engine says of itself.
+#pragma once
+
+#include "deckpitch/id.h"
+#include "deckpitch/manifest.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace deckpitch {
+
+struct LoadedWeights {
+  WeightsId m_Weights;
+  Digest m_Digest;
+  bool m_Active = false;
+
+  friend bool operator==(const LoadedWeights &,
+                         const LoadedWeights &) = default;
+};
+
+/// Chunks that the engine holds of weights it may be told to load.
+struct StagedWeights {
+  WeightsId m_Weights;
+  std::vector<std::uint32_t> m_Chunks;
+
+  friend bool operator==(const StagedWeights &,
+                         const StagedWeights &) = default;
+};
+
+struct EngineStatus {
+  std::uint32_t m_Slots = 1; ///< versions that fit in its memory
+  std::vector<LoadedWeights> m_Loaded;
+  std::vector<StagedWeights> m_Staging;
+  FencingNumber m_Fence;       ///< of the last order
+  std::uint32_t m_Running = 0; ///< requests; lags behind
+  std::uint32_t m_Waiting = 0; ///< requests; lags behind
+
+  const LoadedWeights *active() const;
+  const LoadedWeights *find(const WeightsId &Weights) const;
+
+  friend bool operator==(const EngineStatus &, const EngineStatus &) = default;
+};
+
+/// Reads the answer of GET /v1/engine/status. Errors: InvalidInput.
+Result<EngineStatus> parseEngineStatus(std::string_view Json);
+
+} // namespace deckpitch
--- a/include/deckpitch/manifest.h
+++ b/include/deckpitch/manifest.h
@@ -26,14 +26,19 @@
 /// Chunks are numbered from 0; all but the last have m_ChunkBytes bytes.
 struct Manifest {
   WeightsId m_Weights;
+  WeightsId m_Base; ///< adapters: the weights they are used over
   std::uint64_t m_Bytes = 0;
   std::uint32_t m_ChunkBytes = 0;
   /// Digest of the concatenated chunk digests: names the whole content.
   Digest m_Whole;
   std::vector<Digest> m_Chunks;
 
-  std::uint32_t chunkCount() const { return static_cast<std::uint32_t>(m_Chunks.size()); }
-  std::uint64_t chunkOffset(std::uint32_t Index) const { return std::uint64_t{Index} * m_ChunkBytes; }
+  std::uint32_t chunkCount() const {
+    return static_cast<std::uint32_t>(m_Chunks.size());
+  }
+  std::uint64_t chunkOffset(std::uint32_t Index) const {
+    return std::uint64_t{Index} * m_ChunkBytes;
+  }
   std::uint32_t chunkLength(std::uint32_t Index) const;
 
   friend bool operator==(const Manifest &, const Manifest &) = default;
--- a/include/deckpitch/settings.h
+++ b/include/deckpitch/settings.h
@@ -21,7 +21,8 @@
   std::string m_Bulk = "127.0.0.1:0"; ///< agents only
   std::string m_Operator = "127.0.0.1:0";
 
-  friend bool operator==(const ListenSettings &, const ListenSettings &) = default;
+  friend bool operator==(const ListenSettings &,
+                         const ListenSettings &) = default;
 };
 
 /// The engine or plain service beside an agent.
@@ -31,19 +32,23 @@
   std::string m_Address; ///< "ip:port" of its HTTP interface
   PoolId m_Pool;         ///< services: the pool it belongs to
 
-  friend bool operator==(const UpstreamSettings &, const UpstreamSettings &) = default;
+  friend bool operator==(const UpstreamSettings &,
+                         const UpstreamSettings &) = default;
 };
 
 /// How an agent copies weights.
 struct WeightsSettings {
   std::string m_Origin; ///< "ip:port" of the origin of weights
-  std::string m_Store;  ///< "ip:port" of the rate-limited weight store; may be empty
+  std::string
+      m_Store; ///< "ip:port" of the rate-limited weight store; may be empty
   std::uint64_t m_MemoryBytes = 64ULL * 1024 * 1024;
   std::uint64_t m_UploadBytesPerSecond = 0;   ///< 0: unlimited
   std::uint64_t m_DownloadBytesPerSecond = 0; ///< 0: unlimited
+  bool m_SharedLink = false; ///< uploads count against the download's rate
   std::uint32_t m_Peers = 16;
 
-  friend bool operator==(const WeightsSettings &, const WeightsSettings &) = default;
+  friend bool operator==(const WeightsSettings &,
+                         const WeightsSettings &) = default;
 };
 
 struct MembershipSettings {
@@ -51,16 +56,19 @@
   std::chrono::milliseconds m_SuspectAfter{3'000};
   std::chrono::milliseconds m_GoneAfter{15'000};
 
-  friend bool operator==(const MembershipSettings &, const MembershipSettings &) = default;
+  friend bool operator==(const MembershipSettings &,
+                         const MembershipSettings &) = default;
 };
 
 struct RequestSettings {
   std::uint32_t m_MaxBodyBytes = 4 * 1024 * 1024;
   std::chrono::milliseconds m_DefaultDeadline{30'000};
   std::chrono::milliseconds m_AddressLifetime{10'000}; ///< of an address answer
-  std::uint32_t m_InstanceConcurrency = 64;            ///< agents: first guess of the upstream's limit
+  std::uint32_t m_InstanceConcurrency =
+      64; ///< agents: first guess of the upstream's limit
 
-  friend bool operator==(const RequestSettings &, const RequestSettings &) = default;
+  friend bool operator==(const RequestSettings &,
+                         const RequestSettings &) = default;
 };
 
 struct Settings {
@@ -68,9 +76,10 @@
   InstanceId m_Instance;
   DataCentreId m_DataCentre;
   ListenSettings m_Listen;
-  std::vector<std::string> m_Entries; ///< control addresses of entries to start from
-  std::string m_Platform;             ///< "ip:port" of the platform's object interface
-  std::uint32_t m_Threads = 2;        ///< workers beside the control loop
+  std::vector<std::string>
+      m_Entries;               ///< control addresses of entries to start from
+  std::string m_Platform;      ///< "ip:port" of the platform's object interface
+  std::uint32_t m_Threads = 2; ///< workers beside the control loop
   std::chrono::milliseconds m_DrainLimit{600'000};
   UpstreamSettings m_Upstream; ///< agents only
   WeightsSettings m_Weights;   ///< agents only
--- /dev/null
+++ b/src/kernel/rollout.cc
@@ -0,0 +1,109 @@
+#include "deckpitch/rollout.h"
+
+#include <algorithm>
+
+namespace deckpitch {
+
+namespace {
+
+const CopyState *findCopy(const std::vector<CopyState> &Copies,
+                          const WeightsId &Weights) {
+  const auto Found =
+      std::find_if(Copies.begin(), Copies.end(), [&](const CopyState &Each) {
+        return Each.m_Weights == Weights;
+      });
+  return Found == Copies.end() ? nullptr : &*Found;
+}
+
+/// Weights that neither serve nor are wanted, if the engine holds any.
+const LoadedWeights *findUnwanted(const InstanceGoal &Goal,
+                                  const EngineStatus &Engine) {
+  for (const LoadedWeights &Each : Engine.m_Loaded)
+    if (!Each.m_Active && Each.m_Weights != Goal.m_Activate &&
+        Each.m_Weights != Goal.m_Prefetch)
+      return &Each;
+  return nullptr;
+}
+
+/// Brings weights into a slot. MayDrain: the serving weights may go for it.
+RolloutStep stepTowards(const WeightsId &Wanted, bool MayDrain,
+                        const InstanceGoal &Goal, const EngineStatus &Engine,
+                        const std::vector<CopyState> &Copies, bool Ready,
+                        std::uint32_t InFlight) {
+  const CopyState *Copy = findCopy(Copies, Wanted);
+  if (!Copy || !Copy->m_Complete)
+    return {StepKind::Copy, Wanted, Ready, "Copying"};
+  if (Engine.m_Loaded.size() < Engine.m_Slots)
+    return {StepKind::Load, Wanted, Ready, "Loading"};
+  if (const LoadedWeights *Unwanted = findUnwanted(Goal, Engine))
+    return {StepKind::Unload, Unwanted->m_Weights, Ready, "Loading"};
+  if (!MayDrain)
+    return {StepKind::Idle, Wanted, Ready, "Staged"};
+  const LoadedWeights *Active = Engine.active();
+  const bool Busy =
+      InFlight > 0 || Engine.m_Running > 0 || Engine.m_Waiting > 0;
+  if (Active && Busy)
+    return {StepKind::Drain, Active->m_Weights, false, "Draining"};
+  const WeightsId &Victim =
+      Active ? Active->m_Weights : Engine.m_Loaded.front().m_Weights;
+  return {StepKind::Unload, Victim, false, "Draining"};
+}
+
+bool servesPool(const InstanceGoal &Goal, const EngineStatus &Engine) {
+  const LoadedWeights *Active = Engine.active();
+  return Active && !Goal.m_Activate.empty() &&
+         Active->m_Weights == Goal.m_Activate;
+}
+
+} // namespace
+
+InstanceGoal goalOf(const DeclarationSet &Declarations,
+                    const InstanceId &Instance) {
+  InstanceGoal Goal;
+  Goal.m_Fence = {Declarations.m_Assignment.m_Revision.m_Value};
+  const auto &Assigned = Declarations.m_Assignment.m_Value.m_Instances;
+  const auto Found = Assigned.find(Instance);
+  if (Found == Assigned.end())
+    return Goal;
+  Goal.m_Pool = Found->second.m_Pool;
+  Goal.m_Activate = Found->second.m_Weights;
+  Goal.m_Prefetch = Goal.m_Activate;
+  const auto Pool = Declarations.m_Pools.find(Goal.m_Pool);
+  if (Pool == Declarations.m_Pools.end())
+    return Goal;
+  Goal.m_Preference = Pool->second.m_Value.m_Preference;
+  Goal.m_Paused = Pool->second.m_Value.m_Paused;
+  if (!Goal.m_Paused)
+    Goal.m_Prefetch = weightsOf(Pool->second.m_Value);
+  return Goal;
+}
+
+RolloutStep nextStep(const InstanceGoal &Goal, const EngineStatus &Engine,
+                     const std::vector<CopyState> &Copies,
+                     const AssignedPool &Served, std::uint32_t InFlight) {
+  if (Goal.m_Pool.empty())
+    return {StepKind::Idle, {}, false, "Unassigned"};
+  const LoadedWeights *Active = Engine.active();
+  if (servesPool(Goal, Engine)) {
+    if (Goal.m_Prefetch == Goal.m_Activate || Goal.m_Prefetch.empty())
+      return {StepKind::Serve, Goal.m_Activate, true, "Serving"};
+    if (Engine.find(Goal.m_Prefetch))
+      return {StepKind::Idle, Goal.m_Prefetch, true, "Loaded"};
+    return stepTowards(Goal.m_Prefetch, false, Goal, Engine, Copies, true,
+                       InFlight);
+  }
+  const bool Ready = Active && Served.m_Pool == Goal.m_Pool &&
+                     Served.m_Weights == Active->m_Weights;
+  if (Goal.m_Activate.empty()) {
+    if (Goal.m_Prefetch.empty())
+      return {StepKind::Idle, {}, false, "NoWeights"};
+    return stepTowards(Goal.m_Prefetch, false, Goal, Engine, Copies, Ready,
+                       InFlight);
+  }
+  if (Engine.find(Goal.m_Activate))
+    return {StepKind::Activate, Goal.m_Activate, Ready, "Activating"};
+  return stepTowards(Goal.m_Activate, true, Goal, Engine, Copies, Ready,
+                     InFlight);
+}
+
+} // namespace deckpitch
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -35,8 +35,11 @@
   Reader.optional("origin", Out.m_Origin);
   Reader.optional("store", Out.m_Store);
   Reader.optional("memoryBytes", Out.m_MemoryBytes, 1024 * 1024, MaxBytes);
-  Reader.optional("uploadBytesPerSecond", Out.m_UploadBytesPerSecond, 0, MaxBytes);
-  Reader.optional("downloadBytesPerSecond", Out.m_DownloadBytesPerSecond, 0, MaxBytes);
+  Reader.optional("uploadBytesPerSecond", Out.m_UploadBytesPerSecond, 0,
+                  MaxBytes);
+  Reader.optional("downloadBytesPerSecond", Out.m_DownloadBytesPerSecond, 0,
+                  MaxBytes);
+  Reader.optional("sharedLink", Out.m_SharedLink);
   Reader.optional("peers", Out.m_Peers, 1, 256);
 }
 
@@ -52,8 +55,10 @@
 
 void readRequests(JsonObjectReader &Reader, RequestSettings &Out) {
   Reader.optional("maxBodyBytes", Out.m_MaxBodyBytes, 1024, 64 * 1024 * 1024);
-  Reader.optional("defaultDeadlineMs", Out.m_DefaultDeadline, milliseconds(1), Hour);
-  Reader.optional("addressLifetimeMs", Out.m_AddressLifetime, milliseconds(100), Hour);
+  Reader.optional("defaultDeadlineMs", Out.m_DefaultDeadline, milliseconds(1),
+                  Hour);
+  Reader.optional("addressLifetimeMs", Out.m_AddressLifetime, milliseconds(100),
+                  Hour);
   Reader.optional("instanceConcurrency", Out.m_InstanceConcurrency, 1, 100'000);
 }
 
@@ -69,26 +74,39 @@
   Out.m_Role = static_cast<Role>(RoleIndex);
   Reader.required("instance", Out.m_Instance.m_Text);
   Reader.required("dataCentre", Out.m_DataCentre.m_Text);
-  Reader.object("listen", [&](JsonObjectReader &Inner) { readListen(Inner, Out.m_Listen); });
-  Reader.array("entries", [&](const boost::json::value &Each, const std::string &Path) {
-    if (Each.is_string())
-      Out.m_Entries.emplace_back(Each.get_string());
-    else
-      Found.m_List.push_back({Path, boost::json::serialize(Each), "\"ip:port\""});
+  Reader.object("listen", [&](JsonObjectReader &Inner) {
+    readListen(Inner, Out.m_Listen);
   });
+  Reader.array("entries",
+               [&](const boost::json::value &Each, const std::string &Path) {
+                 if (Each.is_string())
+                   Out.m_Entries.emplace_back(Each.get_string());
+                 else
+                   Found.m_List.push_back(
+                       {Path, boost::json::serialize(Each), "\"ip:port\""});
+               });
   Reader.optional("platform", Out.m_Platform);
   Reader.optional("threads", Out.m_Threads, 1, 64);
   Reader.optional("drainLimitMs", Out.m_DrainLimit, milliseconds(0), 24 * Hour);
-  Reader.object("upstream", [&](JsonObjectReader &Inner) { readUpstream(Inner, Out.m_Upstream); });
-  Reader.object("weights", [&](JsonObjectReader &Inner) { readWeights(Inner, Out.m_Weights); });
-  Reader.object("membership", [&](JsonObjectReader &Inner) { readMembership(Inner, Out.m_Membership); });
-  Reader.object("requests", [&](JsonObjectReader &Inner) { readRequests(Inner, Out.m_Requests); });
+  Reader.object("upstream", [&](JsonObjectReader &Inner) {
+    readUpstream(Inner, Out.m_Upstream);
+  });
+  Reader.object("weights", [&](JsonObjectReader &Inner) {
+    readWeights(Inner, Out.m_Weights);
+  });
+  Reader.object("membership", [&](JsonObjectReader &Inner) {
+    readMembership(Inner, Out.m_Membership);
+  });
+  Reader.object("requests", [&](JsonObjectReader &Inner) {
+    readRequests(Inner, Out.m_Requests);
+  });
   if (Out.m_Role == Role::Agent && !Reader.has("upstream"))
     Reader.problem("upstream", "the engine or service beside the agent");
   if (Out.m_Role == Role::Agent && Out.m_Entries.empty())
     Reader.problem("entries", "at least one entry's control address");
   if (Out.m_Role == Role::Entry && Out.m_Platform.empty())
-    Reader.problem("platform", "\"ip:port\" of the platform's object interface");
+    Reader.problem("platform",
+                   "\"ip:port\" of the platform's object interface");
   Reader.finish();
   if (!Found.m_List.empty())
     return failWith(std::move(Found));
--- /dev/null
+++ b/src/kernel/swarm-origin.cc
@@ -0,0 +1,137 @@
+// The part of a swarm that decides what is read from the origin, and by whom.
+#include "deckpitch/swarm.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace deckpitch {
+
+namespace {
+
+constexpr std::uint32_t MaxRank = 8; ///< waits do not grow beyond it
+constexpr int DelayPatience = 4;     ///< times the usual delay
+
+std::uint64_t hashOf(const InstanceId &Id) {
+  return XXH3_64bits(Id.m_Text.data(), Id.m_Text.size());
+}
+
+/// An instance's place in a chunk's rendezvous order grows with this.
+std::uint64_t score(std::uint64_t Instance, std::uint64_t Chunk) {
+  std::uint64_t Mixed = Instance ^ (Chunk + 1) * 0x9e3779b97f4a7c15ULL;
+  Mixed = (Mixed ^ Mixed >> 32) * 0xd6e8feb86659fd93ULL;
+  return Mixed ^ Mixed >> 32;
+}
+
+} // namespace
+
+void Swarm::setInstances(const std::vector<InstanceId> &Instances) {
+  std::vector<std::uint64_t> Others;
+  for (const InstanceId &Each : Instances)
+    if (Each != m_Self)
+      Others.push_back(hashOf(Each));
+  m_Instances = static_cast<std::uint32_t>(Others.size()) + 1;
+  const std::uint64_t Own = hashOf(m_Self);
+  for (std::uint32_t Chunk = 0; Chunk < m_Here.size(); ++Chunk) {
+    const std::uint64_t Mine = score(Own, Chunk);
+    m_Rank[Chunk] = static_cast<std::uint16_t>(
+        std::count_if(Others.begin(), Others.end(), [&](std::uint64_t Other) {
+          return score(Other, Chunk) > Mine;
+        }));
+  }
+}
+
+Duration Swarm::originStep() const {
+  return std::max(m_Options.m_OriginStep, DelayPatience * m_SeenDelay);
+}
+
+bool Swarm::starved(TimePoint Now) const {
+  return !complete() && m_Taken.count() == 0 &&
+         Now - m_LastGain > 2 * originStep();
+}
+
+void Swarm::openWindow(TimePoint Now) {
+  if (m_LastGain == TimePoint{})
+    m_LastGain = Now;
+  const std::uint32_t End =
+      std::min(m_Here.size(), m_Seen.count() + m_Options.m_OriginWindow);
+  for (; m_Opened < End; ++m_Opened)
+    m_Open[m_Opened] = Now;
+}
+
+bool Swarm::mayRead(std::uint32_t Chunk, TimePoint Now) const {
+  if (!wants(Chunk) || m_Taken.contains(Chunk))
+    return false;
+  const Duration Wait =
+      std::min<std::uint32_t>(m_Rank[Chunk], MaxRank) * originStep();
+  if (!m_Seen.contains(Chunk))
+    return Now - m_Open[Chunk] >= Wait;
+  // Everyone known that had it is gone.
+  return m_Copies[Chunk] == 0 && starved(Now) &&
+         Now - m_LastGain > 2 * originStep() + Wait;
+}
+
+void Swarm::startRead(std::uint32_t Chunk, SwarmActions &Out) {
+  m_Reading.insert(Chunk);
+  m_Taken.insert(Chunk);
+  Out.push_back(ReadOrigin{Chunk});
+}
+
+void Swarm::readOrigin(SwarmActions &Out, TimePoint Now) {
+  if (complete())
+    return;
+  openWindow(Now);
+  if (Now < m_OriginRestUntil || m_Unstaged.count() >= m_Options.m_Unstaged)
+    return;
+  for (std::uint32_t Chunk = 0; Chunk < m_Opened; ++Chunk) {
+    if (m_Reading.size() >= m_Options.m_OriginReads)
+      return;
+    if (mayRead(Chunk, Now))
+      startRead(Chunk, Out);
+  }
+  readForTime(Out, Now);
+}
+
+/// With nothing on the way, a pool that prefers time reads some chunks again.
+void Swarm::readForTime(SwarmActions &Out, TimePoint Now) {
+  if (m_Options.m_Preference != Preference::Time || m_Taken.count() > 0)
+    return;
+  const double Share = m_Options.m_ExtraCopies / m_Instances;
+  const double Budget = Share * static_cast<double>(m_Here.size());
+  if (m_ExtraReads >= Budget || m_Opened < m_Here.size())
+    return;
+  const auto Start = static_cast<std::uint32_t>(m_Random()) % m_Here.size();
+  for (std::uint32_t I = 0; I < m_Here.size(); ++I) {
+    const std::uint32_t Chunk = (Start + I) % m_Here.size();
+    if (!wants(Chunk))
+      continue;
+    ++m_ExtraReads;
+    m_LastGain = Now;
+    return startRead(Chunk, Out);
+  }
+}
+
+SwarmActions Swarm::onOriginReply(std::uint32_t Chunk, OriginOutcome How,
+                                  TimePoint Now) {
+  SwarmActions Out;
+  if (m_Reading.erase(Chunk) == 0)
+    return Out;
+  if (How == OriginOutcome::Good && wants(Chunk)) {
+    m_Unstaged.insert(Chunk);
+    ++m_Counters.m_FromOrigin;
+    m_LastGain = Now;
+    markSeen(Chunk, Now);
+    readOrigin(Out, Now);
+    return Out;
+  }
+  release(Chunk);
+  if (How == OriginOutcome::Good) {
+    ++m_Counters.m_Duplicates;
+    return Out;
+  }
+  m_Counters.m_Corrupt += How == OriginOutcome::Corrupt;
+  m_OriginRestUntil = Now + m_Options.m_OriginRest;
+  return Out;
+}
+
+} // namespace deckpitch
--- /dev/null
+++ b/src/kernel/swarm.cc
@@ -0,0 +1,409 @@
+#include "deckpitch/swarm.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace deckpitch {
+
+namespace {
+
+constexpr std::uint32_t FailuresUntilLong = 2;
+constexpr int HedgePatience = 3; ///< times the usual time of a chunk
+constexpr Duration HedgeLeast = std::chrono::milliseconds(200);
+constexpr int MeanShare = 8; ///< weight of the past in moving means
+
+/// Spreads numbers, so that ties are broken apart at each choice.
+std::uint32_t scatter(std::uint32_t Value, std::uint32_t Salt) {
+  std::uint32_t Mixed = (Value ^ Salt) * 0x9e3779b1U;
+  Mixed ^= Mixed >> 15;
+  return Mixed * 0x85ebca77U;
+}
+
+} // namespace
+
+Swarm::Swarm(InstanceId Self, DataCentreId DataCentre, std::uint32_t Chunks,
+             SwarmOptions Options, std::uint64_t Seed)
+    : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)),
+      m_Options(Options), m_Random(static_cast<std::uint32_t>(Seed | 1)),
+      m_Here(Chunks), m_Unstaged(Chunks), m_Taken(Chunks), m_Seen(Chunks),
+      m_Copies(Chunks), m_NearCopies(Chunks), m_Rank(Chunks), m_Open(Chunks) {}
+
+Swarm::Peer *Swarm::find(PeerNumber Number) {
+  const auto Found = m_Peers.find(Number);
+  return Found == m_Peers.end() ? nullptr : &Found->second;
+}
+
+bool Swarm::expects(PeerNumber Number, std::uint32_t Chunk) const {
+  const auto Found = m_Peers.find(Number);
+  if (Found == m_Peers.end())
+    return false;
+  const auto &List = Found->second.m_Expected;
+  return std::any_of(List.begin(), List.end(), [&](const Transfer &Each) {
+    return Each.m_Chunk == Chunk;
+  });
+}
+
+bool Swarm::setAside(const InstanceId &Id, TimePoint Now) const {
+  const auto Found = m_Failures.find(Id);
+  return Found != m_Failures.end() && Now < Found->second.m_Until;
+}
+
+void Swarm::addStaged(std::uint32_t Chunk, TimePoint Now) {
+  insertHere(Chunk, Now);
+}
+
+SwarmActions Swarm::onPeerJoined(PeerNumber Number, InstanceId Id,
+                                 DataCentreId DataCentre, ChunkSet Has,
+                                 const ChunkSet &Seen, TimePoint Now) {
+  SwarmActions Out;
+  if (setAside(Id, Now)) {
+    Out.push_back(DropPeer{Number, m_Failures.at(Id).m_Until});
+    return Out;
+  }
+  forget(Number);
+  Peer &Added = m_Peers[Number];
+  Added.m_Id = std::move(Id);
+  Added.m_IsNear = DataCentre == m_DataCentre;
+  Added.m_Has = ChunkSet(m_Here.size());
+  Added.m_Useful = m_Here.count();
+  Has.forEach([&](std::uint32_t Chunk) { markHas(Added, Chunk, Now); });
+  Seen.forEach([&](std::uint32_t Chunk) { markSeen(Chunk, Now); });
+  grant(Out, Now);
+  return Out;
+}
+
+void Swarm::forget(PeerNumber Number) {
+  Peer *Gone = find(Number);
+  if (!Gone)
+    return;
+  Gone->m_Has.forEach([&](std::uint32_t Chunk) {
+    --m_Copies[Chunk];
+    m_NearCopies[Chunk] -= Gone->m_IsNear;
+  });
+  const std::vector<Transfer> Lost = std::move(Gone->m_Expected);
+  m_Peers.erase(Number);
+  for (const Transfer &Each : Lost)
+    release(Each.m_Chunk);
+}
+
+void Swarm::drop(PeerNumber Number, TimePoint Until, SwarmActions &Out) {
+  forget(Number);
+  Out.push_back(DropPeer{Number, Until});
+}
+
+SwarmActions Swarm::onPeerGone(PeerNumber Number, TimePoint Now) {
+  SwarmActions Out;
+  forget(Number);
+  grant(Out, Now);
+  return Out;
+}
+
+void Swarm::markHas(Peer &Of, std::uint32_t Chunk, TimePoint Now) {
+  markSeen(Chunk, Now);
+  if (!Of.m_Has.insert(Chunk))
+    return;
+  ++m_Copies[Chunk];
+  m_NearCopies[Chunk] += Of.m_IsNear;
+  if (m_Here.contains(Chunk))
+    --Of.m_Useful;
+}
+
+void Swarm::markSeen(std::uint32_t Chunk, TimePoint Now) {
+  if (!m_Seen.insert(Chunk))
+    return;
+  m_FreshSeen.push_back(Chunk);
+  if (Chunk < m_Opened) {
+    const Duration Took = Now - m_Open[Chunk];
+    m_SeenDelay += (Took - m_SeenDelay) / MeanShare;
+  }
+}
+
+void Swarm::insertHere(std::uint32_t Chunk, TimePoint Now) {
+  if (!m_Here.insert(Chunk))
+    return;
+  markSeen(Chunk, Now);
+  for (auto &[Number, Each] : m_Peers)
+    Each.m_Useful += !Each.m_Has.contains(Chunk);
+}
+
+SwarmActions Swarm::onHave(PeerNumber Number,
+                           const std::vector<std::uint32_t> &Here,
+                           const std::vector<std::uint32_t> &Seen,
+                           TimePoint Now) {
+  SwarmActions Out;
+  Peer *From = find(Number);
+  if (!From)
+    return Out;
+  for (std::uint32_t Chunk : Here)
+    markHas(*From, Chunk, Now);
+  for (std::uint32_t Chunk : Seen)
+    markSeen(Chunk, Now);
+  if (!Here.empty())
+    From->m_RestUntil = Now;
+  grant(Out, Now);
+  return Out;
+}
+
+std::uint32_t Swarm::uploads() const {
+  std::uint32_t Count = 0;
+  for (const auto &[Number, Each] : m_Peers)
+    Count += static_cast<std::uint32_t>(Each.m_Sending.size()) +
+             Each.m_Granted.has_value();
+  return Count;
+}
+
+Swarm::Peer *Swarm::neediest(TimePoint Now, PeerNumber &Number) {
+  Peer *Best = nullptr;
+  std::pair<std::size_t, std::uint64_t> Least{};
+  const auto Salt = static_cast<std::uint32_t>(m_Random());
+  for (auto &[Candidate, Each] : m_Peers) {
+    if (Each.m_Useful == 0 || Each.m_Granted || Now < Each.m_RestUntil)
+      continue;
+    const std::uint64_t Order =
+        std::uint64_t{Each.m_Has.count()} << 32 | scatter(Candidate, Salt);
+    const std::pair Key{Each.m_Sending.size(), Order};
+    if (Best && Key >= Least)
+      continue;
+    Best = &Each;
+    Least = Key;
+    Number = Candidate;
+  }
+  return Best;
+}
+
+void Swarm::grant(SwarmActions &Out, TimePoint Now) {
+  for (std::uint32_t Busy = uploads(); Busy < m_Options.m_Uploads; ++Busy) {
+    PeerNumber Number = 0;
+    Peer *To = neediest(Now, Number);
+    if (!To)
+      return;
+    To->m_Granted = Now;
+    Out.push_back(SendGrant{Number});
+  }
+}
+
+bool Swarm::hasRoom() const {
+  const std::uint32_t Unstaged = m_Unstaged.count();
+  const auto Reading = static_cast<std::uint32_t>(m_Reading.size());
+  const std::uint32_t Expected = m_Taken.count() - Unstaged - Reading;
+  return Expected < m_Options.m_Expected && Unstaged < m_Options.m_Unstaged;
+}
+
+std::optional<std::uint32_t> Swarm::choose(const Peer &From, TimePoint Now) {
+  const bool AnyWill = From.m_IsNear || starved(Now);
+  const auto Salt = static_cast<std::uint32_t>(m_Random());
+  std::uint64_t Least = std::numeric_limits<std::uint64_t>::max();
+  std::optional<std::uint32_t> Best;
+  From.m_Has.forEachNotIn(m_Here, m_Taken, [&](std::uint32_t Chunk) {
+    if (!AnyWill && m_NearCopies[Chunk] > 0)
+      return;
+    const std::uint64_t Order =
+        std::uint64_t{m_Copies[Chunk]} << 32 | scatter(Chunk, Salt);
+    if (Order >= Least)
+      return;
+    Least = Order;
+    Best = Chunk;
+  });
+  return Best;
+}
+
+/// A chunk that another peer is unusually slow to send.
+std::optional<std::uint32_t> Swarm::chooseHedge(const Peer &From,
+                                                TimePoint Now) const {
+  const auto Budget = static_cast<std::uint64_t>(
+      1 + m_Options.m_HedgeShare * static_cast<double>(m_Here.size()));
+  if (m_Counters.m_Hedges >= Budget)
+    return std::nullopt;
+  const Duration Patience = std::max(HedgeLeast, HedgePatience * m_ChunkTime);
+  for (const auto &[Number, Each] : m_Peers)
+    for (const Transfer &Slow : Each.m_Expected)
+      if (&Each != &From && From.m_Has.contains(Slow.m_Chunk) &&
+          wants(Slow.m_Chunk) && Now - Slow.m_Asked > Patience)
+        return Slow.m_Chunk;
+  return std::nullopt;
+}
+
+SwarmActions Swarm::onGrant(PeerNumber Number, TimePoint Now) {
+  SwarmActions Out;
+  Peer *From = find(Number);
+  if (!From)
+    return Out;
+  std::optional<std::uint32_t> Chosen;
+  if (hasRoom())
+    Chosen = choose(*From, Now);
+  if (!Chosen && !complete()) {
+    Chosen = chooseHedge(*From, Now);
+    m_Counters.m_Hedges += Chosen.has_value();
+  }
+  if (!Chosen) {
+    Out.push_back(SendDecline{Number});
+    return Out;
+  }
+  From->m_Expected.push_back({*Chosen, Now, Now});
+  m_Taken.insert(*Chosen);
+  Out.push_back(SendRequest{Number, *Chosen});
+  return Out;
+}
+
+SwarmActions Swarm::onDecline(PeerNumber Number, TimePoint Now) {
+  SwarmActions Out;
+  Peer *From = find(Number);
+  if (!From)
+    return Out;
+  From->m_Granted.reset();
+  From->m_RestUntil = Now + m_Options.m_DeclineRest;
+  grant(Out, Now);
+  return Out;
+}
+
+SwarmActions Swarm::onRequest(PeerNumber Number, std::uint32_t Chunk,
+                              TimePoint Now) {
+  SwarmActions Out;
+  Peer *From = find(Number);
+  if (!From)
+    return Out;
+  const bool Granted = From->m_Granted.has_value();
+  From->m_Granted.reset();
+  if (!Granted || !m_Here.contains(Chunk)) {
+    Out.push_back(SendRefusal{Number, Chunk});
+    grant(Out, Now);
+    return Out;
+  }
+  From->m_Sending.push_back(Chunk);
+  markHas(*From, Chunk, Now);
+  Out.push_back(SendChunk{Number, Chunk});
+  return Out;
+}
+
+SwarmActions Swarm::onSent(PeerNumber Number, std::uint32_t Chunk,
+                           TimePoint Now) {
+  SwarmActions Out;
+  if (Peer *To = find(Number))
+    std::erase(To->m_Sending, Chunk);
+  grant(Out, Now);
+  return Out;
+}
+
+void Swarm::release(std::uint32_t Chunk) {
+  if (m_Unstaged.contains(Chunk) || m_Reading.contains(Chunk))
+    return;
+  for (const auto &[Number, Each] : m_Peers)
+    if (expects(Number, Chunk))
+      return;
+  m_Taken.erase(Chunk);
+}
+
+SwarmActions Swarm::onRefusal(PeerNumber Number, std::uint32_t Chunk,
+                              TimePoint) {
+  Peer *From = find(Number);
+  if (!From)
+    return {};
+  std::erase_if(From->m_Expected,
+                [&](const Transfer &Each) { return Each.m_Chunk == Chunk; });
+  release(Chunk);
+  return {};
+}
+
+void Swarm::onProgress(PeerNumber Number, std::uint32_t Chunk, TimePoint Now) {
+  Peer *From = find(Number);
+  if (!From)
+    return;
+  for (Transfer &Each : From->m_Expected)
+    if (Each.m_Chunk == Chunk)
+      Each.m_Progress = Now;
+}
+
+SwarmActions Swarm::onArrived(PeerNumber Number, std::uint32_t Chunk,
+                              bool Verified, TimePoint Now) {
+  SwarmActions Out;
+  Peer *From = find(Number);
+  if (!From || Chunk >= m_Here.size())
+    return Out;
+  const bool IsNear = From->m_IsNear;
+  for (const Transfer &Each : From->m_Expected)
+    if (Each.m_Chunk == Chunk)
+      m_ChunkTime += (Now - Each.m_Asked - m_ChunkTime) / MeanShare;
+  std::erase_if(From->m_Expected,
+                [&](const Transfer &Each) { return Each.m_Chunk == Chunk; });
+  if (!Verified) {
+    ++m_Counters.m_Corrupt;
+    release(Chunk);
+    drop(Number, punish(From->m_Id, Now), Out);
+    return Out;
+  }
+  if (!wants(Chunk)) {
+    ++m_Counters.m_Duplicates;
+    return Out;
+  }
+  m_Unstaged.insert(Chunk);
+  m_Taken.insert(Chunk);
+  ++m_Counters.m_FromPeers;
+  m_Counters.m_Crossings += !IsNear;
+  m_LastGain = Now;
+  return Out;
+}
+
+TimePoint Swarm::punish(const InstanceId &Id, TimePoint Now) {
+  Failure &Record = m_Failures[Id];
+  const bool Again = ++Record.m_Count >= FailuresUntilLong;
+  Record.m_Until =
+      Now + (Again ? m_Options.m_SetAsideLong : m_Options.m_SetAside);
+  return Record.m_Until;
+}
+
+SwarmActions Swarm::onStaged(std::uint32_t Chunk, bool Stored, TimePoint Now) {
+  SwarmActions Out;
+  if (!m_Unstaged.erase(Chunk))
+    return Out;
+  release(Chunk);
+  if (!Stored)
+    return Out;
+  insertHere(Chunk, Now);
+  Out.push_back(SendHave{{Chunk}, std::exchange(m_FreshSeen, {})});
+  grant(Out, Now);
+  readOrigin(Out, Now);
+  return Out;
+}
+
+void Swarm::expireGrants(TimePoint Now) {
+  for (auto &[Number, Each] : m_Peers) {
+    if (!Each.m_Granted || Now - *Each.m_Granted < m_Options.m_GrantLifetime)
+      continue;
+    Each.m_Granted.reset();
+    Each.m_RestUntil = Now + m_Options.m_GrantLifetime;
+  }
+}
+
+void Swarm::dropStalled(SwarmActions &Out, TimePoint Now) {
+  std::vector<PeerNumber> Stalled;
+  for (const auto &[Number, Each] : m_Peers)
+    for (const Transfer &Transfer : Each.m_Expected)
+      if (Now - Transfer.m_Progress > m_Options.m_StallAfter) {
+        Stalled.push_back(Number);
+        break;
+      }
+  for (PeerNumber Number : Stalled) {
+    ++m_Counters.m_Stalls;
+    m_Failures[m_Peers.at(Number).m_Id].m_Until = Now + m_Options.m_SetAside;
+    drop(Number, Now + m_Options.m_SetAside, Out);
+  }
+}
+
+SwarmActions Swarm::onTick(TimePoint Now) {
+  SwarmActions Out;
+  expireGrants(Now);
+  dropStalled(Out, Now);
+  grant(Out, Now);
+  readOrigin(Out, Now);
+  if (!m_FreshSeen.empty())
+    Out.push_back(SendHave{{}, std::exchange(m_FreshSeen, {})});
+  const bool Lonely = m_Peers.empty() || starved(Now);
+  if (!complete() && Lonely && Now - m_AskedPeers >= m_Options.m_OriginStep) {
+    m_AskedPeers = Now;
+    Out.push_back(AskForPeers{});
+  }
+  return Out;
+}
+
+} // namespace deckpitch
--- /dev/null
+++ b/src/net/engine.cc
@@ -0,0 +1,118 @@
+#include "net/engine.h"
+
+#include <boost/json.hpp>
+
+namespace deckpitch::net {
+
+namespace {
+
+constexpr const char *StagingRoot = "/v1/engine/staging/";
+
+Error refused(const std::string &Call, const HttpResponse &Answer) {
+  const std::string Text =
+      Call + ": " + std::to_string(Answer.m_Status) + " " + Answer.m_Body;
+  switch (Answer.m_Status) {
+  case 404:
+    return {ErrorCode::NotFound, Text};
+  case 409:
+    return {ErrorCode::StaleFence, Text};
+  case 422:
+    return {ErrorCode::CorruptData, Text};
+  case 400:
+    return {ErrorCode::InvalidInput, Text};
+  default:
+    return {ErrorCode::Unavailable, Text};
+  }
+}
+
+bool isSuccess(const HttpResponse &Answer) {
+  return Answer.m_Status >= 200 && Answer.m_Status < 300;
+}
+
+std::string orderBody(const char *Order, const WeightsId &Weights,
+                      FencingNumber Fence) {
+  return boost::json::serialize(boost::json::object{
+      {"order", Order}, {"fence", Fence.m_Value}, {"weights", Weights.m_Text}});
+}
+
+} // namespace
+
+std::string stagingPath(const WeightsId &Weights, std::uint32_t Index) {
+  return StagingRoot + Weights.m_Text + "/chunks/" + std::to_string(Index);
+}
+
+asio::awaitable<Outcome<EngineStatus>> Engine::status() {
+  HttpRequest Request{"GET", "/v1/engine/status"};
+  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  if (!Answer)
+    co_return Answer.error();
+  if (!isSuccess(*Answer))
+    co_return refused("status", *Answer);
+  co_return outcomeOf([&] { return parseEngineStatus(Answer->m_Body); });
+}
+
+asio::awaitable<Outcome<bool>>
+Engine::stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) {
+  HttpRequest Request{"PUT", stagingPath(Weights, Index), {}, std::move(Bytes)};
+  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  if (!Answer)
+    co_return Answer.error();
+  if (!isSuccess(*Answer))
+    co_return refused("stage", *Answer);
+  co_return true;
+}
+
+asio::awaitable<Outcome<std::string>> Engine::staged(WeightsId Weights,
+                                                     std::uint32_t Index) {
+  HttpRequest Request{"GET", stagingPath(Weights, Index)};
+  CallLimits Limits;
+  Limits.m_BodyBytes = 512 * 1024 * 1024;
+  auto Answer = co_await m_Http.call(m_Address, std::move(Request), Limits);
+  if (!Answer)
+    co_return Answer.error();
+  if (!isSuccess(*Answer))
+    co_return refused("staged", *Answer);
+  co_return std::move(Answer->m_Body);
+}
+
+asio::awaitable<Outcome<bool>> Engine::dropStaging(WeightsId Weights) {
+  HttpRequest Request{"DELETE", StagingRoot + Weights.m_Text};
+  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  if (!Answer)
+    co_return Answer.error();
+  if (!isSuccess(*Answer))
+    co_return refused("drop", *Answer);
+  co_return true;
+}
+
+asio::awaitable<Outcome<bool>> Engine::order(std::string Body) {
+  HttpRequest Request{"POST", "/v1/engine/orders", {}, std::move(Body)};
+  Request.m_Headers.add("Content-Type", "application/json");
+  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  if (!Answer)
+    co_return Answer.error();
+  if (!isSuccess(*Answer))
+    co_return refused("order", *Answer);
+  co_return true;
+}
+
+asio::awaitable<Outcome<bool>> Engine::load(Manifest Wanted,
+                                            FencingNumber Fence) {
+  boost::json::object Body{{"order", "load"},
+                           {"fence", Fence.m_Value},
+                           {"weights", Wanted.m_Weights.m_Text}};
+  Body["manifest"] = boost::json::parse(formatManifest(Wanted));
+  return order(boost::json::serialize(Body));
+}
+
+asio::awaitable<Outcome<bool>> Engine::activate(WeightsId Weights,
+                                                FencingNumber Fence) {
+  return order(orderBody("activate", Weights, Fence));
+}
+
+asio::awaitable<Outcome<bool>> Engine::unload(WeightsId Weights,
+                                              FencingNumber Fence) {
+  return order(orderBody("unload", Weights, Fence));
+}
+
+} // namespace deckpitch::net
--- /dev/null
+++ b/src/net/origin.cc
@@ -0,0 +1,75 @@
+#include "net/origin.h"
+
+namespace deckpitch::net {
+
+namespace {
+
+constexpr unsigned PartialContent = 206;
+constexpr unsigned NotFound = 404;
+constexpr std::size_t ManifestBytes = 64 * 1024 * 1024;
+constexpr std::chrono::milliseconds StallLimit{5'000};
+
+std::string pathOf(const WeightsId &Weights, const char *Part) {
+  return "/v1/weights/" + Weights.m_Text + "/" + Part;
+}
+
+Error refused(unsigned Status) {
+  const std::string Text = "origin: " + std::to_string(Status);
+  if (Status == NotFound)
+    return {ErrorCode::NotFound, Text};
+  return {ErrorCode::Unavailable, Text};
+}
+
+CallLimits limitsFor(std::size_t Bytes) {
+  CallLimits Limits;
+  Limits.m_BodyBytes = Bytes;
+  Limits.m_BetweenBytes = StallLimit;
+  return Limits;
+}
+
+} // namespace
+
+asio::awaitable<Outcome<Manifest>> Origin::manifest(WeightsId Weights) {
+  HttpRequest Request{"GET", pathOf(Weights, "manifest")};
+  auto Answer = co_await m_Http.call(m_Address, std::move(Request),
+                                     limitsFor(ManifestBytes));
+  if (!Answer)
+    co_return Answer.error();
+  if (Answer->m_Status != 200)
+    co_return refused(Answer->m_Status);
+  auto Parsed = outcomeOf([&] { return parseManifest(Answer->m_Body); });
+  if (Parsed && Parsed->m_Weights != Weights)
+    co_return Error{ErrorCode::CorruptData, "manifest of other weights"};
+  co_return Parsed;
+}
+
+asio::awaitable<Outcome<OriginChunk>>
+Origin::chunk(const Manifest &Of, std::uint32_t Index, Pace Paced) {
+  const std::uint64_t First = Of.chunkOffset(Index);
+  const std::uint32_t Length = Of.chunkLength(Index);
+  HttpRequest Request{"GET", pathOf(Of.m_Weights, "content")};
+  Request.m_Headers.add("Range", "bytes=" + std::to_string(First) + "-" +
+                                     std::to_string(First + Length - 1));
+  auto Opened =
+      co_await m_Http.open(m_Address, std::move(Request), limitsFor(Length));
+  if (!Opened)
+    co_return Opened.error();
+  HttpStream &Body = **Opened;
+  if (Body.status() != PartialContent)
+    co_return refused(Body.status());
+  OriginChunk Out;
+  Out.m_Tag = std::string(Body.headers().find("ETag"));
+  while (true) {
+    auto Piece = co_await Body.read();
+    if (!Piece)
+      co_return Piece.error();
+    if (Piece->empty())
+      co_return Out;
+    co_await Paced(Piece->size());
+    if (Out.m_Bytes.size() + Piece->size() > Length)
+      co_return Error{ErrorCode::CorruptData, "more bytes than asked for"};
+    Out.m_Bytes += *Piece;
+  }
+}
+
+} // namespace deckpitch::net
