--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -17,6 +17,17 @@
   ProcessStopped = 1002,
   SettingsRefused = 1003,
   ListenFailed = 1004,
+  CopyStarted = 3000,
+  CopyComplete = 3001,
+  CopyAbandoned = 3002,
+  ChunkCorrupt = 3003,
+  PeerSetAside = 3004,
+  OriginContentChanged = 3005,
+  WeightsActivated = 3006,
+  EngineOrderRefused = 3007,
+  ManifestUnavailable = 3008,
+  AssignmentWritten = 3009,
+  AssignerChanged = 3010,
 };
 
 struct EventInfo {
@@ -31,6 +42,20 @@
     EventInfo{Event::ProcessStopped, Severity::Info, "ProcessStopped"},
     EventInfo{Event::SettingsRefused, Severity::Error, "SettingsRefused"},
     EventInfo{Event::ListenFailed, Severity::Error, "ListenFailed"},
+    EventInfo{Event::CopyStarted, Severity::Info, "CopyStarted"},
+    EventInfo{Event::CopyComplete, Severity::Info, "CopyComplete"},
+    EventInfo{Event::CopyAbandoned, Severity::Info, "CopyAbandoned"},
+    EventInfo{Event::ChunkCorrupt, Severity::Warning, "ChunkCorrupt"},
+    EventInfo{Event::PeerSetAside, Severity::Warning, "PeerSetAside"},
+    EventInfo{Event::OriginContentChanged, Severity::Error,
+              "OriginContentChanged"},
+    EventInfo{Event::WeightsActivated, Severity::Info, "WeightsActivated"},
+    EventInfo{Event::EngineOrderRefused, Severity::Warning,
+              "EngineOrderRefused"},
+    EventInfo{Event::ManifestUnavailable, Severity::Warning,
+              "ManifestUnavailable"},
+    EventInfo{Event::AssignmentWritten, Severity::Info, "AssignmentWritten"},
+    EventInfo{Event::AssignerChanged, Severity::Info, "AssignerChanged"},
 };
 
 /// The catalogue's entry, or null for a number that has none.
--- a/include/deckpitch/rollout.h
+++ b/include/deckpitch/rollout.h
@@ -27,6 +27,7 @@
 /// A copy of weights in the engine's staging, as the agent knows it.
 struct CopyState {
   WeightsId m_Weights;
+  WeightsId m_Base; ///< adapters: what they are used over
   Digest m_Whole;
   bool m_Complete = false; ///< every chunk verified and staged
 
--- /dev/null
+++ b/src/kernel/peer-set.cc
@@ -0,0 +1,63 @@
+#include "deckpitch/peer-set.h"
+
+#include <algorithm>
+#include <random>
+
+namespace deckpitch {
+
+namespace {
+
+constexpr std::uint32_t CrossingShare = 5; ///< one in so many
+
+bool holds(const DeclarationSet &Declarations, const Member &Value,
+           const WeightsId &Weights) {
+  if (Value.m_Serving.m_Weights == Weights)
+    return true;
+  const auto &Assigned = Declarations.m_Assignment.m_Value.m_Instances;
+  const auto Found = Assigned.find(Value.m_Id);
+  if (Found == Assigned.end())
+    return false;
+  if (Found->second.m_Weights == Weights)
+    return true;
+  const auto Pool = Declarations.m_Pools.find(Found->second.m_Pool);
+  return Pool != Declarations.m_Pools.end() &&
+         weightsOf(Pool->second.m_Value) == Weights;
+}
+
+bool reachable(const Member &Value) {
+  const bool Up = Value.m_State == MemberState::Alive ||
+                  Value.m_State == MemberState::Suspect;
+  return Up && Value.m_Role == Role::Agent && !Value.m_Addresses.m_Bulk.empty();
+}
+
+} // namespace
+
+std::vector<const Member *>
+choosePeers(const DeclarationSet &Declarations, const MembershipView &Members,
+            const InstanceId &Asker, const WeightsId &Weights,
+            std::uint32_t Count, std::uint64_t Seed) {
+  const auto Self = Members.m_Members.find(Asker);
+  if (Self == Members.m_Members.end())
+    return {};
+  std::vector<const Member *> Near;
+  std::vector<const Member *> Far;
+  for (const auto &[Id, Each] : Members.m_Members) {
+    if (Id == Asker || !reachable(Each) || !holds(Declarations, Each, Weights))
+      continue;
+    const bool IsNear = Each.m_DataCentre == Self->second.m_DataCentre;
+    (IsNear ? Near : Far).push_back(&Each);
+  }
+  std::mt19937_64 Random(Seed ^ std::hash<InstanceId>{}(Asker));
+  std::shuffle(Near.begin(), Near.end(), Random);
+  std::shuffle(Far.begin(), Far.end(), Random);
+  const std::size_t Crossings =
+      std::min<std::size_t>(Far.size(), std::max(1U, Count / CrossingShare));
+  const std::size_t Inner =
+      std::min<std::size_t>(Near.size(), Count - Crossings);
+  const std::size_t Outer = std::min<std::size_t>(Far.size(), Count - Inner);
+  std::vector<const Member *> Out(Near.begin(), Near.begin() + Inner);
+  Out.insert(Out.end(), Far.begin(), Far.begin() + Outer);
+  return Out;
+}
+
+} // namespace deckpitch
