--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -232,7 +232,7 @@
   std::optional<std::uint32_t> Chosen;
   if (hasRoom())
     Chosen = choose(*From, Now);
-  if (!Chosen && !complete()) {
+  if (!Chosen && hasRoom() && !complete()) {
     Chosen = chooseHedge(*From, Now);
     m_Counters.m_Hedges += Chosen.has_value();
   }
@@ -334,6 +334,7 @@
   }
   if (!wants(Chunk)) {
     ++m_Counters.m_Duplicates;
+    release(Chunk);
     return Out;
   }
   m_Unstaged.insert(Chunk);
