--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -28,6 +28,7 @@
   ManifestUnavailable = 3008,
   AssignmentWritten = 3009,
   AssignerChanged = 3010,
+  UpstreamAnswerRefused = 4000,
 };
 
 struct EventInfo {
@@ -56,6 +57,8 @@
               "ManifestUnavailable"},
     EventInfo{Event::AssignmentWritten, Severity::Info, "AssignmentWritten"},
     EventInfo{Event::AssignerChanged, Severity::Info, "AssignerChanged"},
+    EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
+              "UpstreamAnswerRefused"},
 };
 
 /// The catalogue's entry, or null for a number that has none.
--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -21,8 +21,8 @@
 using PeerNumber = std::uint32_t;
 
 struct SwarmOptions {
-  std::uint32_t m_Uploads = 2;      ///< chunks promised or being sent at once
-  std::uint32_t m_Expected = 3;     ///< chunks asked of peers at once
+  std::uint32_t m_Uploads = 3;      ///< chunks promised or being sent at once
+  std::uint32_t m_Expected = 4;     ///< chunks asked of peers at once
   std::uint32_t m_Unstaged = 8;     ///< chunks in memory, not yet staged
   std::uint32_t m_OriginReads = 2;  ///< by this instance at once
   std::uint32_t m_OriginWindow = 6; ///< by the whole pool at once
--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -18,7 +18,7 @@
 constexpr Duration RetryPeer = std::chrono::seconds(1);
 constexpr Duration StagingRetry = std::chrono::milliseconds(200);
 constexpr std::uint32_t MostPeersFactor = 3; ///< accepted, over those sought
-constexpr std::uint32_t MostExpected = 3;
+constexpr std::uint32_t MostExpected = 4;
 constexpr std::uint32_t MostUnstaged = 8;
 
 std::span<const std::uint8_t> bytesOf(const std::string &Text) {
