--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -28,6 +28,7 @@
   ManifestUnavailable = 3008,
   AssignmentWritten = 3009,
   AssignerChanged = 3010,
+  DeclarationAccepted = 2000,
   UpstreamAnswerRefused = 4000,
 };
 
@@ -57,6 +58,8 @@
               "ManifestUnavailable"},
     EventInfo{Event::AssignmentWritten, Severity::Info, "AssignmentWritten"},
     EventInfo{Event::AssignerChanged, Severity::Info, "AssignerChanged"},
+    EventInfo{Event::DeclarationAccepted, Severity::Info,
+              "DeclarationAccepted"},
     EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
               "UpstreamAnswerRefused"},
 };
--- a/src/kernel/declaration-store.cc
+++ b/src/kernel/declaration-store.cc
@@ -29,7 +29,7 @@
       outcomeOf([&] { return Read(Object.m_Json, UnknownKeys::Ignore); });
   if (!Parsed)
     return false;
-  In[Name] = {Object.m_Revision, *Parsed};
+  In[Name] = {Object.m_Revision, *Parsed, readChangeNote(Object.m_Json)};
   return true;
 }
 
@@ -107,7 +107,7 @@
 }
 
 Revision DeclarationStore::revision() const {
-  if (m_Complete.size() < replicatedKinds().size())
+  if (!filled())
     return {};
   const auto Least = std::min_element(
       m_Complete.begin(), m_Complete.end(),
