Read an engine's load with keys that are not known; test the decisions

Cause: an engine that reports more of its load than is read was taken for down, so no agent copied anything (found with real processes). Change: only the keys that are used are read; adapters wait for their base; other content under the wanted name does not count as serving.

--- a/src/kernel/engine-status.cc
+++ b/src/kernel/engine-status.cc
@@ -47,6 +47,19 @@
   Out.push_back(std::move(Entry));
 }
 
+/// Engines may report more of their load than is read here.
+void readLoad(const boost::json::value &Status, Problems &Found,
+              EngineStatus &Out) {
+  const boost::json::object *Object = Status.if_object();
+  const boost::json::value *Load =
+      Object ? Object->if_contains("load") : nullptr;
+  if (!Load)
+    return;
+  JsonObjectReader Reader(*Load, "load", Found);
+  Reader.optional("running", Out.m_Running, 0, MaxNumber);
+  Reader.optional("waiting", Out.m_Waiting, 0, MaxNumber);
+}
+
 } // namespace
 
 const LoadedWeights *EngineStatus::active() const {
@@ -79,10 +92,7 @@
                [&](const boost::json::value &Each, const std::string &Path) {
                  readStaged(Each, Path, Found, Out.m_Staging);
                });
-  Reader.object("load", [&](JsonObjectReader &Load) {
-    Load.optional("running", Out.m_Running, 0, MaxNumber);
-    Load.optional("waiting", Out.m_Waiting, 0, MaxNumber);
-  });
+  readLoad(Value, Found, Out);
   if (!Found.m_List.empty())
     return failWith(std::move(Found));
   return Out;
--- a/src/kernel/rollout.cc
+++ b/src/kernel/rollout.cc
@@ -15,16 +15,39 @@
   return Found == Copies.end() ? nullptr : &*Found;
 }
 
+bool isBaseOf(const WeightsId &Weights, const WeightsId &Adapter,
+              const std::vector<CopyState> &Copies) {
+  const CopyState *Copy = findCopy(Copies, Adapter);
+  return Copy && Copy->m_Base == Weights;
+}
+
 /// Weights that neither serve nor are wanted, if the engine holds any.
 const LoadedWeights *findUnwanted(const InstanceGoal &Goal,
-                                  const EngineStatus &Engine) {
-  for (const LoadedWeights &Each : Engine.m_Loaded)
-    if (!Each.m_Active && Each.m_Weights != Goal.m_Activate &&
-        Each.m_Weights != Goal.m_Prefetch)
+                                  const EngineStatus &Engine,
+                                  const std::vector<CopyState> &Copies) {
+  const LoadedWeights *Active = Engine.active();
+  for (const LoadedWeights &Each : Engine.m_Loaded) {
+    const bool Wanted =
+        Each.m_Weights == Goal.m_Activate ||
+        Each.m_Weights == Goal.m_Prefetch ||
+        isBaseOf(Each.m_Weights, Goal.m_Activate, Copies) ||
+        isBaseOf(Each.m_Weights, Goal.m_Prefetch, Copies) ||
+        (Active && isBaseOf(Each.m_Weights, Active->m_Weights, Copies));
+    if (!Each.m_Active && !Wanted)
       return &Each;
+  }
   return nullptr;
 }
 
+/// Adapters ("model+adapter@version") are held within their base's slot.
+std::size_t slotsUsed(const EngineStatus &Engine) {
+  return static_cast<std::size_t>(std::count_if(
+      Engine.m_Loaded.begin(), Engine.m_Loaded.end(),
+      [](const LoadedWeights &Each) {
+        return Each.m_Weights.m_Text.find('+') == std::string::npos;
+      }));
+}
+
 /// Brings weights into a slot. MayDrain: the serving weights may go for it.
 RolloutStep stepTowards(const WeightsId &Wanted, bool MayDrain,
                         const InstanceGoal &Goal, const EngineStatus &Engine,
@@ -33,9 +56,14 @@
   const CopyState *Copy = findCopy(Copies, Wanted);
   if (!Copy || !Copy->m_Complete)
     return {StepKind::Copy, Wanted, Ready, "Copying"};
-  if (Engine.m_Loaded.size() < Engine.m_Slots)
+  // An adapter takes no slot of its own, but needs its base in one.
+  const bool IsAdapter = !Copy->m_Base.empty();
+  if (IsAdapter && !Engine.find(Copy->m_Base))
+    return stepTowards(Copy->m_Base, MayDrain, Goal, Engine, Copies, Ready,
+                       InFlight);
+  if (IsAdapter || slotsUsed(Engine) < Engine.m_Slots)
     return {StepKind::Load, Wanted, Ready, "Loading"};
-  if (const LoadedWeights *Unwanted = findUnwanted(Goal, Engine))
+  if (const LoadedWeights *Unwanted = findUnwanted(Goal, Engine, Copies))
     return {StepKind::Unload, Unwanted->m_Weights, Ready, "Loading"};
   if (!MayDrain)
     return {StepKind::Idle, Wanted, Ready, "Staged"};
@@ -49,10 +77,15 @@
   return {StepKind::Unload, Victim, false, "Draining"};
 }
 
-bool servesPool(const InstanceGoal &Goal, const EngineStatus &Engine) {
-  const LoadedWeights *Active = Engine.active();
-  return Active && !Goal.m_Activate.empty() &&
-         Active->m_Weights == Goal.m_Activate;
+/// The engine holds these weights, and not other content under their name.
+const LoadedWeights *findGenuine(const WeightsId &Weights,
+                                 const EngineStatus &Engine,
+                                 const std::vector<CopyState> &Copies) {
+  const LoadedWeights *Held = Engine.find(Weights);
+  const CopyState *Copy = findCopy(Copies, Weights);
+  const bool Differs =
+      Held && Copy && Copy->m_Complete && Held->m_Digest != Copy->m_Whole;
+  return Differs ? nullptr : Held;
 }
 
 } // namespace
@@ -84,10 +117,11 @@
   if (Goal.m_Pool.empty())
     return {StepKind::Idle, {}, false, "Unassigned"};
   const LoadedWeights *Active = Engine.active();
-  if (servesPool(Goal, Engine)) {
+  const LoadedWeights *Genuine = findGenuine(Goal.m_Activate, Engine, Copies);
+  if (Genuine && Genuine->m_Active) {
     if (Goal.m_Prefetch == Goal.m_Activate || Goal.m_Prefetch.empty())
       return {StepKind::Serve, Goal.m_Activate, true, "Serving"};
-    if (Engine.find(Goal.m_Prefetch))
+    if (findGenuine(Goal.m_Prefetch, Engine, Copies))
       return {StepKind::Idle, Goal.m_Prefetch, true, "Loaded"};
     return stepTowards(Goal.m_Prefetch, false, Goal, Engine, Copies, true,
                        InFlight);
@@ -100,7 +134,7 @@
     return stepTowards(Goal.m_Prefetch, false, Goal, Engine, Copies, Ready,
                        InFlight);
   }
-  if (Engine.find(Goal.m_Activate))
+  if (Genuine)
     return {StepKind::Activate, Goal.m_Activate, Ready, "Activating"};
   return stepTowards(Goal.m_Activate, true, Goal, Engine, Copies, Ready,
                      InFlight);
--- /dev/null
+++ b/test/assignment-test.cc
@@ -0,0 +1,145 @@
+#include "deckpitch/assignment.h"
+
+#include <gtest/gtest.h>
+
+using namespace deckpitch;
+
+namespace {
+
+const WeightsId Old{"m@1"};
+const WeightsId New{"m@2"};
+
+struct World {
+  DeclarationSet m_Declarations;
+  MembershipView m_Members;
+
+  Pool &pool(const std::string &Name, const std::string &Version,
+             std::vector<DataCentreReadiness> Readiness) {
+    Pool &Out = m_Declarations.m_Pools[PoolId{Name}].m_Value;
+    Out.m_Id = PoolId{Name};
+    Out.m_Model = "m";
+    Out.m_Version = Version;
+    Out.m_Readiness = std::move(Readiness);
+    return Out;
+  }
+
+  Member &agent(const std::string &Name, const std::string &Centre) {
+    Member &Out = m_Members.m_Members[InstanceId{Name}];
+    Out.m_Id = InstanceId{Name};
+    Out.m_DataCentre = DataCentreId{Centre};
+    return Out;
+  }
+
+  Member &serving(const std::string &Name, const std::string &Centre,
+                  const std::string &Condition) {
+    Member &Out = agent(Name, Centre);
+    Out.m_Serving = {PoolId{"chat"}, Old, {}, true, 0, 0, Condition};
+    assignments()[Out.m_Id] = {PoolId{"chat"}, Old};
+    return Out;
+  }
+
+  std::map<InstanceId, AssignedPool> &assignments() {
+    return m_Declarations.m_Assignment.m_Value.m_Instances;
+  }
+
+  Assignment plan() const { return planAssignment(m_Declarations, m_Members); }
+};
+
+std::size_t countOf(const Assignment &In, const AssignedPool &Wanted) {
+  std::size_t Count = 0;
+  for (const auto &[Id, Each] : In.m_Instances)
+    Count += Each == Wanted;
+  return Count;
+}
+
+TEST(Assignment, MeetsTheReadinessOfEachDataCentre) {
+  World Under;
+  Under.pool("chat", "1",
+             {{DataCentreId{"lahore"}, 2}, {DataCentreId{"multan"}, 1}});
+  for (const char *Name : {"a", "b", "c"})
+    Under.agent(Name, "lahore");
+  Under.agent("d", "multan");
+  const Assignment Plan = Under.plan();
+  EXPECT_EQ(countOf(Plan, {PoolId{"chat"}, Old}), 3U);
+  EXPECT_TRUE(Plan.m_Instances.contains(InstanceId{"d"}));
+}
+
+TEST(Assignment, IsStable) {
+  World Under;
+  Under.pool("chat", "1", {{DataCentreId{"lahore"}, 2}});
+  Under.pool("code", "7", {{DataCentreId{"lahore"}, 1}});
+  for (const char *Name : {"a", "b", "c", "d"})
+    Under.agent(Name, "lahore");
+  Under.m_Declarations.m_Assignment.m_Value = Under.plan();
+  EXPECT_EQ(Under.plan(), Under.m_Declarations.m_Assignment.m_Value);
+  Under.m_Members.m_Members.erase(InstanceId{"a"});
+  const Assignment After = Under.plan();
+  std::size_t Moved = 0;
+  for (const auto &[Id, Each] : After.m_Instances)
+    Moved +=
+        Under.assignments().contains(Id) && Under.assignments()[Id] != Each;
+  EXPECT_EQ(Moved, 0U);
+  EXPECT_EQ(After.m_Instances.size(), 3U);
+}
+
+TEST(Assignment, PrefersInstancesThatHoldTheWeights) {
+  World Under;
+  Under.pool("chat", "1", {{DataCentreId{"lahore"}, 1}});
+  Under.agent("a", "lahore");
+  Under.agent("b", "lahore").m_Serving.m_Weights = Old;
+  EXPECT_TRUE(Under.plan().m_Instances.contains(InstanceId{"b"}));
+}
+
+TEST(Assignment, DropsMembersThatLeave) {
+  World Under;
+  Under.pool("chat", "1", {{DataCentreId{"lahore"}, 1}});
+  Under.serving("a", "lahore", "Serving").m_State = MemberState::Leaving;
+  Under.agent("b", "lahore");
+  const Assignment Plan = Under.plan();
+  EXPECT_FALSE(Plan.m_Instances.contains(InstanceId{"a"}));
+  EXPECT_TRUE(Plan.m_Instances.contains(InstanceId{"b"}));
+}
+
+TEST(Assignment, SwapsWithoutAGapAllAtOnce) {
+  World Under;
+  Under.pool("chat", "2", {{DataCentreId{"lahore"}, 3}});
+  for (const char *Name : {"a", "b", "c"})
+    Under.serving(Name, "lahore", ConditionLoaded);
+  EXPECT_EQ(countOf(Under.plan(), {PoolId{"chat"}, New}), 3U);
+}
+
+TEST(Assignment, DrainsAtMostAsManyAsMayBeUnavailable) {
+  World Under;
+  Under.pool("chat", "2", {{DataCentreId{"lahore"}, 4}}).m_MaxUnavailable = 2;
+  for (const char *Name : {"a", "b", "c", "d"})
+    Under.serving(Name, "lahore", ConditionStaged);
+  const AssignedPool Target{PoolId{"chat"}, New};
+  Under.m_Declarations.m_Assignment.m_Value = Under.plan();
+  EXPECT_EQ(countOf(Under.m_Declarations.m_Assignment.m_Value, Target), 2U);
+  EXPECT_EQ(countOf(Under.plan(), Target), 2U);
+  // One of the two comes back with the new weights: the next may go.
+  for (auto &[Id, Each] : Under.assignments())
+    if (Each == Target) {
+      Under.m_Members.m_Members.at(Id).m_Serving.m_Weights = New;
+      break;
+    }
+  EXPECT_EQ(countOf(Under.plan(), Target), 3U);
+}
+
+TEST(Assignment, APausedPoolHolds) {
+  World Under;
+  Under.pool("chat", "2", {{DataCentreId{"lahore"}, 2}}).m_Paused = true;
+  for (const char *Name : {"a", "b"})
+    Under.serving(Name, "lahore", ConditionLoaded);
+  Under.agent("c", "lahore");
+  EXPECT_EQ(countOf(Under.plan(), {PoolId{"chat"}, Old}), 2U);
+}
+
+TEST(Assignment, AnInstanceStillCopyingKeepsServing) {
+  World Under;
+  Under.pool("chat", "2", {{DataCentreId{"lahore"}, 1}});
+  Under.serving("a", "lahore", "Copying");
+  EXPECT_EQ(countOf(Under.plan(), {PoolId{"chat"}, Old}), 1U);
+}
+
+} // namespace
--- /dev/null
+++ b/test/swarm-test.cc
@@ -0,0 +1,162 @@
+#include "deckpitch/swarm.h"
+
+#include <gmock/gmock.h>
+
+using namespace deckpitch;
+using namespace std::chrono_literals;
+using testing::Contains;
+using testing::ElementsAre;
+using testing::IsEmpty;
+using testing::Not;
+
+namespace {
+
+constexpr TimePoint Start{1'000'000s};
+
+InstanceId named(const std::string &Text) { return InstanceId{Text}; }
+
+ChunkSet setOf(std::uint32_t Size, std::vector<std::uint32_t> Held) {
+  ChunkSet Out(Size);
+  for (std::uint32_t Each : Held)
+    Out.insert(Each);
+  return Out;
+}
+
+Swarm makeSwarm(std::uint32_t Chunks, SwarmOptions Options = {}) {
+  return Swarm(named("self"), DataCentreId{"lahore"}, Chunks, Options, 7);
+}
+
+SwarmActions join(Swarm &Under, PeerNumber Number,
+                  std::vector<std::uint32_t> Held,
+                  const std::string &Centre = "lahore") {
+  const std::uint32_t Size = Under.here().size();
+  return Under.onPeerJoined(Number, named("peer-" + std::to_string(Number)),
+                            DataCentreId{Centre}, setOf(Size, Held),
+                            ChunkSet(Size), Start);
+}
+
+TEST(Swarm, ServesThePeerThatMissesMost) {
+  SwarmOptions One;
+  One.m_Uploads = 1;
+  Swarm Under = makeSwarm(8, One);
+  join(Under, 1, {1, 2, 3});
+  join(Under, 2, {1});
+  Under.addStaged(0, Start);
+  EXPECT_THAT(Under.onTick(Start), Contains(SwarmAction(SendGrant{2})));
+}
+
+TEST(Swarm, ChoosesTheRarestChunkOfTheSender) {
+  Swarm Under = makeSwarm(3);
+  join(Under, 1, {0, 1, 2});
+  join(Under, 2, {0, 1});
+  join(Under, 3, {0});
+  EXPECT_THAT(Under.onGrant(1, Start), ElementsAre(SendRequest{1, 2}));
+}
+
+TEST(Swarm, DoesNotAskForWhatIsOnItsWay) {
+  Swarm Under = makeSwarm(2);
+  join(Under, 1, {0});
+  join(Under, 2, {0});
+  EXPECT_THAT(Under.onGrant(1, Start), ElementsAre(SendRequest{1, 0}));
+  EXPECT_THAT(Under.onGrant(2, Start), ElementsAre(SendDecline{2}));
+}
+
+TEST(Swarm, TakesFromAfarOnlyWhatNobodyNearHas) {
+  Swarm Under = makeSwarm(2);
+  join(Under, 1, {0, 1}, "multan");
+  join(Under, 2, {0});
+  EXPECT_THAT(Under.onGrant(1, Start), ElementsAre(SendRequest{1, 1}));
+  EXPECT_THAT(Under.onGrant(1, Start), ElementsAre(SendDecline{1}));
+}
+
+TEST(Swarm, ReadsFromTheOriginOnlyItsOwnShare) {
+  SwarmOptions Options;
+  Options.m_OriginReads = 64;
+  Options.m_OriginWindow = 64;
+  std::uint32_t Reads = 0;
+  for (const char *Name : {"a", "b", "c", "d"}) {
+    Swarm Under(named(Name), DataCentreId{"lahore"}, 64, Options, 1);
+    Under.setInstances({named("a"), named("b"), named("c"), named("d")});
+    Reads += static_cast<std::uint32_t>(
+        std::ranges::count_if(Under.onTick(Start), [](const SwarmAction &Each) {
+          return std::holds_alternative<ReadOrigin>(Each);
+        }));
+  }
+  EXPECT_EQ(Reads, 64U);
+}
+
+TEST(Swarm, TheNextInRankReadsWhenTheFirstDoesNot) {
+  SwarmOptions Options;
+  Options.m_OriginReads = 64;
+  Swarm First(named("a"), DataCentreId{"lahore"}, 1, Options, 1);
+  Swarm Second(named("b"), DataCentreId{"lahore"}, 1, Options, 1);
+  for (Swarm *Each : {&First, &Second})
+    Each->setInstances({named("a"), named("b")});
+  const auto Read = Contains(SwarmAction(ReadOrigin{0}));
+  const bool FirstReads = testing::Value(First.onTick(Start), Read);
+  Swarm &Later = FirstReads ? Second : First;
+  EXPECT_THAT(Later.onTick(Start), Not(Read));
+  EXPECT_THAT(Later.onTick(Start + Options.m_OriginStep / 2), Not(Read));
+  EXPECT_THAT(Later.onTick(Start + Options.m_OriginStep), Read);
+}
+
+TEST(Swarm, ACorruptChunkSetsThePeerAsideThenForLong) {
+  SwarmOptions Options;
+  Swarm Under = makeSwarm(4, Options);
+  join(Under, 1, {0, 1});
+  Under.onGrant(1, Start);
+  const TimePoint Until = Start + Options.m_SetAside;
+  EXPECT_THAT(Under.onArrived(1, 0, false, Start),
+              Contains(SwarmAction(DropPeer{1, Until})));
+  EXPECT_TRUE(Under.setAside(named("peer-1"), Start));
+  EXPECT_FALSE(Under.setAside(named("peer-1"), Until));
+  EXPECT_TRUE(Under.wants(0));
+  join(Under, 1, {0, 1});
+  EXPECT_TRUE(Under.onGrant(1, Start).empty());
+}
+
+TEST(Swarm, AStallIsToldByProgress) {
+  SwarmOptions Options;
+  Swarm Under = makeSwarm(4, Options);
+  join(Under, 1, {0});
+  Under.onGrant(1, Start);
+  const TimePoint Half = Start + Options.m_StallAfter / 2;
+  Under.onProgress(1, 0, Half);
+  EXPECT_TRUE(Under.expects(1, 0));
+  Under.onTick(Start + Options.m_StallAfter + 1ms);
+  EXPECT_TRUE(Under.expects(1, 0));
+  Under.onTick(Half + Options.m_StallAfter + 1ms);
+  EXPECT_EQ(Under.counters().m_Stalls, 1U);
+  EXPECT_EQ(Under.peerCount(), 0U);
+  EXPECT_TRUE(Under.wants(0));
+}
+
+TEST(Swarm, AHedgedChunkThatArrivesTwiceFreesItsPlace) {
+  SwarmOptions Options;
+  Options.m_Expected = 2;
+  Swarm Under = makeSwarm(2, Options);
+  join(Under, 1, {0});
+  join(Under, 2, {0, 1});
+  Under.onGrant(1, Start);
+  const TimePoint Later = Start + 1s;
+  EXPECT_THAT(Under.onGrant(2, Later), ElementsAre(SendRequest{2, 1}));
+  Under.onArrived(2, 1, true, Later);
+  Under.onStaged(1, true, Later);
+  EXPECT_THAT(Under.onGrant(2, Later), ElementsAre(SendRequest{2, 0}));
+  Under.onArrived(2, 0, true, Later);
+  Under.onStaged(0, true, Later);
+  Under.onArrived(1, 0, true, Later);
+  EXPECT_TRUE(Under.complete());
+  EXPECT_EQ(Under.counters().m_Duplicates, 1U);
+}
+
+TEST(Swarm, ARequestThatWasNotGrantedIsRefused) {
+  Swarm Under = makeSwarm(2);
+  Under.addStaged(0, Start);
+  EXPECT_THAT(Under.onRequest(9, 0, Start), IsEmpty());
+  join(Under, 1, {0});
+  EXPECT_THAT(Under.onRequest(1, 0, Start), ElementsAre(SendRefusal{1, 0}));
+  EXPECT_THAT(Under.onRequest(1, 77, Start), ElementsAre(SendRefusal{1, 77}));
+}
+
+} // namespace
