--- a/include/deckpitch/settings.h
+++ b/include/deckpitch/settings.h
@@ -44,6 +44,7 @@
   std::uint64_t m_MemoryBytes = 64ULL * 1024 * 1024;
   std::uint64_t m_UploadBytesPerSecond = 0;   ///< 0: unlimited
   std::uint64_t m_DownloadBytesPerSecond = 0; ///< 0: unlimited
+  bool m_SharedLink = false; ///< uploads count against the download's rate
   std::uint32_t m_Peers = 16;
 
   friend bool operator==(const WeightsSettings &,
--- a/src/kernel/manifest.cc
+++ b/src/kernel/manifest.cc
@@ -68,6 +68,7 @@
   std::string Whole;
   JsonObjectReader Reader(Value, "", Found);
   Reader.required("weights", Out.m_Weights.m_Text);
+  Reader.optional("base", Out.m_Base.m_Text);
   Reader.optional("bytes", Out.m_Bytes, 1, MaxWeightsBytes);
   Reader.optional("chunkBytes", Out.m_ChunkBytes, 1, MaxChunkBytes);
   Reader.required("whole", Whole);
@@ -102,12 +103,14 @@
   boost::json::array Chunks;
   for (const Digest &Each : Value.m_Chunks)
     Chunks.emplace_back(toHex(Each));
-  return boost::json::serialize(
-      boost::json::object{{"weights", Value.m_Weights.m_Text},
+  boost::json::object Out{{"weights", Value.m_Weights.m_Text},
                           {"bytes", Value.m_Bytes},
                           {"chunkBytes", Value.m_ChunkBytes},
                           {"whole", toHex(Value.m_Whole)},
-                          {"chunks", std::move(Chunks)}});
+                          {"chunks", std::move(Chunks)}};
+  if (!Value.m_Base.empty())
+    Out["base"] = Value.m_Base.m_Text;
+  return boost::json::serialize(Out);
 }
 
 } // namespace deckpitch
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -39,6 +39,7 @@
                   MaxBytes);
   Reader.optional("downloadBytesPerSecond", Out.m_DownloadBytesPerSecond, 0,
                   MaxBytes);
+  Reader.optional("sharedLink", Out.m_SharedLink);
   Reader.optional("peers", Out.m_Peers, 1, 256);
 }
 
