--- a/src/net/io-threads.cc
+++ b/src/net/io-threads.cc
@@ -7,12 +7,10 @@
     m_Loops.push_back(std::make_unique<Loop>());
 }
 
-/// What waits on a worker may use what lives on the control loop, so that one
-/// ends last.
 IoThreads::~IoThreads() {
   stop();
-  while (!m_Loops.empty())
-    m_Loops.pop_back();
+  for (auto &Each : m_Loops)
+    Each->m_Io.destroyHandlers();
 }
 
 void IoThreads::start() {
