--- /dev/null
+++ b/support/measure/measure-requests.cc
@@ -0,0 +1,232 @@
+// Measures the request path over real processes on this machine.
+#include "cluster.h"
+#include "net/http.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <unistd.h>
+
+using namespace deckpitch;
+using namespace deckpitch::test;
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t Engines = 4;
+constexpr std::uint32_t Concurrency = 16; ///< of each engine
+constexpr int Tokens = 16;
+constexpr int UrgentEvery = 10;
+
+/// One closed loop of callers.
+struct Load {
+  std::vector<std::string> m_Addresses;
+  int m_Callers = 1;
+  milliseconds m_Deadline{2'000};
+  milliseconds m_Span{6'000};
+};
+
+struct Seen {
+  std::vector<double> m_FirstTokenMs;
+  std::vector<double> m_RefusedMs;
+  std::uint64_t m_Good = 0; ///< whole and in time
+  std::uint64_t m_Late = 0;
+  std::uint64_t m_Refused = 0;
+  std::uint64_t m_Other = 0;
+  std::uint64_t m_Urgent = 0;
+  std::uint64_t m_UrgentGood = 0;
+};
+
+double quantile(std::vector<double> Values, double At) {
+  if (Values.empty())
+    return 0;
+  std::ranges::sort(Values);
+  const auto Index = static_cast<std::size_t>(At * (Values.size() - 1));
+  return Values[Index];
+}
+
+double millisecondsSince(SteadyClock::time_point Begin) {
+  return std::chrono::duration<double, std::milli>(SteadyClock::now() - Begin)
+      .count();
+}
+
+net::HttpRequest chatRequest(int Caller, int Turn, milliseconds Deadline,
+                             bool Urgent) {
+  net::HttpRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Target = "/v1/chat/completions";
+  Request.m_Headers.add("X-Request-Id",
+                        std::to_string(Caller) + "-" + std::to_string(Turn));
+  Request.m_Headers.add("X-Deadline-Ms", std::to_string(Deadline.count()));
+  Request.m_Headers.add("X-Priority", Urgent ? "urgent" : "normal");
+  Request.m_Headers.add("X-Organisation", "org-" + std::to_string(Caller % 10));
+  const json::object Message{{"role", "user"},
+                             {"content", std::to_string(Caller)}};
+  Request.m_Body =
+      json::serialize(json::object{{"model", "chat"},
+                                   {"stream", true},
+                                   {"max_tokens", Tokens},
+                                   {"messages", json::array{Message}}});
+  return Request;
+}
+
+class Run {
+public:
+  explicit Run(Load Wanted) : m_Load(std::move(Wanted)) {}
+
+  Seen run() {
+    m_End = SteadyClock::now() + m_Load.m_Span;
+    for (int I = 0; I < m_Load.m_Callers; ++I)
+      asio::co_spawn(m_Io, caller(I), asio::detached);
+    m_Io.run();
+    return std::move(m_Seen);
+  }
+
+private:
+  asio::awaitable<void> caller(int Caller) {
+    const std::string Address =
+        m_Load.m_Addresses[Caller % m_Load.m_Addresses.size()];
+    for (int Turn = 0; SteadyClock::now() < m_End; ++Turn) {
+      const double Pause = co_await one(Address, Caller, Turn);
+      if (Pause <= 0)
+        continue;
+      asio::steady_timer Timer(m_Io, milliseconds(static_cast<int>(Pause)));
+      co_await Timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  /// Gives the pause that the answer asks for, in milliseconds.
+  asio::awaitable<double> one(std::string Address, int Caller, int Turn) {
+    const bool Urgent = (Caller + Turn) % UrgentEvery == 0;
+    auto Request = chatRequest(Caller, Turn, m_Load.m_Deadline, Urgent);
+    m_Seen.m_Urgent += Urgent;
+    const auto Begin = SteadyClock::now();
+    auto Opened = co_await m_Client.open(Address, std::move(Request));
+    if (!Opened) {
+      ++m_Seen.m_Other;
+      co_return 10;
+    }
+    net::HttpStream &Stream = **Opened;
+    std::string Body;
+    bool First = true;
+    while (true) {
+      auto Piece = co_await Stream.read();
+      if (!Piece || Piece->empty())
+        break;
+      if (std::exchange(First, false) && Stream.status() == 200)
+        m_Seen.m_FirstTokenMs.push_back(millisecondsSince(Begin));
+      Body += *Piece;
+    }
+    const double Took = millisecondsSince(Begin);
+    if (Stream.headers().find("X-Outcome") == "not-run") {
+      ++m_Seen.m_Refused;
+      m_Seen.m_RefusedMs.push_back(Took);
+      co_return std::stod(std::string(Stream.headers().find("Retry-After-Ms")));
+    }
+    const bool Whole = Body.ends_with("data: [DONE]\n\n");
+    const bool InTime = Took <= static_cast<double>(m_Load.m_Deadline.count());
+    m_Seen.m_Good += Whole && InTime;
+    m_Seen.m_Late += Whole && !InTime;
+    m_Seen.m_Other += !Whole;
+    m_Seen.m_UrgentGood += Urgent && Whole && InTime;
+    co_return 0;
+  }
+
+  Load m_Load;
+  asio::io_context m_Io;
+  net::HttpClient m_Client;
+  SteadyClock::time_point m_End;
+  Seen m_Seen;
+};
+
+double processorSeconds(pid_t Pid) {
+  std::ifstream File("/proc/" + std::to_string(Pid) + "/stat");
+  std::string Text;
+  std::getline(File, Text);
+  std::istringstream Fields(Text.substr(Text.rfind(')') + 2));
+  std::string Skipped;
+  for (int I = 0; I < 11; ++I)
+    Fields >> Skipped;
+  double User = 0;
+  double System = 0;
+  Fields >> User >> System;
+  return (User + System) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+void report(const char *Name, const Seen &Got, milliseconds Span) {
+  const double Seconds = static_cast<double>(Span.count()) / 1000;
+  std::printf("%-22s good/s %8.1f  late %5lu  refused %6lu  other %4lu  "
+              "first token ms p50 %7.2f p95 %7.2f  refused ms p95 %6.2f  "
+              "urgent in time %lu of %lu\n",
+              Name, static_cast<double>(Got.m_Good) / Seconds, Got.m_Late,
+              Got.m_Refused, Got.m_Other, quantile(Got.m_FirstTokenMs, 0.5),
+              quantile(Got.m_FirstTokenMs, 0.95),
+              quantile(Got.m_RefusedMs, 0.95), Got.m_UrgentGood, Got.m_Urgent);
+}
+
+void measure(const char *Name, Cluster &Under, Load Wanted, bool ThroughEntry) {
+  const pid_t Entry = Under.entry(0).m_Process->pid();
+  const double Before = processorSeconds(Entry);
+  const milliseconds Span = Wanted.m_Span;
+  const Seen Got = Run(std::move(Wanted)).run();
+  report(Name, Got, Span);
+  if (!ThroughEntry || Got.m_Good == 0)
+    return;
+  const double Used = processorSeconds(Entry) - Before;
+  const double Requests = static_cast<double>(Got.m_Good + Got.m_Late);
+  std::printf("%-22s entry: %.1f us a request of %d tokens, %.2f us a token\n",
+              "", Used / Requests * 1e6, Tokens,
+              Used / Requests / Tokens * 1e6);
+}
+
+bool ready(Cluster &Under) {
+  const auto Dump = jsonOf(call(Under.entry(0).m_Operator, "GET", "/v1/dump"));
+  if (!Dump.is_object())
+    return false;
+  const auto &Pools = Dump.at("modules").at("requests").at("pools").as_object();
+  const auto *Pool = Pools.if_contains("chat");
+  return Pool && Pool->as_object().size() == Engines;
+}
+
+} // namespace
+
+int main() {
+  Cluster Under(
+      {.m_Entries = 1, .m_Engines = Engines, .m_Concurrency = Concurrency});
+  if (!Under.start()) {
+    std::cerr << Under.failure() << "\n";
+    return 1;
+  }
+  Under.addWeights("m@1", 1 << 18, 1 << 16);
+  if (!Under.declarePool("chat", "m", "1") ||
+      !eventually([&] { return ready(Under); })) {
+    std::cerr << "the pool did not become ready\n" << Under.logs();
+    return 1;
+  }
+  Load Direct;
+  for (std::size_t I = 0; I < Engines; ++I) {
+    setFaults(Under.engine(I).m_Address,
+              R"({"delayFirstTokenMs":20,"delayTokenMs":5})");
+    Direct.m_Addresses.push_back(Under.engine(I).m_Address);
+  }
+  constexpr int Capacity = Engines * Concurrency;
+  Load Through = Direct;
+  Through.m_Addresses = {Under.entry(0).m_Requests};
+  Direct.m_Callers = Through.m_Callers = Capacity / 2;
+  measure("half load, direct", Under, Direct, false);
+  measure("half load, entry", Under, Through, true);
+  Through.m_Callers = Capacity;
+  measure("capacity, entry", Under, Through, true);
+  Through.m_Callers = 2 * Capacity;
+  measure("2 x capacity, entry", Under, Through, true);
+  return 0;
+}
