--- a/include/deckpitch/admission.h
+++ b/include/deckpitch/admission.h
@@ -16,7 +16,7 @@
 
 /// How many requests an upstream takes at once, learned from the time to the
 /// first byte: grows by one a round trip while that stays near the least seen
-/// lately, and shrinks by a tenth when it has doubled.
+/// lately, and shrinks by a tenth when it has doubled over several.
 class ConcurrencyLimit {
 public:
   explicit ConcurrencyLimit(double Initial = 16);
@@ -31,6 +31,7 @@
   void shrink(TimePoint Now);
 
   double m_Limit;
+  Duration m_Smoothed{};
   Duration m_Least{};       ///< least latency of this window
   Duration m_LeastBefore{}; ///< and of the one before
   TimePoint m_WindowEnd;
--- a/src/kernel/admission.cc
+++ b/src/kernel/admission.cc
@@ -10,6 +10,7 @@
 constexpr double MostLimit = 4'096;
 constexpr double ShrinkFactor = 0.9;
 constexpr int LatencyTolerance = 2;
+constexpr int LatencySmoothing = 10;
 constexpr std::chrono::seconds LatencyWindow{10};
 constexpr std::chrono::milliseconds ShrinkInterval{100};
 constexpr double DrainSmoothing = 0.1;
@@ -35,7 +36,11 @@
   const Duration Base = m_LeastBefore > Duration::zero()
                             ? std::min(m_Least, m_LeastBefore)
                             : m_Least;
-  if (Latency > Base * LatencyTolerance + ShrinkInterval / 10)
+  // One slow answer tells nothing of load.
+  if (m_Smoothed == Duration::zero())
+    m_Smoothed = Latency;
+  m_Smoothed += (Latency - m_Smoothed) / LatencySmoothing;
+  if (m_Smoothed > Base * LatencyTolerance + ShrinkInterval / 10)
     shrink(Now);
   else if (InFlight * 2 >= m_Limit)
     m_Limit = std::min(MostLimit, m_Limit + 1 / m_Limit);
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -115,18 +115,17 @@
         finish();
         co_return std::string();
       }
-      std::string Piece(ReadPieceBytes, '\0');
-      m_Parser.get().body().data = Piece.data();
-      m_Parser.get().body().size = Piece.size();
+      m_Parser.get().body().data = m_Piece.get();
+      m_Parser.get().body().size = ReadPieceBytes;
       m_Connection->m_Stream.expires_after(m_Limits.m_BetweenBytes);
       auto [Ec, Bytes] = co_await http::async_read_some(m_Connection->m_Stream,
                                                         m_Connection->m_Buffer,
                                                         m_Parser, UseAwaitable);
       if (Ec && Ec != http::error::need_buffer)
         co_return unanswered(m_Key.m_Address, Ec);
-      Piece.resize(Piece.size() - m_Parser.get().body().size);
-      if (!Piece.empty())
-        co_return Piece;
+      const std::size_t Got = ReadPieceBytes - m_Parser.get().body().size;
+      if (Got > 0)
+        co_return std::string(m_Piece.get(), Got);
     }
   }
 
@@ -151,6 +150,9 @@
   PoolKey m_Key;
   std::unique_ptr<Connection> m_Connection;
   CallLimits m_Limits;
+  /// Not filled with zeros for each read, as a string would be.
+  std::unique_ptr<char[]> m_Piece =
+      std::make_unique_for_overwrite<char[]>(ReadPieceBytes);
   http::response_parser<http::buffer_body> m_Parser;
   HttpHeaders m_Headers;
 };
