Keep a leaving entry until address answers that name it have run out

Cause: an idle entry that was told to leave ended at once, so callers with old address answers were refused a connection instead of redirected. Change: drained() waits for the lifetime of an address answer; the check for another attempt stands once. The test fails when drained() looks at open requests alone (that was the state before).

--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -120,7 +120,7 @@
       co_return RequestOutcome::Unknown;
     if (End == AttemptEnd::Whole)
       co_return co_await finish();
-    if (!retryAllowed(End))
+    if (!mayRetry(m_Context, m_Call, m_Attempts, End))
       break;
     m_Context.m_Counters.m_Retries.fetch_add(1, std::memory_order_relaxed);
     m_Routes = m_Context.m_Routes.routes();
@@ -134,18 +134,6 @@
                                        : RequestOutcome::NotRun);
 }
 
-bool ChatCall::retryAllowed(AttemptEnd End) {
-  const bool Allowed =
-      !needsBudget(End) ||
-      (m_Call.m_Terms.m_Idempotent && m_Context.m_RetryBudget.withdraw());
-  const CallState State{.m_Idempotent = m_Call.m_Terms.m_Idempotent,
-                        .m_Attempts = m_Attempts,
-                        .m_OtherUpstream = true,
-                        .m_BudgetAllows = Allowed,
-                        .m_TimeLeft = now() < m_Call.m_Deadline};
-  return afterAttempt(End, State) == NextStep::TryAnother;
-}
-
 std::string ChatCall::resumeBody() const {
   boost::json::object Body = m_Body;
   if (m_NextIndex > 0)
--- a/src/daemon/entry-chat.h
+++ b/src/daemon/entry-chat.h
@@ -37,7 +37,6 @@
   /// An upstream's own refusal of the request, passed on as the answer.
   boost::asio::awaitable<AttemptEnd> passOn(net::HttpStream &Stream);
   boost::asio::awaitable<bool> beginStream();
-  bool retryAllowed(AttemptEnd End);
   void callerGone();
   std::string resumeBody() const;
 
--- a/src/daemon/entry-context.cc
+++ b/src/daemon/entry-context.cc
@@ -100,6 +100,19 @@
   return AttemptEnd::Whole;
 }
 
+bool mayRetry(EntryContext &In, const CallerRequest &Call,
+              std::uint32_t Attempts, AttemptEnd End) {
+  const bool Idempotent = Call.m_Terms.m_Idempotent;
+  const bool Allowed =
+      !needsBudget(End) || (Idempotent && In.m_RetryBudget.withdraw());
+  const CallState State{.m_Idempotent = Idempotent,
+                        .m_Attempts = Attempts,
+                        .m_OtherUpstream = true,
+                        .m_BudgetAllows = Allowed,
+                        .m_TimeLeft = now() < Call.m_Deadline};
+  return afterAttempt(End, State) == NextStep::TryAnother;
+}
+
 std::chrono::milliseconds attemptLimit(Duration TimeLeft, bool MayRetry) {
   const auto Left = milliseconds(TimeLeft);
   const auto Limit = MayRetry ? Left / AttemptShare : Left;
--- a/src/daemon/entry-context.h
+++ b/src/daemon/entry-context.h
@@ -74,6 +74,10 @@
 AttemptEnd attemptEndOf(const net::HttpHeaders &Headers,
                         const std::string &RequestId);
 
+/// Whether another upstream may be tried; takes from the budget if it must.
+bool mayRetry(EntryContext &In, const CallerRequest &Call,
+              std::uint32_t Attempts, AttemptEnd End);
+
 /// The longest that one attempt may wait for its first byte, so that another
 /// upstream can still be tried.
 std::chrono::milliseconds attemptLimit(Duration TimeLeft, bool MayRetry);
--- a/src/daemon/entry-requests.cc
+++ b/src/daemon/entry-requests.cc
@@ -34,6 +34,7 @@
 
   std::vector<Route> requestRoutes() override;
   Result<void> start() override;
+  void beginDrain() override { m_LeavingSince = now(); }
   bool drained() const override;
   void stop() override;
   boost::json::object dump() const override;
@@ -50,6 +51,7 @@
 
   Process &m_Process;
   EntryContext m_Context;
+  TimePoint m_LeavingSince;
 };
 
 std::vector<Route> EntryRequests::requestRoutes() {
@@ -78,8 +80,12 @@
   m_Context.m_Routes.stop();
 }
 
+/// Stays until the address answers that still name it have run out, so that
+/// their askers are redirected rather than refused a connection.
 bool EntryRequests::drained() const {
-  return m_Context.m_Counters.m_Open.load() == 0;
+  const auto Lifetime = m_Process.m_Settings.m_Requests.m_AddressLifetime;
+  return m_Context.m_Counters.m_Open.load() == 0 &&
+         now() - m_LeavingSince >= Lifetime;
 }
 
 asio::awaitable<void> EntryRequests::addresses(net::HttpResponder &Answer) {
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -61,7 +61,7 @@
     if (End == AttemptEnd::Whole)
       co_return co_await answer(RequestOutcome::Answered,
                                 std::move(m_Response));
-    if (!retryAllowed(End))
+    if (!mayRetry(m_Context, m_Call, m_Attempts, End))
       break;
     m_Context.m_Counters.m_Retries.fetch_add(1, std::memory_order_relaxed);
   }
@@ -77,18 +77,6 @@
   co_return co_await answer(Outcome, std::move(Response));
 }
 
-bool ServiceCall::retryAllowed(AttemptEnd End) {
-  const bool Allowed =
-      !needsBudget(End) ||
-      (m_Call.m_Terms.m_Idempotent && m_Context.m_RetryBudget.withdraw());
-  const CallState State{.m_Idempotent = m_Call.m_Terms.m_Idempotent,
-                        .m_Attempts = m_Attempts,
-                        .m_OtherUpstream = true,
-                        .m_BudgetAllows = Allowed,
-                        .m_TimeLeft = now() < m_Call.m_Deadline};
-  return afterAttempt(End, State) == NextStep::TryAnother;
-}
-
 asio::awaitable<AttemptEnd> ServiceCall::attempt(const UpstreamRoute &To) {
   ++m_Attempts;
   m_Hints.m_Tried.insert(To.m_Instance);
--- a/src/daemon/entry-service.h
+++ b/src/daemon/entry-service.h
@@ -24,7 +24,6 @@
   boost::asio::awaitable<RequestOutcome> runKeyed();
   boost::asio::awaitable<RequestOutcome> answer(RequestOutcome Outcome,
                                                 net::HttpResponse Response);
-  bool retryAllowed(AttemptEnd End);
 
   EntryContext &m_Context;
   CallerRequest m_Call;
--- a/test/request-path-fixture.h
+++ b/test/request-path-fixture.h
@@ -233,8 +233,10 @@
 /// or one service pool "orders" (path "/orders").
 class RequestPath {
 public:
-  explicit RequestPath(PoolKind Kind, int Agents = 1, int Entries = 1,
-                       const std::string &Platform = "")
+  explicit RequestPath(
+      PoolKind Kind, int Agents = 1, int Entries = 1,
+      const std::string &Platform = "",
+      std::chrono::milliseconds Lifetime = RequestSettings().m_AddressLifetime)
       : m_Kind(Kind) {
     for (int I = 0; I < Entries; ++I) {
       Settings Value;
@@ -242,6 +244,7 @@
       Value.m_Instance = {"entry-" + std::to_string(I)};
       Value.m_DataCentre = {"lahore"};
       Value.m_Platform = Platform;
+      Value.m_Requests.m_AddressLifetime = Lifetime;
       m_Entries.push_back(std::make_unique<ModuleHost>(Value));
     }
     for (int I = 0; I < Agents; ++I)
--- a/test/request-path-test.cc
+++ b/test/request-path-test.cc
@@ -60,6 +60,15 @@
   EXPECT_EQ(Path.m_Upstreams[0]->m_Runs, 0);
 }
 
+TEST(RequestPath, ALeavingEntryStaysWhileAddressAnswersNameIt) {
+  RequestPath Long(PoolKind::Engine, 1, 1, "", std::chrono::hours(1));
+  Long.entry().drain();
+  EXPECT_FALSE(Long.entry().drained());
+  RequestPath Short(PoolKind::Engine, 1, 1, "", std::chrono::milliseconds(0));
+  Short.entry().drain();
+  EXPECT_TRUE(Short.entry().drained());
+}
+
 TEST(RequestPath, AnAgentRefusesWhatItDoesNotServeNow) {
   RequestPath Path(PoolKind::Engine, 2);
   auto Changed = std::make_shared<ServingReport>(
