--- a/test/standin-engine-test.cc
+++ b/test/standin-engine-test.cc
@@ -35,7 +35,9 @@
 }
 
 Manifest manifestOf(const std::string &Weights, std::uint64_t Seed) {
-  Manifest Out{{Weights}, ContentSize, ChunkBytes, {}, {}};
+  Manifest Out{.m_Weights = {Weights},
+               .m_Bytes = ContentSize,
+               .m_ChunkBytes = ChunkBytes};
   for (std::uint32_t I = 0; I < 3; ++I)
     Out.m_Chunks.push_back(digestOfText(chunkOf(Seed, I)));
   Out.m_Whole = wholeDigest(Out.m_Chunks);
