Add leases, and tell replicas when early objects are complete

Cause: (1) the assigner and the watch need a holder; (2) a replaced object was in force at all only by the next heartbeats; (3) an entry aborted on PUT with If-Match: 'free(): invalid pointer'. For (3) ruled out: the JSON handling (a create took the same path); GCC 12 destroys a braced temporary inside a co_await expression twice, so named objects are passed. Change: Lease decides by its own monotonic clock, LeaseKeeper runs it; an empty completion update is spread when lists confirm an early object.

--- a/include/deckpitch/declaration-store.h
+++ b/include/deckpitch/declaration-store.h
@@ -69,11 +69,16 @@
   /// All that a replica complete up to Have may lack; whole when deletions
   /// that old are forgotten here.
   DeclarationUpdate changesSince(Revision Have) const;
+  /// Tells that the sender is complete up to its revision; enough for a
+  /// replica with the same digest.
+  DeclarationUpdate completion() const;
   /// Everything, for a replica that differs in spite of its revision.
   DeclarationUpdate whole() const;
 
   /// All changes up to this revision are in.
   Revision revision() const;
+  /// The newest revision of any object; it may be past revision().
+  Revision newest() const { return m_Newest; }
   /// Equal at replicas that hold the same versions of the same objects.
   std::uint64_t digest() const { return m_Digest; }
   /// False until anything was learnt from the platform or from a peer.
@@ -106,6 +111,7 @@
   std::map<std::string, Revision> m_Complete;
   Revision m_ForgottenUpTo; ///< deletions up to here may be forgotten
   std::uint64_t m_Digest = 0;
+  Revision m_Newest;
   std::size_t m_Unreadable = 0;
   DeclarationSet m_Snapshot;
 };
--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -18,6 +18,8 @@
   SettingsRefused = 1003,
   ListenFailed = 1004,
   DeclarationAccepted = 2000,
+  LeaseWon = 2001,
+  LeaseLost = 2002,
   UpstreamAnswerRefused = 4000,
 };
 
@@ -35,6 +37,8 @@
     EventInfo{Event::ListenFailed, Severity::Error, "ListenFailed"},
     EventInfo{Event::DeclarationAccepted, Severity::Info,
               "DeclarationAccepted"},
+    EventInfo{Event::LeaseWon, Severity::Info, "LeaseWon"},
+    EventInfo{Event::LeaseLost, Severity::Warning, "LeaseLost"},
     EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
               "UpstreamAnswerRefused"},
 };
--- a/src/daemon/declarations-agent.cc
+++ b/src/daemon/declarations-agent.cc
@@ -13,7 +13,8 @@
 class AgentDeclarations final : public Module {
 public:
   explicit AgentDeclarations(Process &In)
-      : m_Exchange(In, [](Revision) {}), m_Timer(In.m_Threads.control()),
+      : m_Exchange(In, [](const DeclarationUpdate &) {}),
+        m_Timer(In.m_Threads.control()),
         m_Period(In.m_Settings.m_Membership.m_Heartbeat) {}
 
   Result<void> start() override {
--- a/src/daemon/declarations-entry.cc
+++ b/src/daemon/declarations-entry.cc
@@ -22,7 +22,7 @@
 public:
   explicit EntryDeclarations(Process &In)
       : m_Process(In),
-        m_Exchange(In, [this](Revision Since) { spread(Since); }),
+        m_Exchange(In, [this](const DeclarationUpdate &News) { spread(News); }),
         m_Follower(In, m_Exchange), m_Random(std::random_device{}()) {}
 
   Result<void> start() override {
@@ -62,15 +62,15 @@
       m_Agents.erase(Id);
   }
 
-  void spread(Revision Since) {
+  void spread(const DeclarationUpdate &News) {
     const Duration Limit = m_Process.m_Settings.m_Membership.m_GoneAfter;
     std::erase_if(m_Agents, [&](const auto &Each) {
       return now() - Each.second.m_Heard > Limit;
     });
     for (const auto &[Id, Each] : m_Agents)
-      m_Exchange.sendChanges(Each.m_Address, Since);
+      m_Exchange.send(Each.m_Address, News);
     for (const std::string &Each : someEntries())
-      m_Exchange.sendChanges(Each, Since);
+      m_Exchange.send(Each, News);
   }
 
   std::vector<std::string> someEntries() {
--- a/src/daemon/declarations-exchange.cc
+++ b/src/daemon/declarations-exchange.cc
@@ -86,11 +86,22 @@
   if (m_Published)
     publish();
   tick();
-  if (m_Store.digest() != Content)
-    m_OnChange(Before);
+  spreadChange(Before, Content);
   return Did;
 }
 
+void DeclarationExchange::spreadChange(Revision Before,
+                                       std::uint64_t ContentBefore) {
+  if (!m_Store.filled())
+    return;
+  const bool Completed =
+      Before < m_Store.newest() && m_Store.newest() <= m_Store.revision();
+  if (m_Store.digest() != ContentBefore)
+    m_OnChange(m_Store.changesSince(Before));
+  else if (Completed)
+    m_OnChange(m_Store.completion());
+}
+
 void DeclarationExchange::tick() {
   if (m_Published || !m_FilledAt)
     return;
@@ -125,8 +136,8 @@
 void DeclarationExchange::onRequest(const wire::DeclarationRequest &Request) {
   if (Request.whole())
     send(Request.address(), m_Store.whole());
-  else
-    sendChanges(Request.address(), {Request.have()});
+  else if (m_Store.filled())
+    send(Request.address(), m_Store.changesSince({Request.have()}));
 }
 
 void DeclarationExchange::compare(const std::string &Address, Revision Theirs,
@@ -141,6 +152,8 @@
       apply(Address, [&](DeclarationStore &Store) {
         return Store.applyUpdate({Theirs, Theirs, false, Digest, {}});
       });
+    else if (Theirs < m_Store.newest() && Theirs < Mine)
+      send(Address, m_Store.completion());
     return;
   }
   const bool Whole = ++Of.m_Differences >= DifferencesBeforeWhole;
@@ -161,12 +174,6 @@
   m_Process.m_Bus->send(Address, std::move(Message));
 }
 
-void DeclarationExchange::sendChanges(const std::string &Address,
-                                      Revision Since) {
-  if (m_Store.filled())
-    send(Address, m_Store.changesSince(Since));
-}
-
 void DeclarationExchange::send(const std::string &Address,
                                const DeclarationUpdate &Update) {
   wire::Envelope Message;
--- a/src/daemon/declarations-exchange.h
+++ b/src/daemon/declarations-exchange.h
@@ -20,8 +20,8 @@
 /// Heartbeats show whose replica lags: the one that hears it sends or asks.
 class DeclarationExchange {
 public:
-  /// Called after the replica changed; Since is where it was complete before.
-  using Spread = std::function<void(Revision Since)>;
+  /// Called with what others should be told after the replica changed.
+  using Spread = std::function<void(const DeclarationUpdate &)>;
 
   DeclarationExchange(Process &In, Spread OnChange);
 
@@ -32,7 +32,7 @@
         const std::function<DeclarationStore::Effect(DeclarationStore &)> &How);
   /// Ends the wait for a second source if it has lasted long enough.
   void tick();
-  void sendChanges(const std::string &Address, Revision Since);
+  void send(const std::string &Address, const DeclarationUpdate &Update);
   const DeclarationStore &store() const { return m_Store; }
   boost::json::object dump() const;
 
@@ -48,8 +48,8 @@
   void compare(const std::string &Address, Revision Theirs,
                std::uint64_t Digest);
   void request(const std::string &Address, bool Whole);
-  void send(const std::string &Address, const DeclarationUpdate &Update);
   void publish();
+  void spreadChange(Revision Before, std::uint64_t ContentBefore);
 
   Process &m_Process;
   Spread m_OnChange;
--- /dev/null
+++ b/src/daemon/lease-keeper.cc
@@ -0,0 +1,134 @@
+#include "daemon/lease-keeper.h"
+
+#include "daemon/clock.h"
+#include "deckpitch/entry-choice.h"
+#include "net/log.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace deckpitch::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char *LeasesKind = "leases";
+/// Entries that read a lease's object and stand ready to take over.
+constexpr std::size_t CandidatesPerLease = 3;
+/// Loss of the lease is noticed and told at least so soon.
+constexpr std::chrono::milliseconds LongestSleep{500};
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(Process &In, std::string Name, LeaseLimits Limits)
+    : m_Process(In), m_Name(std::move(Name)),
+      m_Lease(In.m_Settings.m_Instance, In.m_Incarnation, Limits),
+      m_Timer(In.m_Threads.control()) {}
+
+void LeaseKeeper::start() {
+  asio::co_spawn(m_Process.m_Threads.control(), run(), asio::detached);
+}
+
+void LeaseKeeper::beginDrain() { m_Timer.cancel(); }
+
+void LeaseKeeper::stop() {
+  m_Stopping = true;
+  m_Timer.cancel();
+}
+
+bool LeaseKeeper::held() const { return m_Lease.held(now()); }
+
+bool LeaseKeeper::isCandidate() const {
+  if (m_Process.m_Leaving.load())
+    return false;
+  std::vector<EntryCandidate> Entries;
+  const auto View = m_Process.m_Membership.load();
+  for (const auto &[Id, Each] : View->m_Members)
+    if (Each.m_Role == Role::Entry && Each.m_State == MemberState::Alive)
+      Entries.push_back({Id, Each.m_DataCentre});
+  const InstanceId &Self = m_Process.m_Settings.m_Instance;
+  const auto Chosen = chooseEntries(InstanceId{"lease " + m_Name}, {}, Entries,
+                                    CandidatesPerLease);
+  return std::find(Chosen.begin(), Chosen.end(), Self) != Chosen.end();
+}
+
+void LeaseKeeper::noteChange() {
+  const bool Held = held();
+  if (Held == m_WasHeld)
+    return;
+  m_WasHeld = Held;
+  net::log(Held ? Event::LeaseWon : Event::LeaseLost,
+           {{"lease", m_Name}, {"term", m_Lease.term()}});
+  if (m_OnChange)
+    m_OnChange(Held);
+}
+
+asio::awaitable<void> LeaseKeeper::run() {
+  while (!m_Stopping) {
+    const Lease::Step Step = m_Lease.next(now(), isCandidate());
+    noteChange();
+    switch (Step.m_Kind) {
+    case Lease::Step::Kind::Wait:
+      co_await waitUntil(Step.m_At);
+      break;
+    case Lease::Step::Kind::Read:
+      co_await read();
+      break;
+    case Lease::Step::Kind::Create:
+    case Lease::Step::Kind::Update:
+      co_await write(Step);
+      break;
+    }
+    noteChange();
+  }
+}
+
+asio::awaitable<void> LeaseKeeper::waitUntil(TimePoint At) {
+  m_Timer.expires_after(std::min<Duration>(At - now(), LongestSleep));
+  co_await m_Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> LeaseKeeper::read() {
+  const auto Got = co_await m_Process.m_Platform.get(LeasesKind, m_Name);
+  if (!Got && Got.error().m_Code == ErrorCode::NotFound) {
+    m_Lease.onRead(now(), {}, std::nullopt);
+    co_return;
+  }
+  if (!Got) {
+    m_Lease.onUnread(now());
+    co_return;
+  }
+  const auto Parsed = outcomeOf([&] { return parseLease(Got->m_Json); });
+  if (Parsed)
+    m_Lease.onRead(now(), Got->m_Revision, *Parsed);
+  else
+    m_Lease.onUnread(now());
+}
+
+asio::awaitable<void> LeaseKeeper::write(Lease::Step Step) {
+  // Named objects: GCC 12 destroys temporaries of a co_await twice.
+  std::string Json = formatLease(Step.m_Record);
+  Outcome<Revision> Wrote = Revision();
+  if (Step.m_Kind == Lease::Step::Kind::Create)
+    Wrote = co_await m_Process.m_Platform.create(LeasesKind, m_Name, Json);
+  else {
+    net::PlatformObject Object{LeasesKind, m_Name, Step.m_Expected, Json};
+    Wrote = co_await m_Process.m_Platform.update(std::move(Object));
+  }
+  if (Wrote)
+    m_Lease.onWritten(Step.m_At, *Wrote);
+  else
+    m_Lease.onUnwritten(now());
+}
+
+boost::json::object LeaseKeeper::dump() const {
+  return {{"name", m_Name},
+          {"held", held()},
+          {"term", m_Lease.term()},
+          {"candidate", isCandidate()}};
+}
+
+} // namespace deckpitch::daemon
--- a/src/daemon/resources-write.cc
+++ b/src/daemon/resources-write.cc
@@ -16,14 +16,20 @@
 
 asio::awaitable<Outcome<Revision>> writeOnce(net::Platform &At,
                                              const WriteRequest &Request) {
-  if (!Request.m_Json)
-    co_return co_await At.remove(Request.m_Kind, Request.m_Name,
-                                 *Request.m_Expected);
+  // Named objects: GCC 12 destroys temporaries of a co_await twice.
+  std::string Kind = Request.m_Kind;
+  std::string Name = Request.m_Name;
+  if (!Request.m_Json) {
+    const Revision Seen = *Request.m_Expected;
+    co_return co_await At.remove(std::move(Kind), std::move(Name), Seen);
+  }
+  std::string Json = *Request.m_Json;
   if (!Request.m_Expected)
-    co_return co_await At.create(Request.m_Kind, Request.m_Name,
-                                 *Request.m_Json);
-  co_return co_await At.update(
-      {Request.m_Kind, Request.m_Name, *Request.m_Expected, *Request.m_Json});
+    co_return co_await At.create(std::move(Kind), std::move(Name),
+                                 std::move(Json));
+  net::PlatformObject Object{std::move(Kind), std::move(Name),
+                             *Request.m_Expected, std::move(Json)};
+  co_return co_await At.update(std::move(Object));
 }
 
 /// Compares values, whatever the order of keys the platform gives them in.
--- a/src/kernel/declaration-store.cc
+++ b/src/kernel/declaration-store.cc
@@ -58,6 +58,7 @@
   Held = Object;
   if (!Held.m_Deleted)
     m_Digest += hashOf(Held);
+  m_Newest = std::max(m_Newest, Held.m_Revision);
   switchParsed(Held);
   return WasLive || !Held.m_Deleted;
 }
@@ -172,6 +173,10 @@
   return Update;
 }
 
+DeclarationUpdate DeclarationStore::completion() const {
+  return {revision(), revision(), false, m_Digest, {}};
+}
+
 DeclarationUpdate DeclarationStore::whole() const {
   DeclarationUpdate Update{{}, revision(), true, m_Digest, {}};
   for (const auto &[At, Held] : m_Objects)
