--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -29,6 +29,8 @@
   AssignmentWritten = 3009,
   AssignerChanged = 3010,
   DeclarationAccepted = 2000,
+  LeaseWon = 2001,
+  LeaseLost = 2002,
   UpstreamAnswerRefused = 4000,
 };
 
@@ -60,6 +62,8 @@
     EventInfo{Event::AssignerChanged, Severity::Info, "AssignerChanged"},
     EventInfo{Event::DeclarationAccepted, Severity::Info,
               "DeclarationAccepted"},
+    EventInfo{Event::LeaseWon, Severity::Info, "LeaseWon"},
+    EventInfo{Event::LeaseLost, Severity::Warning, "LeaseLost"},
     EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
               "UpstreamAnswerRefused"},
 };
