Add metrics: counters, gauges and latency histograms, GET /v1/metrics

Cause: no process could show what it costs or how long its callers wait. Ruled out: one atomic shared by all threads (a contended cache line); a lock around a histogram (a reader of /v1/metrics would hold up requests).

--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -1,5 +1,6 @@
 #include "daemon/module.h"
 #include "net/log.h"
+#include "net/metrics.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -228,6 +229,10 @@
              [this](net::HttpRequest, net::HttpResponder &Answer) {
                return dump(Answer);
              }},
+            {"GET", "/v1/metrics",
+             [this](net::HttpRequest, net::HttpResponder &Answer) {
+               return metrics(Answer);
+             }},
             {"POST", "/v1/drain",
              [this](net::HttpRequest, net::HttpResponder &Answer) {
                return drain(Answer);
@@ -243,6 +248,27 @@
     co_await Answer.send(net::jsonResponse(200, Text));
   }
 
+  asio::awaitable<void> metrics(net::HttpResponder &Answer) {
+    updateMetrics();
+    net::HttpResponse Response;
+    Response.m_Headers.add("Content-Type",
+                           std::string(net::MetricsContentType));
+    Response.m_Body = net::metrics().text();
+    co_await Answer.send(std::move(Response));
+  }
+
+  void updateMetrics() {
+    const auto Set = [](const char *Name, std::uint64_t Value) {
+      net::metrics().gauge(Name).set(static_cast<std::int64_t>(Value));
+    };
+    net::updateProcessUsage();
+    Set("deckpitch_control_sent_bytes", m_Bus->bytesSent());
+    Set("deckpitch_control_received_bytes", m_Bus->bytesReceived());
+    Set("deckpitch_control_refused_messages", m_Bus->messagesRefused());
+    Set("deckpitch_platform_calls", m_Process.m_Platform.calls());
+    Set("deckpitch_open_requests", m_Requests->openRequests());
+  }
+
   asio::awaitable<void> drain(net::HttpResponder &Answer) {
     asio::post(m_Threads.control(), [this] { beginDrain(); });
     co_await Answer.send(net::jsonResponse(202, R"({"state":"leaving"})"));
