--- /dev/null
+++ b/support/benchmarks/snapshot-benchmark.cc
@@ -0,0 +1,90 @@
+// Ways to hand readers the newest snapshot while a writer publishes.
+#include "deckpitch/snapshot.h"
+
+#include <benchmark/benchmark.h>
+#include <boost/smart_ptr/atomic_shared_ptr.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+
+#include <chrono>
+#include <mutex>
+#include <shared_mutex>
+#include <thread>
+
+using namespace deckpitch;
+
+namespace {
+
+struct Routes {
+  std::uint64_t m_Version = 0;
+  std::uint64_t m_Copy = 0;
+};
+
+/// SnapshotCell with a reader for each thread, as the request path does.
+struct CachedReader {
+  void publish(std::uint64_t Version) {
+    m_Cell.publish(std::make_shared<const Routes>(Routes{Version, Version}));
+  }
+  std::uint64_t read() {
+    thread_local SnapshotReader<Routes> Reader(m_Cell);
+    return Reader.get()->m_Version;
+  }
+  SnapshotCell<Routes> m_Cell;
+};
+
+struct StdAtomic {
+  void publish(std::uint64_t Version) {
+    m_Pointer.store(std::make_shared<const Routes>(Routes{Version, Version}));
+  }
+  std::uint64_t read() { return m_Pointer.load()->m_Version; }
+  std::atomic<std::shared_ptr<const Routes>> m_Pointer{
+      std::make_shared<const Routes>()};
+};
+
+struct BoostAtomic {
+  void publish(std::uint64_t Version) {
+    m_Pointer.store(boost::make_shared<const Routes>(Routes{Version, Version}));
+  }
+  std::uint64_t read() { return m_Pointer.load()->m_Version; }
+  boost::atomic_shared_ptr<const Routes> m_Pointer{
+      boost::make_shared<const Routes>()};
+};
+
+struct MutexAndPointer {
+  void publish(std::uint64_t Version) {
+    auto Next = std::make_shared<const Routes>(Routes{Version, Version});
+    std::lock_guard Lock(m_Mutex);
+    m_Pointer = std::move(Next);
+  }
+  std::uint64_t read() {
+    std::unique_lock Lock(m_Mutex);
+    const auto Copy = m_Pointer;
+    Lock.unlock();
+    return Copy->m_Version;
+  }
+  std::mutex m_Mutex;
+  std::shared_ptr<const Routes> m_Pointer = std::make_shared<const Routes>();
+};
+
+constexpr auto PublishEvery = std::chrono::milliseconds(1);
+
+/// Readers on all benchmark threads, one writer beside them.
+template <typename Way> void readWhilePublishing(benchmark::State &State) {
+  static Way Shared;
+  std::jthread Writer;
+  if (State.thread_index() == 0)
+    Writer = std::jthread([](const std::stop_token &Stop) {
+      for (std::uint64_t Version = 1; !Stop.stop_requested(); ++Version) {
+        Shared.publish(Version);
+        std::this_thread::sleep_for(PublishEvery);
+      }
+    });
+  for (auto _ : State)
+    benchmark::DoNotOptimize(Shared.read());
+}
+
+BENCHMARK(readWhilePublishing<CachedReader>)->Threads(1)->Threads(8);
+BENCHMARK(readWhilePublishing<StdAtomic>)->Threads(1)->Threads(8);
+BENCHMARK(readWhilePublishing<BoostAtomic>)->Threads(1)->Threads(8);
+BENCHMARK(readWhilePublishing<MutexAndPointer>)->Threads(1)->Threads(8);
+
+} // namespace
