Follow the platform from one entry by lease; write status aggregated

Change: the holder of leases/watch lists, watches, reads the instance list and writes status/<pool> when it changed, at most every 5 s; the other entries list once at their start.

--- a/src/daemon/declarations-entry.cc
+++ b/src/daemon/declarations-entry.cc
@@ -1,6 +1,8 @@
 #include "daemon/clock.h"
 #include "daemon/declarations-exchange.h"
 #include "daemon/declarations-follower.h"
+#include "daemon/lease-keeper.h"
+#include "daemon/status-writer.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -14,6 +16,9 @@
 
 namespace {
 
+/// A change that nobody spreads is found by the next holder this much later.
+constexpr LeaseLimits WatchLease{std::chrono::milliseconds(6'000),
+                                 std::chrono::milliseconds(1'500)};
 /// Entries that a change is sent to at once; each passes it on.
 constexpr std::size_t EntriesPerChange = 4;
 
@@ -23,10 +28,18 @@
   explicit EntryDeclarations(Process &In)
       : m_Process(In),
         m_Exchange(In, [this](const DeclarationUpdate &News) { spread(News); }),
-        m_Follower(In, m_Exchange), m_Random(std::random_device{}()) {}
+        m_Follower(In, m_Exchange), m_Lease(In, "watch", WatchLease),
+        m_Status(In, m_Lease), m_Random(std::random_device{}()) {
+    m_Lease.m_OnChange = [this](bool Held) {
+      m_Process.m_FollowsPlatform.store(Held);
+      m_Follower.wake();
+    };
+  }
 
   Result<void> start() override {
+    m_Lease.start();
     m_Follower.start();
+    m_Status.start();
     return {};
   }
 
@@ -36,12 +49,19 @@
     m_Exchange.onMessage(Message);
   }
 
-  void stop() override { m_Follower.stop(); }
+  void beginDrain() override { m_Lease.beginDrain(); }
+  void stop() override {
+    m_Lease.stop();
+    m_Follower.stop();
+    m_Status.stop();
+  }
 
   boost::json::object dump() const override {
     boost::json::object Out = m_Exchange.dump();
     Out["platformCalls"] = m_Process.m_Platform.calls();
     Out["follower"] = m_Follower.dump();
+    Out["lease"] = m_Lease.dump();
+    Out["status"] = m_Status.dump();
     return Out;
   }
 
@@ -88,6 +108,8 @@
   Process &m_Process;
   DeclarationExchange m_Exchange;
   PlatformFollower m_Follower;
+  LeaseKeeper m_Lease;
+  StatusWriter m_Status;
   std::map<InstanceId, Agent> m_Agents;
   std::mt19937_64 m_Random;
 };
--- a/src/daemon/declarations-follower.cc
+++ b/src/daemon/declarations-follower.cc
@@ -47,6 +47,11 @@
   m_WatchTimer.cancel();
 }
 
+void PlatformFollower::wake() {
+  m_ListTimer.cancel();
+  m_WatchTimer.cancel();
+}
+
 Duration PlatformFollower::jittered(Duration Value) {
   std::uniform_real_distribution<double> Share(0.5, 1.0);
   return Duration(static_cast<Duration::rep>(
@@ -78,6 +83,10 @@
 
 asio::awaitable<void> PlatformFollower::listLoop() {
   while (!m_Stopping) {
+    if (m_Lists > 0 && !m_Process.m_FollowsPlatform.load()) {
+      co_await pause(m_ListTimer, ListEvery);
+      continue;
+    }
     const bool Listed = co_await listAll();
     m_Failures = Listed ? 0 : m_Failures + 1;
     m_Exchange.tick();
@@ -97,7 +106,8 @@
 asio::awaitable<void> PlatformFollower::watchLoop() {
   while (!m_Stopping) {
     const Revision Since = m_Exchange.store().revision();
-    if (m_Failures > 0 || m_Lists == 0) {
+    const bool MayWatch = m_Process.m_FollowsPlatform.load();
+    if (!MayWatch || m_Failures > 0 || m_Lists == 0) {
       co_await pause(m_WatchTimer, ListEvery); // the list loop wakes it
       continue;
     }
@@ -111,7 +121,7 @@
 }
 
 bool PlatformFollower::onEvent(const net::PlatformEvent &Event) {
-  if (m_Stopping)
+  if (m_Stopping || !m_Process.m_FollowsPlatform.load())
     return false;
   if (Event.m_Type == net::PlatformEvent::Type::Bookmark)
     return true;
@@ -122,6 +132,9 @@
     return Store.applyEvent({Object.m_Kind, Object.m_Name, Object.m_Revision,
                              Deleted, Deleted ? "" : Object.m_Json});
   });
+  // What this entry already lists as complete needs no confirmation.
+  if (Object.m_Revision <= m_Exchange.store().revision())
+    return true;
   if (m_Confirm == TimePoint::max()) {
     m_Confirm = now() + ConfirmAfter;
     m_ListTimer.cancel();
--- a/src/daemon/declarations-follower.h
+++ b/src/daemon/declarations-follower.h
@@ -11,15 +11,18 @@
 
 namespace deckpitch::daemon {
 
-/// Runs on the control loop of an entry. A watch's event is applied at once
-/// and confirmed by lists soon after, since events may be dropped or out of
-/// order; lists are repeated now and then for what no event told.
+/// Runs on the control loop of an entry: it lists once at the start, and again
+/// and again while Process::m_FollowsPlatform holds. A watch's event is applied
+/// at once and confirmed by lists soon after, since events may be dropped or
+/// out of order; lists are repeated now and then for what no event told.
 class PlatformFollower {
 public:
   PlatformFollower(Process &In, DeclarationExchange &Exchange);
 
   void start();
   void stop();
+  /// m_FollowsPlatform has changed.
+  void wake();
   boost::json::object dump() const;
 
 private:
--- a/src/daemon/membership-entry.cc
+++ b/src/daemon/membership-entry.cc
@@ -26,6 +26,10 @@
 /// Heartbeats with a differing view before everything is exchanged.
 constexpr unsigned DifferencesBeforeExchange = 3;
 constexpr std::chrono::milliseconds PublishDelay{10};
+/// The platform's list is read so often, by the one entry that follows it.
+constexpr std::chrono::seconds ListEvery{2};
+/// Addresses that the platform remembers are greeted this often after a start.
+constexpr std::uint64_t RememberedGreetings = 3 * SeedEvery;
 
 /// Hears heartbeats, exchanges records with a few other entries and publishes
 /// the joined view.
@@ -34,13 +38,14 @@
   explicit EntryMembership(Process &In)
       : m_Process(In), m_Writer(In), m_Timer(In.m_Threads.control()),
         m_PublishTimer(In.m_Threads.control()),
-        m_Random(std::random_device{}()) {}
+        m_ListTimer(In.m_Threads.control()), m_Random(std::random_device{}()) {}
 
   Result<void> start() override {
     m_Writer.advance();
     m_Table.emplace(m_Writer.member(), m_Process.m_Settings.m_Membership);
     publish();
     asio::co_spawn(m_Process.m_Threads.control(), run(), asio::detached);
+    asio::co_spawn(m_Process.m_Threads.control(), listLoop(), asio::detached);
     return {};
   }
 
@@ -62,6 +67,7 @@
   void stop() override {
     m_Stopping = true;
     m_Timer.cancel();
+    m_ListTimer.cancel();
     m_PublishTimer.cancel();
   }
 
@@ -92,6 +98,23 @@
     }
   }
 
+  asio::awaitable<void> listLoop() {
+    while (!m_Stopping) {
+      m_ListTimer.expires_after(ListEvery);
+      co_await m_ListTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+      if (m_Stopping || !m_Process.m_FollowsPlatform.load())
+        continue;
+      const auto Listed = co_await m_Process.m_Platform.instances();
+      if (!Listed)
+        continue;
+      std::vector<ListedInstance> List;
+      for (const net::PlatformInstance &Each : *Listed)
+        List.push_back({InstanceId{Each.m_Name}, Each.m_Leaving});
+      m_Table->applyPlatformList(List);
+      publishSoon();
+    }
+  }
+
   void beat() {
     m_Writer.advance();
     m_Table->setSelf(m_Writer.member(), m_Writer.sequence());
@@ -154,15 +177,24 @@
   /// of entries that do not know of each other.
   void greetSeeds() {
     for (const std::string &Seed : m_Process.m_Settings.m_Entries)
-      if (Seed != m_Process.m_Addresses.m_Control && !knowsAddress(Seed))
-        sendHeartbeat(InstanceId{Seed}, Seed);
+      greet(Seed);
+    if (m_Writer.sequence() > RememberedGreetings)
+      return;
+    for (const std::string &Each : *m_Process.m_RememberedAddresses.load())
+      greet(Each);
+  }
+
+  void greet(const std::string &Address) {
+    if (Address != m_Process.m_Addresses.m_Control && !knowsAddress(Address))
+      sendHeartbeat(InstanceId{Address}, Address);
   }
 
   bool knowsAddress(const std::string &Address) const {
-    for (const EntryCandidate &Each : m_Table->entries())
-      if (addressOf(Each.m_Id) == Address)
-        return true;
-    return false;
+    const auto View = m_Process.m_Membership.load();
+    return std::any_of(View->m_Members.begin(), View->m_Members.end(),
+                       [&](const auto &Each) {
+                         return Each.second.m_Addresses.m_Control == Address;
+                       });
   }
 
   void ask(const SilenceQuestion &About) {
@@ -283,6 +315,7 @@
   HeartbeatWriter m_Writer;
   asio::steady_timer m_Timer;
   asio::steady_timer m_PublishTimer;
+  asio::steady_timer m_ListTimer;
   std::mt19937_64 m_Random;
   std::optional<MembershipTable> m_Table;
   std::map<InstanceId, std::vector<InstanceId>> m_Told;
--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -38,6 +38,10 @@
   SnapshotCell<DeclarationSet> m_Declarations; ///< by the declarations module
   /// Of the replica of declarations; by the declarations module.
   std::atomic<std::uint64_t> m_DeclarationsDigest{0};
+  /// Entries: this one follows the platform for all; by declarations.
+  std::atomic<bool> m_FollowsPlatform{false};
+  /// Entries: control addresses that the platform remembers; by declarations.
+  SnapshotCell<std::vector<std::string>> m_RememberedAddresses;
   SnapshotCell<MembershipView> m_Membership;   ///< by the membership module
   SnapshotCell<ServingReport> m_Serving;    ///< agents: by the weights module
   std::atomic<std::uint32_t> m_InFlight{0}; ///< agents: by the requests module
