Test the replica, the lease and membership on a virtual clock

Cause found by the tests: a lease's first step was due at the clock's epoch, so that a clock behind it never began. The membership fleet converges by digests, as the module does; three tells alone left one of 7 entries behind.

--- a/include/deckpitch/lease.h
+++ b/include/deckpitch/lease.h
@@ -96,7 +96,7 @@
   bool m_Holds = false;
   TimePoint m_Until;      ///< holder: stops here
   TimePoint m_ChangeSeen; ///< others: when the object was last seen to change
-  TimePoint m_NextAction;
+  TimePoint m_NextAction = TimePoint::min();
   LeaseRecord m_Tried; ///< last write, whose outcome may be unknown
   TimePoint m_TriedAt;
 };
