--- /dev/null
+++ b/src/daemon/assigner.cc
@@ -0,0 +1,128 @@
+// The entries' module "assigner": decides which instance serves which pool.
+#include "daemon/clock.h"
+#include "daemon/lease-keeper.h"
+#include "daemon/module.h"
+#include "deckpitch/assignment.h"
+#include "net/log.h"
+#include "net/platform.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+namespace deckpitch::daemon {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr const char *LeaseName = "assigner";
+constexpr const char *AssignmentKind = "assignments";
+constexpr const char *AssignmentName = "all";
+constexpr std::chrono::milliseconds PlanPeriod{200};
+/// A new holder lets its view of the members fill before it moves anything.
+constexpr std::chrono::seconds Settling{3};
+
+class AssignerModule final : public Module {
+public:
+  explicit AssignerModule(Process &In)
+      : m_Process(In), m_Platform(In.m_Http, In.m_Settings.m_Platform),
+        m_Lease(In, LeaseName), m_Timer(In.m_Threads.control()) {}
+
+  Result<void> start() override {
+    m_Lease.m_OnChange = [this](bool Held) { onLease(Held); };
+    m_Lease.start();
+    asio::co_spawn(m_Process.m_Threads.control(), run(), asio::detached);
+    return {};
+  }
+
+  void beginDrain() override {
+    m_Stopped = true;
+    m_Lease.beginDrain();
+  }
+
+  void stop() override {
+    m_Stopped = true;
+    m_Lease.stop();
+    m_Timer.cancel();
+  }
+
+  boost::json::object dump() const override {
+    return {{"lease", m_Lease.dump()},
+            {"assignmentsWritten", m_Written},
+            {"lastError", m_LastError}};
+  }
+
+private:
+  asio::awaitable<void> run() {
+    while (!m_Stopped) {
+      if (m_Lease.held() && now() >= m_SettledAt)
+        co_await plan();
+      m_Timer.expires_after(PlanPeriod);
+      co_await m_Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+
+  void onLease(bool Held) {
+    if (!Held)
+      return;
+    m_SettledAt = now() + Settling;
+    m_MustFence = true;
+    net::log(Event::AssignerChanged, {{"term", m_Lease.term()}});
+  }
+
+  /// Plans from the snapshot; the write holds only if the assignment is still
+  /// at the snapshot's revision, whoever else decides.
+  asio::awaitable<void> plan() {
+    const auto Declarations = m_Process.m_Declarations.load();
+    const auto Members = m_Process.m_Membership.load();
+    const Declared<Assignment> &Before = Declarations->m_Assignment;
+    if (Before.m_Revision < m_WrittenAt)
+      co_return;
+    const Assignment Next = planAssignment(*Declarations, *Members);
+    // A new holder moves the object even when nothing changes, so that what
+    // an earlier holder still has in hand meets a conflict.
+    const bool Fences = m_MustFence && Before.m_Revision.m_Value != 0;
+    if (Next == Before.m_Value && !Fences)
+      co_return;
+    if (!m_Lease.held())
+      co_return;
+    auto Written = co_await write(Before.m_Revision, Next);
+    if (!Written) {
+      m_LastError = Written.error().m_Message;
+      co_return;
+    }
+    m_WrittenAt = *Written;
+    m_MustFence = false;
+    ++m_Written;
+    net::log(Event::AssignmentWritten,
+             {{"revision", Written->m_Value},
+              {"instances", std::uint64_t{Next.m_Instances.size()}}});
+  }
+
+  asio::awaitable<Outcome<Revision>> write(Revision Seen,
+                                           const Assignment &Next) {
+    if (Seen.m_Value == 0)
+      co_return co_await m_Platform.create(AssignmentKind, AssignmentName,
+                                           formatAssignment(Next));
+    net::PlatformObject Object{AssignmentKind, AssignmentName, Seen,
+                               formatAssignment(Next)};
+    co_return co_await m_Platform.update(std::move(Object));
+  }
+
+  Process &m_Process;
+  net::Platform m_Platform;
+  LeaseKeeper m_Lease;
+  asio::steady_timer m_Timer;
+  TimePoint m_SettledAt{};
+  Revision m_WrittenAt;
+  std::uint64_t m_Written = 0;
+  std::string m_LastError;
+  bool m_MustFence = false;
+  bool m_Stopped = false;
+};
+
+const Registration<AssignerModule> RegisteredAssigner("assigner", Role::Entry);
+
+} // namespace
+
+} // namespace deckpitch::daemon
