--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -17,6 +17,7 @@
   ProcessStopped = 1002,
   SettingsRefused = 1003,
   ListenFailed = 1004,
+  DeclarationAccepted = 2000,
   UpstreamAnswerRefused = 4000,
 };
 
@@ -32,6 +33,8 @@
     EventInfo{Event::ProcessStopped, Severity::Info, "ProcessStopped"},
     EventInfo{Event::SettingsRefused, Severity::Error, "SettingsRefused"},
     EventInfo{Event::ListenFailed, Severity::Error, "ListenFailed"},
+    EventInfo{Event::DeclarationAccepted, Severity::Info,
+              "DeclarationAccepted"},
     EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
               "UpstreamAnswerRefused"},
 };
