--- a/test/standin-contract-test.cc
+++ b/test/standin-contract-test.cc
@@ -1,3 +1,4 @@
+#include "harness.h"
 #include "http-script.h"
 #include "standins/content.h"
 
