--- a/src/daemon/resources-write.cc
+++ b/src/daemon/resources-write.cc
@@ -22,8 +22,10 @@
   if (!Request.m_Expected)
     co_return co_await At.create(Request.m_Kind, Request.m_Name,
                                  *Request.m_Json);
-  co_return co_await At.update(
-      {Request.m_Kind, Request.m_Name, *Request.m_Expected, *Request.m_Json});
+  // Named, since g++ 12 destroys a braced argument of co_await wrongly.
+  net::PlatformObject Object{Request.m_Kind, Request.m_Name,
+                             *Request.m_Expected, *Request.m_Json};
+  co_return co_await At.update(std::move(Object));
 }
 
 /// Compares values, whatever the order of keys the platform gives them in.
