--- a/include/deckpitch/manifest.h
+++ b/include/deckpitch/manifest.h
@@ -26,6 +26,7 @@
 /// Chunks are numbered from 0; all but the last have m_ChunkBytes bytes.
 struct Manifest {
   WeightsId m_Weights;
+  WeightsId m_Base; ///< adapters: the weights they are used over
   std::uint64_t m_Bytes = 0;
   std::uint32_t m_ChunkBytes = 0;
   /// Digest of the concatenated chunk digests: names the whole content.
