--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -303,7 +303,8 @@
       Err << Each.m_Name << " needs --entry=IP:PORT\n";
       return ExitCode::Usage;
     }
-    return Each.m_Run({Given, Out, Err, callEntries(Given.m_Entries)});
+    return Each.m_Run(
+        {Given, Out, Err, callEntries(Given.m_Entries, Given.m_Operator)});
   }
   return usage(Err);
 }
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -26,6 +26,7 @@
 struct Options {
   std::vector<std::string> m_Words; ///< the subcommand and its arguments
   std::vector<std::string> m_Entries;
+  std::string m_Operator; ///< kept with each change
   std::string m_File;
   std::optional<std::uint64_t> m_Revision;
   OutputForm m_Output = OutputForm::Human;
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -6,6 +6,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <sstream>
 
@@ -14,6 +15,8 @@
 ABSL_FLAG(std::string, entry, "",
           "operator addresses of entries (dump, drain: of any process), "
           "ip:port, tried in this order when separated by commas");
+ABSL_FLAG(std::string, operator_name, "",
+          "who makes the change (default: the user's name)");
 ABSL_FLAG(std::string, output, "human", "human or json");
 ABSL_FLAG(std::int64_t, revision, -1,
           "apply: write only over this revision (0: only create); "
@@ -41,6 +44,10 @@
   Out.m_File = absl::GetFlag(FLAGS_file);
   if (Out.m_File.empty())
     Out.m_File = absl::GetFlag(FLAGS_f);
+  Out.m_Operator = absl::GetFlag(FLAGS_operator_name);
+  const char *User = std::getenv("USER");
+  if (Out.m_Operator.empty() && User)
+    Out.m_Operator = User;
   const std::int64_t Revision = absl::GetFlag(FLAGS_revision);
   if (Revision >= 0)
     Out.m_Revision = static_cast<std::uint64_t>(Revision);
--- a/src/ctl/operator-client.cc
+++ b/src/ctl/operator-client.cc
@@ -157,8 +157,11 @@
 
 } // namespace
 
-Caller callEntries(std::vector<std::string> Entries) {
-  return [Entries = std::move(Entries)](net::HttpRequest Request) {
+Caller callEntries(std::vector<std::string> Entries, std::string Operator) {
+  return [Entries = std::move(Entries),
+          Operator = std::move(Operator)](net::HttpRequest Request) {
+    if (!Operator.empty())
+      Request.m_Headers.add("X-Operator", Operator);
     Outcome<net::HttpResponse> Last =
         Error{ErrorCode::Unavailable, "no entry was given"};
     for (const std::string &Entry : Entries) {
--- a/src/ctl/operator-client.h
+++ b/src/ctl/operator-client.h
@@ -15,8 +15,8 @@
 /// Makes one call; Unavailable: not done, Timeout: may have been done.
 using Caller = std::function<Outcome<net::HttpResponse>(net::HttpRequest)>;
 
-/// Calls the first of the entries that can be reached.
-Caller callEntries(std::vector<std::string> Entries);
+/// Calls the first of the entries that can be reached, in the operator's name.
+Caller callEntries(std::vector<std::string> Entries, std::string Operator);
 
 enum class ApplyResult {
   Created,
