--- a/test/ctl-test.cc
+++ b/test/ctl-test.cc
@@ -257,11 +257,14 @@
       co_await Answer.end();
       co_return;
     }
+    if (Request.m_Method == "PUT")
+      m_WrittenBy = Request.m_Headers.find("X-Operator");
     auto Whole = m_Entry(Request);
     co_await Answer.send(*Whole);
   }
 
   FakeEntry m_Entry;
+  std::string m_WrittenBy;
   net::IoThreads m_Threads{1};
   net::HttpServer m_Server{
       m_Threads, [this](net::HttpRequest Request, net::HttpResponder &Answer) {
@@ -276,9 +279,11 @@
                        "model": "m", "version": "2"}})");
   const Ran Applied = run({.m_Words = {"apply"},
                            .m_Entries = {"127.0.0.1:1", m_Address},
+                           .m_Operator = "amina",
                            .m_File = Path});
   EXPECT_EQ(Applied.m_Code, ExitCode::Good) << Applied.m_Err;
   EXPECT_EQ(Applied.m_Out, "pools/chat: created, revision 5\n");
+  EXPECT_EQ(m_WrittenBy, "amina");
   const Ran Got =
       run({.m_Words = {"get", "pools", "chat"}, .m_Entries = {m_Address}});
   EXPECT_EQ(Got.m_Code, ExitCode::Good);
--- /dev/null
+++ b/test/http-client-test.cc
@@ -0,0 +1,182 @@
+#include "net/address.h"
+#include "net/http.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <thread>
+
+using namespace deckpitch;
+using namespace deckpitch::net;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+/// Does one thing for each connection in turn, on a thread of its own.
+class ScriptedServer {
+public:
+  using Step = std::function<void(tcp::socket &)>;
+
+  explicit ScriptedServer(std::vector<Step> Steps)
+      : m_Thread([this, Steps = std::move(Steps)] {
+          for (const Step &Each : Steps) {
+            boost::system::error_code Ec;
+            tcp::socket Socket = m_Acceptor.accept(Ec);
+            if (Ec)
+              return;
+            Each(Socket);
+          }
+        }) {}
+  /// A connection that never came must not hold up the end.
+  ~ScriptedServer() {
+    boost::system::error_code Ignored;
+    ::shutdown(m_Acceptor.native_handle(), SHUT_RDWR);
+  }
+
+  std::string address() const {
+    return formatEndpoint(m_Acceptor.local_endpoint());
+  }
+
+private:
+  asio::io_context m_Io;
+  tcp::acceptor m_Acceptor{m_Io, tcp::endpoint(tcp::v4(), 0)};
+  std::jthread m_Thread;
+};
+
+/// Reads one request's header and sends these bytes.
+void answerOnce(tcp::socket &Socket, const std::string &Bytes) {
+  boost::system::error_code Ec;
+  std::string Header;
+  asio::read_until(Socket, asio::dynamic_buffer(Header), "\r\n\r\n", Ec);
+  asio::write(Socket, asio::buffer(Bytes), Ec);
+}
+
+/// Waits until the client closes.
+void untilClosed(tcp::socket &Socket) {
+  boost::system::error_code Ec;
+  std::array<char, 64> Sink;
+  while (!Ec)
+    Socket.read_some(asio::buffer(Sink), Ec);
+}
+
+const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Runs calls one after another on one loop, so that connections are kept.
+std::vector<Outcome<HttpResponse>>
+callInTurn(const std::string &Address,
+           const std::vector<std::string> &Methods) {
+  asio::io_context Io;
+  HttpClient Client;
+  std::vector<Outcome<HttpResponse>> Answers;
+  asio::co_spawn(
+      Io,
+      [&]() -> asio::awaitable<void> {
+        for (const std::string &Method : Methods) {
+          HttpRequest Request;
+          Request.m_Method = Method;
+          Answers.push_back(co_await Client.call(Address, std::move(Request)));
+        }
+      },
+      asio::detached);
+  Io.run();
+  return Answers;
+}
+
+void answerThenCloseAtTheNextRequest(tcp::socket &Socket) {
+  answerOnce(Socket, Whole);
+  answerOnce(Socket, "");
+}
+
+TEST(HttpClientContract, RepeatsAGetOnAKeptConnectionThatWasClosed) {
+  ScriptedServer Server(
+      {answerThenCloseAtTheNextRequest,
+       [](tcp::socket &Socket) { answerOnce(Socket, Whole); }});
+  const auto Answers = callInTurn(Server.address(), {"GET", "GET"});
+  ASSERT_TRUE(Answers[0]);
+  ASSERT_TRUE(Answers[1]);
+  EXPECT_EQ(Answers[1]->m_Body, "ok");
+}
+
+TEST(HttpClientContract, NeverRepeatsAPost) {
+  ScriptedServer Server(
+      {answerThenCloseAtTheNextRequest,
+       [](tcp::socket &Socket) { answerOnce(Socket, Whole); }});
+  const auto Answers = callInTurn(Server.address(), {"POST", "POST"});
+  ASSERT_TRUE(Answers[0]);
+  ASSERT_FALSE(Answers[1]);
+  EXPECT_EQ(Answers[1].error().m_Code, ErrorCode::Timeout);
+}
+
+TEST(HttpClientContract, SaysUnavailableWhenNobodyListens) {
+  const auto Answer = callAndWait("127.0.0.1:1", {});
+  ASSERT_FALSE(Answer);
+  EXPECT_EQ(Answer.error().m_Code, ErrorCode::Unavailable);
+}
+
+struct AnswerCase {
+  const char *m_Name;
+  std::string m_Sent;
+};
+
+class HttpClientAnswers : public testing::TestWithParam<AnswerCase> {};
+
+// The request may have been run: none of these is an answer, nor a refusal.
+TEST_P(HttpClientAnswers, AreNotTakenForWhole) {
+  ScriptedServer Server(
+      {[](tcp::socket &Socket) { answerOnce(Socket, GetParam().m_Sent); }});
+  const auto Answer = callAndWait(Server.address(), {});
+  ASSERT_FALSE(Answer);
+  EXPECT_EQ(Answer.error().m_Code, ErrorCode::Timeout);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, HttpClientAnswers,
+    testing::Values(
+        AnswerCase{"ClosedWithoutAnswer", ""},
+        AnswerCase{"ClosedInHeader", "HTTP/1.1 200 OK\r\nContent-Le"},
+        AnswerCase{"ClosedInBody",
+                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"},
+        AnswerCase{"ClosedInChunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                     "chunked\r\n\r\n2\r\nab\r\n"},
+        AnswerCase{"Garbage", "SSH-2.0-OpenSSH\r\n"}),
+    [](const auto &Info) { return std::string(Info.param.m_Name); });
+
+TEST(HttpClientContract, GivesUpWhenAnAnswerStalls) {
+  ScriptedServer Server({[](tcp::socket &Socket) {
+    answerOnce(Socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+    untilClosed(Socket);
+  }});
+  CallLimits Limits;
+  Limits.m_BetweenBytes = 20ms;
+  const auto Answer = callAndWait(Server.address(), {}, Limits);
+  ASSERT_FALSE(Answer);
+  EXPECT_EQ(Answer.error().m_Code, ErrorCode::Timeout);
+}
+
+TEST(HttpClientContract, CancelEndsAPendingReadAndTellsTheServer) {
+  ScriptedServer Server({[](tcp::socket &Socket) {
+    answerOnce(Socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+    untilClosed(Socket);
+  }});
+  asio::io_context Io;
+  HttpClient Client;
+  std::vector<Outcome<std::string>> Pieces;
+  asio::co_spawn(
+      Io,
+      [&]() -> asio::awaitable<void> {
+        auto Opened = co_await Client.open(Server.address(), {});
+        HttpStream &Body = **Opened;
+        Pieces.push_back(co_await Body.read());
+        asio::post(Io, [&Body] { Body.cancel(); });
+        Pieces.push_back(co_await Body.read());
+      },
+      asio::detached);
+  Io.run();
+  ASSERT_EQ(Pieces.size(), 2U);
+  EXPECT_EQ(*Pieces[0], "ab");
+  EXPECT_FALSE(Pieces[1]);
+}
+
+} // namespace
--- /dev/null
+++ b/test/http-server-test.cc
@@ -0,0 +1,208 @@
+#include "harness.h"
+#include "net/http.h"
+#include "raw-connection.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+using namespace deckpitch;
+using namespace deckpitch::net;
+using deckpitch::test::eventually;
+using deckpitch::test::RawConnection;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpLimits smallLimits() {
+  HttpLimits Limits;
+  Limits.m_HeaderBytes = 1024;
+  Limits.m_BodyBytes = 1000;
+  Limits.m_HeaderTimeout = 100ms;
+  return Limits;
+}
+
+class HttpServerContract : public testing::Test {
+protected:
+  void SetUp() override {
+    const auto Bound =
+        outcomeOf([&] { return m_Server.listen("127.0.0.1:0"); });
+    ASSERT_TRUE(Bound);
+    m_Address = *Bound;
+    m_Threads.start();
+  }
+  void TearDown() override {
+    m_Released = true;
+    m_Server.stop();
+    m_Threads.stop();
+  }
+
+  asio::awaitable<void> answer(HttpRequest Request, HttpResponder &Answer) {
+    if (Request.path() == "/stream")
+      co_await stream(Answer);
+    else if (Request.path() == "/wait")
+      co_await waitForRelease(Answer);
+    else if (Request.path() == "/throw")
+      throw std::runtime_error("no memory");
+    else if (Request.path() != "/silent")
+      co_await Answer.send({200, {}, Request.m_Method + ":" + Request.m_Body});
+  }
+
+  asio::awaitable<void> stream(HttpResponder &Answer) {
+    co_await Answer.begin(200, {});
+    co_await Answer.write("one");
+    co_await Answer.write("two");
+    co_await Answer.end();
+  }
+
+  asio::awaitable<void> waitForRelease(HttpResponder &Answer) {
+    Answer.onGone([this] { ++m_Gone; });
+    ++m_Waiting;
+    asio::steady_timer Pause(co_await asio::this_coro::executor);
+    while (!m_Released) {
+      Pause.expires_after(1ms);
+      co_await Pause.async_wait(asio::use_awaitable);
+    }
+    co_await Answer.send({200, {}, "released"});
+  }
+
+  std::atomic<int> m_Gone{0};
+  std::atomic<int> m_Waiting{0};
+  std::atomic<bool> m_Released{false};
+  IoThreads m_Threads{2};
+  HttpServer m_Server{m_Threads,
+                      [this](HttpRequest Request, HttpResponder &Answer) {
+                        return answer(std::move(Request), Answer);
+                      },
+                      smallLimits()};
+  std::string m_Address;
+};
+
+TEST_F(HttpServerContract, KeepsAConnectionForSeveralRequests) {
+  RawConnection Client(m_Address);
+  for (int I = 0; I < 3; ++I) {
+    Client.send(
+        "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_NE(Client.readUntil("POST:hi"), "");
+  }
+}
+
+TEST_F(HttpServerContract, AnswersPipelinedRequestsInOrder) {
+  RawConnection Client(m_Address);
+  Client.send("POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\n1"
+              "POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\n2");
+  EXPECT_NE(Client.readUntil("POST:2").find("POST:1"), std::string::npos);
+}
+
+TEST_F(HttpServerContract, StreamsInChunksThatEndWhole) {
+  RawConnection Client(m_Address);
+  Client.send("GET /stream HTTP/1.1\r\n\r\n");
+  const std::string Read = Client.readUntil("0\r\n\r\n");
+  EXPECT_NE(Read.find("3\r\none\r\n3\r\ntwo\r\n"), std::string::npos) << Read;
+}
+
+struct RawCase {
+  const char *m_Name;
+  std::string m_Sent;
+  const char *m_Answer; ///< start of the status line
+};
+
+class HttpServerInput : public HttpServerContract,
+                        public testing::WithParamInterface<RawCase> {};
+
+// Each answer is read to the end: the connection is closed after it, and the
+// server still serves others.
+TEST_P(HttpServerInput, GetsAClearAnswerAndHarmsNobody) {
+  RawConnection Client(m_Address);
+  Client.send(GetParam().m_Sent);
+  const std::string Read = Client.readToEnd();
+  EXPECT_EQ(Read.rfind(GetParam().m_Answer, 0), 0U) << Read;
+  const auto Other = callAndWait(m_Address, {});
+  ASSERT_TRUE(Other);
+  EXPECT_EQ(Other->m_Status, 200U);
+  EXPECT_TRUE(eventually([&] { return m_Server.openRequests() == 0; }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, HttpServerInput,
+    testing::Values(
+        RawCase{"ChunkedBody",
+                "POST / HTTP/1.1\r\nConnection: close\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+                "HTTP/1.1 200 "},
+        RawCase{"NeverEndingHeader", "GET / HTTP/1.1\r\nA: b", "HTTP/1.1 408 "},
+        RawCase{"NeverEndingBody",
+                "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhi",
+                "HTTP/1.1 408 "},
+        RawCase{"OversizedBody",
+                "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" +
+                    std::string(1001, 'x'),
+                "HTTP/1.1 413 "},
+        RawCase{"OversizedChunkedBody",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" +
+                    std::string(2000, 'x') + "\r\n0\r\n\r\n",
+                "HTTP/1.1 413 "},
+        RawCase{"OversizedHeader",
+                "GET / HTTP/1.1\r\nA: " + std::string(2000, 'x') + "\r\n\r\n",
+                "HTTP/1.1 431 "},
+        RawCase{"Garbage", std::string("\x00\xff\x16\x03 rubbish\r\n\r\n", 16),
+                "HTTP/1.1 400 "},
+        RawCase{"TwoLengths",
+                "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+                "Content-Length: 2\r\n\r\nhi",
+                "HTTP/1.1 400 "},
+        RawCase{"NegativeLength",
+                "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                "HTTP/1.1 400 "},
+        RawCase{"HandlerThrows",
+                "GET /throw HTTP/1.1\r\nConnection: close\r\n\r\n",
+                "HTTP/1.1 500 "},
+        RawCase{"HandlerGivesNoAnswer",
+                "GET /silent HTTP/1.1\r\nConnection: close\r\n\r\n",
+                "HTTP/1.1 500 "}),
+    [](const auto &Info) { return std::string(Info.param.m_Name); });
+
+TEST_F(HttpServerContract, TellsWhenAClientCloses) {
+  RawConnection Client(m_Address);
+  Client.send("GET /wait HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(eventually([&] { return m_Waiting == 1; }));
+  Client.close();
+  EXPECT_TRUE(eventually([&] { return m_Gone == 1; }));
+}
+
+// A closed sending side cannot be told from a closed connection.
+TEST_F(HttpServerContract, TakesAHalfClosedClientForGone) {
+  RawConnection Client(m_Address);
+  Client.send("GET /wait HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(eventually([&] { return m_Waiting == 1; }));
+  Client.closeSending();
+  EXPECT_TRUE(eventually([&] { return m_Gone == 1; }));
+  m_Released = true;
+  EXPECT_EQ(Client.readToEnd(), "");
+  EXPECT_TRUE(eventually([&] { return m_Server.openRequests() == 0; }));
+}
+
+TEST_F(HttpServerContract, FinishesTheAnswerWhenItDrains) {
+  RawConnection Client(m_Address);
+  Client.send("GET /wait HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(eventually([&] { return m_Waiting == 1; }));
+  m_Server.drain();
+  EXPECT_TRUE(
+      eventually([&] { return !callAndWait(m_Address, {}).has_value(); }));
+  m_Released = true;
+  const std::string Read = Client.readToEnd();
+  EXPECT_NE(Read.find("released"), std::string::npos) << Read;
+  EXPECT_EQ(m_Gone, 0);
+}
+
+TEST_F(HttpServerContract, ClosesIdleConnectionsWhenItDrains) {
+  RawConnection Client(m_Address);
+  Client.send("GET /echo HTTP/1.1\r\n\r\n");
+  EXPECT_NE(Client.readUntil("GET:"), "");
+  m_Server.drain();
+  EXPECT_EQ(Client.readToEnd(), "");
+}
+
+} // namespace
