--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -17,8 +17,8 @@
 
 constexpr std::chrono::milliseconds CancelLimit{1'000};
 constexpr std::chrono::milliseconds EngineConnect{500};
-constexpr std::size_t MaxServiceAnswerBytes = 8 * 1024 * 1024;
-constexpr std::size_t MaxRefusalBytes = 64 * 1024;
+constexpr std::size_t MaxServiceAnswerBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t MaxRefusalBytes = std::size_t{64} * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
 constexpr unsigned WeightsConflict = 409;
 constexpr unsigned FirstServerError = 500;
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds NoUpstreamRetry{500};
 constexpr std::chrono::milliseconds CancelLimit{1'000};
 constexpr std::size_t PrefixBytes = 256;
-constexpr std::size_t MaxPassedOnBytes = 1024 * 1024;
+constexpr std::size_t MaxPassedOnBytes = std::size_t{1024} * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
 
 std::uint64_t prefixHashOf(const boost::json::object &Body) {
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds NoUpstreamRetry{500};
-constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
 } // namespace
 
--- a/src/daemon/weights-link.cc
+++ b/src/daemon/weights-link.cc
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t PieceBytes = 32 * 1024;
-constexpr std::uint64_t LeastBurst = 64 * 1024;
+constexpr std::size_t PieceBytes = std::size_t{32} * 1024;
+constexpr std::uint64_t LeastBurst = std::uint64_t{64} * 1024;
 constexpr std::uint64_t BurstsPerSecond = 50;
 
 std::shared_ptr<TokenBucket> makeShaper(std::uint64_t Rate) {
--- a/src/kernel/routing.cc
+++ b/src/kernel/routing.cc
@@ -96,12 +96,14 @@
     std::string m_Address;
   };
   std::vector<Ranked> All;
+  All.reserve(Entries.size());
   for (const EntryRoute &Each : Entries) {
     const std::string &Name = Each.m_Instance.m_Text;
     All.push_back({XXH64(Name.data(), Name.size(), Seed), Each.m_Address});
   }
   std::ranges::sort(All, std::greater{}, &Ranked::m_Rank);
   std::vector<std::string> Order;
+  Order.reserve(All.size());
   for (Ranked &Each : All)
     Order.push_back(std::move(Each.m_Address));
   return Order;
--- a/src/kernel/token-stream.cc
+++ b/src/kernel/token-stream.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t MaxEventBytes = 64 * 1024;
+constexpr std::size_t MaxEventBytes = std::size_t{64} * 1024;
 constexpr std::string_view DataField = "data:";
 constexpr std::string_view LastData = "[DONE]";
 constexpr std::string_view EventEnd = "\n\n";
--- a/src/kernel/upstream-choice.cc
+++ b/src/kernel/upstream-choice.cc
@@ -20,10 +20,11 @@
 }
 
 std::vector<Candidate> healthyCandidates(std::span<const Candidate> All) {
-  const auto Left = keepIf(All, [](const Candidate &Each) {
+  auto Left = keepIf(All, [](const Candidate &Each) {
     return !Each.m_Ejected && !Each.m_Suspect;
   });
-  if (static_cast<double>(Left.size()) >= EjectionFloor * All.size() &&
+  if (static_cast<double>(Left.size()) >=
+          EjectionFloor * static_cast<double>(All.size()) &&
       !Left.empty())
     return Left;
   return {All.begin(), All.end()};
@@ -35,8 +36,7 @@
   const std::vector<Candidate> Healthy = healthyCandidates(All);
   const auto Roomy =
       keepIf(Healthy, [](const Candidate &Each) { return Each.load() < 1.0; });
-  const auto Near =
-      keepIf(Roomy, [](const Candidate &Each) { return Each.m_Near; });
+  auto Near = keepIf(Roomy, [](const Candidate &Each) { return Each.m_Near; });
   if (!Near.empty())
     return Near;
   return Roomy.empty() ? Healthy : Roomy;
--- a/src/net/origin.cc
+++ b/src/net/origin.cc
@@ -6,7 +6,7 @@
 
 constexpr unsigned PartialContent = 206;
 constexpr unsigned NotFound = 404;
-constexpr std::size_t ManifestBytes = 64 * 1024 * 1024;
+constexpr std::size_t ManifestBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::chrono::milliseconds StallLimit{5'000};
 
 std::string pathOf(const WeightsId &Weights, const char *Part) {
--- a/src/net/platform-http.cc
+++ b/src/net/platform-http.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t MaxLineBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxLineBytes = std::size_t{4} * 1024 * 1024;
 /// Longer than the platform's bookmarks are apart: a silent watch is dead.
 constexpr std::chrono::milliseconds WatchSilence{30'000};
 constexpr CallLimits ExchangeLimits{std::chrono::milliseconds(1'000),
--- a/support/standins/engine.cc
+++ b/support/standins/engine.cc
@@ -27,7 +27,7 @@
 constexpr std::size_t MaxCacheEvents = 1024;
 constexpr std::size_t MaxKvEntries = 256;
 constexpr std::uint32_t MaxTokens = 100'000;
-constexpr std::size_t EngineBodyBytes = 64 * 1024 * 1024;
+constexpr std::size_t EngineBodyBytes = std::size_t{64} * 1024 * 1024;
 
 struct EngineFaults {
   milliseconds m_DelayFirstToken{0};
--- a/support/standins/origin.cc
+++ b/support/standins/origin.cc
@@ -23,8 +23,8 @@
 using SteadyClock = std::chrono::steady_clock;
 
 constexpr milliseconds HangPoll{20};
-constexpr std::uint64_t PieceBytes = 256 * 1024;
-constexpr std::uint64_t ShapedPieceBytes = 16 * 1024;
+constexpr std::uint64_t PieceBytes = std::uint64_t{256} * 1024;
+constexpr std::uint64_t ShapedPieceBytes = std::uint64_t{16} * 1024;
 constexpr std::uint32_t DefaultChunkBytes = 1024 * 1024;
 constexpr std::uint64_t MaxContentBytes = 1ULL << 36;
 
--- a/support/standins/platform.cc
+++ b/support/standins/platform.cc
@@ -24,7 +24,7 @@
 constexpr milliseconds HangPoll{20};
 constexpr milliseconds BookmarkPeriod{500};
 constexpr milliseconds ReorderWindow{50};
-constexpr std::size_t MaxValueBytes = 1024 * 1024;
+constexpr std::size_t MaxValueBytes = std::size_t{1024} * 1024;
 constexpr std::size_t MaxInstanceLists = 1000;
 constexpr std::string_view ObjectsPrefix = "/v1/objects/";
 
--- a/test/rollout-cluster-test.cc
+++ b/test/rollout-cluster-test.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint64_t MiB = 1024 * 1024;
+constexpr std::uint64_t MiB = std::uint64_t{1024} * 1024;
 constexpr std::uint32_t ChunkBytes = 64 * 1024;
 
 std::uint64_t originBytes(Cluster &Under) {
