--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -25,6 +25,9 @@
       : m_Stream(std::move(Executor)) {}
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
+  /// Where pieces of bodies are parsed into; kept, since making and zeroing
+  /// one for each piece costs more than the piece.
+  std::unique_ptr<char[]> m_Piece;
 
   /// False when the server closed the connection or sent something unasked.
   bool usable() {
@@ -115,18 +118,20 @@
         finish();
         co_return std::string();
       }
-      std::string Piece(ReadPieceBytes, '\0');
-      m_Parser.get().body().data = Piece.data();
-      m_Parser.get().body().size = Piece.size();
+      if (!m_Connection->m_Piece)
+        m_Connection->m_Piece =
+            std::make_unique_for_overwrite<char[]>(ReadPieceBytes);
+      m_Parser.get().body().data = m_Connection->m_Piece.get();
+      m_Parser.get().body().size = ReadPieceBytes;
       m_Connection->m_Stream.expires_after(m_Limits.m_BetweenBytes);
       auto [Ec, Bytes] = co_await http::async_read_some(m_Connection->m_Stream,
                                                         m_Connection->m_Buffer,
                                                         m_Parser, UseAwaitable);
       if (Ec && Ec != http::error::need_buffer)
         co_return unanswered(m_Key.m_Address, Ec);
-      Piece.resize(Piece.size() - m_Parser.get().body().size);
-      if (!Piece.empty())
-        co_return Piece;
+      const std::size_t Read = ReadPieceBytes - m_Parser.get().body().size;
+      if (Read > 0)
+        co_return std::string(m_Connection->m_Piece.get(), Read);
     }
   }
 
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -197,6 +197,30 @@
     return 400;
   }
 
+  /// Ends what the connection waits for when the time has passed. The
+  /// stream's own limit would close the socket before it can be answered.
+  struct TimeLimit {
+    explicit TimeLimit(const asio::any_io_executor &Executor)
+        : m_Timer(Executor) {}
+    asio::steady_timer m_Timer;
+    bool m_Passed = false;
+  };
+
+  static std::shared_ptr<TimeLimit>
+  cancelAfter(const std::shared_ptr<Connection> &Served,
+              std::chrono::milliseconds Time) {
+    auto Limit = std::make_shared<TimeLimit>(Served->m_Stream.get_executor());
+    Limit->m_Timer.expires_after(Time);
+    Limit->m_Timer.async_wait(
+        [Served, Limit](const boost::system::error_code &Ec) {
+          if (Ec)
+            return;
+          Limit->m_Passed = true;
+          Served->m_Stream.cancel();
+        });
+    return Limit;
+  }
+
   asio::awaitable<void> serve(std::shared_ptr<Connection> Served) {
     auto Self = shared_from_this();
     beast::tcp_stream &Stream = Served->m_Stream;
@@ -215,9 +239,13 @@
       }
       Served->m_Busy = true;
       m_Open.fetch_add(1);
-      Stream.expires_after(m_Limits.m_HeaderTimeout);
+      Stream.expires_never();
+      const auto Limit = cancelAfter(Served, m_Limits.m_HeaderTimeout);
       auto [Ec, Bytes] =
           co_await http::async_read(Stream, Buffer, Parser, UseAwaitable);
+      Limit->m_Timer.cancel();
+      if (Limit->m_Passed)
+        Ec = beast::error::timeout;
       if (Ec) {
         if (Ec != http::error::end_of_stream &&
             Ec != asio::error::connection_reset)
--- a/support/benchmarks/http-stream-benchmark.cc
+++ b/support/benchmarks/http-stream-benchmark.cc
@@ -14,7 +14,8 @@
 
 asio::awaitable<void> stream(HttpRequest, HttpResponder &Answer) {
   const std::string Piece(PieceBytes, 'x');
-  co_await Answer.begin(200, {});
+  HttpHeaders None;
+  co_await Answer.begin(200, std::move(None));
   for (int I = 0; I < Pieces; ++I)
     co_await Answer.write(Piece);
   co_await Answer.end();
@@ -22,7 +23,8 @@
 
 asio::awaitable<void> readAll(HttpClient &Client, std::string Address,
                               std::size_t &Bytes) {
-  auto Opened = co_await Client.open(std::move(Address), {});
+  HttpRequest Request;
+  auto Opened = co_await Client.open(std::move(Address), std::move(Request));
   while (Opened) {
     auto Piece = co_await (*Opened)->read();
     if (!Piece || Piece->empty())
--- a/test/ctl-test.cc
+++ b/test/ctl-test.cc
@@ -250,7 +250,8 @@
   net::asio::awaitable<void> answer(net::HttpRequest Request,
                                     net::HttpResponder &Answer) {
     if (Request.path() == "/v1/watch") {
-      co_await Answer.begin(200, {});
+      net::HttpHeaders None;
+      co_await Answer.begin(200, std::move(None));
       co_await Answer.write(
           "{\"type\":\"bookmark\",\"revision\":1}\n{\"type\"");
       co_await Answer.write(":\"member\",\"instance\":\"a1\"}\n");
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -166,7 +166,9 @@
   asio::co_spawn(
       Io,
       [&]() -> asio::awaitable<void> {
-        auto Opened = co_await Client.open(Server.address(), {});
+        HttpRequest Request;
+        auto Opened =
+            co_await Client.open(Server.address(), std::move(Request));
         HttpStream &Body = **Opened;
         Pieces.push_back(co_await Body.read());
         asio::post(Io, [&Body] { Body.cancel(); });
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -47,11 +47,18 @@
     else if (Request.path() == "/throw")
       throw std::runtime_error("no memory");
     else if (Request.path() != "/silent")
-      co_await Answer.send({200, {}, Request.m_Method + ":" + Request.m_Body});
+      co_await sendText(Answer, Request.m_Method + ":" + Request.m_Body);
+  }
+
+  asio::awaitable<void> sendText(HttpResponder &Answer, std::string Text) {
+    HttpResponse Response;
+    Response.m_Body = std::move(Text);
+    co_await Answer.send(std::move(Response));
   }
 
   asio::awaitable<void> stream(HttpResponder &Answer) {
-    co_await Answer.begin(200, {});
+    HttpHeaders None;
+    co_await Answer.begin(200, std::move(None));
     co_await Answer.write("one");
     co_await Answer.write("two");
     co_await Answer.end();
@@ -65,7 +72,7 @@
       Pause.expires_after(1ms);
       co_await Pause.async_wait(asio::use_awaitable);
     }
-    co_await Answer.send({200, {}, "released"});
+    co_await sendText(Answer, "released");
   }
 
   std::atomic<int> m_Gone{0};
