--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -15,6 +15,8 @@
 constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
 constexpr Duration TickWhileCopying = std::chrono::milliseconds(20);
 constexpr Duration TickWhenComplete = std::chrono::milliseconds(200);
+/// More than agents differ in when they hear of a rollout.
+constexpr Duration OriginStep = std::chrono::seconds(2);
 constexpr Duration RetryPeer = std::chrono::seconds(1);
 constexpr Duration StagingRetry = std::chrono::milliseconds(200);
 constexpr std::uint32_t MostPeersFactor = 3; ///< accepted, over those sought
@@ -39,6 +41,7 @@
 SwarmOptions swarmOptionsFor(const WeightsSettings &Settings,
                              std::uint32_t ChunkBytes) {
   SwarmOptions Options;
+  Options.m_OriginStep = OriginStep;
   // Uploads, chunks expected, origin reads, and what waits to be staged.
   const auto Room = static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
       Settings.m_MemoryBytes / std::max(1U, ChunkBytes), 1, 1024));
