--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds NoUpstreamRetry{500};
 constexpr std::chrono::milliseconds CancelLimit{1'000};
 constexpr std::size_t PrefixBytes = 256;
-constexpr std::size_t MaxPassedOnBytes = 1024 * 1024;
+constexpr std::size_t MaxPassedOnBytes = std::size_t{1024} * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
 
 std::uint64_t prefixHashOf(const boost::json::object &Body) {
@@ -76,6 +76,37 @@
     co_return RequestOutcome::NotRun;
   }
   m_Answer.onGone([this] { callerGone(); });
+  if (!m_Call.m_Terms.m_Idempotent && !m_Call.m_Terms.m_IdempotencyKey.empty())
+    co_return co_await runKeyed();
+  co_return co_await runUnkeyed();
+}
+
+asio::awaitable<RequestOutcome> ChatCall::runKeyed() {
+  KeyedCall Keyed(m_Context, m_Call, m_Pool->m_Pool.m_Id, *this);
+  KeyedResult Result = co_await Keyed.run();
+  if (m_Gone)
+    co_return RequestOutcome::Unknown;
+  if (Result.m_Outcome == RequestOutcome::Answered && !Result.m_Replay)
+    co_return co_await finish();
+  if (m_Answer.started())
+    co_return co_await giveUp(Result.m_Outcome);
+  net::HttpResponse Response = Result.m_Replay
+                                   ? replayResponse(*Result.m_Replay)
+                                   : failureResponse(Result);
+  co_await m_Answer.send(std::move(Response));
+  co_return Result.m_Outcome;
+}
+
+asio::awaitable<AttemptEnd>
+ChatCall::sendClaimed(std::shared_ptr<const EntryRoutes> Routes,
+                      UpstreamRoute To, Claim Claimed) {
+  m_Routes = std::move(Routes);
+  m_Pool = &m_Routes->m_Table.m_Pools.at(m_Pool->m_Pool.m_Id);
+  m_Claim = std::move(Claimed);
+  co_return co_await attempt(To);
+}
+
+asio::awaitable<RequestOutcome> ChatCall::runUnkeyed() {
   m_Context.m_RetryBudget.deposit();
   AttemptEnd End = AttemptEnd::Unreachable;
   while (true) {
@@ -126,9 +157,13 @@
   ++m_Attempts;
   m_Hints.m_Tried.insert(To.m_Instance);
   m_Upstream = To.m_Address;
-  const InFlightGuard Counted(m_Routes->m_Counters.at(To.m_Instance));
+  const auto Counters = m_Routes->m_Counters.at(To.m_Instance);
+  const InFlightGuard Counted(Counters);
+  const TimePoint SentAt = now();
   net::HttpRequest Request = boundRequest(m_Call, m_Pool->m_Pool.m_Id, To);
   Request.m_Headers.add(header::ContentType, "application/json");
+  if (m_Claim)
+    addClaim(Request.m_Headers, *m_Claim);
   Request.m_Body = resumeBody();
   const Duration Left = m_Call.m_Deadline - now();
   const auto Limit = attemptLimit(Left, m_Call.m_Terms.m_Idempotent);
@@ -136,12 +171,18 @@
                                .m_BetweenBytes = StallLimit};
   auto Opened = co_await m_Context.m_Process.m_Http.open(
       To.m_Address, std::move(Request), Limits);
-  if (!Opened)
+  if (!Opened) {
+    if (!m_Gone)
+      Counters->failed();
     co_return attemptEndOf(Opened.error());
+  }
   net::HttpStream &Stream = **Opened;
   const AttemptEnd Told = attemptEndOf(Stream.headers(), m_Call.m_Id);
+  if (Told == AttemptEnd::Lost)
+    Counters->failed();
   if (Told != AttemptEnd::Whole)
     co_return Told;
+  Counters->answered(now() - SentAt);
   if (Stream.status() != 200)
     co_return co_await passOn(Stream);
   m_Hints.m_Weights = To.m_Weights;
@@ -153,6 +194,8 @@
                       .m_FirstIndex = m_NextIndex};
   const AttemptEnd End = co_await readStream(Stream, std::move(Bound));
   m_Open = nullptr;
+  if (End == AttemptEnd::Lost && !m_Gone)
+    Counters->failed();
   co_return End;
 }
 
@@ -287,6 +330,8 @@
     m_Open->cancel();
     return;
   }
+  if (m_Upstream.empty())
+    return;
   Process &In = m_Context.m_Process;
   asio::co_spawn(In.m_Threads.nextWorker(),
                  cancelAt(In, m_Upstream, m_Call.m_Id), asio::detached);
