--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
   libboost1.81-dev libboost-json1.81-dev libabsl-dev liblog4cxx-dev
   libzmq3-dev cppzmq-dev libprotobuf-dev libssl-dev libxxhash-dev
-  libgtest-dev libgmock-dev libbenchmark-dev
+  libgtest-dev libgmock-dev libbenchmark-dev python3
 )
 missing=()
 for package in "${packages[@]}"; do
