--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -114,7 +114,7 @@
     if (!Stored)
       co_return;
   }
-  m_Swarm.addStaged(Chunk, nowOf());
+  m_Swarm.addStaged(Chunk, now());
 }
 
 void WeightsCopy::start() {
@@ -138,7 +138,7 @@
 
 asio::awaitable<void> WeightsCopy::tick() {
   while (!m_Stopped) {
-    perform(m_Swarm.onTick(nowOf()));
+    perform(m_Swarm.onTick(now()));
     if (!m_Swarm.complete())
       connectMore();
     const Duration Rest =
@@ -153,7 +153,7 @@
 }
 
 void WeightsCopy::connectMore() {
-  const TimePoint Now = nowOf();
+  const TimePoint Now = now();
   for (const PeerAddress &Each : m_Known) {
     const std::size_t Links = m_Peers.size() + m_Connecting.size();
     if (m_Stopped || Links >= m_Context.m_Settings.m_Weights.m_Peers)
@@ -170,7 +170,7 @@
 
 asio::awaitable<void> WeightsCopy::connect(PeerAddress To) {
   const InstanceId Id = To.m_Id;
-  m_RetryAt[Id] = nowOf() + RetryPeer;
+  m_RetryAt[Id] = now() + RetryPeer;
   co_await greet(std::move(To));
   m_Connecting.erase(Id);
 }
@@ -250,7 +250,7 @@
   perform(m_Swarm.onPeerJoined(
       Number, InstanceId{Hello.instance()}, DataCentreId{Hello.data_centre()},
       ChunkSet::fromBytes(Chunks, Hello.here()),
-      ChunkSet::fromBytes(Chunks, Hello.seen()), nowOf()));
+      ChunkSet::fromBytes(Chunks, Hello.seen()), now()));
   bool Good = true;
   while (Good && !Connection->closed()) {
     auto Message = co_await net::readBulk(Connection->socket());
@@ -260,13 +260,13 @@
   }
   Connection->close();
   m_Peers.erase(Number);
-  perform(m_Swarm.onPeerGone(Number, nowOf()));
+  perform(m_Swarm.onPeerGone(Number, now()));
 }
 
 asio::awaitable<bool> WeightsCopy::receive(PeerNumber Number,
                                            net::BulkMessage Message) {
   const wire::BulkFrame &Frame = Message.m_Header;
-  const TimePoint Now = nowOf();
+  const TimePoint Now = now();
   switch (Frame.kind_case()) {
   case wire::BulkFrame::kHave:
     perform(m_Swarm.onHave(
@@ -297,7 +297,7 @@
   const wire::BulkPiece &Piece = Message.m_Header.piece();
   const std::uint32_t Chunk = Piece.chunk();
   const Duration Wait =
-      m_Context.m_Link.m_Down->take(Message.m_Bytes.size(), nowOf());
+      m_Context.m_Link.m_Down->take(Message.m_Bytes.size(), now());
   if (Wait > Duration::zero())
     co_await pauseFor(Wait);
   const auto From = m_Peers.find(Number);
@@ -313,7 +313,7 @@
       Partial.size() + Message.m_Bytes.size() > Length)
     co_return false;
   Partial += Message.m_Bytes;
-  m_Swarm.onProgress(Number, Chunk, nowOf());
+  m_Swarm.onProgress(Number, Chunk, now());
   if (Partial.size() < Length)
     co_return true;
   std::string Whole = std::move(Partial);
@@ -330,7 +330,7 @@
     net::log(Event::ChunkCorrupt, {{"weights", m_Manifest.m_Weights.m_Text},
                                    {"chunk", std::uint64_t{Chunk}},
                                    {"from", m_Peers.at(Number).m_Id.m_Text}});
-  perform(m_Swarm.onArrived(Number, Chunk, Verified, nowOf()));
+  perform(m_Swarm.onArrived(Number, Chunk, Verified, now()));
   if (!Verified || !Wanted)
     return;
   auto Held = std::make_shared<std::string>(std::move(Bytes));
@@ -345,7 +345,7 @@
     co_await pauseFor(StagingRetry);
   if (m_Stopped)
     co_return;
-  perform(m_Swarm.onStaged(Chunk, Stored.has_value(), nowOf()));
+  perform(m_Swarm.onStaged(Chunk, Stored.has_value(), now()));
   if (m_OnGain)
     m_OnGain();
 }
@@ -357,11 +357,11 @@
   const bool Usable = Bytes && To != m_Peers.end() && !m_Stopped;
   if (!Usable) {
     perform(SendRefusal{Number, Chunk});
-    perform(m_Swarm.onSent(Number, Chunk, nowOf()));
+    perform(m_Swarm.onSent(Number, Chunk, now()));
     co_return;
   }
   auto OnDone = [Self = shared_from_this(), Number, Chunk] {
-    Self->perform(Self->m_Swarm.onSent(Number, Chunk, nowOf()));
+    Self->perform(Self->m_Swarm.onSent(Number, Chunk, now()));
   };
   m_Context.m_Uplink->send(
       To->second.m_Connection, Chunk,
@@ -371,7 +371,7 @@
 asio::awaitable<Outcome<net::OriginChunk>>
 WeightsCopy::readOnce(net::Origin &From, std::uint32_t Chunk) {
   auto Pace = [this](std::size_t Bytes) -> asio::awaitable<void> {
-    const Duration Wait = m_Context.m_Link.m_Down->take(Bytes, nowOf());
+    const Duration Wait = m_Context.m_Link.m_Down->take(Bytes, now());
     if (Wait > Duration::zero())
       co_await pauseFor(Wait);
   };
@@ -404,7 +404,7 @@
     co_return;
   const Swarm::OriginOutcome How = check(Chunk, Read);
   const bool Wanted = m_Swarm.wants(Chunk);
-  perform(m_Swarm.onOriginReply(Chunk, How, nowOf()));
+  perform(m_Swarm.onOriginReply(Chunk, How, now()));
   if (How == Swarm::OriginOutcome::Good && Wanted)
     co_await stage(Chunk, std::move(Read->m_Bytes));
 }
--- a/src/daemon/weights-link.cc
+++ b/src/daemon/weights-link.cc
@@ -21,11 +21,6 @@
 
 } // namespace
 
-TimePoint nowOf() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 asio::awaitable<void> pauseFor(Duration Length) {
   asio::steady_timer Timer(co_await asio::this_coro::executor);
   Timer.expires_after(Length);
@@ -162,7 +157,7 @@
     }
     const std::size_t Left = Next->m_Bytes->size() - Next->m_Offset;
     const std::size_t Length = std::min(PieceBytes, Left);
-    const Duration Wait = m_Shaper->take(Length, nowOf());
+    const Duration Wait = m_Shaper->take(Length, now());
     if (Wait > Duration::zero())
       co_await pauseFor(Wait);
     if (Next->m_To->closed())
--- a/src/daemon/weights-link.h
+++ b/src/daemon/weights-link.h
@@ -1,6 +1,7 @@
 // The agent's link for weights: shaped, and shared by connections to peers.
 #pragma once
 
+#include "daemon/clock.h"
 #include "deckpitch/settings.h"
 #include "deckpitch/token-bucket.h"
 #include "net/bulk.h"
@@ -19,9 +20,6 @@
 
 namespace asio = boost::asio;
 
-/// The time that the decisions of weights see.
-TimePoint nowOf();
-
 /// Waits on the loop of the calling coroutine.
 asio::awaitable<void> pauseFor(Duration Length);
 
