--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -25,6 +25,9 @@
       : m_Stream(std::move(Executor)) {}
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
+  /// Where pieces of bodies are parsed into; kept, since making and zeroing
+  /// one for each piece costs more than the piece.
+  std::unique_ptr<char[]> m_Piece;
 
   /// False when the server closed the connection or sent something unasked.
   bool usable() {
@@ -115,7 +118,10 @@
         finish();
         co_return std::string();
       }
-      m_Parser.get().body().data = m_Piece.get();
+      if (!m_Connection->m_Piece)
+        m_Connection->m_Piece =
+            std::make_unique_for_overwrite<char[]>(ReadPieceBytes);
+      m_Parser.get().body().data = m_Connection->m_Piece.get();
       m_Parser.get().body().size = ReadPieceBytes;
       m_Connection->m_Stream.expires_after(m_Limits.m_BetweenBytes);
       auto [Ec, Bytes] = co_await http::async_read_some(m_Connection->m_Stream,
@@ -123,9 +129,9 @@
                                                         m_Parser, UseAwaitable);
       if (Ec && Ec != http::error::need_buffer)
         co_return unanswered(m_Key.m_Address, Ec);
-      const std::size_t Got = ReadPieceBytes - m_Parser.get().body().size;
-      if (Got > 0)
-        co_return std::string(m_Piece.get(), Got);
+      const std::size_t Read = ReadPieceBytes - m_Parser.get().body().size;
+      if (Read > 0)
+        co_return std::string(m_Connection->m_Piece.get(), Read);
     }
   }
 
@@ -150,9 +156,6 @@
   PoolKey m_Key;
   std::unique_ptr<Connection> m_Connection;
   CallLimits m_Limits;
-  /// Not filled with zeros for each read, as a string would be.
-  std::unique_ptr<char[]> m_Piece =
-      std::make_unique_for_overwrite<char[]>(ReadPieceBytes);
   http::response_parser<http::buffer_body> m_Parser;
   HttpHeaders m_Headers;
 };
