--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -31,6 +31,8 @@
   DeclarationAccepted = 2000,
   LeaseWon = 2001,
   LeaseLost = 2002,
+  PlatformUnavailable = 5000,
+  PlatformAvailable = 5001,
   UpstreamAnswerRefused = 4000,
 };
 
@@ -64,6 +66,9 @@
               "DeclarationAccepted"},
     EventInfo{Event::LeaseWon, Severity::Info, "LeaseWon"},
     EventInfo{Event::LeaseLost, Severity::Warning, "LeaseLost"},
+    EventInfo{Event::PlatformUnavailable, Severity::Warning,
+              "PlatformUnavailable"},
+    EventInfo{Event::PlatformAvailable, Severity::Info, "PlatformAvailable"},
     EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
               "UpstreamAnswerRefused"},
 };
--- a/src/daemon/declarations-follower.cc
+++ b/src/daemon/declarations-follower.cc
@@ -88,6 +88,12 @@
       continue;
     }
     const bool Listed = co_await listAll();
+    if (m_Stopping)
+      co_return;
+    if (!Listed && m_Failures == 0)
+      net::log(Event::PlatformUnavailable);
+    if (Listed && m_Failures > 0)
+      net::log(Event::PlatformAvailable, {{"failures", m_Failures}});
     m_Failures = Listed ? 0 : m_Failures + 1;
     m_Exchange.tick();
     if (!Listed) {
--- a/src/daemon/resources-entry.cc
+++ b/src/daemon/resources-entry.cc
@@ -145,8 +145,10 @@
           net::jsonResponse(422, problemsJson(*Checked.m_Problems)));
       co_return;
     }
-    Write.m_Json = addChangeNote(Checked.m_Json, noteOf(Request));
-    co_await writeAndAnswer(std::move(Write), Creates ? 201 : 200, Answer);
+    const ChangeNote Note = noteOf(Request);
+    Write.m_Json = addChangeNote(Checked.m_Json, Note);
+    co_await writeAndAnswer(std::move(Write), Creates ? 201 : 200, Note.m_By,
+                            Answer);
   }
 
   Handled remove(net::HttpRequest Request, net::HttpResponder &Answer) {
@@ -162,16 +164,17 @@
       co_return;
     }
     WriteRequest Write{Path->m_Kind, Path->m_Name, *Seen, {}};
-    co_await writeAndAnswer(std::move(Write), 200, Answer);
+    std::string By = noteOf(Request).m_By;
+    co_await writeAndAnswer(std::move(Write), 200, std::move(By), Answer);
   }
 
-  Handled writeAndAnswer(WriteRequest Write, unsigned Success,
+  Handled writeAndAnswer(WriteRequest Write, unsigned Success, std::string By,
                          net::HttpResponder &Answer) {
     const WriteOutcome Ended =
         co_await writeResolved(m_Process.m_Platform, Write);
     switch (Ended.m_Kind) {
     case WriteOutcome::Kind::Done:
-      accepted(Write, Ended.m_Revision);
+      accepted(Write, Ended.m_Revision, By);
       co_await Answer.send(
           net::jsonResponse(Success, revisionJson(Ended.m_Revision)));
       break;
@@ -202,9 +205,10 @@
   /// Spreads the accepted version without waiting for the watch: the process
   /// sends it to its own replica like any other update, which promises nothing
   /// about other changes.
-  void accepted(const WriteRequest &Write, Revision At) {
+  void accepted(const WriteRequest &Write, Revision At, const std::string &By) {
     net::log(Event::DeclarationAccepted, {{"kind", Write.m_Kind},
                                           {"name", Write.m_Name},
+                                          {"by", By},
                                           {"revision", At.m_Value}});
     if (At.m_Value == 0)
       return;
