--- a/src/daemon/declarations-exchange.cc
+++ b/src/daemon/declarations-exchange.cc
@@ -148,7 +148,8 @@
   const Revision Mine = m_Store.revision();
   if (Digest == m_Store.digest()) {
     Of.m_Differences = 0;
-    if (Theirs > Mine)
+    // A revision that completes nothing new is not worth telling the fleet.
+    if (Theirs > Mine && Mine < m_Store.newest())
       apply(Address, [&](DeclarationStore &Store) {
         return Store.applyUpdate({Theirs, Theirs, false, Digest, {}});
       });
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds NoUpstreamRetry{500};
-constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
 
 } // namespace
 
@@ -23,9 +23,31 @@
         notRunResponse({.m_Status = 404, .m_Reason = "no such path"});
     co_return co_await answer(RequestOutcome::NotRun, std::move(Response));
   }
+  if (!m_Call.m_Terms.m_Idempotent && !m_Call.m_Terms.m_IdempotencyKey.empty())
+    co_return co_await runKeyed();
   co_return co_await runUnkeyed();
 }
 
+asio::awaitable<RequestOutcome> ServiceCall::runKeyed() {
+  KeyedCall Keyed(m_Context, m_Call, m_Pool->m_Pool.m_Id, *this);
+  KeyedResult Result = co_await Keyed.run();
+  net::HttpResponse Response = Result.m_Replay
+                                   ? replayResponse(*Result.m_Replay)
+                                   : std::move(m_Response);
+  if (Result.m_Outcome != RequestOutcome::Answered)
+    Response = failureResponse(Result);
+  co_return co_await answer(Result.m_Outcome, std::move(Response));
+}
+
+asio::awaitable<AttemptEnd>
+ServiceCall::sendClaimed(std::shared_ptr<const EntryRoutes> Routes,
+                         UpstreamRoute To, Claim Claimed) {
+  m_Routes = std::move(Routes);
+  m_Pool = &m_Routes->m_Table.m_Pools.at(m_Pool->m_Pool.m_Id);
+  m_Claim = std::move(Claimed);
+  co_return co_await attempt(To);
+}
+
 asio::awaitable<RequestOutcome> ServiceCall::runUnkeyed() {
   m_Context.m_RetryBudget.deposit();
   AttemptEnd End = AttemptEnd::Unreachable;
@@ -70,7 +92,9 @@
 asio::awaitable<AttemptEnd> ServiceCall::attempt(const UpstreamRoute &To) {
   ++m_Attempts;
   m_Hints.m_Tried.insert(To.m_Instance);
-  const InFlightGuard Counted(m_Routes->m_Counters.at(To.m_Instance));
+  const auto Counters = m_Routes->m_Counters.at(To.m_Instance);
+  const InFlightGuard Counted(Counters);
+  const TimePoint SentAt = now();
   net::HttpRequest Request = boundRequest(m_Call, m_Pool->m_Pool.m_Id, To);
   Request.m_Headers.add(
       header::ContentType,
@@ -78,6 +102,8 @@
   if (!m_Call.m_Terms.m_IdempotencyKey.empty())
     Request.m_Headers.add(header::IdempotencyKey,
                           m_Call.m_Terms.m_IdempotencyKey);
+  if (m_Claim)
+    addClaim(Request.m_Headers, *m_Claim);
   Request.m_Body = m_Call.m_Http.m_Body;
   const auto Limit =
       attemptLimit(m_Call.m_Deadline - now(), m_Call.m_Terms.m_Idempotent);
@@ -86,10 +112,15 @@
                                .m_BodyBytes = MaxAnswerBytes};
   auto Got = co_await m_Context.m_Process.m_Http.call(
       To.m_Address, std::move(Request), Limits);
-  if (!Got)
+  if (!Got) {
+    Counters->failed();
     co_return attemptEndOf(Got.error());
+  }
   const AttemptEnd End = attemptEndOf(Got->m_Headers, m_Call.m_Id);
+  if (End == AttemptEnd::Lost)
+    Counters->failed();
   if (End == AttemptEnd::Whole) {
+    Counters->answered(now() - SentAt);
     m_Response.m_Status = Got->m_Status;
     m_Response.m_Body = std::move(Got->m_Body);
     m_Response.m_Headers.add(
