--- a/scripts/measure-declarations.sh
+++ b/scripts/measure-declarations.sh
@@ -4,4 +4,5 @@
 #   scripts/measure-declarations.sh [SIZES...]      sizes in processes: 8 32 64
 set -euo pipefail
 cd "$(dirname "$0")/.."
-exec python3 scripts/measure_declarations.py "${BUILD:-build}" "${@:-8}"
+[ $# -gt 0 ] || set -- 8 32 64
+exec python3 scripts/measure_declarations.py "${BUILD:-build}" "$@"
