--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -42,11 +42,11 @@
   std::atomic<bool> m_FollowsPlatform{false};
   /// Entries: control addresses that the platform remembers; by declarations.
   SnapshotCell<std::vector<std::string>> m_RememberedAddresses;
-  SnapshotCell<MembershipView> m_Membership;   ///< by the membership module
-  SnapshotCell<ServingReport> m_Serving;    ///< agents: by the weights module
-  std::atomic<std::uint32_t> m_InFlight{0}; ///< agents: by the requests module
-  std::atomic<std::uint32_t> m_Waiting{0};  ///< agents: by the requests module
-  std::atomic<bool> m_Leaving{false};       ///< set once, when draining begins
+  SnapshotCell<MembershipView> m_Membership; ///< by the membership module
+  SnapshotCell<ServingReport> m_Serving;     ///< agents: by the weights module
+  std::atomic<std::uint32_t> m_InFlight{0};  ///< agents: by the requests module
+  std::atomic<std::uint32_t> m_Waiting{0};   ///< agents: by the requests module
+  std::atomic<bool> m_Leaving{false};        ///< set once, when draining begins
 };
 
 /// A path prefix of one of the process's HTTP ports. Handlers run on workers.
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -44,7 +44,10 @@
 std::string labelText(const MetricLabels &Labels) {
   std::string Out;
   for (const MetricLabel &Each : Labels) {
-    Out += (Out.empty() ? "" : ",") + Each.m_Name + "=\"";
+    if (!Out.empty())
+      Out += ",";
+    Out += Each.m_Name;
+    Out += "=\"";
     for (char C : Each.m_Value) {
       if (C == '"' || C == '\\')
         Out.push_back('\\');
@@ -70,9 +73,11 @@
   const std::string Prefix = Labels.empty() ? "" : Labels + ",";
   for (const LatencyHistogram::Bucket &Each : Value.buckets()) {
     Count += Each.m_Count;
-    const std::string Upper = numberText(Each.m_UpperSeconds);
-    Out += line(Name + "_bucket", Prefix + "le=\"" + Upper + "\"",
-                std::to_string(Count));
+    std::string Bucket = Prefix;
+    Bucket += "le=\"";
+    Bucket += numberText(Each.m_UpperSeconds);
+    Bucket += "\"";
+    Out += line(Name + "_bucket", Bucket, std::to_string(Count));
   }
   const std::chrono::duration<double> Sum = Value.sum();
   Out += line(Name + "_sum", Labels, numberText(Sum.count()));
--- a/support/simulation/swarm-simulation.h
+++ b/support/simulation/swarm-simulation.h
@@ -18,10 +18,10 @@
 struct SimulationOptions {
   std::uint32_t m_Agents = 16;
   std::uint32_t m_Chunks = 256;
-  std::uint32_t m_Peers = 16;       ///< that each agent is told of
-  std::uint32_t m_DataCentres = 1;  ///< agents in turn
-  bool m_SharedLinks = false;       ///< one budget for both directions
-  double m_OriginRate = 2.0;        ///< chunks in the time of one at a link
+  std::uint32_t m_Peers = 16;      ///< that each agent is told of
+  std::uint32_t m_DataCentres = 1; ///< agents in turn
+  bool m_SharedLinks = false;      ///< one budget for both directions
+  double m_OriginRate = 2.0;       ///< chunks in the time of one at a link
   Duration m_ChunkTime = std::chrono::milliseconds(100); ///< at a link's rate
   Duration m_Delay = std::chrono::milliseconds(1);       ///< one way
   Duration m_StagingTime = std::chrono::milliseconds(2);
@@ -103,7 +103,8 @@
     std::uint64_t m_Order;
     std::function<void()> m_Do;
     bool operator<(const Event &Other) const {
-      return std::pair(Other.m_When, Other.m_Order) < std::pair(m_When, m_Order);
+      return std::pair(Other.m_When, Other.m_Order) <
+             std::pair(m_When, m_Order);
     }
   };
 
