Take an engine's refusals as not run; end the load tool's connections in time

Cause (1): after an engine was killed and restarted without weights, its 503 was told to the entry as unknown, so each retry drew on the retry budget until callers got unknown although other engines were ready. Cause (2): a load run's connections outlived the event loop they belonged to and corrupted the heap of the test program. Conclusion: the agent still learns of an engine's loss by its own polling.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
 
 await_lines() { # name, count
   for _ in $(seq 600); do
-    [ "$(wc -l <"$scratch/$1.out")" -ge "$2" ] && return
+    [ "$(wc -l <"$scratch/$1.out")" -ge "$2" ] 2>/dev/null && return
     sleep 0.05
   done
   fail "$1 did not start"
--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t MaxRefusalBytes = 64 * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
 constexpr unsigned WeightsConflict = 409;
+constexpr unsigned QueueFull = 429;
+constexpr unsigned NoWeights = 503;
 constexpr unsigned FirstServerError = 500;
 
 std::uint64_t firstIndexOf(const std::string &Body) {
@@ -114,6 +116,12 @@
   co_return End;
 }
 
+/// The engine's refusals that say for certain that the request did not run.
+static bool ranNothing(unsigned Status) {
+  return Status == WeightsConflict || Status == QueueFull ||
+         Status == NoWeights;
+}
+
 asio::awaitable<ForwardEnd>
 EngineForward::passRefusal(net::HttpStream &Stream) {
   net::HttpResponse Response;
@@ -125,7 +133,7 @@
     Response.m_Body += *Piece;
   }
   RequestOutcome Outcome = RequestOutcome::Answered;
-  if (Response.m_Status == WeightsConflict)
+  if (ranNothing(Response.m_Status))
     Outcome = RequestOutcome::NotRun;
   else if (Response.m_Status >= FirstServerError)
     Outcome = RequestOutcome::Unknown;
--- a/support/load/load-run.cc
+++ b/support/load/load-run.cc
@@ -86,10 +86,9 @@
 }
 
 LoadReport LoadRun::run() {
-  asio::io_context Io{1};
   m_Begin = SteadyClock::now();
-  asio::co_spawn(Io, runAll(), asio::detached);
-  Io.run();
+  asio::co_spawn(m_Io, runAll(), asio::detached);
+  m_Io.run();
   m_Report.m_Took = SteadyClock::now() - m_Begin;
   return m_Report;
 }
--- a/support/load/load-run.h
+++ b/support/load/load-run.h
@@ -3,6 +3,7 @@
 
 #include "load/chat-client.h"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
 
 #include <atomic>
@@ -63,6 +64,7 @@
   bool over() const;
 
   LoadOptions m_Options;
+  asio::io_context m_Io{1}; ///< outlives the connections kept by m_Http
   net::HttpClient m_Http;
   std::vector<std::string> m_Entries;
   std::chrono::steady_clock::time_point m_Begin;
