Tell unknown when any attempt may have run

Cause: an idempotent request whose first attempt was lost after it ran, and whose next upstream refused it, was told not-run: the outcome was judged from the last attempt alone. That breaks 'when a caller is told its request was not run, it was not run'. Ruled out: the agent's refusals, which are certain. Change: chat and service calls remember over all attempts whether one was lost. Conclusion: found by reading; keyed calls were right already (they fence).

--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -108,14 +108,16 @@
 
 asio::awaitable<RequestOutcome> ChatCall::runUnkeyed() {
   m_Context.m_RetryBudget.deposit();
-  AttemptEnd End = AttemptEnd::Unreachable;
+  // Over all attempts: a later refusal does not undo an earlier run.
+  bool MayHaveRun = false;
   while (true) {
     const UpstreamRoute *To =
         pickUpstream(*m_Routes, *m_Pool,
                      m_Context.m_Process.m_Settings.m_DataCentre, m_Hints);
     if (!To)
       break;
-    End = co_await attempt(*To);
+    const AttemptEnd End = co_await attempt(*To);
+    MayHaveRun = MayHaveRun || End == AttemptEnd::Lost;
     if (m_Gone)
       co_return RequestOutcome::Unknown;
     if (End == AttemptEnd::Whole)
@@ -129,7 +131,6 @@
       break;
     m_Pool = &Pool->second;
   }
-  const bool MayHaveRun = End == AttemptEnd::Lost || m_NextIndex > 0;
   co_return co_await giveUp(MayHaveRun ? RequestOutcome::Unknown
                                        : RequestOutcome::NotRun);
 }
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -50,14 +50,16 @@
 
 asio::awaitable<RequestOutcome> ServiceCall::runUnkeyed() {
   m_Context.m_RetryBudget.deposit();
-  AttemptEnd End = AttemptEnd::Unreachable;
+  // Over all attempts: a later refusal does not undo an earlier run.
+  bool MayHaveRun = false;
   while (true) {
     const UpstreamRoute *To =
         pickUpstream(*m_Routes, *m_Pool,
                      m_Context.m_Process.m_Settings.m_DataCentre, m_Hints);
     if (!To)
       break;
-    End = co_await attempt(*To);
+    const AttemptEnd End = co_await attempt(*To);
+    MayHaveRun = MayHaveRun || End == AttemptEnd::Lost;
     if (End == AttemptEnd::Whole)
       co_return co_await answer(RequestOutcome::Answered,
                                 std::move(m_Response));
@@ -66,7 +68,6 @@
     m_Context.m_Counters.m_Retries.fetch_add(1, std::memory_order_relaxed);
   }
   const Duration RetryAfter = jittered(NoUpstreamRetry);
-  const bool MayHaveRun = End == AttemptEnd::Lost;
   net::HttpResponse Response =
       MayHaveRun
           ? unknownResponse("no whole answer came", RetryAfter)
--- a/test/request-path-test.cc
+++ b/test/request-path-test.cc
@@ -81,6 +81,41 @@
   EXPECT_EQ(Path.m_Upstreams[1]->m_Runs, 8);
 }
 
+/// One upstream runs each request and loses the answer; the other's agent
+/// refuses. Whichever is tried last, a request that ran is not told not-run.
+void expectNotRunOnlyWithoutARun(
+    RequestPath &Path,
+    const std::function<Outcome<net::HttpResponse>()> &SendOne) {
+  auto Changed = std::make_shared<ServingReport>(
+      *Path.m_Agents[1]->process().m_Serving.load());
+  Changed->m_Ready = false;
+  Path.m_Agents[1]->process().m_Serving.publish(Changed);
+  int Ran = 0;
+  for (int I = 0; I < 8; ++I) {
+    const int Before = Path.m_Upstreams[0]->m_Runs;
+    const std::string Told = outcomeHeader(*SendOne());
+    const int Runs = Path.m_Upstreams[0]->m_Runs - Before;
+    EXPECT_EQ(Told, Runs > 0 ? "unknown" : "not-run") << "request " << I;
+    Ran += Runs;
+  }
+  EXPECT_GT(Ran, 0);
+  EXPECT_EQ(Path.m_Upstreams[1]->m_Runs, 0);
+}
+
+TEST(RequestPath, TellsUnknownWhenAnEarlierAttemptMayHaveRun) {
+  RequestPath Path(PoolKind::Engine, 2);
+  Path.m_Upstreams[0]->m_Faults.m_OtherId = true;
+  expectNotRunOnlyWithoutARun(Path, [&] { return Path.chat(false); });
+}
+
+TEST(RequestPath, TellsUnknownWhenAServiceMayHaveRunTheCall) {
+  RequestPath Path(PoolKind::Service, 2);
+  Path.m_Upstreams[0]->m_Faults.m_DieAfterRun = true;
+  net::HttpRequest Request;
+  Request.m_Target = "/orders/7";
+  expectNotRunOnlyWithoutARun(Path, [&] { return Path.call(Request); });
+}
+
 TEST(RequestPath, ResumesABrokenStreamWithoutDoubledOrMissingTokens) {
   for (const int BreakAt : {0, 1, 5, 7}) {
     RequestPath Path(PoolKind::Engine, 2);
