--- a/include/deckpitch/call-records.h
+++ b/include/deckpitch/call-records.h
@@ -49,8 +49,9 @@
   /// Ended runs are remembered for so long; longer than claims are.
   Duration m_Retention = std::chrono::minutes(12);
   std::size_t m_MaxRecords = 100'000;
-  std::size_t m_MaxAnswerBytes = 32 * 1024;        ///< of one answer kept
-  std::size_t m_MaxStoredBytes = 32 * 1024 * 1024; ///< of all answers kept
+  std::size_t m_MaxAnswerBytes = std::size_t{32} * 1024; ///< of one answer kept
+  std::size_t m_MaxStoredBytes =
+      std::size_t{32} * 1024 * 1024; ///< of all answers kept
 };
 
 /// Decides which keyed runs may start. One agent has one; it is empty at each
