--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,9 +20,10 @@
   ninja -C "$folder" -j "$jobs" --quiet
 }
 
-run_tests() { # folder
-  ctest --test-dir "$1" -j "$jobs" --output-on-failure \
-    ${known_red:+-E "$known_red"}
+run_tests() { # folder, pattern of tests left out besides the known red ones
+  local out="${2:-}"
+  [ -z "$known_red" ] || out="${out:+$out|}$known_red"
+  ctest --test-dir "$1" -j "$jobs" --output-on-failure ${out:+-E "$out"}
 }
 
 echo "== all tests"
@@ -38,5 +39,7 @@
 
 echo "== thread sanitizer"
 build build-tsan "${unit[@]}" -DDECKPITCH_SANITIZE=thread
+# The large simulation has one thread, so this sanitizer could see nothing in
+# it, and takes minutes under it.
 TSAN_OPTIONS="halt_on_error=1 suppressions=$PWD/support/sanitizers/thread.supp" \
-  run_tests build-tsan
+  run_tests build-tsan '^SwarmSimulation\.OneCopyLeaves'
--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -61,11 +61,11 @@
 template <typename Step> void WeightsCopy::spawn(Step Run) {
   // The copy outlives what it started; Run is a member's coroutine.
   auto Hold = [](std::shared_ptr<WeightsCopy> Self,
-                 asio::awaitable<void> Body) -> asio::awaitable<void> {
-    co_await std::move(Body);
+                 Step Body) -> asio::awaitable<void> {
+    co_await Body();
     Self.reset();
   };
-  asio::co_spawn(m_Context.m_Io, Hold(shared_from_this(), Run()),
+  asio::co_spawn(m_Context.m_Io, Hold(shared_from_this(), std::move(Run)),
                  asio::detached);
 }
 
--- a/src/kernel/peer-set.cc
+++ b/src/kernel/peer-set.cc
@@ -55,9 +55,10 @@
   const std::size_t Inner =
       std::min<std::size_t>(Near.size(), Count - Crossings);
   const std::size_t Outer = std::min<std::size_t>(Far.size(), Count - Inner);
-  std::vector<const Member *> Out(Near.begin(), Near.begin() + Inner);
-  Out.insert(Out.end(), Far.begin(), Far.begin() + Outer);
-  return Out;
+  Near.resize(Inner);
+  Far.resize(Outer);
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  return Near;
 }
 
 } // namespace deckpitch
--- a/src/net/engine.cc
+++ b/src/net/engine.cc
@@ -66,7 +66,7 @@
                                                      std::uint32_t Index) {
   HttpRequest Request{"GET", stagingPath(Weights, Index)};
   CallLimits Limits;
-  Limits.m_BodyBytes = 512 * 1024 * 1024;
+  Limits.m_BodyBytes = std::size_t{512} * 1024 * 1024;
   auto Answer = co_await m_Http.call(m_Address, std::move(Request), Limits);
   if (!Answer)
     co_return Answer.error();
