Mend what stood twice and what needed explaining

Cause: reading as a newcomer: two ways to accept unknown keys (one hidden in the list of problems), two clocks, two readers of files, two cancellations, a message that nothing sends (fences go over HTTP), events out of order; three findings of clang-tidy.

--- a/include/deckpitch/declaration.h
+++ b/include/deckpitch/declaration.h
@@ -111,10 +111,6 @@
                          const DeclarationSet &) = default;
 };
 
-/// What a parser does with keys that it does not know: operators' input is
-/// refused, what a newer release has stored is read as far as it is known.
-enum class UnknownKeys { Refuse, Ignore };
-
 /// Parse one declared object's JSON; every fault is found at once and loaded
 /// as Problems beside an InvalidInput Error.
 Result<Pool> parsePool(std::string_view Json,
--- a/include/deckpitch/error.h
+++ b/include/deckpitch/error.h
@@ -46,12 +46,14 @@
 /// Every fault of a document at once.
 struct Problems {
   std::vector<Problem> m_List;
-  /// Leaves unknown keys alone: what a newer release wrote must stay readable.
-  bool m_AllowUnknown = false;
 
   friend bool operator==(const Problems &, const Problems &) = default;
 };
 
+/// What a parser does with keys that it does not know: operators' input is
+/// refused, what a newer release has stored is read as far as it is known.
+enum class UnknownKeys { Refuse, Ignore };
+
 /// Fails the calling function:  return fail(ErrorCode::NotFound, "no pool x");
 inline boost::leaf::error_id fail(ErrorCode Code, std::string Message) {
   return boost::leaf::new_error(Error{Code, std::move(Message)});
--- a/include/deckpitch/event.h
+++ b/include/deckpitch/event.h
@@ -17,6 +17,9 @@
   ProcessStopped = 1002,
   SettingsRefused = 1003,
   ListenFailed = 1004,
+  DeclarationAccepted = 2000,
+  LeaseWon = 2001,
+  LeaseLost = 2002,
   CopyStarted = 3000,
   CopyComplete = 3001,
   CopyAbandoned = 3002,
@@ -28,12 +31,9 @@
   ManifestUnavailable = 3008,
   AssignmentWritten = 3009,
   AssignerChanged = 3010,
-  DeclarationAccepted = 2000,
-  LeaseWon = 2001,
-  LeaseLost = 2002,
+  UpstreamAnswerRefused = 4000,
   PlatformUnavailable = 5000,
   PlatformAvailable = 5001,
-  UpstreamAnswerRefused = 4000,
 };
 
 struct EventInfo {
@@ -48,6 +48,10 @@
     EventInfo{Event::ProcessStopped, Severity::Info, "ProcessStopped"},
     EventInfo{Event::SettingsRefused, Severity::Error, "SettingsRefused"},
     EventInfo{Event::ListenFailed, Severity::Error, "ListenFailed"},
+    EventInfo{Event::DeclarationAccepted, Severity::Info,
+              "DeclarationAccepted"},
+    EventInfo{Event::LeaseWon, Severity::Info, "LeaseWon"},
+    EventInfo{Event::LeaseLost, Severity::Warning, "LeaseLost"},
     EventInfo{Event::CopyStarted, Severity::Info, "CopyStarted"},
     EventInfo{Event::CopyComplete, Severity::Info, "CopyComplete"},
     EventInfo{Event::CopyAbandoned, Severity::Info, "CopyAbandoned"},
@@ -62,15 +66,11 @@
               "ManifestUnavailable"},
     EventInfo{Event::AssignmentWritten, Severity::Info, "AssignmentWritten"},
     EventInfo{Event::AssignerChanged, Severity::Info, "AssignerChanged"},
-    EventInfo{Event::DeclarationAccepted, Severity::Info,
-              "DeclarationAccepted"},
-    EventInfo{Event::LeaseWon, Severity::Info, "LeaseWon"},
-    EventInfo{Event::LeaseLost, Severity::Warning, "LeaseLost"},
+    EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
+              "UpstreamAnswerRefused"},
     EventInfo{Event::PlatformUnavailable, Severity::Warning,
               "PlatformUnavailable"},
     EventInfo{Event::PlatformAvailable, Severity::Info, "PlatformAvailable"},
-    EventInfo{Event::UpstreamAnswerRefused, Severity::Error,
-              "UpstreamAnswerRefused"},
 };
 
 /// The catalogue's entry, or null for a number that has none.
--- a/include/deckpitch/json-reader.h
+++ b/include/deckpitch/json-reader.h
@@ -32,7 +32,7 @@
 class JsonObjectReader {
 public:
   JsonObjectReader(const boost::json::value &Value, std::string Path,
-                   Problems &Found);
+                   Problems &Found, UnknownKeys Unknown = UnknownKeys::Refuse);
 
   bool has(std::string_view Key) const;
   void required(std::string_view Key, std::string &Out);
@@ -51,15 +51,14 @@
               const std::vector<std::string_view> &Words,
               bool IsRequired = false);
   void object(std::string_view Key,
-              const std::function<void(JsonObjectReader &)> &Read);
+              const std::function<void(JsonObjectReader &)> &Read,
+              UnknownKeys Unknown = UnknownKeys::Refuse);
   void array(std::string_view Key,
              const std::function<void(const boost::json::value &,
                                       const std::string &Path)> &ReadEach);
   /// Reports a fault found by the caller.
   void problem(std::string_view Key, std::string Expected);
-  /// Accepts the keys that nobody asked for.
-  void ignoreRest() { m_IgnoreRest = true; }
-  /// Reports every key that nobody asked for.
+  /// Reports every key that nobody asked for, unless they are ignored.
   void finish();
 
 private:
@@ -70,7 +69,7 @@
   std::string m_Path;
   Problems *m_Found;
   std::vector<std::string> m_Taken;
-  bool m_IgnoreRest = false;
+  UnknownKeys m_Unknown;
 };
 
 } // namespace deckpitch
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -2,12 +2,12 @@
 
 #include "ctl/render.h"
 #include "deckpitch/settings.h"
+#include "net/text-file.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
 #include <array>
-#include <fstream>
 #include <ostream>
 #include <sstream>
 
@@ -32,15 +32,6 @@
   }
 };
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    return std::nullopt;
-  std::stringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 /// One "path: line" for each line of the message.
 void reportFile(std::ostream &Err, const std::string &Path,
                 const std::string &Message) {
@@ -121,7 +112,7 @@
     With.m_Err << "apply needs --file=FILE\n";
     return ExitCode::Usage;
   }
-  const auto Text = readFile(Path);
+  const auto Text = net::readTextFile(Path);
   if (!Text) {
     With.m_Err << Path << ": cannot be read\n";
     return ExitCode::Refused;
@@ -245,7 +236,7 @@
 
 ExitCode checkSettings(const Context &With) {
   const std::string &Path = With.word(1);
-  const auto Text = readFile(Path);
+  const auto Text = net::readTextFile(Path);
   if (!Text) {
     With.m_Err << Path << ": cannot be read\n";
     return ExitCode::Refused;
--- a/src/ctl/resource.cc
+++ b/src/ctl/resource.cc
@@ -23,10 +23,10 @@
   Out.m_Kind = Kinds[Kind];
   if (Reader.has("value"))
     Out.m_Value = Value.as_object().at("value");
-  Reader.object("value", [&](JsonObjectReader &Inner) {
-    Inner.required("name", Out.m_Name);
-    Inner.ignoreRest();
-  });
+  Reader.object(
+      "value",
+      [&](JsonObjectReader &Inner) { Inner.required("name", Out.m_Name); },
+      UnknownKeys::Ignore);
   if (Value.is_object() && !Reader.has("value"))
     Reader.problem("value", "the declared object");
   Reader.finish();
--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -1,4 +1,5 @@
 #include "daemon/agent-forward.h"
+#include "daemon/cancel-request.h"
 #include "deckpitch/request-outcome.h"
 #include "deckpitch/token-stream.h"
 #include "net/log.h"
@@ -15,7 +16,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds CancelLimit{1'000};
 constexpr std::chrono::milliseconds EngineConnect{500};
 constexpr std::size_t MaxServiceAnswerBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t MaxRefusalBytes = std::size_t{64} * 1024;
@@ -58,14 +58,8 @@
 }
 
 asio::awaitable<void> cancelAtEngine(Process &In, std::string RequestId) {
-  net::HttpRequest Cancel;
-  Cancel.m_Method = "DELETE";
-  Cancel.m_Target = "/v1/requests/" + RequestId;
-  const net::CallLimits Limits{.m_Connect = CancelLimit,
-                               .m_FirstByte = CancelLimit,
-                               .m_BetweenBytes = CancelLimit};
-  co_await In.m_Http.call(In.m_Settings.m_Upstream.m_Address, std::move(Cancel),
-                          Limits);
+  co_await cancelRequest(In, In.m_Settings.m_Upstream.m_Address,
+                         std::move(RequestId));
 }
 
 EngineForward::EngineForward(Process &In, BoundRequest Request,
--- a/src/daemon/call-headers.h
+++ b/src/daemon/call-headers.h
@@ -1,6 +1,7 @@
 // Names of the headers that callers, entries and agents exchange.
 #pragma once
 
+#include "daemon/clock.h"
 #include "deckpitch/time.h"
 
 #include <chrono>
@@ -42,12 +43,6 @@
 
 namespace deckpitch::daemon {
 
-/// The time that decisions get.
-inline TimePoint now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 inline std::chrono::milliseconds milliseconds(Duration Value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value);
 }
--- /dev/null
+++ b/src/daemon/cancel-request.cc
@@ -0,0 +1,22 @@
+#include "daemon/cancel-request.h"
+
+namespace deckpitch::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds CancelLimit{1'000};
+
+} // namespace
+
+boost::asio::awaitable<void> cancelRequest(Process &In, std::string Address,
+                                           std::string RequestId) {
+  net::HttpRequest Cancel;
+  Cancel.m_Method = "DELETE";
+  Cancel.m_Target = "/v1/requests/" + RequestId;
+  const net::CallLimits Limits{.m_Connect = CancelLimit,
+                               .m_FirstByte = CancelLimit,
+                               .m_BetweenBytes = CancelLimit};
+  co_await In.m_Http.call(std::move(Address), std::move(Cancel), Limits);
+}
+
+} // namespace deckpitch::daemon
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -1,5 +1,7 @@
 #include "daemon/entry-chat.h"
 
+#include "daemon/cancel-request.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
@@ -14,7 +16,6 @@
 /// An upstream that gives nothing for so long is taken for stalled.
 constexpr std::chrono::milliseconds StallLimit{5'000};
 constexpr std::chrono::milliseconds NoUpstreamRetry{500};
-constexpr std::chrono::milliseconds CancelLimit{1'000};
 constexpr std::size_t PrefixBytes = 256;
 constexpr std::size_t MaxPassedOnBytes = std::size_t{1024} * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
@@ -27,17 +28,6 @@
   return XXH64(Text.data(), std::min(Text.size(), PrefixBytes), 0);
 }
 
-asio::awaitable<void> cancelAt(Process &In, std::string Address,
-                               std::string RequestId) {
-  net::HttpRequest Cancel;
-  Cancel.m_Method = "DELETE";
-  Cancel.m_Target = "/v1/requests/" + RequestId;
-  const net::CallLimits Limits{.m_Connect = CancelLimit,
-                               .m_FirstByte = CancelLimit,
-                               .m_BetweenBytes = CancelLimit};
-  co_await In.m_Http.call(std::move(Address), std::move(Cancel), Limits);
-}
-
 } // namespace
 
 ChatCall::ChatCall(EntryContext &In, CallerRequest Call,
@@ -323,7 +313,7 @@
     return;
   Process &In = m_Context.m_Process;
   asio::co_spawn(In.m_Threads.nextWorker(),
-                 cancelAt(In, m_Upstream, m_Call.m_Id), asio::detached);
+                 cancelRequest(In, m_Upstream, m_Call.m_Id), asio::detached);
 }
 
 } // namespace deckpitch::daemon
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,13 +1,13 @@
 // deckpitchd: one process of the system; its settings name the role.
 #include "daemon/module.h"
 #include "net/log.h"
+#include "net/text-file.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
-#include <fstream>
 #include <iostream>
 #include <optional>
 #include <sstream>
@@ -21,17 +21,8 @@
 
 constexpr int ExitUsage = 2;
 
-std::optional<std::string> readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    return std::nullopt;
-  std::stringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
 std::optional<deckpitch::Settings> readSettings(const std::string &Path) {
-  const std::optional<std::string> Text = readFile(Path);
+  const std::optional<std::string> Text = deckpitch::net::readTextFile(Path);
   if (!Text) {
     std::cerr << Path << ": cannot be read\n";
     return std::nullopt;
--- a/src/kernel/declaration.cc
+++ b/src/kernel/declaration.cc
@@ -24,10 +24,10 @@
 }
 
 void readReadiness(JsonObjectReader &Reader, Problems &Found,
-                   std::vector<DataCentreReadiness> &Out) {
+                   UnknownKeys Unknown, std::vector<DataCentreReadiness> &Out) {
   Reader.array("readiness", [&](const boost::json::value &Each,
                                 const std::string &Path) {
-    JsonObjectReader Inner(Each, Path, Found);
+    JsonObjectReader Inner(Each, Path, Found, Unknown);
     DataCentreReadiness Readiness;
     Inner.required("dataCentre", Readiness.m_DataCentre.m_Text);
     Inner.optional("ready", Readiness.m_Ready, 0, 100'000);
@@ -70,9 +70,8 @@
 Result<Pool> parsePool(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
-  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Pool Out;
-  JsonObjectReader Reader(Value, "", Found);
+  JsonObjectReader Reader(Value, "", Found, Unknown);
   Reader.required("name", Out.m_Id.m_Text);
   checkName(Reader, "name", Out.m_Id.m_Text);
   std::size_t Kind = 0;
@@ -82,7 +81,7 @@
     readEngineFields(Reader, Out);
   else
     readServiceFields(Reader, Out);
-  readReadiness(Reader, Found, Out.m_Readiness);
+  readReadiness(Reader, Found, Unknown, Out.m_Readiness);
   auto Prefer = static_cast<std::size_t>(Out.m_Preference);
   Reader.choice("prefer", Prefer, {"time", "origin-bytes"});
   Out.m_Preference = static_cast<Preference>(Prefer);
@@ -123,9 +122,8 @@
                                        UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
-  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Organisation Out;
-  JsonObjectReader Reader(Value, "", Found);
+  JsonObjectReader Reader(Value, "", Found, Unknown);
   Reader.required("name", Out.m_Id.m_Text);
   checkName(Reader, "name", Out.m_Id.m_Text);
   Reader.optional("share", Out.m_Share, 1, 10'000);
@@ -146,9 +144,8 @@
 Result<Upstream> parseUpstream(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
-  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Upstream Out;
-  JsonObjectReader Reader(Value, "", Found);
+  JsonObjectReader Reader(Value, "", Found, Unknown);
   Reader.required("name", Out.m_Name);
   checkName(Reader, "name", Out.m_Name);
   Reader.optional("checksFencing", Out.m_ChecksFencing);
@@ -166,12 +163,11 @@
 Result<Assignment> parseAssignment(std::string_view Json, UnknownKeys Unknown) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
-  Found.m_AllowUnknown = Unknown == UnknownKeys::Ignore;
   Assignment Out;
-  JsonObjectReader Reader(Value, "", Found);
+  JsonObjectReader Reader(Value, "", Found, Unknown);
   Reader.array("instances",
                [&](const boost::json::value &Each, const std::string &Path) {
-                 JsonObjectReader Inner(Each, Path, Found);
+                 JsonObjectReader Inner(Each, Path, Found, Unknown);
                  InstanceId Instance;
                  AssignedPool Assigned;
                  Inner.required("instance", Instance.m_Text);
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -65,8 +65,10 @@
 }
 
 JsonObjectReader::JsonObjectReader(const boost::json::value &Value,
-                                   std::string Path, Problems &Found)
-    : m_Object(Value.if_object()), m_Path(std::move(Path)), m_Found(&Found) {
+                                   std::string Path, Problems &Found,
+                                   UnknownKeys Unknown)
+    : m_Object(Value.if_object()), m_Path(std::move(Path)), m_Found(&Found),
+      m_Unknown(Unknown) {
   if (!m_Object)
     m_Found->m_List.push_back({m_Path.empty() ? "document" : m_Path,
                                boost::json::serialize(Value), "an object"});
@@ -170,11 +172,12 @@
 }
 
 void JsonObjectReader::object(
-    std::string_view Key, const std::function<void(JsonObjectReader &)> &Read) {
+    std::string_view Key, const std::function<void(JsonObjectReader &)> &Read,
+    UnknownKeys Unknown) {
   const boost::json::value *Value = take(Key);
   if (!Value)
     return;
-  JsonObjectReader Inner(*Value, pathOf(Key), *m_Found);
+  JsonObjectReader Inner(*Value, pathOf(Key), *m_Found, Unknown);
   Read(Inner);
   Inner.finish();
 }
@@ -194,7 +197,7 @@
 }
 
 void JsonObjectReader::finish() {
-  if (!m_Object || m_IgnoreRest || m_Found->m_AllowUnknown)
+  if (!m_Object || m_Unknown == UnknownKeys::Ignore)
     return;
   for (const auto &Each : *m_Object) {
     const std::string_view Key(Each.key().data(), Each.key().size());
--- a/src/kernel/lease.cc
+++ b/src/kernel/lease.cc
@@ -9,7 +9,6 @@
 Result<LeaseRecord> parseLease(std::string_view Json) {
   BOOST_LEAF_AUTO(Value, parseJson(Json));
   Problems Found;
-  Found.m_AllowUnknown = true;
   LeaseRecord Out;
   JsonObjectReader Reader(Value, "", Found);
   const auto Read = [&](std::string_view Key, std::uint64_t &Number) {
--- a/support/load/load-run.cc
+++ b/support/load/load-run.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace deckpitch::load {
@@ -46,8 +47,8 @@
     return 0;
   std::vector<std::chrono::nanoseconds> Sorted = m_FirstTokens;
   std::sort(Sorted.begin(), Sorted.end());
-  const auto Rank = static_cast<std::size_t>(
-      Quantile * static_cast<double>(Sorted.size() - 1) + 0.5);
+  const auto Last = static_cast<double>(Sorted.size() - 1);
+  const auto Rank = static_cast<std::size_t>(std::llround(Quantile * Last));
   return std::chrono::duration<double, std::milli>(Sorted[Rank]).count();
 }
 
--- a/support/measure/measure-requests.cc
+++ b/support/measure/measure-requests.cc
@@ -50,7 +50,8 @@
   if (Values.empty())
     return 0;
   std::ranges::sort(Values);
-  const auto Index = static_cast<std::size_t>(At * (Values.size() - 1));
+  const auto Last = static_cast<double>(Values.size() - 1);
+  const auto Index = static_cast<std::size_t>(At * Last);
   return Values[Index];
 }
 
--- a/support/standins/origin.cc
+++ b/support/standins/origin.cc
@@ -230,7 +230,7 @@
   }
 
   static std::string manifestText(const Content &Of) {
-    const std::string Text = formatManifest(Of.m_Manifest);
+    std::string Text = formatManifest(Of.m_Manifest);
     if (Of.m_Base.empty())
       return Text;
     json::value Value = parseBody(Text);
