--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -151,6 +151,7 @@
 TEST(RetryBudget, RetriesOfAllEntriesStayAShareOfFreshRequests) {
   constexpr int Entries = 7;
   std::vector<std::unique_ptr<RetryBudget>> Budgets;
+  Budgets.reserve(Entries);
   for (int I = 0; I < Entries; ++I)
     Budgets.push_back(std::make_unique<RetryBudget>(0.1, 10));
   int Retries = 0;
--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -292,6 +292,7 @@
     const auto Draw = [&](unsigned Below) { return Random() % Below; };
     FakePlatform Platform;
     std::vector<std::unique_ptr<Entry>> Entries;
+    Entries.reserve(3);
     for (int I = 0; I < 3; ++I)
       Entries.push_back(
           std::make_unique<Entry>("e" + std::to_string(I), Platform));
--- a/test/control-bus-test.cc
+++ b/test/control-bus-test.cc
@@ -76,7 +76,7 @@
   zmq::socket_t Raw(Context, zmq::socket_type::push);
   Raw.set(zmq::sockopt::linger, 0);
   Raw.connect("tcp://" + Receiver.m_Address);
-  Raw.send(zmq::message_t(5U * 1024 * 1024), zmq::send_flags::none);
+  Raw.send(zmq::message_t(std::size_t{5} * 1024 * 1024), zmq::send_flags::none);
   Listener Sender("sender", AnyPort);
   Sender.m_Bus.send(Receiver.m_Address, {});
   EXPECT_TRUE(eventually([&] { return Receiver.m_Heard == 1; }));
--- a/test/harness.cc
+++ b/test/harness.cc
@@ -63,7 +63,7 @@
 
 std::string ScratchDirectory::write(const std::string &Name,
                                     const std::string &Text) const {
-  const std::string Path = (m_Path / Name).string();
+  std::string Path = (m_Path / Name).string();
   std::ofstream(Path) << Text;
   return Path;
 }
@@ -83,6 +83,7 @@
                                  Program};
   Texts.insert(Texts.end(), Arguments.begin(), Arguments.end());
   std::vector<char *> Pointers;
+  Pointers.reserve(Texts.size() + 1);
   for (std::string &Each : Texts)
     Pointers.push_back(Each.data());
   Pointers.push_back(nullptr);
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -30,10 +30,7 @@
           }
         }) {}
   /// A connection that never came must not hold up the end.
-  ~ScriptedServer() {
-    boost::system::error_code Ignored;
-    ::shutdown(m_Acceptor.native_handle(), SHUT_RDWR);
-  }
+  ~ScriptedServer() { ::shutdown(m_Acceptor.native_handle(), SHUT_RDWR); }
 
   std::string address() const {
     return formatEndpoint(m_Acceptor.local_endpoint());
--- a/test/keyed-calls-test.cc
+++ b/test/keyed-calls-test.cc
@@ -60,6 +60,7 @@
     Each->m_Faults.m_RunMs = 20;
   std::atomic<int> Answered{0};
   std::vector<std::thread> Callers;
+  Callers.reserve(12);
   for (int I = 0; I < 12; ++I)
     Callers.emplace_back([&, I] {
       const auto Got = Path.call(order("same"), I % 3);
--- a/test/membership-table-test.cc
+++ b/test/membership-table-test.cc
@@ -243,6 +243,7 @@
 
 TEST(EntryChoice, ALostEntryMovesOnlyThoseThatItConcerns) {
   std::vector<EntryCandidate> Entries;
+  Entries.reserve(20);
   for (int I = 0; I < 20; ++I)
     Entries.push_back({{"e" + std::to_string(I)}, {"lahore"}});
   int Moved = 0;
--- a/test/metrics-test.cc
+++ b/test/metrics-test.cc
@@ -55,6 +55,7 @@
   LatencyHistogram Durations;
   {
     std::vector<std::jthread> Running;
+    Running.reserve(Threads);
     for (int I = 0; I < Threads; ++I)
       Running.emplace_back([&] {
         for (int Time = 0; Time < Times; ++Time) {
--- a/test/snapshot-test.cc
+++ b/test/snapshot-test.cc
@@ -37,6 +37,7 @@
   std::atomic<int> Faults{0};
   {
     std::vector<std::jthread> Readers;
+    Readers.reserve(8);
     for (int I = 0; I < 8; ++I)
       Readers.emplace_back([&] {
         SnapshotReader<Pair> Reader(Cell);
--- a/test/system-faults-test.cc
+++ b/test/system-faults-test.cc
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr std::uint32_t Engines = 3;
-constexpr std::uint64_t ContentSize = 8 * 1024 * 1024;
+constexpr std::uint64_t ContentSize = std::uint64_t{8} * 1024 * 1024;
 constexpr std::uint32_t ChunkBytes = 256 * 1024;
 constexpr std::uint64_t AnswersDuringOutage = 50;
 
