End waiting coroutines when the loops stop, not when they go

Cause: IoThreads destroyed the coroutines that still waited only in its own destructor. In the daemon and in the tests the loops are the first member, so by then the modules that these coroutines refer to were gone: the count of open requests was written after it was freed. The address sanitizer saw it in RequestPath.RefusesBadInputWithoutTouchingAnUpstream when an answer's last write was still waiting at the stop, which depends on timing.

Ruled out: the order of members alone; the loops must outlive the sockets and timers of the modules.

Change: stop() destroys the handlers of all loops after the threads are joined, while the owners are alive. Test IoThreads.StopEndsCoroutinesThatStillWait fails without it on every run.

--- a/src/net/io-threads.cc
+++ b/src/net/io-threads.cc
@@ -7,11 +7,7 @@
     m_Loops.push_back(std::make_unique<Loop>());
 }
 
-IoThreads::~IoThreads() {
-  stop();
-  for (auto &Each : m_Loops)
-    Each->m_Io.destroyHandlers();
-}
+IoThreads::~IoThreads() { stop(); }
 
 void IoThreads::start() {
   for (auto &Each : m_Loops)
@@ -24,6 +20,8 @@
   for (auto &Each : m_Loops)
     if (Each->m_Thread.joinable())
       Each->m_Thread.join();
+  for (auto &Each : m_Loops)
+    Each->m_Io.destroyHandlers();
 }
 
 boost::asio::io_context &IoThreads::nextWorker() {
--- a/src/net/io-threads.h
+++ b/src/net/io-threads.h
@@ -26,7 +26,9 @@
   IoThreads &operator=(const IoThreads &) = delete;
 
   void start();
-  /// Ends all loops and joins the threads; safe to repeat.
+  /// Ends all loops, joins the threads and destroys every handler and
+  /// coroutine that still waits, while what they refer to is alive; safe to
+  /// repeat.
   void stop();
 
   boost::asio::io_context &control() { return m_Loops.front()->m_Io; }
--- a/test/io-threads-test.cc
+++ b/test/io-threads-test.cc
@@ -1,5 +1,8 @@
 #include "net/http.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -40,4 +43,37 @@
   }
 }
 
+/// Notes its own end in what it refers to.
+class Witness {
+public:
+  explicit Witness(bool &Ended) : m_Ended(Ended) {}
+  ~Witness() { m_Ended = true; }
+  Witness(const Witness &) = delete;
+  Witness &operator=(const Witness &) = delete;
+
+private:
+  bool &m_Ended;
+};
+
+asio::awaitable<void> waitWith(bool &Ended, std::promise<void> &Waits) {
+  const Witness Held(Ended);
+  asio::steady_timer Never(co_await asio::this_coro::executor,
+                           std::chrono::hours(1));
+  asio::post(Never.get_executor(), [&Waits] { Waits.set_value(); });
+  co_await Never.async_wait(asio::use_awaitable);
+}
+
+// What a waiting coroutine refers to may go right after the loops have ended.
+TEST(IoThreads, StopEndsCoroutinesThatStillWait) {
+  IoThreads Threads(1);
+  Threads.start();
+  bool Ended = false;
+  std::promise<void> Waits;
+  asio::co_spawn(Threads.nextWorker(), waitWith(Ended, Waits), asio::detached);
+  Waits.get_future().wait();
+  EXPECT_FALSE(Ended);
+  Threads.stop();
+  EXPECT_TRUE(Ended);
+}
+
 } // namespace
