Try an instance again once the routes show that it switched

Cause: when all other instances of a pool switch weights at once, the entry's routes are out of date for up to a heartbeat. A request in that window is refused by each of them, and an instance once tried was never tried again, so a request that had been lost at a frozen engine before (26 retries in 10 s of freeze over two entries, all other requests whole) found no upstream left and was told unknown.

Change: a refusal bars the instance only with the binding that it refused; with refusals seen and nobody left, the request looks at fresh routes every 10 ms for at most 1 s. While nothing has reached the caller, a stream that nobody can resume starts over on other weights.

RequestPath.TriesAnInstanceAgainThatSwitchedUnderOldRoutes and .StartsOverOnOtherWeightsWhileNothingIsDelivered fail without it (both run).

--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <xxhash.h>
 
@@ -16,6 +18,9 @@
 /// An upstream that gives nothing for so long is taken for stalled.
 constexpr std::chrono::milliseconds StallLimit{5'000};
 constexpr std::chrono::milliseconds NoUpstreamRetry{500};
+/// Routes are out of date for about a heartbeat when instances switch.
+constexpr std::chrono::milliseconds StaleRoutesLimit{1'000};
+constexpr std::chrono::milliseconds StaleRoutesPoll{10};
 constexpr std::size_t PrefixBytes = 256;
 constexpr std::size_t MaxPassedOnBytes = std::size_t{1024} * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
@@ -101,13 +106,13 @@
   // Over all attempts: a later refusal does not undo an earlier run.
   bool MayHaveRun = false;
   while (true) {
-    const UpstreamRoute *To =
-        pickUpstream(*m_Routes, *m_Pool,
-                     m_Context.m_Process.m_Settings.m_DataCentre, m_Hints);
+    const UpstreamRoute *To = co_await nextUpstream();
     if (!To)
       break;
     const AttemptEnd End = co_await attempt(*To);
     MayHaveRun = MayHaveRun || End == AttemptEnd::Lost;
+    if (End == AttemptEnd::Refused)
+      m_Hints.noteRefusal(*To);
     if (m_Gone)
       co_return RequestOutcome::Unknown;
     if (End == AttemptEnd::Whole)
@@ -115,16 +120,55 @@
     if (!mayRetry(m_Context, m_Call, m_Attempts, End))
       break;
     m_Context.m_Counters.m_Retries.fetch_add(1, std::memory_order_relaxed);
-    m_Routes = m_Context.m_Routes.routes();
-    const auto Pool = m_Routes->m_Table.m_Pools.find(m_Pool->m_Pool.m_Id);
-    if (Pool == m_Routes->m_Table.m_Pools.end())
+    if (!refreshRoutes())
       break;
-    m_Pool = &Pool->second;
   }
   co_return co_await giveUp(MayHaveRun ? RequestOutcome::Unknown
                                        : RequestOutcome::NotRun);
 }
 
+const UpstreamRoute *ChatCall::pick() const {
+  return pickUpstream(*m_Routes, *m_Pool,
+                      m_Context.m_Process.m_Settings.m_DataCentre, m_Hints);
+}
+
+bool ChatCall::refreshRoutes() {
+  const PoolId Id = m_Pool->m_Pool.m_Id;
+  const auto Fresh = m_Context.m_Routes.routes();
+  const auto Pool = Fresh->m_Table.m_Pools.find(Id);
+  if (Pool == Fresh->m_Table.m_Pools.end())
+    return false;
+  m_Routes = Fresh;
+  m_Pool = &Pool->second;
+  return true;
+}
+
+void ChatCall::forgetTokens() {
+  m_Hints.m_Weights = {};
+  m_Hints.m_Digest = {};
+  m_NextIndex = 0;
+  m_Content.clear();
+}
+
+asio::awaitable<const UpstreamRoute *> ChatCall::nextUpstream() {
+  const TimePoint GiveUpAt =
+      std::min<TimePoint>(m_Call.m_Deadline, now() + StaleRoutesLimit);
+  const UpstreamRoute *Picked = pick();
+  if (!Picked && !m_Answer.started()) {
+    forgetTokens();
+    Picked = pick();
+  }
+  asio::steady_timer Pause(co_await asio::this_coro::executor);
+  while (!Picked && !m_Hints.m_Refused.empty() && !m_Gone && now() < GiveUpAt) {
+    Pause.expires_after(StaleRoutesPoll);
+    co_await Pause.async_wait(asio::use_awaitable);
+    if (!refreshRoutes())
+      break;
+    Picked = pick();
+  }
+  co_return Picked;
+}
+
 std::string ChatCall::resumeBody() const {
   boost::json::object Body = m_Body;
   if (m_NextIndex > 0)
--- a/src/daemon/entry-chat.h
+++ b/src/daemon/entry-chat.h
@@ -28,6 +28,14 @@
   boost::asio::awaitable<AttemptEnd>
   sendClaimed(std::shared_ptr<const EntryRoutes> Routes, UpstreamRoute To,
               Claim Claimed) override;
+  /// Waits a little for fresh routes when upstreams refused the request
+  /// because those in use are out of date; null when none can take it.
+  boost::asio::awaitable<const UpstreamRoute *> nextUpstream();
+  const UpstreamRoute *pick() const;
+  /// So that the next attempt may start anew, on any weights.
+  void forgetTokens();
+  /// False when the pool is gone.
+  bool refreshRoutes();
   boost::asio::awaitable<AttemptEnd> attempt(const UpstreamRoute &To);
   boost::asio::awaitable<AttemptEnd> readStream(net::HttpStream &Stream,
                                                 StreamBinding Bound);
--- a/src/daemon/entry-routes.cc
+++ b/src/daemon/entry-routes.cc
@@ -19,8 +19,15 @@
   return Random;
 }
 
+RefusedBinding bindingOf(const UpstreamRoute &Route) {
+  return {Route.m_Instance, Route.m_Incarnation, Route.m_Weights,
+          Route.m_Digest};
+}
+
 bool fits(const UpstreamRoute &Route, const PickHints &Hints) {
-  if (Hints.m_Tried.contains(Route.m_Instance))
+  if (Hints.m_Tried.contains(Route.m_Instance) ||
+      std::ranges::find(Hints.m_Refused, bindingOf(Route)) !=
+          Hints.m_Refused.end())
     return false;
   return Hints.m_Weights.empty() || (Route.m_Weights == Hints.m_Weights &&
                                      Route.m_Digest == Hints.m_Digest);
@@ -132,6 +139,11 @@
   m_Routes.publish(std::move(Next));
 }
 
+void PickHints::noteRefusal(const UpstreamRoute &By) {
+  m_Tried.erase(By.m_Instance);
+  m_Refused.push_back(bindingOf(By));
+}
+
 const UpstreamRoute *pickUpstream(const EntryRoutes &Routes,
                                   const PoolRoute &Pool,
                                   const DataCentreId &Home,
--- a/src/daemon/entry-routes.h
+++ b/src/daemon/entry-routes.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <vector>
 
 namespace deckpitch::daemon {
 
@@ -97,12 +98,28 @@
 /// How many requests the pool's upstreams take at once from this entry.
 double capacityOf(const EntryRoutes &Routes, const PoolRoute &Pool);
 
+/// What an instance was taken for when its agent refused an attempt.
+struct RefusedBinding {
+  InstanceId m_Instance;
+  Incarnation m_Incarnation;
+  WeightsId m_Weights;
+  Digest m_Digest;
+
+  friend bool operator==(const RefusedBinding &,
+                         const RefusedBinding &) = default;
+};
+
 /// What an attempt must or must not go to.
 struct PickHints {
   std::set<InstanceId> m_Tried; ///< not again
-  WeightsId m_Weights;          ///< empty: any
-  Digest m_Digest;              ///< with m_Weights
+  /// Not again until the routes say something else of that instance.
+  std::vector<RefusedBinding> m_Refused;
+  WeightsId m_Weights; ///< empty: any
+  Digest m_Digest;     ///< with m_Weights
   std::uint64_t m_PrefixHash = 0;
+
+  /// The agent of that upstream said that the attempt did not run.
+  void noteRefusal(const UpstreamRoute &By);
 };
 
 /// The upstream for the next attempt; null when none can take it.
--- a/test/request-path-fixture.h
+++ b/test/request-path-fixture.h
@@ -123,6 +123,9 @@
   }
 
   const std::string &address() const { return m_Address; }
+  /// Before requests come.
+  void serve(std::string Weights) { m_Weights = std::move(Weights); }
+  const std::string &weights() const { return m_Weights; }
   std::string digest() const {
     return toHex(digestOf(
         std::span(reinterpret_cast<const std::uint8_t *>(m_Weights.data()),
@@ -267,6 +270,14 @@
     m_Agents.back()->process().m_Serving.publish(Serving);
   }
 
+  /// The instance's weights change; the entry is not told before publish().
+  void switchWeights(std::size_t Agent, const std::string &Weights) {
+    FakeUpstream &Upstream = *m_Upstreams.at(Agent);
+    Upstream.serve(Weights);
+    m_Agents.at(Agent)->process().m_Serving.publish(
+        std::make_shared<ServingReport>(servingOf(Upstream)));
+  }
+
   /// Makes the entry's routes from the agents as they are.
   void publish() {
     auto Declarations = std::make_shared<DeclarationSet>();
@@ -339,7 +350,7 @@
     Report.m_Pool = poolId();
     Report.m_Ready = true;
     if (m_Kind == PoolKind::Engine) {
-      Report.m_Weights = {"m@1"};
+      Report.m_Weights = {Upstream.weights()};
       Report.m_Digest =
           *outcomeOf([&] { return parseDigest(Upstream.digest()); });
     }
--- a/test/request-path-test.cc
+++ b/test/request-path-test.cc
@@ -81,6 +81,37 @@
   EXPECT_EQ(Path.m_Upstreams[1]->m_Runs, 8);
 }
 
+TEST(RequestPath, TriesAnInstanceAgainThatSwitchedUnderOldRoutes) {
+  RequestPath Path(PoolKind::Engine, 1);
+  Path.switchWeights(0, "m@2");
+  auto Call = std::async(std::launch::async, [&] { return Path.chat(false); });
+  Path.waitUntil([&] {
+    return Path.m_Agents[0]->dump().at("refused").to_number<int>() > 0;
+  });
+  Path.publish();
+  const auto Got = Call.get();
+  ASSERT_TRUE(Got);
+  EXPECT_EQ(outcomeHeader(*Got), "answered") << Got->m_Body;
+  EXPECT_EQ(boost::json::parse(Got->m_Body).at("weights").as_string(), "m@2");
+}
+
+// Nothing of the broken stream has reached the caller.
+TEST(RequestPath, StartsOverOnOtherWeightsWhileNothingIsDelivered) {
+  RequestPath Path(PoolKind::Engine, 2);
+  Path.switchWeights(1, "m@2");
+  Path.publish();
+  for (int I = 0; I < 8; ++I) {
+    Path.m_Upstreams[0]->m_Faults.m_BreakAfterTokens = 3;
+    const auto Got = Path.chat(false);
+    ASSERT_TRUE(Got);
+    ASSERT_EQ(outcomeHeader(*Got), "answered") << Got->m_Body;
+    const auto Body = boost::json::parse(Got->m_Body);
+    EXPECT_EQ(Body.at("weights").as_string(), "m@2");
+    EXPECT_EQ(Body.at("choices").at(0).at("message").at("content").as_string(),
+              Path.m_Upstreams[1]->content());
+  }
+}
+
 /// One upstream runs each request and loses the answer; the other's agent
 /// refuses. Whichever is tried last, a request that ran is not told not-run.
 void expectNotRunOnlyWithoutARun(
