Take an engine that tells no status for 2 s out of its pool

Cause: the agent asked its engine for its status under the default limit of 30 s, and stayed ready until then. Entries kept sending to a frozen engine: 26 lost attempts in 10 s over two entries.

Change: 2 s for the status.

--- a/src/net/engine.cc
+++ b/src/net/engine.cc
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr const char *StagingRoot = "/v1/engine/staging/";
+/// An engine that does not tell its status for so long cannot serve either.
+constexpr CallLimits StatusLimits{std::chrono::milliseconds(1'000),
+                                  std::chrono::milliseconds(2'000),
+                                  std::chrono::milliseconds(2'000)};
 
 Error refused(const std::string &Call, const HttpResponse &Answer) {
   const std::string Text =
@@ -43,7 +47,8 @@
 
 asio::awaitable<Outcome<EngineStatus>> Engine::status() {
   HttpRequest Request{"GET", "/v1/engine/status"};
-  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  auto Answer =
+      co_await m_Http.call(m_Address, std::move(Request), StatusLimits);
   if (!Answer)
     co_return Answer.error();
   if (!isSuccess(*Answer))
--- a/test/system-faults-test.cc
+++ b/test/system-faults-test.cc
@@ -229,4 +229,33 @@
       return Info.param.m_Name;
     });
 
+/// Instances of the pool that the entry sees ready.
+std::int64_t readyAt(const Node &Entry) {
+  const json::value Status =
+      jsonOf(call(Entry.m_Operator, "GET", "/v1/status"));
+  if (!Status.is_object() || !Status.get_object().contains("pools"))
+    return -1;
+  for (const json::value &Pool : Status.at("pools").as_array())
+    if (Pool.at("name").as_string() == "chat")
+      return Pool.at("ready").to_number<std::int64_t>();
+  return -1;
+}
+
+// Far below the limit of any request, so that few are lost at it.
+TEST(FrozenEngine, LeavesThePoolUntilItAnswersAgain) {
+  constexpr std::chrono::seconds Noticed{15};
+  Cluster Under({.m_Entries = 1, .m_Engines = 2});
+  ASSERT_TRUE(Under.start()) << Under.failure();
+  ASSERT_FALSE(Under.addWeights("m@1", ContentSize, ChunkBytes, 1).empty());
+  ASSERT_TRUE(eventually([&] { return Under.declarePool("chat", "m", "1"); }));
+  ASSERT_TRUE(eventually([&] { return readyAt(Under.entry(0)) == 2; }))
+      << Under.logs();
+  Under.engine(0).m_Process->signal(SIGSTOP);
+  EXPECT_TRUE(
+      eventually([&] { return readyAt(Under.entry(0)) == 1; }, Noticed));
+  Under.engine(0).m_Process->signal(SIGCONT);
+  EXPECT_TRUE(eventually([&] { return readyAt(Under.entry(0)) == 2; }))
+      << Under.logs();
+}
+
 } // namespace
