--- a/include/deckpitch/retry.h
+++ b/include/deckpitch/retry.h
@@ -42,6 +42,11 @@
 
 NextStep afterAttempt(AttemptEnd End, const CallState &State);
 
+/// For how long a stream may give nothing before it is resumed elsewhere.
+/// Short while another upstream holds its weights, which may soon change; long
+/// when there is none, or when so many stall that moving them would add load.
+std::chrono::milliseconds stallLimit(bool OtherUpstream, bool BudgetStrained);
+
 /// Retries as a share of fresh requests, so that they cannot add up to a
 /// storm: over any span, retries <= share * fresh + burst. Several threads
 /// may use one budget.
@@ -53,6 +58,8 @@
   void deposit();
   /// Takes one retry out; false when there is none.
   bool withdraw();
+  /// Less than half is left: many attempts are being lost.
+  bool strained() const;
 
 private:
   static constexpr std::int64_t Unit = 1'000;
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -15,8 +15,6 @@
 
 namespace {
 
-/// An upstream that gives nothing for so long is taken for stalled.
-constexpr std::chrono::milliseconds StallLimit{5'000};
 constexpr std::chrono::milliseconds NoUpstreamRetry{500};
 /// Routes are out of date for about a heartbeat when instances switch.
 constexpr std::chrono::milliseconds StaleRoutesLimit{1'000};
@@ -191,7 +189,7 @@
   const Duration Left = m_Call.m_Deadline - now();
   const auto Limit = attemptLimit(Left, m_Call.m_Terms.m_Idempotent);
   const net::CallLimits Limits{.m_FirstByte = Limit,
-                               .m_BetweenBytes = StallLimit};
+                               .m_BetweenBytes = stallLimitAt(To)};
   auto Opened = co_await m_Context.m_Process.m_Http.open(
       To.m_Address, std::move(Request), Limits);
   if (!Opened) {
@@ -222,6 +220,18 @@
   co_return End;
 }
 
+std::chrono::milliseconds
+ChatCall::stallLimitAt(const UpstreamRoute &To) const {
+  PickHints Others = m_Hints;
+  Others.m_Weights = To.m_Weights;
+  Others.m_Digest = To.m_Digest;
+  const bool CanMove =
+      m_Call.m_Terms.m_Idempotent &&
+      pickUpstream(*m_Routes, *m_Pool,
+                   m_Context.m_Process.m_Settings.m_DataCentre, Others);
+  return stallLimit(CanMove, m_Context.m_RetryBudget.strained());
+}
+
 asio::awaitable<AttemptEnd> ChatCall::readStream(net::HttpStream &Stream,
                                                  StreamBinding Bound) {
   if (m_NextIndex > 0)
--- a/src/daemon/entry-chat.h
+++ b/src/daemon/entry-chat.h
@@ -37,6 +37,7 @@
   /// False when the pool is gone.
   bool refreshRoutes();
   boost::asio::awaitable<AttemptEnd> attempt(const UpstreamRoute &To);
+  std::chrono::milliseconds stallLimitAt(const UpstreamRoute &To) const;
   boost::asio::awaitable<AttemptEnd> readStream(net::HttpStream &Stream,
                                                 StreamBinding Bound);
   boost::asio::awaitable<bool> deliver(const StreamStep &Step);
--- a/src/kernel/retry.cc
+++ b/src/kernel/retry.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds LongStall{5'000};
+constexpr std::chrono::milliseconds ShortStall{2'000};
+
 bool mayTryAnother(AttemptEnd End, const CallState &State) {
   if (!State.m_TimeLeft || !State.m_OtherUpstream ||
       State.m_Attempts >= MaxAttempts)
@@ -27,6 +30,10 @@
   return State.m_Fenceable ? NextStep::Fence : NextStep::Unknown;
 }
 
+std::chrono::milliseconds stallLimit(bool OtherUpstream, bool BudgetStrained) {
+  return OtherUpstream && !BudgetStrained ? ShortStall : LongStall;
+}
+
 RetryBudget::RetryBudget(double Share, std::uint32_t Burst)
     : m_Deposit(static_cast<std::int64_t>(Share * Unit)), m_Most(Burst * Unit),
       m_Level(m_Most) {}
@@ -49,4 +56,8 @@
   return false;
 }
 
+bool RetryBudget::strained() const {
+  return m_Level.load(std::memory_order_relaxed) < m_Most / 2;
+}
+
 } // namespace deckpitch
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -165,6 +165,20 @@
   EXPECT_LE(Retries, Fresh / 10 + Entries * 10);
 }
 
+// A stream that stalls in a rollout must move before its weights are gone; in
+// a pool that stalls as a whole, moving streams would only add load.
+TEST(RetryBudget, StreamsMoveEarlyOnlyWhileFewAreLost) {
+  RetryBudget Budget(0.1, 4);
+  const auto Early = stallLimit(true, Budget.strained());
+  EXPECT_LT(Early, stallLimit(false, Budget.strained()));
+  for (int I = 0; I < 3; ++I)
+    EXPECT_TRUE(Budget.withdraw());
+  EXPECT_EQ(stallLimit(true, Budget.strained()), stallLimit(false, false));
+  for (int I = 0; I < 10; ++I)
+    Budget.deposit();
+  EXPECT_EQ(stallLimit(true, Budget.strained()), Early);
+}
+
 struct StepCase {
   const char *m_Name;
   AttemptEnd m_End;
