Make the outside interfaces ports with adapters that register themselves

Cause: the platform, the origin and the engine were one concrete HTTP class each, so another implementation meant changing its class, and no fake could be held to the same contract.

Change: each port is a concept (PlatformPort, OriginPort, EnginePort) with a class that adapters derive from. An adapter is one .cc file in src/adapters, found by the scheme of the address; without a scheme it is http, so settings stay as they are. deckpitchd refuses a scheme that it has no adapter for, with key and expectation. Fakes in the test's process satisfy the same concepts.

Ruled out: type erasure over any class that satisfies the concept; it repeats every call twice more, and an adapter gains nothing by not deriving.

Left: requests to an engine still go over HTTP from the agent itself.

--- a/src/net/engine.cc
+++ b/src/adapters/engine-http.cc
@@ -1,3 +1,5 @@
+// An engine's weights over HTTP; docs/INTERFACES.md.
+#include "net/adapters.h"
 #include "net/engine.h"
 
 #include <boost/json.hpp>
@@ -35,13 +37,36 @@
       {"order", Order}, {"fence", Fence.m_Value}, {"weights", Weights.m_Text}});
 }
 
-} // namespace
+class HttpEngine final : public Engine {
+public:
+  HttpEngine(HttpClient &Http, std::string Address)
+      : m_Http(Http), m_Address(std::move(Address)) {}
+
+  asio::awaitable<Outcome<EngineStatus>> status() override;
+  asio::awaitable<Outcome<bool>> stage(WeightsId Weights, std::uint32_t Index,
+                                       std::string Bytes) override;
+  asio::awaitable<Outcome<std::string>> staged(WeightsId Weights,
+                                               std::uint32_t Index) override;
+  asio::awaitable<Outcome<bool>> dropStaging(WeightsId Weights) override;
+  asio::awaitable<Outcome<bool>> load(Manifest Wanted,
+                                      FencingNumber Fence) override;
+  asio::awaitable<Outcome<bool>> activate(WeightsId Weights,
+                                          FencingNumber Fence) override;
+  asio::awaitable<Outcome<bool>> unload(WeightsId Weights,
+                                        FencingNumber Fence) override;
+
+private:
+  asio::awaitable<Outcome<bool>> order(std::string Body);
+
+  HttpClient &m_Http;
+  std::string m_Address;
+};
 
 std::string stagingPath(const WeightsId &Weights, std::uint32_t Index) {
   return StagingRoot + Weights.m_Text + "/chunks/" + std::to_string(Index);
 }
 
-asio::awaitable<Outcome<EngineStatus>> Engine::status() {
+asio::awaitable<Outcome<EngineStatus>> HttpEngine::status() {
   HttpRequest Request{"GET", "/v1/engine/status"};
   auto Answer = co_await m_Http.call(m_Address, std::move(Request));
   if (!Answer)
@@ -52,7 +77,7 @@
 }
 
 asio::awaitable<Outcome<bool>>
-Engine::stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) {
+HttpEngine::stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) {
   HttpRequest Request{"PUT", stagingPath(Weights, Index), {}, std::move(Bytes)};
   auto Answer = co_await m_Http.call(m_Address, std::move(Request));
   if (!Answer)
@@ -62,8 +87,8 @@
   co_return true;
 }
 
-asio::awaitable<Outcome<std::string>> Engine::staged(WeightsId Weights,
-                                                     std::uint32_t Index) {
+asio::awaitable<Outcome<std::string>> HttpEngine::staged(WeightsId Weights,
+                                                         std::uint32_t Index) {
   HttpRequest Request{"GET", stagingPath(Weights, Index)};
   CallLimits Limits;
   Limits.m_BodyBytes = std::size_t{512} * 1024 * 1024;
@@ -75,7 +100,7 @@
   co_return std::move(Answer->m_Body);
 }
 
-asio::awaitable<Outcome<bool>> Engine::dropStaging(WeightsId Weights) {
+asio::awaitable<Outcome<bool>> HttpEngine::dropStaging(WeightsId Weights) {
   HttpRequest Request{"DELETE", StagingRoot + Weights.m_Text};
   auto Answer = co_await m_Http.call(m_Address, std::move(Request));
   if (!Answer)
@@ -85,7 +110,7 @@
   co_return true;
 }
 
-asio::awaitable<Outcome<bool>> Engine::order(std::string Body) {
+asio::awaitable<Outcome<bool>> HttpEngine::order(std::string Body) {
   HttpRequest Request{"POST", "/v1/engine/orders", {}, std::move(Body)};
   Request.m_Headers.add("Content-Type", "application/json");
   auto Answer = co_await m_Http.call(m_Address, std::move(Request));
@@ -96,8 +121,8 @@
   co_return true;
 }
 
-asio::awaitable<Outcome<bool>> Engine::load(Manifest Wanted,
-                                            FencingNumber Fence) {
+asio::awaitable<Outcome<bool>> HttpEngine::load(Manifest Wanted,
+                                                FencingNumber Fence) {
   boost::json::object Body{{"order", "load"},
                            {"fence", Fence.m_Value},
                            {"weights", Wanted.m_Weights.m_Text}};
@@ -105,14 +130,18 @@
   return order(boost::json::serialize(Body));
 }
 
-asio::awaitable<Outcome<bool>> Engine::activate(WeightsId Weights,
-                                                FencingNumber Fence) {
+asio::awaitable<Outcome<bool>> HttpEngine::activate(WeightsId Weights,
+                                                    FencingNumber Fence) {
   return order(orderBody("activate", Weights, Fence));
 }
 
-asio::awaitable<Outcome<bool>> Engine::unload(WeightsId Weights,
-                                              FencingNumber Fence) {
+asio::awaitable<Outcome<bool>> HttpEngine::unload(WeightsId Weights,
+                                                  FencingNumber Fence) {
   return order(orderBody("unload", Weights, Fence));
 }
 
+const AdapterRegistration<Engine, HttpEngine> Registered("http");
+
+} // namespace
+
 } // namespace deckpitch::net
--- a/src/net/origin.cc
+++ b/src/adapters/origin-http.cc
@@ -1,3 +1,5 @@
+// Weights over HTTP with ranges; docs/INTERFACES.md.
+#include "net/adapters.h"
 #include "net/origin.h"
 
 namespace deckpitch::net {
@@ -27,9 +29,21 @@
   return Limits;
 }
 
-} // namespace
+class HttpOrigin final : public Origin {
+public:
+  HttpOrigin(HttpClient &Http, std::string Address)
+      : m_Http(Http), m_Address(std::move(Address)) {}
+
+  asio::awaitable<Outcome<Manifest>> manifest(WeightsId Weights) override;
+  asio::awaitable<Outcome<OriginChunk>>
+  chunk(const Manifest &Of, std::uint32_t Index, OriginPace Paced) override;
+
+private:
+  HttpClient &m_Http;
+  std::string m_Address;
+};
 
-asio::awaitable<Outcome<Manifest>> Origin::manifest(WeightsId Weights) {
+asio::awaitable<Outcome<Manifest>> HttpOrigin::manifest(WeightsId Weights) {
   HttpRequest Request{"GET", pathOf(Weights, "manifest")};
   auto Answer = co_await m_Http.call(m_Address, std::move(Request),
                                      limitsFor(ManifestBytes));
@@ -44,7 +58,7 @@
 }
 
 asio::awaitable<Outcome<OriginChunk>>
-Origin::chunk(const Manifest &Of, std::uint32_t Index, Pace Paced) {
+HttpOrigin::chunk(const Manifest &Of, std::uint32_t Index, OriginPace Paced) {
   const std::uint64_t First = Of.chunkOffset(Index);
   const std::uint32_t Length = Of.chunkLength(Index);
   HttpRequest Request{"GET", pathOf(Of.m_Weights, "content")};
@@ -72,4 +86,8 @@
   }
 }
 
+const AdapterRegistration<Origin, HttpOrigin> Registered("http");
+
+} // namespace
+
 } // namespace deckpitch::net
--- a/src/net/platform-http.cc
+++ b/src/adapters/platform-http.cc
@@ -1,7 +1,10 @@
+// The platform over HTTP and JSON; docs/INTERFACES.md.
+#include "net/adapters.h"
 #include "net/platform.h"
 
 #include <boost/json.hpp>
 
+#include <atomic>
 #include <optional>
 
 namespace deckpitch::net {
@@ -141,12 +144,36 @@
   return std::nullopt;
 }
 
-} // namespace
+class HttpPlatform final : public Platform {
+public:
+  HttpPlatform(HttpClient &Http, std::string Address)
+      : m_Http(Http), m_Address(std::move(Address)) {}
+
+  asio::awaitable<Outcome<PlatformObject>> get(std::string Kind,
+                                               std::string Name) override;
+  asio::awaitable<Outcome<PlatformList>> list(std::string Kind) override;
+  asio::awaitable<Outcome<Revision>> update(PlatformObject Object) override;
+  asio::awaitable<Outcome<Revision>> create(std::string Kind, std::string Name,
+                                            std::string Json) override;
+  asio::awaitable<Outcome<Revision>> remove(std::string Kind, std::string Name,
+                                            Revision Seen) override;
+  asio::awaitable<Error>
+  watch(std::vector<std::string> Kinds, Revision Since,
+        std::function<bool(PlatformEvent)> OnEvent) override;
+  asio::awaitable<Outcome<std::vector<PlatformInstance>>> instances() override;
+  std::uint64_t calls() const override { return m_Calls.load(); }
+
+private:
+  asio::awaitable<Outcome<HttpResponse>> exchange(HttpRequest Request);
+  asio::awaitable<Outcome<Revision>> write(HttpRequest Request);
 
-Platform::Platform(HttpClient &Http, std::string Address)
-    : m_Http(Http), m_Address(std::move(Address)) {}
+  HttpClient &m_Http;
+  std::string m_Address;
+  std::atomic<std::uint64_t> m_Calls{0};
+};
 
-asio::awaitable<Outcome<HttpResponse>> Platform::exchange(HttpRequest Request) {
+asio::awaitable<Outcome<HttpResponse>>
+HttpPlatform::exchange(HttpRequest Request) {
   ++m_Calls;
   auto Answer = co_await m_Http.call(m_Address, Request, ExchangeLimits);
   if (!Answer)
@@ -156,8 +183,8 @@
   co_return Answer;
 }
 
-asio::awaitable<Outcome<PlatformObject>> Platform::get(std::string Kind,
-                                                       std::string Name) {
+asio::awaitable<Outcome<PlatformObject>> HttpPlatform::get(std::string Kind,
+                                                           std::string Name) {
   HttpRequest Request{"GET", objectPath(Kind, Name), {}, {}};
   const auto Answer = co_await exchange(std::move(Request));
   if (!Answer)
@@ -172,7 +199,7 @@
   co_return std::move(*Object);
 }
 
-asio::awaitable<Outcome<PlatformList>> Platform::list(std::string Kind) {
+asio::awaitable<Outcome<PlatformList>> HttpPlatform::list(std::string Kind) {
   HttpRequest Request{"GET", "/v1/objects/" + Kind, {}, {}};
   const auto Answer = co_await exchange(std::move(Request));
   if (!Answer)
@@ -196,7 +223,7 @@
   co_return List;
 }
 
-asio::awaitable<Outcome<Revision>> Platform::write(HttpRequest Request) {
+asio::awaitable<Outcome<Revision>> HttpPlatform::write(HttpRequest Request) {
   const auto Answer = co_await exchange(std::move(Request));
   if (!Answer)
     co_return Answer.error();
@@ -207,7 +234,7 @@
   co_return *At;
 }
 
-asio::awaitable<Outcome<Revision>> Platform::update(PlatformObject Object) {
+asio::awaitable<Outcome<Revision>> HttpPlatform::update(PlatformObject Object) {
   HttpRequest Request{"PUT",
                       objectPath(Object.m_Kind, Object.m_Name),
                       {},
@@ -217,22 +244,22 @@
 }
 
 asio::awaitable<Outcome<Revision>>
-Platform::create(std::string Kind, std::string Name, std::string Json) {
+HttpPlatform::create(std::string Kind, std::string Name, std::string Json) {
   HttpRequest Request{"PUT", objectPath(Kind, Name), {}, std::move(Json)};
   Request.m_Headers.add("If-None-Match", "*");
   co_return co_await write(std::move(Request));
 }
 
 asio::awaitable<Outcome<Revision>>
-Platform::remove(std::string Kind, std::string Name, Revision Seen) {
+HttpPlatform::remove(std::string Kind, std::string Name, Revision Seen) {
   HttpRequest Request{"DELETE", objectPath(Kind, Name), {}, {}};
   Request.m_Headers.add("If-Match", quotedRevision(Seen));
   co_return co_await write(std::move(Request));
 }
 
 asio::awaitable<Error>
-Platform::watch(std::vector<std::string> Kinds, Revision Since,
-                std::function<bool(PlatformEvent)> OnEvent) {
+HttpPlatform::watch(std::vector<std::string> Kinds, Revision Since,
+                    std::function<bool(PlatformEvent)> OnEvent) {
   std::string Joined;
   for (const std::string &Kind : Kinds)
     Joined += (Joined.empty() ? "" : ",") + Kind;
@@ -265,7 +292,8 @@
   }
 }
 
-asio::awaitable<Outcome<std::vector<PlatformInstance>>> Platform::instances() {
+asio::awaitable<Outcome<std::vector<PlatformInstance>>>
+HttpPlatform::instances() {
   HttpRequest Request{"GET", "/v1/instances", {}, {}};
   const auto Answer = co_await exchange(std::move(Request));
   if (!Answer)
@@ -286,4 +314,8 @@
   co_return List;
 }
 
+const AdapterRegistration<Platform, HttpPlatform> Registered("http");
+
+} // namespace
+
 } // namespace deckpitch::net
--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -45,6 +45,11 @@
     To.add(Name, std::string(Value));
 }
 
+/// Requests go over HTTP, whatever adapter the weights' orders take.
+std::string requestAddress(const Process &In) {
+  return net::parsePortAddress(In.m_Settings.m_Upstream.m_Address).m_Rest;
+}
+
 } // namespace
 
 net::HttpResponse agentAnswer(unsigned Status, std::string_view Outcome,
@@ -58,8 +63,7 @@
 }
 
 asio::awaitable<void> cancelAtEngine(Process &In, std::string RequestId) {
-  co_await cancelRequest(In, In.m_Settings.m_Upstream.m_Address,
-                         std::move(RequestId));
+  co_await cancelRequest(In, requestAddress(In), std::move(RequestId));
 }
 
 EngineForward::EngineForward(Process &In, BoundRequest Request,
@@ -87,8 +91,8 @@
   const auto Left = milliseconds(m_Request.m_TimeLeft);
   const net::CallLimits Limits{
       .m_Connect = EngineConnect, .m_FirstByte = Left, .m_BetweenBytes = Left};
-  auto Opened = co_await m_Process.m_Http.open(
-      m_Process.m_Settings.m_Upstream.m_Address, engineRequest(), Limits);
+  auto Opened = co_await m_Process.m_Http.open(requestAddress(m_Process),
+                                               engineRequest(), Limits);
   if (m_Gone)
     co_return ForwardEnd::Lost;
   if (!Opened) {
@@ -196,8 +200,7 @@
                                .m_FirstByte = Left,
                                .m_BetweenBytes = Left,
                                .m_BodyBytes = MaxServiceAnswerBytes};
-  co_return co_await In.m_Http.call(In.m_Settings.m_Upstream.m_Address,
-                                    std::move(Out), Limits);
+  co_return co_await In.m_Http.call(requestAddress(In), std::move(Out), Limits);
 }
 
 } // namespace deckpitch::daemon
--- a/src/daemon/assigner.cc
+++ b/src/daemon/assigner.cc
@@ -25,8 +25,8 @@
 class AssignerModule final : public Module {
 public:
   explicit AssignerModule(Process &In)
-      : m_Process(In), m_Platform(In.m_Http, In.m_Settings.m_Platform),
-        m_Lease(In, LeaseName), m_Timer(In.m_Threads.control()) {}
+      : m_Process(In), m_Platform(In.makePlatform()), m_Lease(In, LeaseName),
+        m_Timer(In.m_Threads.control()) {}
 
   Result<void> start() override {
     m_Lease.m_OnChange = [this](bool Held) { onLease(Held); };
@@ -102,15 +102,15 @@
   asio::awaitable<Outcome<Revision>> write(Revision Seen,
                                            const Assignment &Next) {
     if (Seen.m_Value == 0)
-      co_return co_await m_Platform.create(AssignmentKind, AssignmentName,
-                                           formatAssignment(Next));
+      co_return co_await m_Platform->create(AssignmentKind, AssignmentName,
+                                            formatAssignment(Next));
     net::PlatformObject Object{AssignmentKind, AssignmentName, Seen,
                                formatAssignment(Next)};
-    co_return co_await m_Platform.update(std::move(Object));
+    co_return co_await m_Platform->update(std::move(Object));
   }
 
   Process &m_Process;
-  net::Platform m_Platform;
+  const std::unique_ptr<net::Platform> m_Platform;
   LeaseKeeper m_Lease;
   asio::steady_timer m_Timer;
   TimePoint m_SettledAt{};
--- a/src/daemon/claim-service.cc
+++ b/src/daemon/claim-service.cc
@@ -39,7 +39,7 @@
     : m_Number(Number), m_Log(Owner, {}), m_Wake(Loop) {}
 
 ClaimService::ClaimService(Process &In)
-    : m_Process(In), m_Platform(In.m_Http, In.m_Settings.m_Platform),
+    : m_Process(In), m_Platform(In.makePlatform()),
       m_FollowPause(In.m_Threads.control()),
       m_MaintainTimer(In.m_Threads.control()) {
   const std::string Owner = In.m_Settings.m_Instance.m_Text + "-" +
@@ -140,7 +140,7 @@
 }
 
 asio::awaitable<void> ClaimService::perform(Shard &Of, ListLog) {
-  const auto Got = co_await m_Platform.list(Kind);
+  const auto Got = co_await m_Platform->list(Kind);
   std::vector<LoggedBatch> All;
   bool Good = Got.has_value();
   for (std::size_t I = 0; Good && I < Got->m_Items.size(); ++I) {
@@ -160,7 +160,7 @@
 }
 
 asio::awaitable<void> ClaimService::perform(Shard &Of, ReadLog Action) {
-  const auto Got = co_await m_Platform.get(
+  const auto Got = co_await m_Platform->get(
       Kind, formatLogPosition({Of.m_Number, Action.m_Number}));
   if (!Got && Got.error().m_Code == ErrorCode::NotFound) {
     Of.m_Log.read(std::nullopt, now());
@@ -175,7 +175,7 @@
 
 asio::awaitable<void> ClaimService::perform(Shard &Of, AppendLog Action) {
   ++m_Appends;
-  const auto Got = co_await m_Platform.create(
+  const auto Got = co_await m_Platform->create(
       Kind, formatLogPosition({Of.m_Number, Action.m_Number}),
       formatClaimBatch(Action.m_Batch));
   if (Got) {
@@ -189,7 +189,7 @@
 }
 
 asio::awaitable<void> ClaimService::perform(Shard &Of, DeleteLog Action) {
-  const auto Got = co_await m_Platform.remove(
+  const auto Got = co_await m_Platform->remove(
       Kind, formatLogPosition({Of.m_Number, Action.m_Number}),
       Action.m_Revision);
   const bool Gone = Got || Got.error().m_Code == ErrorCode::NotFound ||
@@ -206,7 +206,7 @@
   bool Listed = false;
   while (!m_Stopped) {
     if (!Listed) {
-      const auto Got = co_await m_Platform.list(Kind);
+      const auto Got = co_await m_Platform->list(Kind);
       Listed = Got.has_value();
       if (Listed)
         m_Followed = Got->m_Revision;
@@ -215,7 +215,7 @@
     }
     if (Listed) {
       std::vector<std::string> Kinds{Kind};
-      const Error End = co_await m_Platform.watch(
+      const Error End = co_await m_Platform->watch(
           std::move(Kinds), m_Followed,
           [this](const net::PlatformEvent &Seen) { return observe(Seen); });
       Listed = End.m_Code != ErrorCode::NotFound;
@@ -280,7 +280,7 @@
   }
   return {{"known", Known},       {"waiting", Waiting},
           {"appends", m_Appends}, {"conflicts", m_Conflicts},
-          {"refused", m_Refused}, {"platformCalls", m_Platform.calls()}};
+          {"refused", m_Refused}, {"platformCalls", m_Platform->calls()}};
 }
 
 } // namespace deckpitch::daemon
--- a/src/daemon/claim-service.h
+++ b/src/daemon/claim-service.h
@@ -55,7 +55,7 @@
   void deliver(Shard &Of);
 
   Process &m_Process;
-  net::Platform m_Platform;
+  const std::unique_ptr<net::Platform> m_Platform;
   std::vector<std::unique_ptr<Shard>> m_Shards;
   std::map<ClaimWaiterId, std::shared_ptr<Waiter>> m_Waiters;
   ClaimWaiterId m_NextWaiter = 1;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,6 +1,11 @@
 // deckpitchd: one process of the system; its settings name the role.
 #include "daemon/module.h"
+#include "deckpitch/json-reader.h"
+#include "net/adapters.h"
+#include "net/engine.h"
 #include "net/log.h"
+#include "net/origin.h"
+#include "net/platform.h"
 #include "net/text-file.h"
 
 #include <absl/flags/flag.h>
@@ -21,6 +26,34 @@
 
 constexpr int ExitUsage = 2;
 
+template <typename Port>
+void checkAdapter(const std::string &Key, const std::string &Address,
+                  deckpitch::Problems &Found) {
+  using Known = deckpitch::net::Adapters<Port>;
+  if (!Known::knows(Address))
+    Found.m_List.push_back(
+        {Key, '"' + Address + '"',
+         "\"scheme://address\", the scheme one of " + Known::schemes()});
+}
+
+/// Only this program knows which adapters are built into it.
+deckpitch::Problems checkAdapters(const deckpitch::Settings &Value) {
+  deckpitch::Problems Found;
+  using namespace deckpitch::net;
+  checkAdapter<Platform>("platform", Value.m_Platform, Found);
+  if (Value.m_Upstream.m_Kind == deckpitch::PoolKind::Engine)
+    checkAdapter<Engine>("upstream.address", Value.m_Upstream.m_Address, Found);
+  checkAdapter<Origin>("weights.origin", Value.m_Weights.m_Origin, Found);
+  checkAdapter<Origin>("weights.store", Value.m_Weights.m_Store, Found);
+  return Found;
+}
+
+void printFaults(const std::string &Path, const std::string &Text) {
+  std::istringstream Lines(Text);
+  for (std::string Line; std::getline(Lines, Line);)
+    std::cerr << Path << ": " << Line << "\n";
+}
+
 std::optional<deckpitch::Settings> readSettings(const std::string &Path) {
   const std::optional<std::string> Text = deckpitch::net::readTextFile(Path);
   if (!Text) {
@@ -29,12 +62,15 @@
   }
   const auto Parsed =
       deckpitch::outcomeOf([&] { return deckpitch::parseSettings(*Text); });
-  if (Parsed)
-    return *Parsed;
-  std::istringstream Lines(Parsed.error().m_Message);
-  for (std::string Line; std::getline(Lines, Line);)
-    std::cerr << Path << ": " << Line << "\n";
-  return std::nullopt;
+  if (!Parsed) {
+    printFaults(Path, Parsed.error().m_Message);
+    return std::nullopt;
+  }
+  const deckpitch::Problems Found = checkAdapters(*Parsed);
+  printFaults(Path, deckpitch::formatProblems(Found));
+  if (!Found.m_List.empty())
+    return std::nullopt;
+  return *Parsed;
 }
 
 } // namespace
--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -5,6 +5,7 @@
 #include "deckpitch/membership.h"
 #include "deckpitch/settings.h"
 #include "deckpitch/snapshot.h"
+#include "net/adapters.h"
 #include "net/control-bus.h"
 #include "net/http.h"
 #include "net/io-threads.h"
@@ -31,7 +32,13 @@
   const Incarnation m_Incarnation;
   net::IoThreads &m_Threads;
   net::HttpClient m_Http;
-  net::Platform m_Platform{m_Http, m_Settings.m_Platform}; ///< entries only
+  /// Entries only. One for each job that counts its own calls; never null,
+  /// since settings with an unknown scheme are refused before.
+  std::unique_ptr<net::Platform> makePlatform() {
+    return net::Adapters<net::Platform>::make(m_Http, m_Settings.m_Platform);
+  }
+  const std::unique_ptr<net::Platform> m_OwnPlatform = makePlatform();
+  net::Platform &m_Platform = *m_OwnPlatform;
   Addresses m_Addresses; ///< bound addresses; set before any start()
   net::ControlBus *m_Bus = nullptr;
 
--- a/src/daemon/weights-agent.cc
+++ b/src/daemon/weights-agent.cc
@@ -31,6 +31,13 @@
   return Out;
 }
 
+std::unique_ptr<net::Origin> makeStore(Process &In) {
+  const std::string &Address = In.m_Settings.m_Weights.m_Store;
+  if (Address.empty())
+    return nullptr;
+  return net::Adapters<net::Origin>::make(In.m_Http, Address);
+}
+
 } // namespace
 
 WeightsAgent::WeightsAgent(Process &In, asio::io_context &Io, AskPeers Ask)
@@ -38,9 +45,11 @@
       m_Context{Io,
                 In.m_Settings,
                 In.m_Incarnation,
-                net::Engine(In.m_Http, In.m_Settings.m_Upstream.m_Address),
-                net::Origin(In.m_Http, In.m_Settings.m_Weights.m_Origin),
-                net::Origin(In.m_Http, In.m_Settings.m_Weights.m_Store),
+                net::Adapters<net::Engine>::make(
+                    In.m_Http, In.m_Settings.m_Upstream.m_Address),
+                net::Adapters<net::Origin>::make(
+                    In.m_Http, In.m_Settings.m_Weights.m_Origin),
+                makeStore(In),
                 makeShapedLink(In.m_Settings.m_Weights),
                 nullptr},
       m_Acceptor(Io), m_Wake(Io) {
@@ -127,7 +136,7 @@
   const auto Declarations = m_Process.m_Declarations.load();
   const std::uint64_t Generation = m_Process.m_Declarations.generation();
   m_Goal = goalOf(*Declarations, m_Process.m_Settings.m_Instance);
-  auto Engine = co_await m_Context.m_Engine.status();
+  auto Engine = co_await m_Context.m_Engine->status();
   if (!Engine) {
     publish(ServingReport{m_Goal.m_Pool, {}, {}, false, 0, 0, "EngineDown"});
     co_return FaultRest;
@@ -264,9 +273,9 @@
 
 asio::awaitable<std::optional<Manifest>>
 WeightsAgent::fetchManifest(WeightsId Weights) {
-  auto Got = co_await m_Context.m_Origin.manifest(Weights);
-  if (!Got && m_Context.m_Store.configured())
-    Got = co_await m_Context.m_Store.manifest(Weights);
+  auto Got = co_await m_Context.m_Origin->manifest(Weights);
+  if (!Got && m_Context.m_Store)
+    Got = co_await m_Context.m_Store->manifest(Weights);
   if (Got)
     co_return *Got;
   net::log(Event::ManifestUnavailable,
@@ -278,7 +287,7 @@
 asio::awaitable<void> WeightsAgent::load(WeightsId Weights) {
   const auto Copy = m_Copies.at(Weights);
   const auto Done =
-      co_await m_Context.m_Engine.load(Copy->manifest(), m_Goal.m_Fence);
+      co_await m_Context.m_Engine->load(Copy->manifest(), m_Goal.m_Fence);
   if (Done)
     co_return;
   noteRefusal(Done.error(), Weights);
@@ -293,9 +302,10 @@
 asio::awaitable<void> WeightsAgent::order(RolloutStep Step) {
   Outcome<bool> Done = Error{};
   if (Step.m_Kind == StepKind::Activate)
-    Done = co_await m_Context.m_Engine.activate(Step.m_Weights, m_Goal.m_Fence);
+    Done =
+        co_await m_Context.m_Engine->activate(Step.m_Weights, m_Goal.m_Fence);
   else
-    Done = co_await m_Context.m_Engine.unload(Step.m_Weights, m_Goal.m_Fence);
+    Done = co_await m_Context.m_Engine->unload(Step.m_Weights, m_Goal.m_Fence);
   if (!Done) {
     noteRefusal(Done.error(), Step.m_Weights);
     co_await pauseFor(FaultRest);
@@ -343,7 +353,7 @@
     std::erase_if(m_Manifests, [&](const Manifest &Held) {
       return Held.m_Weights == Each.m_Weights;
     });
-    co_await m_Context.m_Engine.dropStaging(Each.m_Weights);
+    co_await m_Context.m_Engine->dropStaging(Each.m_Weights);
   }
 }
 
--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -105,11 +105,11 @@
 asio::awaitable<void> WeightsCopy::takeStaged(WeightsId From,
                                               std::uint32_t Index,
                                               std::uint32_t Chunk) {
-  auto Bytes = co_await m_Context.m_Engine.staged(From, Index);
+  auto Bytes = co_await m_Context.m_Engine->staged(From, Index);
   if (!Bytes || !matches(Chunk, *Bytes))
     co_return;
   if (From != m_Manifest.m_Weights) {
-    const auto Stored = co_await m_Context.m_Engine.stage(
+    const auto Stored = co_await m_Context.m_Engine->stage(
         m_Manifest.m_Weights, Chunk, std::move(*Bytes));
     if (!Stored)
       co_return;
@@ -339,7 +339,7 @@
 
 asio::awaitable<void> WeightsCopy::stage(std::uint32_t Chunk,
                                          std::string Bytes) {
-  const auto Stored = co_await m_Context.m_Engine.stage(
+  const auto Stored = co_await m_Context.m_Engine->stage(
       m_Manifest.m_Weights, Chunk, std::move(Bytes));
   if (!Stored)
     co_await pauseFor(StagingRetry);
@@ -352,7 +352,7 @@
 
 asio::awaitable<void> WeightsCopy::sendChunk(PeerNumber Number,
                                              std::uint32_t Chunk) {
-  auto Bytes = co_await m_Context.m_Engine.staged(m_Manifest.m_Weights, Chunk);
+  auto Bytes = co_await m_Context.m_Engine->staged(m_Manifest.m_Weights, Chunk);
   const auto To = m_Peers.find(Number);
   const bool Usable = Bytes && To != m_Peers.end() && !m_Stopped;
   if (!Usable) {
@@ -397,9 +397,9 @@
 }
 
 asio::awaitable<void> WeightsCopy::readOrigin(std::uint32_t Chunk) {
-  auto Read = co_await readOnce(m_Context.m_Origin, Chunk);
-  if (!Read && m_Context.m_Store.configured() && !m_Stopped)
-    Read = co_await readOnce(m_Context.m_Store, Chunk);
+  auto Read = co_await readOnce(*m_Context.m_Origin, Chunk);
+  if (!Read && m_Context.m_Store && !m_Stopped)
+    Read = co_await readOnce(*m_Context.m_Store, Chunk);
   if (m_Stopped)
     co_return;
   const Swarm::OriginOutcome How = check(Chunk, Read);
--- a/src/daemon/weights-copy.h
+++ b/src/daemon/weights-copy.h
@@ -22,9 +22,9 @@
   asio::io_context &m_Io;
   const Settings &m_Settings;
   Incarnation m_Incarnation;
-  net::Engine m_Engine;
-  net::Origin m_Origin;
-  net::Origin m_Store;
+  std::unique_ptr<net::Engine> m_Engine;
+  std::unique_ptr<net::Origin> m_Origin;
+  std::unique_ptr<net::Origin> m_Store; ///< may be null
   ShapedLink m_Link;
   std::shared_ptr<Uplink> m_Uplink;
 };
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -1,43 +1,64 @@
-// The model engine's interface for weights, as coroutines.
+// The port to a model engine's weights, as coroutines.
 #pragma once
 
 #include "deckpitch/engine-status.h"
 #include "deckpitch/manifest.h"
 #include "net/http.h"
 
+#include <concepts>
+#include <cstdint>
 #include <string>
 
 namespace deckpitch::net {
 
-/// Errors of all calls: Unavailable (not done), Timeout (may be done).
+/// What each adapter and each fake of an engine offers.
+template <typename T>
+concept EnginePort = requires(T &At, WeightsId Weights, std::uint32_t Index,
+                              std::string Bytes, Manifest Wanted,
+                              FencingNumber Fence) {
+  { At.status() } -> std::same_as<asio::awaitable<Outcome<EngineStatus>>>;
+  {
+    At.stage(Weights, Index, Bytes)
+    } -> std::same_as<asio::awaitable<Outcome<bool>>>;
+  {
+    At.staged(Weights, Index)
+    } -> std::same_as<asio::awaitable<Outcome<std::string>>>;
+  { At.dropStaging(Weights) } -> std::same_as<asio::awaitable<Outcome<bool>>>;
+  { At.load(Wanted, Fence) } -> std::same_as<asio::awaitable<Outcome<bool>>>;
+  {
+    At.activate(Weights, Fence)
+    } -> std::same_as<asio::awaitable<Outcome<bool>>>;
+  { At.unload(Weights, Fence) } -> std::same_as<asio::awaitable<Outcome<bool>>>;
+};
+
+/// An engine's staging and orders. Errors of all calls: Unavailable (not
+/// done), Timeout (may be done).
 class Engine {
 public:
-  Engine(HttpClient &Http, std::string Address)
-      : m_Http(Http), m_Address(std::move(Address)) {}
+  Engine() = default;
+  virtual ~Engine() = default;
+  Engine(const Engine &) = delete;
+  Engine &operator=(const Engine &) = delete;
 
-  asio::awaitable<Outcome<EngineStatus>> status();
+  virtual asio::awaitable<Outcome<EngineStatus>> status() = 0;
   /// Puts a verified chunk into staging.
-  asio::awaitable<Outcome<bool>> stage(WeightsId Weights, std::uint32_t Index,
-                                       std::string Bytes);
+  virtual asio::awaitable<Outcome<bool>>
+  stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) = 0;
   /// A staged chunk's bytes. Errors: NotFound.
-  asio::awaitable<Outcome<std::string>> staged(WeightsId Weights,
-                                               std::uint32_t Index);
-  asio::awaitable<Outcome<bool>> dropStaging(WeightsId Weights);
+  virtual asio::awaitable<Outcome<std::string>> staged(WeightsId Weights,
+                                                       std::uint32_t Index) = 0;
+  virtual asio::awaitable<Outcome<bool>> dropStaging(WeightsId Weights) = 0;
   /// Orders. Errors: StaleFence; CorruptData when the engine finds staged
-  /// chunks that do not match; Unavailable when no slot is free.
-  asio::awaitable<Outcome<bool>> load(Manifest Wanted, FencingNumber Fence);
-  asio::awaitable<Outcome<bool>> activate(WeightsId Weights,
-                                          FencingNumber Fence);
-  asio::awaitable<Outcome<bool>> unload(WeightsId Weights, FencingNumber Fence);
-
-private:
-  asio::awaitable<Outcome<bool>> order(std::string Body);
-
-  HttpClient &m_Http;
-  std::string m_Address;
+  /// chunks that do not match; Unavailable when no slot is free; NotFound when
+  /// what is to be activated is not loaded.
+  virtual asio::awaitable<Outcome<bool>> load(Manifest Wanted,
+                                              FencingNumber Fence) = 0;
+  virtual asio::awaitable<Outcome<bool>> activate(WeightsId Weights,
+                                                  FencingNumber Fence) = 0;
+  virtual asio::awaitable<Outcome<bool>> unload(WeightsId Weights,
+                                                FencingNumber Fence) = 0;
 };
 
-/// The path of one staged chunk.
-std::string stagingPath(const WeightsId &Weights, std::uint32_t Index);
+static_assert(EnginePort<Engine>);
 
 } // namespace deckpitch::net
--- a/src/net/origin.h
+++ b/src/net/origin.h
@@ -1,9 +1,11 @@
-// The interface of the origin of weights and of the weight store.
+// The port to the origin of weights and to the weight store.
 #pragma once
 
 #include "deckpitch/manifest.h"
 #include "net/http.h"
 
+#include <concepts>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -15,24 +17,34 @@
   std::string m_Tag; ///< names the whole content it was read from; may be empty
 };
 
-/// Reads weights over HTTP. Errors: NotFound, Unavailable (refused for now),
-/// Timeout.
+/// Awaited for each piece of that many bytes, so that the reader's link is
+/// shaped.
+using OriginPace = std::function<asio::awaitable<void>(std::size_t Bytes)>;
+
+/// What each adapter and each fake of an origin offers.
+template <typename T>
+concept OriginPort = requires(T &At, WeightsId Weights, const Manifest &Of,
+                              std::uint32_t Index, OriginPace Paced) {
+  { At.manifest(Weights) } -> std::same_as<asio::awaitable<Outcome<Manifest>>>;
+  {
+    At.chunk(Of, Index, Paced)
+    } -> std::same_as<asio::awaitable<Outcome<OriginChunk>>>;
+};
+
+/// The origin of weights, or the weight store. Errors: NotFound, Unavailable
+/// (refused for now), Timeout, CorruptData (other weights, too many bytes).
 class Origin {
 public:
-  Origin(HttpClient &Http, std::string Address)
-      : m_Http(Http), m_Address(std::move(Address)) {}
-
-  bool configured() const { return !m_Address.empty(); }
-  asio::awaitable<Outcome<Manifest>> manifest(WeightsId Weights);
-  /// Pace is awaited for each piece of that many bytes, so that the reader's
-  /// link is shaped.
-  using Pace = std::function<asio::awaitable<void>(std::size_t Bytes)>;
-  asio::awaitable<Outcome<OriginChunk>> chunk(const Manifest &Of,
-                                              std::uint32_t Index, Pace Paced);
-
-private:
-  HttpClient &m_Http;
-  std::string m_Address;
+  Origin() = default;
+  virtual ~Origin() = default;
+  Origin(const Origin &) = delete;
+  Origin &operator=(const Origin &) = delete;
+
+  virtual asio::awaitable<Outcome<Manifest>> manifest(WeightsId Weights) = 0;
+  virtual asio::awaitable<Outcome<OriginChunk>>
+  chunk(const Manifest &Of, std::uint32_t Index, OriginPace Paced) = 0;
 };
 
+static_assert(OriginPort<Origin>);
+
 } // namespace deckpitch::net
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -1,12 +1,11 @@
-// The platform's object interface as coroutines; platform-http.cc is its
-// adapter.
+// The port to the platform's object interface, as coroutines.
 #pragma once
 
 #include "deckpitch/error.h"
 #include "deckpitch/id.h"
 #include "net/http.h"
 
-#include <atomic>
+#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -43,38 +42,63 @@
   bool m_Leaving = false;
 };
 
-/// Every call costs. Errors: NotFound, Conflict (a precondition failed),
-/// Unavailable (not done), Timeout (a write may have taken effect: read back),
-/// InvalidInput (refused, or an answer that cannot be read).
+/// What each adapter and each fake of the platform offers; Platform says what
+/// the calls do.
+template <typename T>
+concept PlatformPort = requires(T &At, const T &Seen, std::string Text,
+                                PlatformObject Object,
+                                std::vector<std::string> Kinds, Revision Since,
+                                std::function<bool(PlatformEvent)> OnEvent) {
+  {
+    At.get(Text, Text)
+    } -> std::same_as<asio::awaitable<Outcome<PlatformObject>>>;
+  { At.list(Text) } -> std::same_as<asio::awaitable<Outcome<PlatformList>>>;
+  { At.update(Object) } -> std::same_as<asio::awaitable<Outcome<Revision>>>;
+  {
+    At.create(Text, Text, Text)
+    } -> std::same_as<asio::awaitable<Outcome<Revision>>>;
+  {
+    At.remove(Text, Text, Since)
+    } -> std::same_as<asio::awaitable<Outcome<Revision>>>;
+  { At.watch(Kinds, Since, OnEvent) } -> std::same_as<asio::awaitable<Error>>;
+  {
+    At.instances()
+    } -> std::same_as<asio::awaitable<Outcome<std::vector<PlatformInstance>>>>;
+  { Seen.calls() } -> std::same_as<std::uint64_t>;
+};
+
+/// The platform's object interface. Every call costs. Errors: NotFound,
+/// Conflict (a precondition failed), Unavailable (not done), Timeout (a write
+/// may have taken effect: read back), InvalidInput (refused, or an answer that
+/// cannot be read). Adapters register themselves with AdapterRegistration.
 class Platform {
 public:
-  Platform(HttpClient &Http, std::string Address);
+  Platform() = default;
+  virtual ~Platform() = default;
+  Platform(const Platform &) = delete;
+  Platform &operator=(const Platform &) = delete;
 
-  asio::awaitable<Outcome<PlatformObject>> get(std::string Kind,
-                                               std::string Name);
-  asio::awaitable<Outcome<PlatformList>> list(std::string Kind);
+  virtual asio::awaitable<Outcome<PlatformObject>> get(std::string Kind,
+                                                       std::string Name) = 0;
+  virtual asio::awaitable<Outcome<PlatformList>> list(std::string Kind) = 0;
   /// Replaces the object if it still has that revision; gives the new one.
-  asio::awaitable<Outcome<Revision>> update(PlatformObject Object);
-  asio::awaitable<Outcome<Revision>> create(std::string Kind, std::string Name,
-                                            std::string Json);
-  asio::awaitable<Outcome<Revision>> remove(std::string Kind, std::string Name,
-                                            Revision Seen);
+  virtual asio::awaitable<Outcome<Revision>> update(PlatformObject Object) = 0;
+  virtual asio::awaitable<Outcome<Revision>>
+  create(std::string Kind, std::string Name, std::string Json) = 0;
+  virtual asio::awaitable<Outcome<Revision>>
+  remove(std::string Kind, std::string Name, Revision Seen) = 0;
   /// Calls back for each event until the watch ends or the callback returns
   /// false; then tells why. NotFound means that Since is too old: list again.
-  asio::awaitable<Error> watch(std::vector<std::string> Kinds, Revision Since,
-                               std::function<bool(PlatformEvent)> OnEvent);
-  asio::awaitable<Outcome<std::vector<PlatformInstance>>> instances();
+  virtual asio::awaitable<Error>
+  watch(std::vector<std::string> Kinds, Revision Since,
+        std::function<bool(PlatformEvent)> OnEvent) = 0;
+  virtual asio::awaitable<Outcome<std::vector<PlatformInstance>>>
+  instances() = 0;
 
   /// Calls made so far; a watch counts as one when it is opened.
-  std::uint64_t calls() const { return m_Calls.load(); }
-
-private:
-  asio::awaitable<Outcome<HttpResponse>> exchange(HttpRequest Request);
-  asio::awaitable<Outcome<Revision>> write(HttpRequest Request);
-
-  HttpClient &m_Http;
-  std::string m_Address;
-  std::atomic<std::uint64_t> m_Calls{0};
+  virtual std::uint64_t calls() const = 0;
 };
 
+static_assert(PlatformPort<Platform>);
+
 } // namespace deckpitch::net
