Let a planner wait only for the instances of the assignment in force

Cause: whoever won the assigner's lease waited three seconds before it planned, also when there was no assignment yet. What the wait protects: an instance that the planner's view does not hold loses its place as if it were gone, so a view that is still filling would move instances that serve.

Change: mayPlan() lets a planner go on when its view holds every instance of the assignment in force, and after three seconds at the latest. Without an assignment there is no place to lose, and the first one is written by a create, which the platform refuses if there is one after all.

Assignment.ANewDeciderWaitsForTheInstancesThatServe fails when mayPlan() does not look at the view.

--- a/include/deckpitch/assignment.h
+++ b/include/deckpitch/assignment.h
@@ -3,6 +3,7 @@
 
 #include "deckpitch/declaration.h"
 #include "deckpitch/membership.h"
+#include "deckpitch/time.h"
 
 namespace deckpitch {
 
@@ -19,6 +20,16 @@
 Assignment planAssignment(const DeclarationSet &Declarations,
                           const MembershipView &Members);
 
+/// How long a new decider waits at most before it plans.
+inline constexpr std::chrono::seconds SettlingLimit{3};
+
+/// True when a decider that took over that long ago may plan. An instance that
+/// its view does not hold loses its place, as if it were gone; so it waits
+/// until the view holds every instance of the assignment in force, or until
+/// those that are missing had time enough to be heard.
+bool mayPlan(const Assignment &InForce, const MembershipView &Members,
+             Duration SinceTakeover);
+
 /// Conditions in ServingReport that the waves rest on.
 inline constexpr const char *ConditionStaged = "Staged";
 inline constexpr const char *ConditionLoaded = "Loaded";
--- a/src/daemon/assigner.cc
+++ b/src/daemon/assigner.cc
@@ -19,8 +19,6 @@
 constexpr const char *AssignmentKind = "assignments";
 constexpr const char *AssignmentName = "all";
 constexpr std::chrono::milliseconds PlanPeriod{200};
-/// A new holder lets its view of the members fill before it moves anything.
-constexpr std::chrono::seconds Settling{3};
 
 class AssignerModule final : public Module {
 public:
@@ -55,7 +53,7 @@
 private:
   asio::awaitable<void> run() {
     while (!m_Stopped) {
-      if (m_Lease.held() && now() >= m_SettledAt)
+      if (m_Lease.held())
         co_await plan();
       m_Timer.expires_after(PlanPeriod);
       co_await m_Timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -65,7 +63,7 @@
   void onLease(bool Held) {
     if (!Held)
       return;
-    m_SettledAt = now() + Settling;
+    m_HeldSince = now();
     m_MustFence = true;
     net::log(Event::AssignerChanged, {{"term", m_Lease.term()}});
   }
@@ -78,6 +76,8 @@
     const Declared<Assignment> &Before = Declarations->m_Assignment;
     if (Before.m_Revision < m_WrittenAt)
       co_return;
+    if (!mayPlan(Before.m_Value, *Members, now() - m_HeldSince))
+      co_return;
     const Assignment Next = planAssignment(*Declarations, *Members);
     // A new holder moves the object even when nothing changes, so that what
     // an earlier holder still has in hand meets a conflict.
@@ -113,7 +113,7 @@
   const std::unique_ptr<net::Platform> m_Platform;
   LeaseKeeper m_Lease;
   asio::steady_timer m_Timer;
-  TimePoint m_SettledAt{};
+  TimePoint m_HeldSince{};
   Revision m_WrittenAt;
   std::uint64_t m_Written = 0;
   std::string m_LastError;
--- a/src/kernel/assignment.cc
+++ b/src/kernel/assignment.cc
@@ -213,4 +213,15 @@
   return Planner(Declarations, Members).plan();
 }
 
+bool mayPlan(const Assignment &InForce, const MembershipView &Members,
+             Duration SinceTakeover) {
+  if (SinceTakeover >= SettlingLimit)
+    return true;
+  const auto IsKnown = [&Members](const auto &Each) {
+    return Members.m_Members.contains(Each.first);
+  };
+  return std::all_of(InForce.m_Instances.begin(), InForce.m_Instances.end(),
+                     IsKnown);
+}
+
 } // namespace deckpitch
--- a/test/assignment-test.cc
+++ b/test/assignment-test.cc
@@ -142,4 +142,32 @@
   EXPECT_EQ(countOf(Under.plan(), {PoolId{"chat"}, Old}), 1U);
 }
 
+TEST(Assignment, ANewDeciderWaitsForTheInstancesThatServe) {
+  World Under;
+  Under.pool("chat", "1", {{DataCentreId{"lahore"}, 2}});
+  Under.serving("a", "lahore", "Serving");
+  Under.serving("b", "lahore", "Serving");
+  const auto Unheard = Under.m_Members.m_Members.extract(InstanceId{"b"});
+  const Assignment &InForce = Under.m_Declarations.m_Assignment.m_Value;
+  const auto May = [&](std::chrono::milliseconds SinceTakeover) {
+    return mayPlan(InForce, Under.m_Members, SinceTakeover);
+  };
+  // What it would do now: b is not heard yet, and loses its place.
+  EXPECT_FALSE(Under.plan().m_Instances.contains(InstanceId{"b"}));
+  EXPECT_FALSE(May(std::chrono::milliseconds(0)));
+  EXPECT_FALSE(May(SettlingLimit - std::chrono::milliseconds(1)));
+  EXPECT_TRUE(May(SettlingLimit));
+  Under.agent("b", "lahore").m_State = MemberState::Suspect;
+  EXPECT_TRUE(May(std::chrono::milliseconds(0)));
+  EXPECT_TRUE(Under.plan().m_Instances.contains(InstanceId{"b"}));
+}
+
+TEST(Assignment, TheFirstPlanWaitsForNobody) {
+  World Under;
+  Under.pool("chat", "1", {{DataCentreId{"lahore"}, 2}});
+  Under.agent("a", "lahore");
+  EXPECT_TRUE(
+      mayPlan(Under.m_Declarations.m_Assignment.m_Value, Under.m_Members, {}));
+}
+
 } // namespace
