--- a/src/ctl/resource.cc
+++ b/src/ctl/resource.cc
@@ -2,6 +2,7 @@
 
 #include "deckpitch/declaration.h"
 #include "deckpitch/json-reader.h"
+#include "deckpitch/name.h"
 
 #include <boost/json.hpp>
 
@@ -25,7 +26,12 @@
     Out.m_Value = Value.as_object().at("value");
   Reader.object(
       "value",
-      [&](JsonObjectReader &Inner) { Inner.required("name", Out.m_Name); },
+      [&](JsonObjectReader &Inner) {
+        Inner.required("name", Out.m_Name);
+        // The name becomes part of the request's path before the entry sees it.
+        if (!Out.m_Name.empty() && !isGoodName(Out.m_Name))
+          Inner.problem("name", GoodNameExpected);
+      },
       UnknownKeys::Ignore);
   if (Value.is_object() && !Reader.has("value"))
     Reader.problem("value", "the declared object");
--- a/src/kernel/declaration.cc
+++ b/src/kernel/declaration.cc
@@ -1,6 +1,7 @@
 #include "deckpitch/declaration.h"
 
 #include "deckpitch/json-reader.h"
+#include "deckpitch/name.h"
 
 #include <boost/json.hpp>
 
@@ -14,13 +15,11 @@
 constexpr std::string_view NameCharacters =
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
 
-/// Names become parts of paths and of weights ids, so their characters are few.
+/// An empty one is missing, which its reader has reported if it is needed.
 void checkName(JsonObjectReader &Reader, std::string_view Key,
                const std::string &Name) {
-  const bool Fits = Name.size() <= MaxNameBytes &&
-                    Name.find_first_not_of(NameCharacters) == std::string::npos;
-  if (!Fits)
-    Reader.problem(Key, "at most 100 letters, digits, '-', '_' or '.'");
+  if (!Name.empty() && !isGoodName(Name))
+    Reader.problem(Key, GoodNameExpected);
 }
 
 void readReadiness(JsonObjectReader &Reader, Problems &Found,
@@ -59,6 +58,12 @@
 
 } // namespace
 
+bool isGoodName(std::string_view Name) {
+  return Name.size() <= MaxNameBytes &&
+         Name.find_first_not_of(NameCharacters) == std::string_view::npos &&
+         Name.find_first_not_of('.') != std::string_view::npos;
+}
+
 WeightsId weightsOf(const Pool &Value) {
   if (Value.m_Kind == PoolKind::Service)
     return {};
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -4,6 +4,10 @@
 
 #include <boost/json.hpp>
 
+#include <arpa/inet.h>
+
+#include <charconv>
+
 namespace deckpitch {
 
 namespace {
@@ -62,6 +66,66 @@
   Reader.optional("instanceConcurrency", Out.m_InstanceConcurrency, 1, 100'000);
 }
 
+bool isIp(const std::string &Host) {
+  in6_addr Ignored{};
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
+    return inet_pton(AF_INET6, Host.substr(1, Host.size() - 2).c_str(),
+                     &Ignored) == 1;
+  return inet_pton(AF_INET, Host.c_str(), &Ignored) == 1;
+}
+
+bool isIpAndPort(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  std::uint16_t Port = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data() + Colon + 1, End, Port);
+  return Read.ec == std::errc{} && Read.ptr == End &&
+         isIp(Text.substr(0, Colon));
+}
+
+/// Collects the faults of addresses; an empty one is none.
+class AddressCheck {
+public:
+  explicit AddressCheck(Problems &Found) : m_Found(Found) {}
+
+  void bound(const std::string &Path, const std::string &Text) {
+    if (!Text.empty() && !isIpAndPort(Text))
+      add(Path, Text, "\"ip:port\"");
+  }
+
+  /// Of a port towards the outside: its adapter judges what has a scheme.
+  void outside(const std::string &Path, const std::string &Text) {
+    const bool HasScheme = Text.find("://") != std::string::npos;
+    if (!Text.empty() && !HasScheme && !isIpAndPort(Text))
+      add(Path, Text, "\"ip:port\" or \"scheme://address\"");
+  }
+
+private:
+  void add(const std::string &Path, const std::string &Text,
+           const char *Expected) {
+    m_Found.m_List.push_back(
+        {Path, boost::json::serialize(boost::json::string(Text)), Expected});
+  }
+
+  Problems &m_Found;
+};
+
+void checkAddresses(const Settings &Value, Problems &Found) {
+  AddressCheck Check(Found);
+  Check.bound("listen.control", Value.m_Listen.m_Control);
+  Check.bound("listen.requests", Value.m_Listen.m_Requests);
+  Check.bound("listen.bulk", Value.m_Listen.m_Bulk);
+  Check.bound("listen.operator", Value.m_Listen.m_Operator);
+  for (std::size_t I = 0; I < Value.m_Entries.size(); ++I)
+    Check.bound("entries[" + std::to_string(I) + "]", Value.m_Entries[I]);
+  Check.outside("platform", Value.m_Platform);
+  Check.outside("upstream.address", Value.m_Upstream.m_Address);
+  Check.outside("weights.origin", Value.m_Weights.m_Origin);
+  Check.outside("weights.store", Value.m_Weights.m_Store);
+}
+
 } // namespace
 
 Result<Settings> parseSettings(std::string_view Json) {
@@ -108,6 +172,7 @@
     Reader.problem("platform",
                    "\"ip:port\" of the platform's object interface");
   Reader.finish();
+  checkAddresses(Out, Found);
   if (!Found.m_List.empty())
     return failWith(std::move(Found));
   return Out;
