Let only the corrupt chunk of the origin rest

One chunk with a wrong digest made the whole origin rest for a second at the agent that read it. Since that chunk was also the first to be tried again, the agent read about one sound chunk a second for as long as the fault lasted. The test of corrupt chunks from the origin took 27.5 s for that reason; the transfers themselves were ruled out, they take well below a second.

Now the chunk rests alone, first for a second, then twice as long each time, up to a minute. An origin that refuses or fails still rests as a whole.

Shown to fail without: with a rest of the whole origin Swarm.ACorruptChunkFromTheOriginRestsAlone fails, without the growth Swarm.AChunkThatStaysCorruptRestsEverLonger.

--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -34,6 +34,8 @@
   Duration m_StallAfter = std::chrono::seconds(2); ///< without a byte
   Duration m_OriginStep = std::chrono::seconds(1); ///< least, for each rank
   Duration m_OriginRest = std::chrono::seconds(1); ///< after it refused
+  /// The rest of one chunk doubles up to this while it arrives corrupted.
+  Duration m_CorruptRestMost = std::chrono::minutes(1);
   Duration m_SetAside = std::chrono::seconds(10);
   Duration m_SetAsideLong = std::chrono::minutes(10);
 
@@ -193,6 +195,12 @@
     TimePoint m_Until{};
   };
 
+  /// A chunk that the origin gave with a wrong digest.
+  struct CorruptRead {
+    Duration m_Rest{};
+    TimePoint m_Until{};
+  };
+
   Peer *find(PeerNumber Number);
   std::uint32_t uploads() const;
   bool hasRoom() const;
@@ -210,6 +218,8 @@
   bool mayRead(std::uint32_t Chunk, TimePoint Now) const;
   void readForTime(SwarmActions &Out, TimePoint Now);
   void startRead(std::uint32_t Chunk, SwarmActions &Out);
+  bool rests(std::uint32_t Chunk, TimePoint Now) const;
+  void restChunk(std::uint32_t Chunk, TimePoint Now);
   bool starved(TimePoint Now) const;
   void openWindow(TimePoint Now);
   Duration originStep() const;
@@ -239,6 +249,7 @@
   std::uint32_t m_Opened = 0;    ///< chunks below this are due
   std::set<std::uint32_t> m_Reading;
   TimePoint m_OriginRestUntil{};
+  std::map<std::uint32_t, CorruptRead> m_CorruptReads;
   Duration m_SeenDelay{}; ///< moving mean from due to seen
   TimePoint m_LastGain{};
   TimePoint m_AskedPeers{};
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -61,7 +61,7 @@
 }
 
 bool Swarm::mayRead(std::uint32_t Chunk, TimePoint Now) const {
-  if (!wants(Chunk) || m_Taken.contains(Chunk))
+  if (!wants(Chunk) || m_Taken.contains(Chunk) || rests(Chunk, Now))
     return false;
   const Duration Wait =
       std::min<std::uint32_t>(m_Rank[Chunk], MaxRank) * originStep();
@@ -75,6 +75,18 @@
          Now - m_LastGain > originStep() + Wait / 2;
 }
 
+bool Swarm::rests(std::uint32_t Chunk, TimePoint Now) const {
+  const auto Found = m_CorruptReads.find(Chunk);
+  return Found != m_CorruptReads.end() && Now < Found->second.m_Until;
+}
+
+void Swarm::restChunk(std::uint32_t Chunk, TimePoint Now) {
+  CorruptRead &Record = m_CorruptReads[Chunk];
+  Record.m_Rest = std::clamp(2 * Record.m_Rest, m_Options.m_OriginRest,
+                             m_Options.m_CorruptRestMost);
+  Record.m_Until = Now + Record.m_Rest;
+}
+
 void Swarm::startRead(std::uint32_t Chunk, SwarmActions &Out) {
   m_Reading.insert(Chunk);
   m_Taken.insert(Chunk);
@@ -107,7 +119,7 @@
   const auto Start = static_cast<std::uint32_t>(m_Random()) % m_Here.size();
   for (std::uint32_t I = 0; I < m_Here.size(); ++I) {
     const std::uint32_t Chunk = (Start + I) % m_Here.size();
-    if (!wants(Chunk))
+    if (!wants(Chunk) || rests(Chunk, Now))
       continue;
     ++m_ExtraReads;
     m_LastGain = Now;
@@ -122,6 +134,7 @@
     return Out;
   if (How == OriginOutcome::Good && wants(Chunk)) {
     m_Unstaged.insert(Chunk);
+    m_CorruptReads.erase(Chunk);
     ++m_Counters.m_FromOrigin;
     m_LastGain = Now;
     markSeen(Chunk, Now);
@@ -133,7 +146,13 @@
     ++m_Counters.m_Duplicates;
     return Out;
   }
-  m_Counters.m_Corrupt += How == OriginOutcome::Corrupt;
+  if (How == OriginOutcome::Corrupt) {
+    // The others may be sound; only this one has to wait.
+    ++m_Counters.m_Corrupt;
+    restChunk(Chunk, Now);
+    readOrigin(Out, Now);
+    return Out;
+  }
   m_OriginRestUntil = Now + m_Options.m_OriginRest;
   return Out;
 }
--- a/test/swarm-test.cc
+++ b/test/swarm-test.cc
@@ -115,6 +115,44 @@
   EXPECT_TRUE(Under.onGrant(1, Start).empty());
 }
 
+std::uint32_t readsOf(std::uint32_t Chunk, const SwarmActions &Actions) {
+  return static_cast<std::uint32_t>(
+      std::ranges::count(Actions, SwarmAction(ReadOrigin{Chunk})));
+}
+
+TEST(Swarm, ACorruptChunkFromTheOriginRestsAlone) {
+  Swarm Under = makeSwarm(8);
+  EXPECT_EQ(readsOf(0, Under.onTick(Start)), 1U);
+  const SwarmActions Next =
+      Under.onOriginReply(0, Swarm::OriginOutcome::Corrupt, Start);
+  EXPECT_THAT(Next, ElementsAre(ReadOrigin{2}));
+}
+
+TEST(Swarm, AChunkThatStaysCorruptRestsEverLonger) {
+  SwarmOptions Options;
+  Options.m_CorruptRestMost = 4 * Options.m_OriginRest;
+  Swarm Under = makeSwarm(1, Options);
+  TimePoint Now = Start;
+  EXPECT_EQ(readsOf(0, Under.onTick(Now)), 1U);
+  for (int Times : {1, 2, 4, 4}) {
+    Under.onOriginReply(0, Swarm::OriginOutcome::Corrupt, Now);
+    Now += Times * Options.m_OriginRest;
+    EXPECT_EQ(readsOf(0, Under.onTick(Now - 1ms)), 0U) << Times;
+    EXPECT_EQ(readsOf(0, Under.onTick(Now)), 1U) << Times;
+  }
+}
+
+TEST(Swarm, AnOriginThatRefusesRestsForAllChunks) {
+  SwarmOptions Options;
+  Swarm Under = makeSwarm(8, Options);
+  Under.onTick(Start);
+  EXPECT_THAT(Under.onOriginReply(0, Swarm::OriginOutcome::Refused, Start),
+              IsEmpty());
+  const TimePoint Rested = Start + Options.m_OriginRest;
+  EXPECT_EQ(readsOf(0, Under.onTick(Rested - 1ms)), 0U);
+  EXPECT_EQ(readsOf(0, Under.onTick(Rested)), 1U);
+}
+
 TEST(Swarm, AStallIsToldByProgress) {
   SwarmOptions Options;
   Swarm Under = makeSwarm(4, Options);
