Activate only the digest that the manifest names, also after a restart

A loaded version was compared with its manifest only while a complete copy was at hand. After a restart of the agent, or before its copy was complete, weights that the engine had loaded and confirmed with another digest were activated unseen.

Weights that do not serve yet are now activated only with a manifest at hand and its digest equal; the agent remembers what it loaded, so a rollback asks the origin for nothing in the same life. Weights that serve stay, so an origin that is down stops nobody who serves. Other content in use under the wanted name is drained and unloaded instead of being ordered over and over, which the engine refuses.

Shown to fail without, each taken out once, by Servable.*: the comparison of digests (also Rollout.OtherContentUnderTheSameNameDoesNotServe); that a copy is complete before it is loaded; that a chunk counts only once it is stored; the need for a manifest. Without the rule for content in use only Rollout.OtherContentUnderTheSameNameDoesNotServe fails.

--- a/include/deckpitch/rollout.h
+++ b/include/deckpitch/rollout.h
@@ -58,9 +58,10 @@
 /// Decides the next step from the engine's own word. The engine swaps without
 /// a gap when a second slot is free; otherwise it is drained first, which
 /// happens only for weights the assignment lets it activate.
-/// Copies: what the agent knows of the weights in staging. Served: what the
-/// instance last served; those weights stay ready for their pool until others
-/// replace them, and never for another pool.
+/// Copies: what the agent knows of the weights in staging, and of those that
+/// it loaded; weights are activated only with the digest named there. Served:
+/// what the instance last served; those weights stay ready for their pool until
+/// others replace them, and never for another pool.
 RolloutStep nextStep(const InstanceGoal &Goal, const EngineStatus &Engine,
                      const std::vector<CopyState> &Copies,
                      const AssignedPool &Served, std::uint32_t InFlight);
--- a/src/daemon/weights-agent.cc
+++ b/src/daemon/weights-agent.cc
@@ -132,6 +132,8 @@
     publish(ServingReport{m_Goal.m_Pool, {}, {}, false, 0, 0, "EngineDown"});
     co_return FaultRest;
   }
+  std::erase_if(m_LoadedHere,
+                [&](const auto &Each) { return !Engine->find(Each.first); });
   const RolloutStep Step =
       nextStep(m_Goal, *Engine, copyStates(), m_Served,
                m_Process.m_InFlight.load(std::memory_order_relaxed));
@@ -152,6 +154,9 @@
   std::vector<CopyState> Out;
   for (const auto &[Weights, Each] : m_Copies)
     Out.push_back(Each->state());
+  for (const auto &[Weights, Each] : m_LoadedHere)
+    if (!m_Copies.contains(Weights))
+      Out.push_back(Each);
   return Out;
 }
 
@@ -279,8 +284,13 @@
   const auto Copy = m_Copies.at(Weights);
   const auto Done =
       co_await m_Context.m_Engine.load(Copy->manifest(), m_Goal.m_Fence);
-  if (Done)
+  if (Done) {
+    // Without its chunks: they may be given up while the weights stay loaded.
+    CopyState State = Copy->state();
+    State.m_Complete = false;
+    m_LoadedHere[Weights] = std::move(State);
     co_return;
+  }
   noteRefusal(Done.error(), Weights);
   if (Done.error().m_Code == ErrorCode::CorruptData) {
     // The staged chunks are checked again, and the bad ones fetched.
--- a/src/daemon/weights-agent.h
+++ b/src/daemon/weights-agent.h
@@ -63,6 +63,8 @@
   std::map<WeightsId, std::shared_ptr<WeightsCopy>> m_Copies;
   std::map<WeightsId, std::vector<PeerAddress>> m_Peers;
   std::vector<Manifest> m_Manifests; ///< of copies in staging, newest last
+  /// What the engine loaded on this agent's order and still holds.
+  std::map<WeightsId, CopyState> m_LoadedHere;
   InstanceGoal m_Goal;
   AssignedPool m_Served;
   std::uint64_t m_Generation = 0; ///< of the declarations last looked at
--- a/src/kernel/rollout.cc
+++ b/src/kernel/rollout.cc
@@ -61,7 +61,10 @@
   if (IsAdapter && !Engine.find(Copy->m_Base))
     return stepTowards(Copy->m_Base, MayDrain, Goal, Engine, Copies, Ready,
                        InFlight);
-  if (IsAdapter || slotsUsed(Engine) < Engine.m_Slots)
+  // Other content that is in use under this name has to go first.
+  const LoadedWeights *Other = Engine.find(Wanted);
+  const bool InUse = Other && Other->m_Active;
+  if (!InUse && (IsAdapter || slotsUsed(Engine) < Engine.m_Slots || Other))
     return {StepKind::Load, Wanted, Ready, "Loading"};
   if (const LoadedWeights *Unwanted = findUnwanted(Goal, Engine, Copies))
     return {StepKind::Unload, Unwanted->m_Weights, Ready, "Loading"};
@@ -77,15 +80,18 @@
   return {StepKind::Unload, Victim, false, "Draining"};
 }
 
-/// The engine holds these weights, and not other content under their name.
+/// The engine holds these weights with the digest that their manifest names.
+/// Without a manifest at hand only those are taken that serve already: they
+/// were activated by their digest before this agent was restarted.
 const LoadedWeights *findGenuine(const WeightsId &Weights,
                                  const EngineStatus &Engine,
                                  const std::vector<CopyState> &Copies) {
   const LoadedWeights *Held = Engine.find(Weights);
   const CopyState *Copy = findCopy(Copies, Weights);
-  const bool Differs =
-      Held && Copy && Copy->m_Complete && Held->m_Digest != Copy->m_Whole;
-  return Differs ? nullptr : Held;
+  if (!Held)
+    return nullptr;
+  const bool Genuine = Copy ? Held->m_Digest == Copy->m_Whole : Held->m_Active;
+  return Genuine ? Held : nullptr;
 }
 
 } // namespace
