Start the drain of the process that the platform's mark names

Cause: the leaving mark of the platform's instance list reached the view of all members, but the process that it names went on; only SIGTERM and the operators' drain started its shutdown.

Weighed: a new field of the heartbeat's reply. An update with the member's own record says the same and needs no new wire format, and an older release ignores it. It is sent at each heartbeat of a member that must leave, so one that is lost costs a period. The entry that reads the list reads its own mark. A mark counts for the life that was known when it appeared, so a restarted process is not drained by the mark of the past one.

The log says who asked: signal, operator, platform (own list), member.

--- a/include/deckpitch/membership-table.h
+++ b/include/deckpitch/membership-table.h
@@ -70,6 +70,9 @@
   std::vector<MemberRecord> takeChanges(std::size_t Most);
   std::vector<MemberRecord> records() const;
   const MemberRecord *find(const InstanceId &Id) const;
+  /// The life of this member that is leaving, as far as is known here; no life
+  /// when it is not. For this entry itself: what the platform's list says.
+  Incarnation leavingLife(const InstanceId &Id) const;
   /// Equal at entries with the same view, but for load and sequences.
   std::uint64_t digest() const;
   MembershipView view() const;
--- a/src/daemon/membership-agent.cc
+++ b/src/daemon/membership-agent.cc
@@ -42,6 +42,8 @@
       onReply(InstanceId{Message.sender()}, Body.reply());
     else if (Body.has_heartbeat())
       onEntry(Message, Body.heartbeat());
+    else if (Body.has_update())
+      leaveIfTold(m_Process, Body.update());
   }
 
   void beginDrain() override { beat(); }
--- a/src/daemon/membership-entry.cc
+++ b/src/daemon/membership-entry.cc
@@ -111,6 +111,9 @@
       for (const net::PlatformInstance &Each : *Listed)
         List.push_back({InstanceId{Each.m_Name}, Each.m_Leaving});
       m_Table->applyPlatformList(List);
+      const InstanceId &Self = m_Process.m_Settings.m_Instance;
+      if (m_Table->leavingLife(Self) == m_Process.m_Incarnation)
+        m_Process.m_StartDrain("platform");
       publishSoon();
     }
   }
@@ -216,6 +219,7 @@
   }
 
   void onUpdate(const wire::MemberUpdate &Update) {
+    leaveIfTold(m_Process, Update);
     bool News = false;
     for (const wire::Member &Each : Update.members())
       if (!Each.id().empty())
@@ -256,6 +260,9 @@
     if (Sender && Sender->m_Member.m_Role == Role::Agent)
       tellEntries(*Sender, Beat.has_member(), *Reply);
     m_Process.m_Bus->send(Beat.address(), std::move(Message));
+    // Told at each heartbeat: one that is lost delays the drain by a period.
+    if (Sender && m_Table->leavingLife(To).m_Value != 0)
+      sendRecords(Beat.address(), {*Sender});
   }
 
   /// An agent is told its nearest entries when they change for it, and with
--- a/src/daemon/membership-self.cc
+++ b/src/daemon/membership-self.cc
@@ -37,6 +37,16 @@
   return Self;
 }
 
+void leaveIfTold(const Process &In, const wire::MemberUpdate &Update) {
+  for (const wire::Member &Each : Update.members()) {
+    const Member Told = fromWire(Each).m_Member;
+    if (Told.m_Id == In.m_Settings.m_Instance &&
+        Told.m_Incarnation == In.m_Incarnation &&
+        Told.m_State == MemberState::Leaving && !In.m_Leaving.load())
+      In.m_StartDrain("member");
+  }
+}
+
 bool HeartbeatWriter::advance() {
   Member Next = selfOf(m_In);
   ++m_Sequence;
--- a/src/daemon/membership-self.h
+++ b/src/daemon/membership-self.h
@@ -9,6 +9,9 @@
 /// The process's own member as of now.
 Member selfOf(const Process &In);
 
+/// Starts the drain if a record says that this life of the process leaves.
+void leaveIfTold(const Process &In, const wire::MemberUpdate &Update);
+
 /// Numbers heartbeats and decides which are sent whole: when something changed
 /// that is worth it, and now and then.
 class HeartbeatWriter {
--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -47,6 +47,9 @@
   std::atomic<std::uint32_t> m_InFlight{0};  ///< agents: by the requests module
   std::atomic<std::uint32_t> m_Waiting{0};   ///< agents: by the requests module
   std::atomic<bool> m_Leaving{false};        ///< set once, when draining begins
+  /// Starts the graceful shutdown, as SIGTERM does; once, from any thread. The
+  /// text says who asked. By the runner.
+  std::function<void(std::string)> m_StartDrain = [](const std::string &) {};
 };
 
 /// A path prefix of one of the process's HTTP ports. Handlers run on workers.
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -10,6 +10,7 @@
 #include <future>
 #include <iostream>
 #include <optional>
+#include <utility>
 
 namespace deckpitch::daemon {
 
@@ -75,7 +76,12 @@
   explicit Runner(Settings Value)
       : m_Threads(Value.m_Threads),
         m_Process(std::move(Value), newIncarnation(), m_Threads),
-        m_Signals(m_Threads.control(), SIGINT, SIGTERM) {}
+        m_Signals(m_Threads.control(), SIGINT, SIGTERM) {
+    m_Process.m_StartDrain = [this](std::string Source) {
+      asio::post(m_Threads.control(),
+                 [this, Source = std::move(Source)] { beginDrain(Source); });
+    };
+  }
 
   int run() {
     makeModules();
@@ -164,7 +170,7 @@
   void startModules() {
     m_Signals.async_wait([this](const boost::system::error_code &Ec, int) {
       if (!Ec)
-        beginDrain();
+        beginDrain("signal");
     });
     for (NamedModule &Each : m_Modules) {
       const auto Started = outcomeOf([&]() -> Result<bool> {
@@ -194,10 +200,10 @@
              {{"control", Bound.m_Control}, {"requests", Bound.m_Requests}});
   }
 
-  void beginDrain() {
+  void beginDrain(const std::string &Source) {
     if (m_Process.m_Leaving.exchange(true))
       return;
-    net::log(Event::ProcessDraining);
+    net::log(Event::ProcessDraining, {{"source", Source}});
     for (NamedModule &Each : m_Modules)
       Each.m_Module->beginDrain();
     m_DrainEnd =
@@ -219,6 +225,8 @@
   }
 
   void finish() {
+    if (std::exchange(m_Finished, true))
+      return;
     for (NamedModule &Each : m_Modules)
       Each.m_Module->stop();
     m_Done.set_value();
@@ -270,7 +278,7 @@
   }
 
   asio::awaitable<void> drain(net::HttpResponder &Answer) {
-    asio::post(m_Threads.control(), [this] { beginDrain(); });
+    m_Process.m_StartDrain("operator");
     co_await Answer.send(net::jsonResponse(202, R"({"state":"leaving"})"));
   }
 
@@ -300,6 +308,7 @@
   std::chrono::steady_clock::time_point m_DrainEnd;
   asio::steady_timer m_DrainTimer{m_Threads.control()};
   std::promise<void> m_Done;
+  bool m_Finished = false;
 };
 
 } // namespace
--- a/src/kernel/membership-table.cc
+++ b/src/kernel/membership-table.cc
@@ -141,7 +141,7 @@
       m_ListedLeaving.erase(Each.m_Id);
       continue;
     }
-    if (At == m_Known.end() || Each.m_Id == m_SelfId)
+    if (At == m_Known.end())
       continue;
     Known &Of = At->second;
     const auto [Mark, Fresh] = m_ListedLeaving.try_emplace(
@@ -151,7 +151,9 @@
     if (!ThisLife || Of.m_Leaving)
       continue;
     Of.m_Leaving = true;
-    if (Of.m_Record.m_Member.m_State == MemberState::Gone)
+    // This entry says of itself that it leaves once its drain has begun.
+    if (Each.m_Id == m_SelfId ||
+        Of.m_Record.m_Member.m_State == MemberState::Gone)
       continue;
     Of.m_Record.m_Member.m_State = MemberState::Leaving;
     Of.m_Record.m_Member.m_Source = MemberSource::Platform;
@@ -254,6 +256,13 @@
   return At == m_Known.end() ? nullptr : &At->second.m_Record;
 }
 
+Incarnation MembershipTable::leavingLife(const InstanceId &Id) const {
+  const auto At = m_Known.find(Id);
+  if (At == m_Known.end() || !At->second.m_Leaving)
+    return {};
+  return At->second.m_Record.m_Member.m_Incarnation;
+}
+
 std::uint64_t MembershipTable::digest() const {
   std::uint64_t Sum = 0;
   for (const auto &[Id, Of] : m_Known) {
--- a/test/membership-table-test.cc
+++ b/test/membership-table-test.cc
@@ -232,6 +232,30 @@
   EXPECT_EQ(Of.seenAs(MemberState::Alive, "a1"), 5U);
 }
 
+TEST(Membership, TheLifeThatLeavesIsKnownWhereverTheMarkArrived) {
+  Fleet Of(5, 4);
+  Of.steps(3);
+  EXPECT_EQ(Of.m_Tables.at({"e1"}).leavingLife({"a1"}), Incarnation{});
+  Of.m_Tables.at({"e0"}).applyPlatformList({{{"a1"}, true}});
+  Of.steps(6);
+  for (auto &[Id, Table] : Of.m_Tables) {
+    EXPECT_EQ(Table.leavingLife({"a1"}), Incarnation{1}) << Id.m_Text;
+    EXPECT_EQ(Table.leavingLife({"a2"}), Incarnation{}) << Id.m_Text;
+  }
+  Of.m_Members[{"a1"}].m_Incarnation = {2};
+  Of.steps(6);
+  for (auto &[Id, Table] : Of.m_Tables)
+    EXPECT_EQ(Table.leavingLife({"a1"}), Incarnation{}) << Id.m_Text;
+}
+
+TEST(Membership, AnEntryReadsItsOwnMark) {
+  Fleet Of(3, 1);
+  Of.steps(3);
+  Of.m_Tables.at({"e0"}).applyPlatformList({{{"e0"}, true}});
+  EXPECT_EQ(Of.m_Tables.at({"e0"}).leavingLife({"e0"}), Incarnation{1});
+  EXPECT_EQ(Of.stateAt("e0", "e0"), MemberState::Alive);
+}
+
 TEST(Membership, AShortHeartbeatOfAnUnknownLifeAsksForTheWhole) {
   MembershipTable Table(member("e0", Role::Entry), Limits);
   EXPECT_FALSE(Table.heardShort({}, {{"a1"}, {1}, 5, {}, {}}));
