Show paused holders, wrong lists and frozen centres on real processes

Each is judged by the whole history of every process and, where orders are concerned, by every order that the engine stand-in received; it records them now with the answer that it gave.

Rows: a paused holder of the assigner's lease on strict and on lax engines; a version changed twice within one rollout; going back to an older version; an object of a newer release at processes of this one; the platform's list wrong both ways; all processes of one data centre frozen and back, which is no cut of the network.

An entry's own replica may lag behind the answer to a write, so the tests read the written revision at the platform.

--- a/support/standins/engine.cc
+++ b/support/standins/engine.cc
@@ -26,6 +26,7 @@
 constexpr std::size_t CachedPrefixes = 64;
 constexpr std::size_t MaxCacheEvents = 1024;
 constexpr std::size_t MaxKvEntries = 256;
+constexpr std::size_t MaxOrdersKept = 1'000;
 constexpr std::uint32_t MaxTokens = 100'000;
 constexpr std::size_t EngineBodyBytes = std::size_t{64} * 1024 * 1024;
 
@@ -164,6 +165,7 @@
     }
     if (Path == "/v1/engine/orders" && Request.m_Method == "POST") {
       net::HttpResponse Response = order(Request);
+      recordOrder(Request, Response);
       if (m_Faults.m_LoseOrderAnswers)
         co_return Answer.abort();
       co_await Answer.send(std::move(Response));
@@ -174,6 +176,11 @@
 
   asio::awaitable<bool> control(const net::HttpRequest &Request,
                                 net::HttpResponder &Answer) override {
+    if (Request.path() == "/_standin/orders") {
+      const json::array Orders(m_OrderLog.begin(), m_OrderLog.end());
+      co_await Answer.send(net::jsonResponse(200, json::serialize(Orders)));
+      co_return true;
+    }
     if (Request.path() != "/_standin/executions")
       co_return false;
     co_await Answer.send(
@@ -234,6 +241,15 @@
     return jsonObjectResponse(200, Out);
   }
 
+  /// The order with the status that it got, for tests.
+  void recordOrder(const net::HttpRequest &Request,
+                   const net::HttpResponse &Response) {
+    m_OrderLog.push_back(json::object{{"order", parseBody(Request.m_Body)},
+                                      {"status", Response.m_Status}});
+    if (m_OrderLog.size() > MaxOrdersKept)
+      m_OrderLog.pop_front();
+  }
+
   net::HttpResponse order(const net::HttpRequest &Request) {
     const json::value Value = parseBody(Request.m_Body);
     const json::object *Order = asObject(Value);
@@ -488,6 +504,7 @@
   std::uint64_t m_Tokens = 0;
   std::uint64_t m_Orders = 0;
   std::uint64_t m_StaleOrders = 0;
+  std::deque<json::value> m_OrderLog;
 };
 
 } // namespace
--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -86,15 +86,16 @@
   for (std::size_t Each = 0; Each < m_Entries.size(); ++Each)
     if (Each != I && !m_Entries[Each].m_Control.empty())
       Others.emplace_back(m_Entries[Each].m_Control);
-  return json::serialize(
-      json::object{{"role", "entry"},
-                   {"instance", m_Entries[I].m_Instance},
-                   {"dataCentre", m_Options.m_DataCentres.front()},
-                   {"platform", platform()},
-                   {"entries", std::move(Others)},
-                   {"listen", listenSettings(m_Entries[I])},
-                   {"drainLimitMs", 20'000},
-                   {"membership", membershipSettings()}});
+  const auto &Centres = m_Options.m_DataCentres;
+  const std::size_t Centre = m_Options.m_SpreadEntries ? I % Centres.size() : 0;
+  return json::serialize(json::object{{"role", "entry"},
+                                      {"instance", m_Entries[I].m_Instance},
+                                      {"dataCentre", Centres[Centre]},
+                                      {"platform", platform()},
+                                      {"entries", std::move(Others)},
+                                      {"listen", listenSettings(m_Entries[I])},
+                                      {"drainLimitMs", 20'000},
+                                      {"membership", membershipSettings()}});
 }
 
 std::string Cluster::agentSettings(std::size_t I) const {
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -19,6 +19,7 @@
   bool m_StrictFencing = false;
   bool m_Store = false; ///< gives agents the weight store besides the origin
   std::vector<std::string> m_DataCentres{"lahore"}; ///< agents in turn
+  bool m_SpreadEntries = false; ///< entries in turn too; else in the first
   std::string m_ServicePool = "orders";
 };
 
