Take addresses with a scheme wherever the upstream is called

Cause: the agent called its engine or service at the address as the settings gave it, so an address that names its adapter ("http://ip:port") was accepted and then reached nothing.

Change: requests, cancellations and health checks go to what stands behind the scheme; the scheme of a service's address is checked too. Each HTTP adapter states that it satisfies its port.

Shown: RolloutCluster.TakesAddressesThatNameTheirAdapter starts real processes with a scheme in every outside address; it failed with the bare address in the two modules of the agent.

--- a/src/adapters/engine-http.cc
+++ b/src/adapters/engine-http.cc
@@ -140,6 +140,8 @@
   return order(orderBody("unload", Weights, Fence));
 }
 
+static_assert(EnginePort<HttpEngine>);
+
 const AdapterRegistration<Engine, HttpEngine> Registered("http");
 
 } // namespace
--- a/src/adapters/origin-http.cc
+++ b/src/adapters/origin-http.cc
@@ -86,6 +86,8 @@
   }
 }
 
+static_assert(OriginPort<HttpOrigin>);
+
 const AdapterRegistration<Origin, HttpOrigin> Registered("http");
 
 } // namespace
--- a/src/adapters/platform-http.cc
+++ b/src/adapters/platform-http.cc
@@ -314,6 +314,8 @@
   co_return List;
 }
 
+static_assert(PlatformPort<HttpPlatform>);
+
 const AdapterRegistration<Platform, HttpPlatform> Registered("http");
 
 } // namespace
--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -45,11 +45,6 @@
     To.add(Name, std::string(Value));
 }
 
-/// Requests go over HTTP, whatever adapter the weights' orders take.
-std::string requestAddress(const Process &In) {
-  return net::parsePortAddress(In.m_Settings.m_Upstream.m_Address).m_Rest;
-}
-
 } // namespace
 
 net::HttpResponse agentAnswer(unsigned Status, std::string_view Outcome,
@@ -63,7 +58,7 @@
 }
 
 asio::awaitable<void> cancelAtEngine(Process &In, std::string RequestId) {
-  co_await cancelRequest(In, requestAddress(In), std::move(RequestId));
+  co_await cancelRequest(In, In.requestAddress(), std::move(RequestId));
 }
 
 EngineForward::EngineForward(Process &In, BoundRequest Request,
@@ -91,7 +86,7 @@
   const auto Left = milliseconds(m_Request.m_TimeLeft);
   const net::CallLimits Limits{
       .m_Connect = EngineConnect, .m_FirstByte = Left, .m_BetweenBytes = Left};
-  auto Opened = co_await m_Process.m_Http.open(requestAddress(m_Process),
+  auto Opened = co_await m_Process.m_Http.open(m_Process.requestAddress(),
                                                engineRequest(), Limits);
   if (m_Gone)
     co_return ForwardEnd::Lost;
@@ -200,7 +195,8 @@
                                .m_FirstByte = Left,
                                .m_BetweenBytes = Left,
                                .m_BodyBytes = MaxServiceAnswerBytes};
-  co_return co_await In.m_Http.call(requestAddress(In), std::move(Out), Limits);
+  co_return co_await In.m_Http.call(In.requestAddress(), std::move(Out),
+                                    Limits);
 }
 
 } // namespace deckpitch::daemon
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -41,8 +41,7 @@
   deckpitch::Problems Found;
   using namespace deckpitch::net;
   checkAdapter<Platform>("platform", Value.m_Platform, Found);
-  if (Value.m_Upstream.m_Kind == deckpitch::PoolKind::Engine)
-    checkAdapter<Engine>("upstream.address", Value.m_Upstream.m_Address, Found);
+  checkAdapter<Engine>("upstream.address", Value.m_Upstream.m_Address, Found);
   checkAdapter<Origin>("weights.origin", Value.m_Weights.m_Origin, Found);
   checkAdapter<Origin>("weights.store", Value.m_Weights.m_Store, Found);
   return Found;
--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -39,6 +39,10 @@
   }
   const std::unique_ptr<net::Platform> m_OwnPlatform = makePlatform();
   net::Platform &m_Platform = *m_OwnPlatform;
+  /// Requests to the upstream go over HTTP, whatever adapter its address names.
+  std::string requestAddress() const {
+    return net::parsePortAddress(m_Settings.m_Upstream.m_Address).m_Rest;
+  }
   Addresses m_Addresses; ///< bound addresses; set before any start()
   net::ControlBus *m_Bus = nullptr;
 
--- a/src/daemon/weights-agent.cc
+++ b/src/daemon/weights-agent.cc
@@ -127,7 +127,7 @@
   net::CallLimits Limits;
   Limits.m_FirstByte = std::chrono::milliseconds(2'000);
   const auto Answer = co_await m_Process.m_Http.call(
-      m_Process.m_Settings.m_Upstream.m_Address, std::move(Request), Limits);
+      m_Process.requestAddress(), std::move(Request), Limits);
   co_return Answer && Answer->m_Status == 200;
 }
 
--- a/test/bad-input-test.cc
+++ b/test/bad-input-test.cc
@@ -491,10 +491,13 @@
     Child Daemon("deckpitchd", Arguments);
     EXPECT_EQ(Daemon.waitForExit(), 2);
     EXPECT_EQ(Daemon.output(), "");
-    for (const std::string &Part : GetParam().m_Says)
-      EXPECT_NE(Daemon.errors().find(Path + ": " + Part), std::string::npos)
-          << Part << " not in\n"
-          << Daemon.errors();
+    const std::string Said = Daemon.errors();
+    for (const std::string &Part : GetParam().m_Says) {
+      std::string Line = Path + ": ";
+      Line += Part;
+      EXPECT_NE(Said.find(Line), std::string::npos) << Line << " not in\n"
+                                                    << Said;
+    }
   }
 }
 
--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -90,7 +90,7 @@
       json::object{{"role", "entry"},
                    {"instance", m_Entries[I].m_Instance},
                    {"dataCentre", m_Options.m_DataCentres.front()},
-                   {"platform", platform()},
+                   {"platform", m_Options.m_Scheme + platform()},
                    {"entries", std::move(Others)},
                    {"listen", listenSettings(m_Entries[I])},
                    {"drainLimitMs", 20'000},
@@ -105,14 +105,15 @@
   json::object Upstream{{"name", "standin"},
                         {"kind", IsEngine ? "engine" : "service"}};
   if (IsEngine) {
-    Upstream["address"] = m_Engines[I].m_Address;
+    Upstream["address"] = m_Options.m_Scheme + m_Engines[I].m_Address;
   } else {
-    Upstream["address"] = m_Services[I - m_Engines.size()].m_Address;
+    Upstream["address"] =
+        m_Options.m_Scheme + m_Services[I - m_Engines.size()].m_Address;
     Upstream["pool"] = m_Options.m_ServicePool;
   }
-  json::object Weights{{"origin", origin()}};
+  json::object Weights{{"origin", m_Options.m_Scheme + origin()}};
   if (m_Options.m_Store)
-    Weights["store"] = store();
+    Weights["store"] = m_Options.m_Scheme + store();
   const auto &Centres = m_Options.m_DataCentres;
   return json::serialize(
       json::object{{"role", "agent"},
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -20,6 +20,7 @@
   bool m_Store = false; ///< gives agents the weight store besides the origin
   std::vector<std::string> m_DataCentres{"lahore"}; ///< agents in turn
   std::string m_ServicePool = "orders";
+  std::string m_Scheme; ///< of outside addresses in settings, as "http://"
 };
 
 /// A deckpitchd and what it announced.
--- a/test/port-contract-test.cc
+++ b/test/port-contract-test.cc
@@ -401,8 +401,9 @@
     return *m_Loop.await(Origin.manifest(Weights));
   }
   void stage(const WeightsId &Weights, std::uint32_t Index) {
-    EXPECT_TRUE(m_Loop.await(port().stage(
-        Weights, Index, standins::contentBytes(7, Index * 10, 10))));
+    const std::uint64_t Offset = std::uint64_t{Index} * 10;
+    EXPECT_TRUE(m_Loop.await(
+        port().stage(Weights, Index, standins::contentBytes(7, Offset, 10))));
   }
   void stageBoth(const WeightsId &Weights) {
     stage(Weights, 0);
--- a/test/rollout-cluster-test.cc
+++ b/test/rollout-cluster-test.cc
@@ -27,6 +27,27 @@
   EXPECT_LE(originBytes(Under), 4 * MiB * 105 / 100);
 }
 
+TEST(RolloutCluster, TakesAddressesThatNameTheirAdapter) {
+  Cluster Under({.m_Entries = 1,
+                 .m_Engines = 1,
+                 .m_Services = 1,
+                 .m_Store = true,
+                 .m_Scheme = "http://"});
+  ASSERT_TRUE(Under.start()) << Under.failure();
+  Under.addWeights("m@1", MiB, ChunkBytes);
+  ASSERT_TRUE(Under.declarePool("chat", "m", "1")) << Under.logs();
+  ASSERT_TRUE(Under.declareServicePool("/orders")) << Under.logs();
+  const auto Answered = [&](const std::string &Target, const char *Body) {
+    const auto Got = call(Under.entry(0).m_Requests, "POST", Target, Body);
+    return statusOf(Got) == 200;
+  };
+  EXPECT_TRUE(eventually([&] {
+    return Answered("/v1/chat/completions", R"({"model":"chat"})");
+  })) << Under.logs();
+  EXPECT_TRUE(eventually([&] { return Answered("/orders/1", "x"); }))
+      << Under.logs();
+}
+
 /// Chunks in the staging of one engine, by its own word.
 std::size_t staged(Cluster &Under, std::size_t Engine) {
   const auto Status =
