--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -88,14 +88,15 @@
       Others.emplace_back(m_Entries[Each].m_Control);
   const auto &Centres = m_Options.m_DataCentres;
   const std::size_t Centre = m_Options.m_SpreadEntries ? I % Centres.size() : 0;
-  return json::serialize(json::object{{"role", "entry"},
-                                      {"instance", m_Entries[I].m_Instance},
-                                      {"dataCentre", Centres[Centre]},
-                                      {"platform", platform()},
-                                      {"entries", std::move(Others)},
-                                      {"listen", listenSettings(m_Entries[I])},
-                                      {"drainLimitMs", 20'000},
-                                      {"membership", membershipSettings()}});
+  return json::serialize(
+      json::object{{"role", "entry"},
+                   {"instance", m_Entries[I].m_Instance},
+                   {"dataCentre", Centres[Centre]},
+                   {"platform", m_Options.m_Scheme + platform()},
+                   {"entries", std::move(Others)},
+                   {"listen", listenSettings(m_Entries[I])},
+                   {"drainLimitMs", 20'000},
+                   {"membership", membershipSettings()}});
 }
 
 std::string Cluster::agentSettings(std::size_t I) const {
@@ -106,14 +107,15 @@
   json::object Upstream{{"name", "standin"},
                         {"kind", IsEngine ? "engine" : "service"}};
   if (IsEngine) {
-    Upstream["address"] = m_Engines[I].m_Address;
+    Upstream["address"] = m_Options.m_Scheme + m_Engines[I].m_Address;
   } else {
-    Upstream["address"] = m_Services[I - m_Engines.size()].m_Address;
+    Upstream["address"] =
+        m_Options.m_Scheme + m_Services[I - m_Engines.size()].m_Address;
     Upstream["pool"] = m_Options.m_ServicePool;
   }
-  json::object Weights{{"origin", origin()}};
+  json::object Weights{{"origin", m_Options.m_Scheme + origin()}};
   if (m_Options.m_Store)
-    Weights["store"] = store();
+    Weights["store"] = m_Options.m_Scheme + store();
   const auto &Centres = m_Options.m_DataCentres;
   return json::serialize(
       json::object{{"role", "agent"},
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -21,6 +21,7 @@
   std::vector<std::string> m_DataCentres{"lahore"}; ///< agents in turn
   bool m_SpreadEntries = false; ///< entries in turn too; else in the first
   std::string m_ServicePool = "orders";
+  std::string m_Scheme; ///< of outside addresses in settings, as "http://"
 };
 
 /// A deckpitchd and what it announced.
