--- a/src/daemon/declarations-follower.cc
+++ b/src/daemon/declarations-follower.cc
@@ -1,6 +1,7 @@
 #include "daemon/declarations-follower.h"
 
 #include "daemon/clock.h"
+#include "deckpitch/back-off.h"
 #include "net/log.h"
 
 #include <boost/asio.hpp>
@@ -19,15 +20,6 @@
 /// An event is confirmed by lists after this; more events join in.
 constexpr std::chrono::milliseconds ConfirmAfter{200};
 constexpr std::chrono::milliseconds LeastBetweenLists{1'000};
-constexpr std::chrono::milliseconds FirstBackOff{250};
-constexpr std::chrono::milliseconds MostBackOff{15'000};
-constexpr unsigned MostDoublings = 6;
-
-Duration backOff(unsigned Failures) {
-  const Duration Long =
-      FirstBackOff * (1U << std::min(Failures, MostDoublings));
-  return std::min<Duration>(Long, MostBackOff);
-}
 
 } // namespace
 
@@ -52,12 +44,6 @@
   m_WatchTimer.cancel();
 }
 
-Duration PlatformFollower::jittered(Duration Value) {
-  std::uniform_real_distribution<double> Share(0.5, 1.0);
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(Value.count()) * Share(m_Random)));
-}
-
 asio::awaitable<void> PlatformFollower::pause(asio::steady_timer &Timer,
                                               Duration For) {
   Timer.expires_after(For);
@@ -97,7 +83,7 @@
     m_Failures = Listed ? 0 : m_Failures + 1;
     m_Exchange.tick();
     if (!Listed) {
-      co_await pause(m_ListTimer, jittered(backOff(m_Failures)));
+      co_await pause(m_ListTimer, jittered(backOff(m_Failures), m_Random));
       continue;
     }
     m_WatchTimer.cancel();
@@ -122,7 +108,7 @@
         replicatedKinds(), Since,
         [this](const net::PlatformEvent &Event) { return onEvent(Event); });
     if (!m_Stopping)
-      co_await pause(m_WatchTimer, jittered(FirstBackOff * 4));
+      co_await pause(m_WatchTimer, jittered(FirstBackOff * 4, m_Random));
   }
 }
 
--- a/src/daemon/declarations-follower.h
+++ b/src/daemon/declarations-follower.h
@@ -32,7 +32,6 @@
   boost::asio::awaitable<void> pause(boost::asio::steady_timer &Timer,
                                      Duration For);
   bool onEvent(const net::PlatformEvent &Event);
-  Duration jittered(Duration Value);
 
   Process &m_Process;
   DeclarationExchange &m_Exchange;
--- a/test/lease-test.cc
+++ b/test/lease-test.cc
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <numeric>
 #include <optional>
+#include <vector>
 
 using namespace deckpitch;
 using namespace std::chrono_literals;
@@ -46,6 +49,7 @@
       const Lease::Step Step = m_Lease.next(at(Real), m_Wanted);
       if (Step.m_Kind == Lease::Step::Kind::Wait)
         return;
+      ++m_Calls;
       if (Step.m_Kind == Lease::Step::Kind::Read) {
         if (Down)
           m_Lease.onUnread(at(Real));
@@ -65,6 +69,7 @@
   Duration m_Offset;
   double m_Speed;
   bool m_Wanted = true;
+  unsigned m_Calls = 0; ///< of the platform
 };
 
 TEST(Lease, OneOfTwoHoldsAndGivesItBack) {
@@ -176,6 +181,56 @@
   EXPECT_FALSE(Again.held(1s));
 }
 
+TEST(Lease, AHolderWhoseNameAnotherLifeTookStopsAtOnce) {
+  LeaseObject Object;
+  Candidate A("a");
+  A.run(0s, Object);
+  ASSERT_TRUE(A.held(2s));
+  Object.m_Record = LeaseRecord{InstanceId{"a"}, {2}, 2, 9};
+  Object.m_At = {Object.m_At.m_Value + 1};
+  for (Duration T = 3s; T <= 4s; T += 100ms)
+    A.run(T, Object);
+  EXPECT_FALSE(A.held(4s));
+}
+
+/// The three that stand ready, with the platform down for ten minutes.
+TEST(Lease, TenMinutesOfOutageEndWithOneHolderAndFewCalls) {
+  constexpr Duration Down = 20s;
+  constexpr Duration Up = Down + 600s;
+  LeaseObject Object;
+  std::vector<Candidate> All{Candidate("a"), Candidate("b", 7h, 1.1),
+                             Candidate("c", -9h, 0.9)};
+  const auto Held = [&](Duration T) {
+    return std::count_if(All.begin(), All.end(),
+                         [&](const Candidate &Each) { return Each.held(T); });
+  };
+  const auto Calls = [&] {
+    return std::accumulate(
+        All.begin(), All.end(), 0U,
+        [](unsigned Sum, const Candidate &Each) { return Sum + Each.m_Calls; });
+  };
+  unsigned AtDown = 0;
+  unsigned AtUp = 0;
+  for (Duration T = 0s; T < Up + 60s; T += 100ms) {
+    AtDown = T == Down ? Calls() : AtDown;
+    AtUp = T == Up ? Calls() : AtUp;
+    for (Candidate &Each : All)
+      Each.run(T, Object, false, T >= Down && T < Up);
+    ASSERT_LE(Held(T), 1) << T.count();
+    // None acts on a right that it cannot renew.
+    if (T >= Down + Limits.m_Duration * 2 && T < Up) {
+      ASSERT_EQ(Held(T), 0) << T.count();
+    }
+    // The first second after it: no more than one read and write each.
+    if (T == Up + 1s) {
+      EXPECT_LE(Calls() - AtUp, 2 * All.size());
+    }
+  }
+  EXPECT_EQ(Held(Up + 59s), 1);
+  // A read every third of the duration, by each clock.
+  EXPECT_LE(AtUp - AtDown, 3 * 200 * 12 / 10);
+}
+
 TEST(Lease, AStaleReadDoesNotMoveTheTakeOver) {
   LeaseObject Object;
   Candidate A("a");
--- a/test/membership-table-test.cc
+++ b/test/membership-table-test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 
 using namespace deckpitch;
@@ -256,6 +257,99 @@
   EXPECT_EQ(Of.stateAt("e0", "e0"), MemberState::Alive);
 }
 
+/// Replaced one after the other, with no list from the platform at all.
+TEST(Membership, TenMinutesWithoutThePlatformLoseNobody) {
+  Fleet Of(5, 20);
+  Of.steps(3);
+  for (auto &[Id, Each] : Of.m_Members) {
+    Of.m_Dead.insert(Id);
+    Of.steps(4);
+    Of.m_Dead.erase(Id);
+    ++Each.m_Incarnation.m_Value;
+    if (Each.m_Role == Role::Entry) {
+      Of.m_Tables.at(Id) = MembershipTable(Each, Limits);
+      for (const auto &[Other, Known] : Of.m_Members)
+        Of.m_Tables.at(Id).merge(Of.m_Now, {Known, 1});
+    }
+    Of.steps(20);
+  }
+  ASSERT_GE(Of.m_Now.time_since_epoch(), 600s);
+  for (const auto &[Id, Each] : Of.m_Members)
+    for (const auto &[Entry, Table] : Of.m_Tables) {
+      const MemberRecord *Found = Table.find(Id);
+      ASSERT_NE(Found, nullptr);
+      EXPECT_EQ(Found->m_Member.m_State, MemberState::Alive) << Id.m_Text;
+      EXPECT_EQ(Found->m_Member.m_Incarnation, Incarnation{2}) << Id.m_Text;
+    }
+}
+
+/// One entry that watches one agent.
+struct Watch {
+  Watch() {
+    m_Table.heard(TimePoint(0s), {member("a1", Role::Agent), 5});
+    m_Table.tick(TimePoint(0s)); // the watch begins
+  }
+  MemberState state() const { return m_Table.find({"a1"})->m_Member.m_State; }
+
+  MembershipTable m_Table{member("e0", Role::Entry), Limits};
+};
+
+TEST(Membership, TheOthersHaveAPeriodToAnswerBeforeOneIsSuspected) {
+  Watch Of;
+  EXPECT_EQ(Of.m_Table.tick(TimePoint(3'000ms)).size(), 1U);
+  Of.m_Table.tick(TimePoint(3'900ms));
+  EXPECT_EQ(Of.state(), MemberState::Alive);
+  Of.m_Table.tick(TimePoint(4'000ms));
+  EXPECT_EQ(Of.state(), MemberState::Suspect);
+}
+
+TEST(Membership, AnothersSuspicionIsNoSignOfLife) {
+  Watch Of;
+  Member Suspected = member("a1", Role::Agent);
+  Suspected.m_State = MemberState::Suspect;
+  Of.m_Table.merge(TimePoint(2'900ms), {Suspected, 5});
+  Of.m_Table.tick(TimePoint(13s));
+  Of.m_Table.tick(TimePoint(15s));
+  EXPECT_EQ(Of.state(), MemberState::Gone);
+}
+
+TEST(Membership, LeavingThatArrivesLateStillCounts) {
+  Watch Of;
+  Member Leaves = member("a1", Role::Agent);
+  Leaves.m_State = MemberState::Leaving;
+  EXPECT_TRUE(Of.m_Table.merge(TimePoint(1s), {Leaves, 4}));
+  EXPECT_EQ(Of.state(), MemberState::Leaving);
+  Of.m_Table.heard(TimePoint(2s), {member("a1", Role::Agent), 6});
+  EXPECT_EQ(Of.state(), MemberState::Leaving);
+}
+
+TEST(Membership, AWatchThatIsTakenOverBeginsThen) {
+  MembershipTable Table(member("e0", Role::Entry), Limits);
+  Table.merge(TimePoint(0s), {member("e1", Role::Entry), 1});
+  Table.merge(TimePoint(0s), {member("e2", Role::Entry), 1});
+  std::vector<InstanceId> Taken;
+  for (int I = 0; I < 30; ++I) {
+    const Member Agent = member("a" + std::to_string(I), Role::Agent);
+    Table.merge(TimePoint(0s), {Agent, 1});
+    const auto Watchers = Table.watchersOf(Agent);
+    if (std::find(Watchers.begin(), Watchers.end(), InstanceId{"e0"}) ==
+        Watchers.end())
+      Taken.push_back(Agent.m_Id);
+  }
+  ASSERT_FALSE(Taken.empty());
+  Table.tick(TimePoint(0s));
+  Member Gone = member("e1", Role::Entry);
+  Gone.m_State = MemberState::Gone;
+  Table.merge(TimePoint(100s), {Gone, 2});
+  for (const SilenceQuestion &Each : Table.tick(TimePoint(100s)))
+    EXPECT_EQ(std::count(Taken.begin(), Taken.end(), Each.m_Silent), 0)
+        << Each.m_Silent.m_Text;
+  std::size_t Asked = 0;
+  for (const SilenceQuestion &Each : Table.tick(TimePoint(103s)))
+    Asked += std::count(Taken.begin(), Taken.end(), Each.m_Silent);
+  EXPECT_EQ(Asked, Taken.size());
+}
+
 TEST(Membership, AShortHeartbeatOfAnUnknownLifeAsksForTheWhole) {
   MembershipTable Table(member("e0", Role::Entry), Limits);
   EXPECT_FALSE(Table.heardShort({}, {{"a1"}, {1}, 5, {}, {}}));
