Read a token's fields without making a document

Cause: 8 % of an entry's processor time went to a JSON document for each token. Change: a handler of Boost.JSON's basic_parser takes the checked fields as they pass, by place, so that a field of the same name deeper does not count. The table of 29 events, cut at every byte, gives the same verdicts and content with the code before and after.

--- a/src/kernel/token-stream.cc
+++ b/src/kernel/token-stream.cc
@@ -1,6 +1,5 @@
 #include "deckpitch/token-stream.h"
-
-#include <boost/json.hpp>
+#include "token-event.h"
 
 namespace deckpitch {
 
@@ -11,28 +10,6 @@
 constexpr std::string_view LastData = "[DONE]";
 constexpr std::string_view EventEnd = "\n\n";
 
-std::string_view textOf(const boost::json::object &Object,
-                        std::string_view Key) {
-  const boost::json::value *Found = Object.if_contains(Key);
-  if (!Found || !Found->is_string())
-    return {};
-  return Found->get_string();
-}
-
-/// choices[0].delta.content, or empty.
-std::string_view contentOf(const boost::json::object &Event) {
-  const boost::json::value *Choices = Event.if_contains("choices");
-  if (!Choices || !Choices->is_array() || Choices->get_array().empty())
-    return {};
-  const boost::json::value &First = Choices->get_array().front();
-  if (!First.is_object())
-    return {};
-  const boost::json::value *Delta = First.get_object().if_contains("delta");
-  if (!Delta || !Delta->is_object())
-    return {};
-  return textOf(Delta->get_object(), "content");
-}
-
 std::string_view trimLeft(std::string_view Text) {
   return Text.starts_with(' ') ? Text.substr(1) : Text;
 }
@@ -97,27 +74,20 @@
 
 StreamFault TokenStreamChecker::checkData(std::string_view Json,
                                           StreamStep &Step) {
-  unsigned char Buffer[4096];
-  boost::json::monotonic_resource Memory(Buffer);
-  boost::json::error_code Ec;
-  const boost::json::value Parsed =
-      boost::json::parse({Json.data(), Json.size()}, Ec, &Memory);
-  if (Ec || !Parsed.is_object())
+  const auto Event =
+      readTokenEvent(Json, {.m_Id = m_Bound.m_RequestId,
+                            .m_Weights = m_Bound.m_Weights.m_Text,
+                            .m_Digest = m_Bound.m_Digest});
+  if (!Event)
     return StreamFault::Malformed;
-  const boost::json::object &Event = Parsed.get_object();
-  if (textOf(Event, "id") != m_Bound.m_RequestId)
+  if (!Event->m_IdFits)
     return StreamFault::OtherRequest;
-  if (textOf(Event, "weights") != m_Bound.m_Weights.m_Text ||
-      textOf(Event, "digest") != m_Bound.m_Digest)
+  if (!Event->m_WeightsFit || !Event->m_DigestFits)
     return StreamFault::MixedWeights;
-  const boost::json::value *Index = Event.if_contains("index");
-  boost::json::error_code NotNumber;
-  const auto Number =
-      Index ? Index->to_number<std::uint64_t>(NotNumber) : std::uint64_t{0};
-  if (!Index || NotNumber || Number != m_NextIndex)
+  if (Event->m_Index != m_NextIndex)
     return StreamFault::WrongIndex;
   ++m_NextIndex;
-  Step.m_Content += contentOf(Event);
+  Step.m_Content += Event->m_Content;
   return StreamFault::None;
 }
 
