End an attempt when its caller leaves; keep half-closed callers

Cause: a caller that left before the first token was noticed, but the entry's attempt went on until the upstream's first byte. And a caller that had only closed its sending side was taken for gone and lost its answer. Change: CallCancel ends HttpClient::open at any step; entry and agent use it. At a closed sending side the server sends an interim response at once and each second until the answer begins; nobody there answers with a reset. Ruled out: taking it for gone (loses answers), waiting for a failed write (keeps upstreams busy for nobody). Once a stream has begun, the next event finds the reset. The test TakesAHalfClosedClientForGone demanded the fault; it is replaced by AHalfClosedClientGetsItsWholeAnswer and TellsWhenAHalfClosedClientClosesLater, TellsWhenAClientCloses stays as it was.

--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -87,8 +87,9 @@
   const auto Left = milliseconds(m_Request.m_TimeLeft);
   const net::CallLimits Limits{
       .m_Connect = EngineConnect, .m_FirstByte = Left, .m_BetweenBytes = Left};
-  auto Opened = co_await m_Process.m_Http.open(
-      m_Process.m_Settings.m_Upstream.m_Address, engineRequest(), Limits);
+  auto Opened =
+      co_await m_Process.m_Http.open(m_Process.m_Settings.m_Upstream.m_Address,
+                                     engineRequest(), Limits, &m_Opening);
   if (m_Gone)
     co_return ForwardEnd::Lost;
   if (!Opened) {
@@ -175,6 +176,7 @@
 
 void EngineForward::callerGone() {
   m_Gone = true;
+  m_Opening.cancel();
   if (m_Open)
     m_Open->cancel();
   asio::co_spawn(m_Process.m_Threads.nextWorker(),
--- a/src/daemon/agent-forward.h
+++ b/src/daemon/agent-forward.h
@@ -45,6 +45,7 @@
   BoundRequest m_Request;
   net::HttpResponder &m_Answer;
   net::HttpStream *m_Open = nullptr;
+  net::CallCancel m_Opening;
   bool m_Gone = false;
 };
 
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -149,7 +149,7 @@
   const net::CallLimits Limits{.m_FirstByte = Limit,
                                .m_BetweenBytes = StallLimit};
   auto Opened = co_await m_Context.m_Process.m_Http.open(
-      To.m_Address, std::move(Request), Limits);
+      To.m_Address, std::move(Request), Limits, &m_Opening);
   if (!Opened) {
     if (!m_Gone)
       Counters->failed();
@@ -309,6 +309,7 @@
     m_Open->cancel();
     return;
   }
+  m_Opening.cancel();
   if (m_Upstream.empty())
     return;
   Process &In = m_Context.m_Process;
--- a/src/daemon/entry-chat.h
+++ b/src/daemon/entry-chat.h
@@ -53,6 +53,7 @@
   std::string m_Content;
   std::optional<net::HttpResponse> m_PassedOn;
   net::HttpStream *m_Open = nullptr;
+  net::CallCancel m_Opening;
   std::string m_Upstream;       ///< address of the attempt under way
   std::optional<Claim> m_Claim; ///< of the attempt under way
   bool m_Gone = false;
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -187,14 +187,36 @@
   bool m_Cancelled = false;
 };
 
+/// Lets a call's canceller close the connection that the call uses now.
+class AbortOnCancel {
+public:
+  AbortOnCancel(CallCancel *Cancel, Connection &Used) : m_Cancel(Cancel) {
+    if (m_Cancel)
+      m_Cancel->onCancel([&Socket = Used.m_Socket] {
+        boost::system::error_code Ignored;
+        Socket.close(Ignored);
+      });
+  }
+  ~AbortOnCancel() {
+    if (m_Cancel)
+      m_Cancel->onCancel(nullptr);
+  }
+  AbortOnCancel(const AbortOnCancel &) = delete;
+  AbortOnCancel &operator=(const AbortOnCancel &) = delete;
+
+private:
+  CallCancel *m_Cancel;
+};
+
 asio::awaitable<Outcome<std::unique_ptr<Connection>>>
 connect(asio::any_io_executor Executor, const std::string &Address,
-        std::chrono::milliseconds Limit) {
+        std::chrono::milliseconds Limit, CallCancel *Cancel) {
   const auto Endpoint = parseEndpoint(Address);
   if (!Endpoint)
     co_return Error{ErrorCode::InvalidInput,
                     "'" + Address + "' is not ip:port"};
   auto Fresh = std::make_unique<Connection>(Executor);
+  const AbortOnCancel Abort(Cancel, *Fresh);
   Fresh->m_Limit.expiresAfter(Limit);
   auto [Ec] = co_await Fresh->m_Socket.async_connect(*Endpoint, UseAwaitable);
   if (Fresh->m_Limit.passed())
@@ -212,7 +234,8 @@
 HttpClient::~HttpClient() = default;
 
 asio::awaitable<Outcome<std::unique_ptr<HttpStream>>>
-HttpClient::open(std::string Address, HttpRequest Request, CallLimits Limits) {
+HttpClient::open(std::string Address, HttpRequest Request, CallLimits Limits,
+                 CallCancel *Cancel) {
   const std::weak_ptr<Impl> Pool = m_Impl;
   auto Executor = co_await asio::this_coro::executor;
   const PoolKey Key{&Executor.context(), Address};
@@ -226,17 +249,21 @@
   Message.body() = std::move(Request.m_Body);
   Message.prepare_payload();
   const bool MayRepeat = Request.m_Method == "GET";
-  while (true) {
+  bool Sent = false;
+  while (!Cancel || !Cancel->cancelled()) {
     std::unique_ptr<Connection> Used;
     if (const auto Kept = Pool.lock())
       Used = Kept->takeIdle(Key);
     const bool Kept = Used != nullptr;
     if (!Kept) {
-      auto Fresh = co_await connect(Executor, Address, Limits.m_Connect);
+      auto Fresh =
+          co_await connect(Executor, Address, Limits.m_Connect, Cancel);
       if (!Fresh)
         co_return Fresh.error();
       Used = std::move(*Fresh);
     }
+    const AbortOnCancel Abort(Cancel, *Used);
+    Sent = true;
     Used->m_Limit.expiresAfter(Limits.m_FirstByte);
     auto [Ec, Bytes] =
         co_await http::async_write(Used->m_Socket, Message, UseAwaitable);
@@ -250,6 +277,8 @@
     if (!(Kept && MayRepeat && Closed))
       co_return unanswered(Address, Ec);
   }
+  co_return Error{Sent ? ErrorCode::Timeout : ErrorCode::Unavailable,
+                  Address + ": cancelled"};
 }
 
 asio::awaitable<Outcome<HttpResponse>>
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view InterimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::chrono::seconds ProbeEvery{1};
+constexpr unsigned Http11 = 11;
 
 void setHeaders(http::fields &Fields, const HttpHeaders &Headers) {
   for (const HttpHeader &Header : Headers.m_List)
@@ -37,9 +40,9 @@
 class Responder final : public HttpResponder {
 public:
   Responder(Connection &Served, std::chrono::milliseconds WriteTimeout,
-            bool KeepAlive)
-      : m_Served(Served), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive) {
-  }
+            bool KeepAlive, bool TakesInterim = false)
+      : m_Served(Served), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive),
+        m_TakesInterim(TakesInterim) {}
 
   asio::awaitable<bool> send(HttpResponse Response) override {
     if (m_Started || m_Failed)
@@ -112,6 +115,19 @@
     m_OnGone = std::move(Callback);
   }
 
+  /// Sends an interim response; false when there is nothing to probe.
+  bool probe() {
+    if (m_Started || m_Failed || !m_TakesInterim)
+      return false;
+    boost::system::error_code Ec;
+    const std::size_t Sent = m_Served.m_Socket.write_some(
+        asio::buffer(InterimResponse.data(), InterimResponse.size()), Ec);
+    if (Sent == InterimResponse.size() || Ec == asio::error::would_block)
+      return true;
+    gone();
+    return false;
+  }
+
   void gone() {
     if (m_Ended || m_Failed)
       return;
@@ -145,6 +161,7 @@
   std::string m_Frame; ///< kept, so that a chunk needs no memory of its own
   std::chrono::milliseconds m_WriteTimeout;
   bool m_KeepAlive;
+  bool m_TakesInterim;
   bool m_Started = false;
   bool m_Ended = false;
   bool m_Failed = false;
@@ -179,6 +196,9 @@
         continue;
       asio::co_spawn(Added->m_Socket.get_executor(), serve(Added),
                      [Self, Added](std::exception_ptr) {
+                       // What still waits on it would hold it open.
+                       boost::system::error_code Ignored;
+                       Added->m_Socket.close(Ignored);
                        std::lock_guard Lock(Self->m_Mutex);
                        Self->m_Connections.erase(Added.get());
                      });
@@ -274,9 +294,10 @@
       Request.m_Headers.add(std::string(Field.name_string()),
                             std::string(Field.value()));
     const bool KeepAlive = Message.keep_alive() && !m_Draining;
+    const bool TakesInterim = Message.version() >= Http11;
     Request.m_Body = std::move(Message.body());
     auto Answer = std::make_shared<Responder>(*Served, m_Limits.m_WriteTimeout,
-                                              KeepAlive);
+                                              KeepAlive, TakesInterim);
     watchForClose(Served, Answer, Buffer);
     bool Threw = false;
     try {
@@ -292,7 +313,7 @@
     co_return Answer->whole() && KeepAlive;
   }
 
-  /// Notices a client that closes while its answer is being made.
+  /// Notices a client that goes away while its answer is being made.
   void watchForClose(const std::shared_ptr<Connection> &Served,
                      const std::shared_ptr<Responder> &Answer,
                      beast::flat_buffer &Buffer) {
@@ -300,21 +321,48 @@
       return;
     std::weak_ptr<Responder> Weak = Answer;
     Served->m_Socket.async_wait(
-        tcp::socket::wait_read,
-        [Served, Weak](const boost::system::error_code &Ec) {
-          auto Watched = Weak.lock();
+        tcp::socket::wait_read, [Self = shared_from_this(), Served,
+                                 Weak](const boost::system::error_code &Ec) {
+          const auto Watched = Weak.lock();
           if (!Watched || Ec)
             return;
           char Byte = 0;
           boost::system::error_code Peek;
           const std::size_t Got = Served->m_Socket.receive(
               asio::buffer(&Byte, 1), tcp::socket::message_peek, Peek);
-          if (Peek == asio::error::would_block || (Got > 0 && !Peek))
+          if (Peek == asio::error::would_block || Got > 0)
             return;
-          Watched->gone();
+          if (Peek && Peek != asio::error::eof)
+            return Watched->gone();
+          asio::co_spawn(Served->m_Socket.get_executor(),
+                         probeHalfClosed(Served, Weak), asio::detached);
         });
   }
 
+  /// A client that closed its sending side may still want the answer. Interim
+  /// responses, which it must ignore, bring a reset when nobody is there.
+  static asio::awaitable<void>
+  probeHalfClosed(std::shared_ptr<Connection> Served,
+                  std::weak_ptr<Responder> Weak) {
+    Served->m_Socket.async_wait(
+        tcp::socket::wait_error,
+        [Served, Weak](const boost::system::error_code &Ec) {
+          const auto Watched = Weak.lock();
+          if (Watched && !Ec)
+            Watched->gone();
+        });
+    asio::steady_timer Pause(Served->m_Socket.get_executor());
+    while (true) {
+      {
+        const auto Watched = Weak.lock();
+        if (!Watched || !Watched->probe())
+          co_return;
+      }
+      Pause.expires_after(ProbeEvery);
+      co_await Pause.async_wait(UseAwaitable);
+    }
+  }
+
   IoThreads &m_Threads;
   tcp::acceptor m_Acceptor;
   HttpHandler m_Handler;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace deckpitch::net {
@@ -130,6 +131,24 @@
   virtual void cancel() = 0;
 };
 
+/// Ends one call from outside, also while it waits for its answer's head. Used
+/// on the loop that makes the call, and outlives the call.
+class CallCancel {
+public:
+  void cancel() {
+    m_Cancelled = true;
+    if (const auto Abort = std::exchange(m_Abort, nullptr))
+      Abort();
+  }
+  bool cancelled() const { return m_Cancelled; }
+  /// What cancel() does to the step of the call that is under way.
+  void onCancel(std::function<void()> Abort) { m_Abort = std::move(Abort); }
+
+private:
+  bool m_Cancelled = false;
+  std::function<void()> m_Abort;
+};
+
 /// Keeps connections for reuse, apart for each loop: a call runs wholly on the
 /// loop of the coroutine that makes it. A call is never repeated by the client,
 /// but for a GET on a kept connection that turned out closed. Errors:
@@ -145,7 +164,8 @@
   asio::awaitable<Outcome<HttpResponse>>
   call(std::string Address, HttpRequest Request, CallLimits Limits = {});
   asio::awaitable<Outcome<std::unique_ptr<HttpStream>>>
-  open(std::string Address, HttpRequest Request, CallLimits Limits = {});
+  open(std::string Address, HttpRequest Request, CallLimits Limits = {},
+       CallCancel *Cancel = nullptr);
 
   struct Impl;
 
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <functional>
 #include <thread>
 
@@ -106,6 +107,121 @@
   EXPECT_EQ(Answers[1].error().m_Code, ErrorCode::Timeout);
 }
 
+// The bytes after the first answer are what a late answer looks like.
+TEST(HttpClientContract, DropsAConnectionThatBroughtMoreThanItsAnswer) {
+  const std::string Late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+  ScriptedServer Server(
+      {[&](tcp::socket &Socket) { answerOnce(Socket, Whole + Late); },
+       [](tcp::socket &Socket) { answerOnce(Socket, Whole); }});
+  const auto Answers = callInTurn(Server.address(), {"POST", "POST"});
+  ASSERT_TRUE(Answers[0]);
+  ASSERT_TRUE(Answers[1]);
+  EXPECT_EQ(Answers[0]->m_Body, "ok");
+  EXPECT_EQ(Answers[1]->m_Body, "ok");
+}
+
+TEST(HttpClientContract, ReadsChunksThatComeTogetherAsOnePiece) {
+  ScriptedServer Server({[](tcp::socket &Socket) {
+    answerOnce(Socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "2\r\nab\r\n1;x=y\r\nc\r\n3\r\ndef\r\n0\r\n\r\n");
+  }});
+  asio::io_context Io;
+  HttpClient Client;
+  std::vector<Outcome<std::string>> Pieces;
+  asio::co_spawn(
+      Io,
+      [&]() -> asio::awaitable<void> {
+        HttpRequest Request;
+        auto Opened =
+            co_await Client.open(Server.address(), std::move(Request));
+        for (int I = 0; I < 3; ++I)
+          Pieces.push_back(co_await (*Opened)->read());
+      },
+      asio::detached);
+  Io.run();
+  ASSERT_TRUE(Pieces[0]);
+  EXPECT_EQ(*Pieces[0], "abcdef");
+  EXPECT_EQ(*Pieces[1], "");
+  EXPECT_EQ(*Pieces[2], "");
+}
+
+TEST(HttpClientContract, ReadsChunksThatAreCutAnywhere) {
+  const std::string Sent =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+  for (std::size_t Cut = 1; Cut < Sent.size(); ++Cut) {
+    ScriptedServer Server({[&](tcp::socket &Socket) {
+      boost::system::error_code Ignored;
+      answerOnce(Socket, Sent.substr(0, Cut));
+      std::this_thread::sleep_for(1ms);
+      asio::write(Socket, asio::buffer(Sent.substr(Cut)), Ignored);
+    }});
+    const auto Answer = callAndWait(Server.address(), {});
+    ASSERT_TRUE(Answer) << Cut;
+    EXPECT_EQ(Answer->m_Body, "abc") << Cut;
+  }
+}
+
+TEST(HttpClientContract, ReadsABodyThatEndsWithTheConnection) {
+  ScriptedServer Server({[](tcp::socket &Socket) {
+    answerOnce(Socket,
+               "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end");
+  }});
+  const auto Answer = callAndWait(Server.address(), {});
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->m_Body, "to the end");
+}
+
+TEST(HttpClientContract, CancelEndsACallThatWaitsForItsAnswer) {
+  std::atomic<bool> Asked{false};
+  ScriptedServer Server({[&](tcp::socket &Socket) {
+    answerOnce(Socket, "");
+    Asked = true;
+    untilClosed(Socket);
+  }});
+  asio::io_context Io;
+  HttpClient Client;
+  CallCancel Cancel;
+  std::vector<Outcome<std::unique_ptr<HttpStream>>> Ended;
+  asio::co_spawn(
+      Io,
+      [&]() -> asio::awaitable<void> {
+        HttpRequest Request;
+        CallLimits Limits;
+        Limits.m_FirstByte = 1h;
+        Ended.push_back(co_await Client.open(
+            Server.address(), std::move(Request), Limits, &Cancel));
+      },
+      asio::detached);
+  while (!Asked)
+    Io.run_one_for(1ms);
+  Cancel.cancel();
+  Io.run();
+  ASSERT_EQ(Ended.size(), 1U);
+  ASSERT_FALSE(Ended[0]);
+  EXPECT_EQ(Ended[0].error().m_Code, ErrorCode::Timeout);
+}
+
+TEST(HttpClientContract, ACancelledCallIsNotSent) {
+  asio::io_context Io;
+  HttpClient Client;
+  CallCancel Cancel;
+  Cancel.cancel();
+  std::vector<Outcome<std::unique_ptr<HttpStream>>> Ended;
+  asio::co_spawn(
+      Io,
+      [&]() -> asio::awaitable<void> {
+        HttpRequest Request;
+        CallLimits Limits;
+        Ended.push_back(co_await Client.open("127.0.0.1:1", std::move(Request),
+                                             Limits, &Cancel));
+      },
+      asio::detached);
+  Io.run();
+  ASSERT_FALSE(Ended.at(0));
+  EXPECT_EQ(Ended[0].error().m_Code, ErrorCode::Unavailable);
+}
+
 TEST(HttpClientContract, SaysUnavailableWhenNobodyListens) {
   const auto Answer = callAndWait("127.0.0.1:1", {});
   ASSERT_FALSE(Answer);
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -179,16 +179,53 @@
   EXPECT_TRUE(eventually([&] { return m_Gone == 1; }));
 }
 
-// A closed sending side cannot be told from a closed connection.
-TEST_F(HttpServerContract, TakesAHalfClosedClientForGone) {
+// The interim response shows that the server has seen the closed side.
+TEST_F(HttpServerContract, AHalfClosedClientGetsItsWholeAnswer) {
   RawConnection Client(m_Address);
   Client.send("GET /wait HTTP/1.1\r\n\r\n");
   ASSERT_TRUE(eventually([&] { return m_Waiting == 1; }));
   Client.closeSending();
+  EXPECT_NE(Client.readUntil("HTTP/1.1 100 Continue\r\n\r\n"), "");
+  m_Released = true;
+  EXPECT_NE(Client.readToEnd().find("released"), std::string::npos);
+  EXPECT_EQ(m_Gone, 0);
+  EXPECT_TRUE(eventually([&] { return m_Server.openRequests() == 0; }));
+}
+
+TEST_F(HttpServerContract, TellsWhenAHalfClosedClientClosesLater) {
+  RawConnection Client(m_Address);
+  Client.send("GET /wait HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(eventually([&] { return m_Waiting == 1; }));
+  Client.closeSending();
+  EXPECT_NE(Client.readUntil("HTTP/1.1 100 Continue\r\n\r\n"), "");
+  EXPECT_EQ(m_Gone, 0);
+  Client.close();
   EXPECT_TRUE(eventually([&] { return m_Gone == 1; }));
+}
+
+TEST_F(HttpServerContract, AHalfClosedOldClientGetsNoInterimResponse) {
+  RawConnection Client(m_Address);
+  Client.send("GET /wait HTTP/1.0\r\n\r\n");
+  ASSERT_TRUE(eventually([&] { return m_Waiting == 1; }));
+  Client.closeSending();
   m_Released = true;
-  EXPECT_EQ(Client.readToEnd(), "");
+  const std::string Read = Client.readToEnd();
+  EXPECT_EQ(Read.rfind("HTTP/1.1 200 ", 0), 0U) << Read;
+  EXPECT_NE(Read.find("released"), std::string::npos) << Read;
+}
+
+// Each byte is progress, but the limit is for the whole request.
+TEST_F(HttpServerContract, CutsOffASlowSenderOfHeaders) {
+  RawConnection Client(m_Address);
+  EXPECT_TRUE(eventually([&] {
+    Client.send("A");
+    return Client.hasAnswer();
+  }));
+  EXPECT_EQ(Client.readToEnd().rfind("HTTP/1.1 408 ", 0), 0U);
   EXPECT_TRUE(eventually([&] { return m_Server.openRequests() == 0; }));
+  const auto Other = callAndWait(m_Address, {});
+  ASSERT_TRUE(Other);
+  EXPECT_EQ(Other->m_Status, 200U);
 }
 
 TEST_F(HttpServerContract, FinishesTheAnswerWhenItDrains) {
--- a/test/raw-connection.h
+++ b/test/raw-connection.h
@@ -18,6 +18,13 @@
   explicit RawConnection(const std::string &Address) {
     m_Socket.connect(*net::parseEndpoint(Address));
   }
+  /// Takes no more from the server than this before it is read.
+  RawConnection(const std::string &Address, int ReceiveBytes) {
+    m_Socket.open(boost::asio::ip::tcp::v4());
+    m_Socket.set_option(
+        boost::asio::socket_base::receive_buffer_size(ReceiveBytes));
+    m_Socket.connect(*net::parseEndpoint(Address));
+  }
 
   /// False when the other side has closed already.
   bool send(const std::string &Bytes) {
@@ -31,6 +38,17 @@
   }
   void close() { m_Socket.close(); }
 
+  bool hasAnswer() { return m_Socket.available() > 0; }
+  /// Takes one byte; false at the end.
+  bool readByte(std::string &To) {
+    char Byte = 0;
+    boost::system::error_code Ec;
+    if (m_Socket.read_some(boost::asio::buffer(&Byte, 1), Ec) == 0)
+      return false;
+    To += Byte;
+    return true;
+  }
+
   /// Reads until what came contains the text; empty when the end came first.
   std::string readUntil(const std::string &Text) {
     while (m_Read.find(Text) == std::string::npos)
--- a/test/request-path-fixture.h
+++ b/test/request-path-fixture.h
@@ -10,6 +10,7 @@
 
 #include <future>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace deckpitch::test {
@@ -99,6 +100,7 @@
   std::atomic<int> m_Status{200};
   std::atomic<bool> m_Hang{false};
   std::atomic<bool> m_OtherId{false};
+  std::atomic<bool> m_AnswersLate{false}; ///< each gets the one before
   std::atomic<bool> m_DieAfterRun{false}; ///< plain service: answers nothing
   std::atomic<int> m_RunMs{0};            ///< plain service: how long it runs
   std::atomic<int> m_TokenDelayMs{0};
@@ -128,21 +130,42 @@
         std::span(reinterpret_cast<const std::uint8_t *>(m_Weights.data()),
                   m_Weights.size())));
   }
-  /// What a whole answer says.
-  std::string content() const {
+  /// What a whole answer to this user says.
+  std::string content(const std::string &User = "") const {
     std::string Text;
     for (int I = 0; I < m_Tokens; ++I)
-      Text += token(I);
+      Text += token(User, I);
     return Text;
   }
 
   FakeFaults m_Faults;
   std::atomic<int> m_Runs{0};
   std::atomic<int> m_Cancels{0};
+  std::atomic<int> m_Written{0}; ///< tokens
 
 private:
-  static std::string token(int Index) {
-    return "t" + std::to_string(Index) + " ";
+  static std::string token(const std::string &User, int Index) {
+    return User + "t" + std::to_string(Index) + " ";
+  }
+
+  struct Asked {
+    std::string m_Id;
+    std::string m_User;
+  };
+
+  /// Whom the next answer is for.
+  Asked answered(const net::HttpRequest &Request,
+                 const boost::json::object &Body) {
+    Asked Now{std::string(Request.m_Headers.find(daemon::header::RequestId)),
+              ""};
+    if (const auto *User = Body.if_contains("user"))
+      Now.m_User = User->as_string().c_str();
+    if (m_Faults.m_OtherId)
+      Now.m_Id = "another";
+    std::lock_guard Lock(m_Mutex);
+    if (m_Faults.m_AnswersLate)
+      std::swap(Now, m_Before);
+    return Now;
   }
 
   asio::awaitable<void> answer(net::HttpRequest Request,
@@ -189,11 +212,12 @@
     int Index = 0;
     if (Body.contains("resume_from"))
       Index = Body.at("resume_from").to_number<int>();
-    std::string Id(Request.m_Headers.find(daemon::header::RequestId));
-    if (m_Faults.m_OtherId)
-      Id = "another";
+    int Tokens = m_Tokens;
+    if (Body.contains("max_tokens"))
+      Tokens = Body.at("max_tokens").to_number<int>();
+    const Asked For = answered(Request, Body);
     co_await Answer.begin(200, {});
-    for (; Index < m_Tokens; ++Index) {
+    for (; Index < Tokens; ++Index) {
       if (m_Faults.m_BreakAfterTokens == Index) {
         m_Faults.m_BreakAfterTokens = -1;
         Answer.abort();
@@ -204,19 +228,21 @@
       const bool Mixed =
           m_Faults.m_MixAfterTokens >= 0 && Index >= m_Faults.m_MixAfterTokens;
       const boost::json::object Event{
-          {"id", Id},
+          {"id", For.m_Id},
           {"index", Index},
-          {"token", token(Index)},
+          {"token", token(For.m_User, Index)},
           {"weights", m_Weights},
           {"digest", Mixed ? std::string(64, '0') : digest()},
           {"choices",
            boost::json::array{
-               {{"index", 0}, {"delta", {{"content", token(Index)}}}}}}};
+               {{"index", 0},
+                {"delta", {{"content", token(For.m_User, Index)}}}}}}};
       const std::string Text =
           "data: " + boost::json::serialize(Event) + "\n\n";
       const bool Listening = co_await Answer.write(Text);
       if (!Listening)
         co_return;
+      ++m_Written;
     }
     co_await Answer.write("data: [DONE]\n\n");
     co_await Answer.end();
@@ -224,6 +250,8 @@
 
   std::string m_Weights;
   int m_Tokens;
+  std::mutex m_Mutex;
+  Asked m_Before; ///< under the mutex
   net::IoThreads m_Threads{2};
   net::HttpServer m_Server;
   std::string m_Address;
@@ -356,6 +384,37 @@
   return std::string(Response.m_Headers.find(daemon::header::Outcome));
 }
 
+/// The bytes of a streaming chat request, for a raw connection.
+inline std::string rawChat(const std::string &User, int Tokens, bool Stream) {
+  const std::string Body = boost::json::serialize(
+      boost::json::object{{"model", "chat"},
+                          {"stream", Stream},
+                          {"user", User},
+                          {"max_tokens", Tokens},
+                          {"messages", boost::json::array{}}});
+  return "POST /v1/chat/completions HTTP/1.1\r\nX-Deadline-Ms: 60000\r\n"
+         "Content-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// The body of a raw chunked answer, or empty when it is not whole.
+inline std::string bodyOfChunks(const std::string &Answer) {
+  std::size_t At = Answer.find("\r\n\r\n");
+  if (At == std::string::npos || !Answer.ends_with("\r\n0\r\n\r\n"))
+    return {};
+  std::string Body;
+  At += 4;
+  while (true) {
+    const std::size_t LineEnd = Answer.find("\r\n", At);
+    const std::size_t Size =
+        std::stoul(Answer.substr(At, LineEnd - At), {}, 16);
+    if (Size == 0)
+      return Body;
+    Body += Answer.substr(LineEnd + 2, Size);
+    At = LineEnd + 2 + Size + 2;
+  }
+}
+
 /// The concatenated content of a stream's events; empty without its end.
 inline std::string contentOfStream(const std::string &Body) {
   if (!Body.ends_with("data: [DONE]\n\n"))
--- a/test/request-path-test.cc
+++ b/test/request-path-test.cc
@@ -1,5 +1,8 @@
+#include "raw-connection.h"
 #include "request-path-fixture.h"
 
+#include <thread>
+
 using namespace deckpitch;
 using namespace deckpitch::test;
 
@@ -169,6 +172,95 @@
       [&] { return Path.m_Agents[0]->process().m_InFlight == 0; });
 }
 
+TEST(RequestPath, ACallerWhoLeavesBeforeTheFirstByteEndsTheAttempt) {
+  RequestPath Path(PoolKind::Engine, 1);
+  Path.m_Upstreams[0]->m_Faults.m_Hang = true;
+  RawConnection Caller(Path.entry().address());
+  Caller.send(rawChat("", 8, true));
+  RequestPath::waitUntil(
+      [&] { return Path.m_Agents[0]->process().m_InFlight == 1; });
+  Caller.close();
+  RequestPath::waitUntil(
+      [&] { return Path.entry().dump().at("open").to_number<int>() == 0; });
+  RequestPath::waitUntil(
+      [&] { return Path.m_Agents[0]->process().m_InFlight == 0; });
+  RequestPath::waitUntil([&] { return Path.m_Upstreams[0]->m_Cancels > 0; });
+  EXPECT_EQ(Path.m_Upstreams[0]->m_Runs, 0);
+}
+
+TEST(RequestPath, AHalfClosedCallerGetsItsWholeAnswer) {
+  for (const bool Stream : {false, true}) {
+    RequestPath Path(PoolKind::Engine, 1);
+    FakeUpstream &Upstream = *Path.m_Upstreams[0];
+    Upstream.m_Faults.m_Hang = true;
+    RawConnection Caller(Path.entry().address());
+    Caller.send(rawChat("half ", 8, Stream));
+    Caller.closeSending();
+    EXPECT_NE(Caller.readUntil("HTTP/1.1 100 Continue\r\n\r\n"), "");
+    Upstream.m_Faults.m_Hang = false;
+    const std::string Read = Caller.readToEnd();
+    const std::string Content = Upstream.content("half ");
+    EXPECT_TRUE(Stream ? contentOfStream(bodyOfChunks(Read)) == Content
+                       : Read.find(Content) != std::string::npos)
+        << Read;
+    EXPECT_EQ(Upstream.m_Cancels, 0);
+  }
+}
+
+TEST(RequestPath, ACallerWhoReadsByteByByteHoldsUpNobody) {
+  RequestPath Path(PoolKind::Engine, 1);
+  const FakeUpstream &Upstream = *Path.m_Upstreams[0];
+  RawConnection Slow(Path.entry().address(), 2048);
+  Slow.send(rawChat("slow ", 8, true));
+  std::string Read;
+  while (!Read.ends_with("\r\n0\r\n\r\n")) {
+    ASSERT_TRUE(Slow.readByte(Read)) << Read;
+    if (Read.size() % 256 == 0) {
+      EXPECT_EQ(contentOfStream(Path.chat(true)->m_Body), Upstream.content());
+    }
+  }
+  EXPECT_EQ(contentOfStream(bodyOfChunks(Read)), Upstream.content("slow "));
+}
+
+// More than all sockets between can hold: only memory could take the rest.
+TEST(RequestPath, ACallerWhoDoesNotReadStopsItsUpstream) {
+  constexpr int Tokens = 400'000;
+  RequestPath Path(PoolKind::Engine, 1);
+  const FakeUpstream &Upstream = *Path.m_Upstreams[0];
+  RawConnection Stuck(Path.entry().address(), 2048);
+  Stuck.send(rawChat("stuck ", Tokens, true));
+  int Before = -1;
+  while (Upstream.m_Written != Before && Before < Tokens) {
+    Before = Upstream.m_Written;
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  }
+  EXPECT_LT(Upstream.m_Written, Tokens);
+  for (int I = 0; I < 4; ++I)
+    EXPECT_EQ(contentOfStream(Path.chat(true)->m_Body), Upstream.content());
+}
+
+// On connections that are kept, a late answer meets the next request.
+TEST(RequestPath, ALateAnswerNeverReachesAnotherCaller) {
+  RequestPath Path(PoolKind::Engine, 2);
+  Path.m_Upstreams[0]->m_Faults.m_AnswersLate = true;
+  for (int I = 0; I < 12; ++I) {
+    const std::string User = "user-" + std::to_string(I) + " ";
+    net::HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Target = "/v1/chat/completions";
+    Request.m_Body = boost::json::serialize(
+        boost::json::object{{"model", "chat"},
+                            {"stream", true},
+                            {"user", User},
+                            {"messages", boost::json::array{User}}});
+    const auto Got = Path.call(std::move(Request));
+    ASSERT_TRUE(Got);
+    const std::string Content = contentOfStream(Got->m_Body);
+    EXPECT_EQ(Content, Path.m_Upstreams[0]->content(User));
+  }
+  EXPECT_GT(Path.m_Upstreams[0]->m_Runs, 0);
+}
+
 TEST(RequestPath, RefusesBadInputWithoutTouchingAnUpstream) {
   RequestPath Path(PoolKind::Engine, 1);
   const std::vector<std::string> Bodies{"",
