--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -86,8 +86,8 @@
   const auto Left = milliseconds(m_Request.m_TimeLeft);
   const net::CallLimits Limits{
       .m_Connect = EngineConnect, .m_FirstByte = Left, .m_BetweenBytes = Left};
-  auto Opened = co_await m_Process.m_Http.open(m_Process.requestAddress(),
-                                               engineRequest(), Limits);
+  auto Opened = co_await m_Process.m_Http.open(
+      m_Process.requestAddress(), engineRequest(), Limits, &m_Opening);
   if (m_Gone)
     co_return ForwardEnd::Lost;
   if (!Opened) {
@@ -174,6 +174,7 @@
 
 void EngineForward::callerGone() {
   m_Gone = true;
+  m_Opening.cancel();
   if (m_Open)
     m_Open->cancel();
   asio::co_spawn(m_Process.m_Threads.nextWorker(),
