--- a/src/daemon/entry-routes.cc
+++ b/src/daemon/entry-routes.cc
@@ -93,9 +93,12 @@
 }
 
 double capacityOf(const EntryRoutes &Routes, const PoolRoute &Pool) {
+  const double Entries =
+      std::max<double>(1, static_cast<double>(Routes.m_Table.m_Entries.size()));
   double Sum = 0;
   for (const UpstreamRoute &Each : Pool.m_Upstreams)
-    Sum += Routes.m_Counters.at(Each.m_Instance)->limit();
+    Sum += std::max(Routes.m_Counters.at(Each.m_Instance)->limit(),
+                    Each.m_Load.m_Limit / Entries);
   return Sum;
 }
 
--- a/src/daemon/entry-routes.h
+++ b/src/daemon/entry-routes.h
@@ -95,7 +95,9 @@
   SnapshotCell<EntryRoutes> m_Routes;
 };
 
-/// How many requests the pool's upstreams take at once from this entry.
+/// How many requests the pool's upstreams take at once from this entry: what
+/// it learned of each, but not less than its share of what the instance says,
+/// since first bytes that differ by nature look like load.
 double capacityOf(const EntryRoutes &Routes, const PoolRoute &Pool);
 
 /// What an instance was taken for when its agent refused an attempt.
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -23,6 +23,22 @@
         notRunResponse({.m_Status = 404, .m_Reason = "no such path"});
     co_return co_await answer(RequestOutcome::NotRun, std::move(Response));
   }
+  // Without any upstream there is nothing to wait for.
+  if (m_Pool->m_Upstreams.empty())
+    co_return co_await runAdmitted();
+  const PoolId Pool = m_Pool->m_Pool.m_Id;
+  const auto Gate = m_Context.m_Gates.of(Pool);
+  const AdmissionDecision Turn = co_await Gate->enter(
+      *m_Routes, *m_Pool, m_Call.m_Terms, m_Call.m_Deadline);
+  if (!Turn.m_Admitted) {
+    co_return co_await answer(RequestOutcome::NotRun, overloadResponse(Turn));
+  }
+  const Admission Held(Gate, m_Call.m_Terms.m_Organisation, m_Context.m_Routes,
+                       Pool);
+  co_return co_await runAdmitted();
+}
+
+asio::awaitable<RequestOutcome> ServiceCall::runAdmitted() {
   if (!m_Call.m_Terms.m_Idempotent && !m_Call.m_Terms.m_IdempotencyKey.empty())
     co_return co_await runKeyed();
   co_return co_await runUnkeyed();
--- a/src/daemon/pool-gate.cc
+++ b/src/daemon/pool-gate.cc
@@ -78,6 +78,14 @@
   }
 }
 
+/// By the routes of now: those at the admission may be long out of date.
+Admission::~Admission() {
+  const auto Routes = m_Routes.routes();
+  const auto Pool = Routes->m_Table.m_Pools.find(m_Pool);
+  const bool Known = Pool != Routes->m_Table.m_Pools.end();
+  m_Gate->leave(m_Organisation, Known ? capacityOf(*Routes, Pool->second) : 0);
+}
+
 std::shared_ptr<PoolGate> PoolGates::of(const PoolId &Pool) {
   std::lock_guard Lock(m_Mutex);
   auto &Gate = m_Gates[Pool];
--- a/src/daemon/pool-gate.h
+++ b/src/daemon/pool-gate.h
@@ -54,21 +54,22 @@
   std::map<PoolId, std::shared_ptr<PoolGate>> m_Gates;
 };
 
-/// Gives an admitted request's place back at the end of its scope.
+/// A place among the requests that run; given back at the end of its scope.
 class Admission {
 public:
   Admission(std::shared_ptr<PoolGate> Gate, OrganisationId Organisation,
-            double Capacity)
+            const RouteSource &Routes, PoolId Pool)
       : m_Gate(std::move(Gate)), m_Organisation(std::move(Organisation)),
-        m_Capacity(Capacity) {}
-  ~Admission() { m_Gate->leave(m_Organisation, m_Capacity); }
+        m_Routes(Routes), m_Pool(std::move(Pool)) {}
+  ~Admission();
   Admission(const Admission &) = delete;
   Admission &operator=(const Admission &) = delete;
 
 private:
   std::shared_ptr<PoolGate> m_Gate;
   OrganisationId m_Organisation;
-  double m_Capacity;
+  const RouteSource &m_Routes;
+  PoolId m_Pool;
 };
 
 } // namespace deckpitch::daemon
--- a/src/kernel/admission.cc
+++ b/src/kernel/admission.cc
@@ -40,9 +40,10 @@
   if (m_Smoothed == Duration::zero())
     m_Smoothed = Latency;
   m_Smoothed += (Latency - m_Smoothed) / LatencySmoothing;
-  if (m_Smoothed > Base * LatencyTolerance + ShrinkInterval / 10)
+  const bool IsLoaded = InFlight * 2 >= m_Limit;
+  if (IsLoaded && m_Smoothed > Base * LatencyTolerance + ShrinkInterval / 10)
     shrink(Now);
-  else if (InFlight * 2 >= m_Limit)
+  else if (IsLoaded)
     m_Limit = std::min(MostLimit, m_Limit + 1 / m_Limit);
 }
 
@@ -153,7 +154,9 @@
   m_VirtualTime = std::max(m_VirtualTime, Best->m_Tag);
   Best->m_Tag = m_VirtualTime + 1.0 / Best->m_Share;
   ++Best->m_InFlight;
-  ++m_InFlight;
+  // The time without any request says nothing of how fast they end.
+  if (m_InFlight++ == 0)
+    m_LastDrain = Now;
   return true;
 }
 
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -37,6 +37,28 @@
   EXPECT_EQ(admitted(Queue), (std::vector<AdmissionId>{3}));
 }
 
+// After a night without requests the first to wait is not told hours.
+TEST(AdmissionQueue, IdleTimeIsNoMeasureOfTheDrain) {
+  AdmissionQueue Queue;
+  for (int I = 0; I < 20; ++I) {
+    Queue.arrive(request(1, "a"), 1, Start + I * 10ms);
+    Queue.leave({"a"}, 1, Start + I * 10ms + 5ms);
+  }
+  Queue.arrive(request(2, "a"), 1, Start + 10h);
+  Queue.leave({"a"}, 1, Start + 10h + 5ms);
+  Queue.arrive(request(3, "a"), 1, Start + 10h + 6ms);
+  Queue.arrive(request(4, "a"), 1, Start + 10h + 6ms);
+  EXPECT_LT(Queue.expectedWait(Priority::Normal), 1s);
+}
+
+// A few slow first bytes are no sign of load where little is in flight.
+TEST(ConcurrencyLimit, ShrinksOnlyUnderLoad) {
+  ConcurrencyLimit Limit(16);
+  for (int I = 0; I < 100; ++I)
+    Limit.sample(I % 4 == 0 ? 20ms : 900ms, 2, Start + I * 200ms);
+  EXPECT_EQ(Limit.limit(), 16);
+}
+
 TEST(AdmissionQueue, SharesByWeightAndLendsWhatIsUnused) {
   AdmissionQueue Queue({.m_QueueLimit = 1'000});
   Queue.setShare({"large"}, 3, 1'000);
--- a/test/request-path-fixture.h
+++ b/test/request-path-fixture.h
@@ -267,8 +267,9 @@
   explicit RequestPath(
       PoolKind Kind, int Agents = 1, int Entries = 1,
       const std::string &Platform = "",
-      std::chrono::milliseconds Lifetime = RequestSettings().m_AddressLifetime)
-      : m_Kind(Kind) {
+      std::chrono::milliseconds Lifetime = RequestSettings().m_AddressLifetime,
+      std::uint32_t QueueLimit = Pool().m_QueueLimit)
+      : m_Kind(Kind), m_QueueLimit(QueueLimit) {
     for (int I = 0; I < Entries; ++I) {
       Settings Value;
       Value.m_Role = Role::Entry;
@@ -315,6 +316,7 @@
     Declared.m_Model = m_Kind == PoolKind::Engine ? "m" : "";
     Declared.m_Version = "1";
     Declared.m_Path = m_Kind == PoolKind::Service ? "/orders" : "";
+    Declared.m_QueueLimit = m_QueueLimit;
     Declarations->m_Pools[Declared.m_Id] = {{1}, Declared};
     auto View = std::make_shared<MembershipView>();
     for (auto &Each : m_Agents) {
@@ -386,6 +388,7 @@
   }
 
   PoolKind m_Kind;
+  std::uint32_t m_QueueLimit;
   std::vector<std::unique_ptr<FakeUpstream>> m_Upstreams;
   std::vector<std::unique_ptr<ModuleHost>> m_Agents;
   std::vector<std::unique_ptr<ModuleHost>> m_Entries;
--- a/test/request-path-test.cc
+++ b/test/request-path-test.cc
@@ -98,6 +98,39 @@
   EXPECT_EQ(boost::json::parse(Got->m_Body).at("weights").as_string(), "m@2");
 }
 
+// What the instance takes at once runs, one waits, and the last is told at
+// once when to come back.
+TEST(RequestPath, RefusesAtOnceWhatTheFullQueueCannotHold) {
+  constexpr int AtOnce = 16;
+  RequestPath Path(PoolKind::Engine, 1, 1, "",
+                   RequestSettings().m_AddressLifetime, 1);
+  Path.m_Upstreams[0]->m_Faults.m_Hang = true;
+  std::vector<std::future<Outcome<net::HttpResponse>>> Calls;
+  for (int I = 0; I < AtOnce + 2; ++I)
+    Calls.push_back(
+        std::async(std::launch::async, [&] { return Path.chat(false); }));
+  Path.waitUntil([&] {
+    return std::ranges::any_of(Calls, [](auto &Each) {
+      return Each.wait_for(std::chrono::seconds(0)) ==
+             std::future_status::ready;
+    });
+  });
+  Path.m_Upstreams[0]->m_Faults.m_Hang = false;
+  int Refused = 0;
+  for (auto &Each : Calls) {
+    const auto Got = Each.get();
+    ASSERT_TRUE(Got);
+    if (outcomeHeader(*Got) == "answered")
+      continue;
+    ++Refused;
+    EXPECT_EQ(Got->m_Status, 429u) << Got->m_Body;
+    EXPECT_EQ(outcomeHeader(*Got), "not-run");
+    EXPECT_NE(Got->m_Headers.find(daemon::header::RetryAfterMs), "");
+  }
+  EXPECT_EQ(Refused, 1);
+  EXPECT_EQ(Path.m_Upstreams[0]->m_Runs, AtOnce + 1);
+}
+
 // Nothing of the broken stream has reached the caller.
 TEST(RequestPath, StartsOverOnOtherWeightsWhileNothingIsDelivered) {
   RequestPath Path(PoolKind::Engine, 2);
