--- a/support/measure/measure-requests.cc
+++ b/support/measure/measure-requests.cc
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <unistd.h>
 
 using namespace deckpitch;
@@ -28,6 +29,9 @@
 constexpr int LongAnswer = 160;
 constexpr int UrgentEvery = 10;
 
+/// How callers spread their requests over the addresses.
+enum class Spread { Fixed, Random, RoundRobin, LeastOutstanding };
+
 /// One closed loop of callers.
 struct Load {
   std::vector<std::string> m_Addresses;
@@ -35,6 +39,7 @@
   milliseconds m_Deadline{2'000};
   milliseconds m_Span{6'000};
   int m_Tokens = ShortAnswer;
+  Spread m_Spread = Spread::Fixed;
 };
 
 struct Seen {
@@ -85,7 +90,8 @@
 
 class Run {
 public:
-  explicit Run(Load Wanted) : m_Load(std::move(Wanted)) {}
+  explicit Run(Load Wanted)
+      : m_Load(std::move(Wanted)), m_Outstanding(m_Load.m_Addresses.size()) {}
 
   Seen run() {
     m_End = SteadyClock::now() + m_Load.m_Span;
@@ -96,11 +102,24 @@
   }
 
 private:
+  std::size_t choose(int Caller) {
+    const std::size_t Count = m_Load.m_Addresses.size();
+    if (m_Load.m_Spread == Spread::Random)
+      return m_Random() % Count;
+    if (m_Load.m_Spread == Spread::RoundRobin)
+      return m_Turn++ % Count;
+    if (m_Load.m_Spread == Spread::LeastOutstanding)
+      return static_cast<std::size_t>(std::ranges::min_element(m_Outstanding) -
+                                      m_Outstanding.begin());
+    return static_cast<std::size_t>(Caller) % Count;
+  }
+
   asio::awaitable<void> caller(int Caller) {
-    const std::string Address =
-        m_Load.m_Addresses[Caller % m_Load.m_Addresses.size()];
     for (int Turn = 0; SteadyClock::now() < m_End; ++Turn) {
-      const double Pause = co_await one(Address, Caller, Turn);
+      const std::size_t To = choose(Caller);
+      ++m_Outstanding[To];
+      const double Pause = co_await one(m_Load.m_Addresses[To], Caller, Turn);
+      --m_Outstanding[To];
       if (Pause <= 0)
         continue;
       asio::steady_timer Timer(m_Io, milliseconds(static_cast<int>(Pause)));
@@ -146,6 +165,9 @@
   }
 
   Load m_Load;
+  std::vector<int> m_Outstanding; ///< by address
+  std::minstd_rand m_Random{1};
+  std::size_t m_Turn = 0;
   asio::io_context m_Io;
   net::HttpClient m_Client;
   SteadyClock::time_point m_End;
@@ -199,6 +221,21 @@
               Short - Token * ShortAnswer);
 }
 
+/// Callers that choose an engine themselves, against the entry's choice. One
+/// engine is three times slower than the others.
+void compareChoices(Cluster &Under, Load Direct, Load Through) {
+  setFaults(Under.engine(0).m_Address,
+            R"({"delayFirstTokenMs":60,"delayTokenMs":15})");
+  Direct.m_Callers = Through.m_Callers = Engines * Concurrency * 3 / 4;
+  Direct.m_Spread = Spread::Random;
+  measure("random, direct", Under, Direct);
+  Direct.m_Spread = Spread::RoundRobin;
+  measure("round robin, direct", Under, Direct);
+  Direct.m_Spread = Spread::LeastOutstanding;
+  measure("least out, direct", Under, Direct);
+  measure("the entry's choice", Under, std::move(Through));
+}
+
 bool ready(Cluster &Under) {
   const auto Dump = jsonOf(call(Under.entry(0).m_Operator, "GET", "/v1/dump"));
   if (!Dump.is_object())
@@ -242,5 +279,6 @@
   measure("capacity, entry", Under, Through);
   Through.m_Callers = 2 * Capacity;
   measure("2 x capacity, entry", Under, Through);
+  compareChoices(Under, Direct, Through);
   return 0;
 }
