Let the paused holder have an assignment to write when it wakes up

Cause: with both of the assigner's guards taken out on a scratch copy the test still passed, since a holder that had written all it knew had nothing to write on waking up. Now it is paused in the time in which a new holder lets its view fill: it knows version 1 and has not assigned it.

--- a/test/declarations-faults-test.cc
+++ b/test/declarations-faults-test.cc
@@ -88,30 +88,33 @@
 
 class PausedAssigner : public testing::TestWithParam<bool> {};
 
+/// The holder is paused in the time in which a new one lets its view fill: it
+/// knows version 1 and has not assigned it yet, so on waking up it has an
+/// assignment of its own to write.
 TEST_P(PausedAssigner, WakesUpAndGivesNoOrderThatTakesEffect) {
   Cluster Under(
       {.m_Entries = 3, .m_Engines = 2, .m_StrictFencing = GetParam()});
   ASSERT_TRUE(Under.start()) << Under.failure();
-  Under.addWeights("m@1", WeightBytes, ChunkBytes, 1);
-  Under.addWeights("m@2", WeightBytes, ChunkBytes, 2);
+  ASSERT_TRUE(
+      eventually([&] { return leaseHolder(Under, "assigner").has_value(); }));
+  const std::size_t Paused = *leaseHolder(Under, "assigner");
   History Seen(Under);
-  ASSERT_NE(declared(Under, "1"), 0U);
-  ASSERT_TRUE(serving(Under, "m@1")) << Under.logs();
-  const auto Holder = leaseHolder(Under, "assigner");
-  ASSERT_TRUE(Holder.has_value());
-  const std::size_t Paused = *Holder;
+  const std::uint64_t One = declared(Under, "1", Paused);
+  ASSERT_TRUE(Seen.at({&Under.entry(Paused)}, One)) << Under.logs();
   Under.entry(Paused).m_Process->signal(SIGSTOP);
+  for (int I = 1; I <= 3; ++I)
+    Under.addWeights("m@" + std::to_string(I), WeightBytes, ChunkBytes, I);
   ASSERT_TRUE(eventually([&] {
     return leaseHolder(Under, "assigner", Paused).has_value();
   })) << Under.logs();
   const std::size_t Next = *leaseHolder(Under, "assigner", Paused);
+  ASSERT_TRUE(serving(Under, "m@1")) << Under.logs();
   const std::uint64_t Two = declared(Under, "2", Next);
   ASSERT_NE(Two, 0U);
   ASSERT_TRUE(serving(Under, "m@2")) << Under.logs();
   Under.entry(Paused).m_Process->signal(SIGCONT);
   ASSERT_TRUE(Seen.everywhere(Two)) << Under.logs();
-  // Orders that it gave on waking up have an effect before this one has.
-  Under.addWeights("m@3", WeightBytes, ChunkBytes, 3);
+  // What it did on waking up has its effect before this has.
   ASSERT_NE(declared(Under, "3", Next), 0U);
   ASSERT_TRUE(serving(Under, "m@3")) << Under.logs();
   for (std::size_t I = 0; I < Under.engines(); ++I) {
