--- a/test/declaration-store-test.cc
+++ b/test/declaration-store-test.cc
@@ -97,6 +97,31 @@
   EXPECT_EQ(versionOf(Store, "other"), "1");
 }
 
+/// Ten minutes without the platform, on a clock of one step a second: every
+/// replica is replaced and fills itself from the one before it.
+TEST(DeclarationStore, AFleetReplacedInAnOutageKeepsWhatIsInForce) {
+  std::vector<DeclarationStore> Fleet(20);
+  for (DeclarationStore &Each : Fleet) {
+    listAll(Each, 7, {pool("chat", 5, "old"), pool("gone", 6)});
+    listAll(Each, 10, {pool("chat", 9, "new")});
+  }
+  for (std::size_t Second = 0; Second < 600; Second += 30) {
+    const std::size_t At = Second / 30;
+    const std::size_t Peer = At == 0 ? Fleet.size() - 1 : At - 1;
+    Fleet[At] = DeclarationStore();
+    Fleet[At].applyUpdate(Fleet[Peer].whole());
+  }
+  for (DeclarationStore &Each : Fleet) {
+    EXPECT_EQ(versionOf(Each, "chat"), "new");
+    EXPECT_EQ(Each.revision(), Revision{10});
+    // The platform comes back with a stale list first.
+    listAll(Each, 7, {pool("chat", 5, "old"), pool("gone", 6)});
+    EXPECT_EQ(versionOf(Each, "chat"), "new");
+    EXPECT_EQ(versionOf(Each, "gone"), "");
+    EXPECT_EQ(Each.digest(), Fleet.front().digest());
+  }
+}
+
 TEST(DeclarationStore, RefusesAnUpdateWithAGap) {
   DeclarationStore Store;
   listAll(Store, 10, {pool("chat", 9)});
--- a/test/declarations-faults-test.cc
+++ b/test/declarations-faults-test.cc
@@ -229,8 +229,17 @@
   const std::vector<Node *> Live{&Under.agent(1), &Under.agent(2)};
   EXPECT_TRUE(seen(Entries, {&Under.agent(0)}, "gone")) << Under.logs();
   const std::uint64_t Reads = counterOf(Under.platform(), "instances");
-  EXPECT_TRUE(eventually(
-      [&] { return counterOf(Under.platform(), "instances") >= Reads + 2; }));
+  bool Revived = false;
+  bool Killed = false;
+  EXPECT_TRUE(eventually([&] {
+    for (const Node *Each : Entries) {
+      Revived = Revived || stateAt(*Each, "agent-0") != "gone";
+      Killed = Killed || stateAt(*Each, "agent-1") == "gone";
+    }
+    return counterOf(Under.platform(), "instances") >= Reads + 3;
+  }));
+  EXPECT_FALSE(Revived);
+  EXPECT_FALSE(Killed);
   EXPECT_TRUE(seen(Entries, {&Under.agent(0)}, "gone"));
   EXPECT_TRUE(seen(Entries, Live, "alive"));
   for (const Node *Each : Entries)
