--- a/test/leaving-test.cc
+++ b/test/leaving-test.cc
@@ -49,7 +49,7 @@
 
 /// Null when the process is gone or has no such module.
 json::value dumpOf(const Node &Of, const char *Module = nullptr) {
-  const json::value Dump = jsonOf(call(Of.m_Operator, "GET", "/v1/dump"));
+  json::value Dump = jsonOf(call(Of.m_Operator, "GET", "/v1/dump"));
   if (!Dump.is_object() || !Module)
     return Dump;
   return Dump.at("modules").at(Module);
