Simulate chains, trees and reading the origin as baselines of the swarm

The swarm's ratios stood alone. The chain of chunks is the strongest of them; on shared links it is modelled at its best, a chunk in and a chunk out in turn.

TreeSimulation.TakesTheTimesThatTheSchemesAreKnownFor holds the models to the times that follow by hand for 16 agents.

--- a/test/swarm-simulation-test.cc
+++ b/test/swarm-simulation-test.cc
@@ -1,5 +1,6 @@
 // Faults of a rollout in virtual time, against the decisions of the swarm.
 #include "simulation/swarm-simulation.h"
+#include "simulation/tree-simulation.h"
 
 #include <gtest/gtest.h>
 
@@ -151,4 +152,31 @@
   }
 }
 
+SimulationResult baseline(Scheme By, bool Shared, std::uint32_t Count) {
+  SimulationOptions Options = options();
+  Options.m_Agents = Count;
+  Options.m_SharedLinks = Shared;
+  return runBaseline(Options, By);
+}
+
+TEST(TreeSimulation, TakesTheTimesThatTheSchemesAreKnownFor) {
+  constexpr double Near = 0.05; // of a copy, for delays and the first hop
+  constexpr std::uint32_t Count = 16;
+  const auto Copies = [](Scheme By, bool Shared) {
+    const SimulationResult Result = baseline(By, Shared, Count);
+    EXPECT_TRUE(Result.m_Complete);
+    return Result.m_Slots / options().m_Chunks;
+  };
+  for (const bool Shared : {false, true}) {
+    SCOPED_TRACE(Shared);
+    EXPECT_NEAR(Copies(Scheme::Chain, Shared), Count, 16 * Near);
+    // Agent 15 is the second receiver of 7, as 7 is of 3, and 3 of the first.
+    EXPECT_NEAR(Copies(Scheme::BinaryTree, Shared), 1 + 3 * 2, 7 * Near);
+    EXPECT_NEAR(Copies(Scheme::EveryoneFromOrigin, Shared), Count / 2.0, Near);
+  }
+  EXPECT_NEAR(Copies(Scheme::ChainOfChunks, false), 1 + 16.0 / 128, Near);
+  // Each link takes turns: a chunk in, a chunk out.
+  EXPECT_NEAR(Copies(Scheme::ChainOfChunks, true), 2 + 16.0 / 128, Near);
+}
+
 } // namespace
