Read a chunk that is only told to be seen

A peer that claims every chunk makes all of them seen, also for those that hear of it at second hand. Chunks that are seen are not read from the origin, but by an agent that starves, and each gain ended that: after a lying peer was set aside four real agents held 11 of 64 chunks and read about one each few seconds. The origin and the lying peer's connections were ruled out: the former was healed, the latter closed.

A chunk that is seen and that no known peer has had for six steps is now read in its rendezvous order.

Shown to fail without: Swarm.AChunkThatIsOnlySaidToBeSeenIsReadAllTheSame.

--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -219,7 +219,8 @@
   void release(std::uint32_t Chunk);
   void expireGrants(TimePoint Now);
   void readOrigin(SwarmActions &Out, TimePoint Now);
-  bool mayRead(std::uint32_t Chunk, TimePoint Now) const;
+  bool mayRead(std::uint32_t Chunk, TimePoint Now);
+  bool unheldFor(std::uint32_t Chunk, Duration Length, TimePoint Now);
   void readForTime(SwarmActions &Out, TimePoint Now);
   void startRead(std::uint32_t Chunk, SwarmActions &Out);
   bool rests(std::uint32_t Chunk, TimePoint Now) const;
@@ -253,8 +254,9 @@
 
   std::vector<std::uint16_t> m_Rank; ///< of this instance, for each chunk
   std::uint32_t m_Instances = 1;
-  std::vector<TimePoint> m_Open; ///< when a chunk's reading became due
-  std::uint32_t m_Opened = 0;    ///< chunks below this are due
+  std::vector<TimePoint> m_Open;   ///< when a chunk's reading became due
+  std::vector<TimePoint> m_Unheld; ///< since when seen, but with no known peer
+  std::uint32_t m_Opened = 0;      ///< chunks below this are due
   std::set<std::uint32_t> m_Reading;
   TimePoint m_OriginRestUntil{};
   std::map<std::uint32_t, CorruptRead> m_CorruptReads;
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -11,6 +11,7 @@
 
 constexpr std::uint32_t MaxRank = 8; ///< waits do not grow beyond it
 constexpr int DelayPatience = 4;     ///< times the usual delay
+constexpr int UnheldSteps = 6;       ///< until a chunk nobody known has is read
 constexpr int MaxSteps = 4; ///< delays of faults must not stretch the waits
 
 std::uint64_t hashOf(const InstanceId &Id) {
@@ -60,7 +61,17 @@
     m_Open[m_Opened] = Now;
 }
 
-bool Swarm::mayRead(std::uint32_t Chunk, TimePoint Now) const {
+/// A chunk may be told to be seen by one that lies, or be lost with its holder.
+bool Swarm::unheldFor(std::uint32_t Chunk, Duration Length, TimePoint Now) {
+  TimePoint &Since = m_Unheld[Chunk];
+  if (m_Copies[Chunk] > 0)
+    Since = {};
+  else if (Since == TimePoint{})
+    Since = Now;
+  return m_Copies[Chunk] == 0 && Now - Since > Length;
+}
+
+bool Swarm::mayRead(std::uint32_t Chunk, TimePoint Now) {
   if (!wants(Chunk) || m_Taken.contains(Chunk) || rests(Chunk, Now))
     return false;
   const Duration Wait =
@@ -70,6 +81,8 @@
   // Without any peer it is of no use that others have it.
   if (m_Peers.empty() && Now - m_LonelySince > 2 * originStep() + Wait)
     return true;
+  if (unheldFor(Chunk, UnheldSteps * m_Options.m_OriginStep + Wait, Now))
+    return true;
   // Everyone known that had it is gone.
   return m_Copies[Chunk] == 0 && starved(Now) &&
          Now - m_LastGain > originStep() + Wait / 2;
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -27,7 +27,8 @@
     : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)),
       m_Options(Options), m_Random(static_cast<std::uint32_t>(Seed | 1)),
       m_Here(Chunks), m_Unstaged(Chunks), m_Taken(Chunks), m_Seen(Chunks),
-      m_Copies(Chunks), m_NearCopies(Chunks), m_Rank(Chunks), m_Open(Chunks) {}
+      m_Copies(Chunks), m_NearCopies(Chunks), m_Rank(Chunks), m_Open(Chunks),
+      m_Unheld(Chunks) {}
 
 Swarm::Peer *Swarm::find(PeerNumber Number) {
   const auto Found = m_Peers.find(Number);
--- a/test/swarm-test.cc
+++ b/test/swarm-test.cc
@@ -181,6 +181,22 @@
   EXPECT_EQ(Under.peerCount(), 1U);
 }
 
+TEST(Swarm, AChunkThatIsOnlySaidToBeSeenIsReadAllTheSame) {
+  SwarmOptions Options;
+  Swarm Under = makeSwarm(4, Options);
+  Under.onPeerJoined(1, named("peer-1"), DataCentreId{"lahore"}, setOf(4, {0}),
+                     setOf(4, {0, 1, 2, 3}), Start);
+  std::uint32_t Reads = 0;
+  for (Duration At{}; At <= 7 * Options.m_OriginStep; At += 100ms) {
+    Under.onHave(1, {}, {}, Start + At);
+    // Something is always gained, so that this one never starves.
+    Under.onGrant(1, Start + At);
+    Under.onProgress(1, 0, Start + At);
+    Reads += readsOf(1, Under.onTick(Start + At));
+  }
+  EXPECT_EQ(Reads, 1U);
+}
+
 TEST(Swarm, PeersHearOfThisOneAlsoWhenNothingIsNew) {
   SwarmOptions Options;
   Swarm Under = makeSwarm(4, Options);
