--- /dev/null
+++ b/test/background-load.h
@@ -0,0 +1,49 @@
+// Checked requests that flow beside a test.
+#pragma once
+
+#include "cluster.h"
+#include "load/load-run.h"
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace deckpitch::test {
+
+/// Checked requests from callers of all entries, until finish().
+class BackgroundLoad {
+public:
+  explicit BackgroundLoad(Cluster &Under, const std::string &Pool = "chat")
+      : m_Run(optionsOf(Under, Pool)) {
+    m_Thread = std::thread([this] { m_Report = m_Run.run(); });
+  }
+  ~BackgroundLoad() { finish(); }
+  BackgroundLoad(const BackgroundLoad &) = delete;
+  BackgroundLoad &operator=(const BackgroundLoad &) = delete;
+
+  const load::LoadReport &finish() {
+    m_Run.stop();
+    if (m_Thread.joinable())
+      m_Thread.join();
+    return m_Report;
+  }
+
+private:
+  static load::LoadOptions optionsOf(Cluster &Under, const std::string &Pool) {
+    load::LoadOptions Out;
+    for (std::size_t I = 0; I < Under.entries(); ++I)
+      Out.m_Entries.push_back(Under.entry(I).m_Requests);
+    Out.m_Model = Pool;
+    Out.m_Callers = 4;
+    Out.m_Requests = 100'000;
+    Out.m_Pause = std::chrono::milliseconds(5);
+    Out.m_Deadline = std::chrono::milliseconds(10'000);
+    return Out;
+  }
+
+  load::LoadRun m_Run;
+  load::LoadReport m_Report;
+  std::thread m_Thread;
+};
+
+} // namespace deckpitch::test
--- a/test/cluster.cc
+++ b/test/cluster.cc
@@ -3,7 +3,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <map>
 
 namespace deckpitch::test {
 
@@ -113,6 +112,12 @@
   json::object Weights{{"origin", origin()}};
   if (m_Options.m_Store)
     Weights["store"] = store();
+  const auto Other = m_Options.m_OtherLinkRates.find(I);
+  const std::uint64_t Rate = Other == m_Options.m_OtherLinkRates.end()
+                                 ? m_Options.m_LinkRate
+                                 : Other->second;
+  Weights["uploadBytesPerSecond"] = Rate;
+  Weights["downloadBytesPerSecond"] = Rate;
   const auto &Centres = m_Options.m_DataCentres;
   return json::serialize(
       json::object{{"role", "agent"},
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -4,6 +4,7 @@
 #include "harness.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
   bool m_Store = false; ///< gives agents the weight store besides the origin
   std::vector<std::string> m_DataCentres{"lahore"}; ///< agents in turn
   std::string m_ServicePool = "orders";
+  std::uint64_t m_LinkRate = 0; ///< of agents, each way, bytes/s; 0: unlimited
+  /// Agents, by number, with links of other rates.
+  std::map<std::size_t, std::uint64_t> m_OtherLinkRates;
 };
 
 /// A deckpitchd and what it announced.
--- a/test/system-faults-test.cc
+++ b/test/system-faults-test.cc
@@ -1,13 +1,12 @@
 // Faults of whole processes while a version is brought out and requests flow.
+#include "background-load.h"
 #include "cluster.h"
-#include "load/load-run.h"
 
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include <csignal>
 #include <functional>
-#include <thread>
 
 using namespace deckpitch;
 using namespace deckpitch::test;
@@ -33,39 +32,6 @@
 
 void PrintTo(const FaultRow &Row, std::ostream *Out) { *Out << Row.m_Name; }
 
-/// Checked requests from callers of all entries, until finish().
-class BackgroundLoad {
-public:
-  explicit BackgroundLoad(Cluster &Under) : m_Run(optionsOf(Under)) {
-    m_Thread = std::thread([this] { m_Report = m_Run.run(); });
-  }
-  ~BackgroundLoad() { finish(); }
-
-  const LoadReport &finish() {
-    m_Run.stop();
-    if (m_Thread.joinable())
-      m_Thread.join();
-    return m_Report;
-  }
-
-private:
-  static load::LoadOptions optionsOf(Cluster &Under) {
-    load::LoadOptions Out;
-    for (std::size_t I = 0; I < Under.entries(); ++I)
-      Out.m_Entries.push_back(Under.entry(I).m_Requests);
-    Out.m_Model = "chat";
-    Out.m_Callers = 4;
-    Out.m_Requests = 100'000;
-    Out.m_Pause = std::chrono::milliseconds(5);
-    Out.m_Deadline = std::chrono::milliseconds(10'000);
-    return Out;
-  }
-
-  load::LoadRun m_Run;
-  LoadReport m_Report;
-  std::thread m_Thread;
-};
-
 /// True when the entry sees every wanted instance ready on these weights.
 bool seesReady(const Node &Entry, std::string_view Weights) {
   const json::value Status =
