Let the load beside a test outlast the test

It started no request after 60 s, so a row that took longer failed for want of answers besides its own cause. It ends with the test, as before.

--- a/test/background-load.h
+++ b/test/background-load.h
@@ -36,6 +36,7 @@
     Out.m_Model = Pool;
     Out.m_Callers = 4;
     Out.m_Requests = 100'000;
+    Out.m_Duration = std::chrono::minutes(10); // longer than any test
     Out.m_Pause = std::chrono::milliseconds(5);
     Out.m_Deadline = std::chrono::milliseconds(10'000);
     return Out;
