--- a/test/cluster.h
+++ b/test/cluster.h
@@ -4,6 +4,7 @@
 #include "harness.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +23,9 @@
   bool m_SpreadEntries = false; ///< entries in turn too; else in the first
   std::string m_ServicePool = "orders";
   std::string m_Scheme; ///< of outside addresses in settings, as "http://"
+  std::uint64_t m_LinkRate = 0; ///< of agents, each way, bytes/s; 0: unlimited
+  /// Agents, by number, with links of other rates.
+  std::map<std::size_t, std::uint64_t> m_OtherLinkRates;
 };
 
 /// A deckpitchd and what it announced.
