--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -39,15 +39,19 @@
 
 // After a night without requests the first to wait is not told hours.
 TEST(AdmissionQueue, IdleTimeIsNoMeasureOfTheDrain) {
+  const TimePoint Deadline = Start + 20h;
   AdmissionQueue Queue;
   for (int I = 0; I < 20; ++I) {
-    Queue.arrive(request(1, "a"), 1, Start + I * 10ms);
+    Queue.arrive(request(1, "a", Priority::Normal, Deadline), 1,
+                 Start + I * 10ms);
     Queue.leave({"a"}, 1, Start + I * 10ms + 5ms);
   }
-  Queue.arrive(request(2, "a"), 1, Start + 10h);
+  Queue.arrive(request(2, "a", Priority::Normal, Deadline), 1, Start + 10h);
   Queue.leave({"a"}, 1, Start + 10h + 5ms);
-  Queue.arrive(request(3, "a"), 1, Start + 10h + 6ms);
-  Queue.arrive(request(4, "a"), 1, Start + 10h + 6ms);
+  for (AdmissionId Id : {3, 4})
+    Queue.arrive(request(Id, "a", Priority::Normal, Deadline), 1,
+                 Start + 10h + 6ms);
+  EXPECT_EQ(Queue.waiting(), 1U);
   EXPECT_LT(Queue.expectedWait(Priority::Normal), 1s);
 }
 
