--- a/support/benchmarks/token-stream-benchmark.cc
+++ b/support/benchmarks/token-stream-benchmark.cc
@@ -22,6 +22,7 @@
 void checkTokens(benchmark::State &State) {
   const std::string Digest(64, 'd');
   std::vector<std::string> Events;
+  Events.reserve(Tokens);
   for (int I = 0; I < Tokens; ++I)
     Events.push_back(eventOf(I, Digest));
   for (auto _ : State) {
--- a/test/request-path-test.cc
+++ b/test/request-path-test.cc
@@ -106,6 +106,7 @@
                    RequestSettings().m_AddressLifetime, 1);
   Path.m_Upstreams[0]->m_Faults.m_Hang = true;
   std::vector<std::future<Outcome<net::HttpResponse>>> Calls;
+  Calls.reserve(AtOnce + 2);
   for (int I = 0; I < AtOnce + 2; ++I)
     Calls.push_back(
         std::async(std::launch::async, [&] { return Path.chat(false); }));
