Take a request's turn in one place for chat and service calls

Cause: the entry's admission stood twice, once in each kind of call, with a function split off for its sake, and service calls went on with the routes from before their wait, which chat calls refreshed. Change: takeTurn() in the entry's context; service calls look their pool up again after it.

--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -69,23 +69,11 @@
     co_return RequestOutcome::NotRun;
   }
   m_Answer.onGone([this] { callerGone(); });
-  // Without any upstream there is nothing to wait for.
-  if (m_Pool->m_Upstreams.empty())
-    co_return co_await runAdmitted();
-  const PoolId Pool = m_Pool->m_Pool.m_Id;
-  const auto Gate = m_Context.m_Gates.of(Pool);
-  const AdmissionDecision Turn = co_await Gate->enter(
-      *m_Routes, *m_Pool, m_Call.m_Terms, m_Call.m_Deadline);
-  if (!Turn.m_Admitted) {
-    co_await m_Answer.send(overloadResponse(Turn));
+  Turn Own = co_await takeTurn(m_Context, m_Routes, *m_Pool, m_Call);
+  if (Own.m_Refusal) {
+    co_await m_Answer.send(std::move(*Own.m_Refusal));
     co_return RequestOutcome::NotRun;
   }
-  const Admission Held(Gate, m_Call.m_Terms.m_Organisation, m_Context.m_Routes,
-                       Pool);
-  co_return co_await runAdmitted();
-}
-
-asio::awaitable<RequestOutcome> ChatCall::runAdmitted() {
   if (!m_Call.m_Terms.m_Idempotent && !m_Call.m_Terms.m_IdempotencyKey.empty())
     co_return co_await runKeyed();
   co_return co_await runUnkeyed();
--- a/src/daemon/entry-chat.h
+++ b/src/daemon/entry-chat.h
@@ -23,8 +23,6 @@
 private:
   /// Why the request cannot be passed on, if so.
   std::optional<NotRun> prepare();
-  /// Runs the request, whose turn it is.
-  boost::asio::awaitable<RequestOutcome> runAdmitted();
   boost::asio::awaitable<RequestOutcome> runUnkeyed();
   boost::asio::awaitable<RequestOutcome> runKeyed();
   boost::asio::awaitable<AttemptEnd>
--- a/src/daemon/entry-context.cc
+++ b/src/daemon/entry-context.cc
@@ -49,18 +49,34 @@
   return Response;
 }
 
-net::HttpResponse overloadResponse(const AdmissionDecision &Decision) {
-  return notRunResponse({.m_Status = 429,
-                         .m_Reason = "the pool is busy",
-                         .m_RetryAfter = jittered(Decision.m_RetryAfter)});
-}
-
 net::HttpResponse unknownResponse(std::string Reason, Duration RetryAfter) {
   auto Response = failureResponse(504, RequestOutcome::Unknown, Reason, {});
   addRetryAfter(Response.m_Headers, RetryAfter);
   return Response;
 }
 
+boost::asio::awaitable<Turn> takeTurn(EntryContext &In,
+                                      std::shared_ptr<const EntryRoutes> Routes,
+                                      const PoolRoute &Pool,
+                                      const CallerRequest &Call) {
+  Turn Own;
+  if (Pool.m_Upstreams.empty())
+    co_return Own;
+  const PoolId Id = Pool.m_Pool.m_Id;
+  const auto Gate = In.m_Gates.of(Id);
+  const AdmissionDecision Decision =
+      co_await Gate->enter(*Routes, Pool, Call.m_Terms, Call.m_Deadline);
+  if (Decision.m_Admitted)
+    Own.m_Held = std::make_unique<Admission>(Gate, Call.m_Terms.m_Organisation,
+                                             In.m_Routes, Id);
+  else
+    Own.m_Refusal =
+        notRunResponse({.m_Status = 429,
+                        .m_Reason = "the pool is busy",
+                        .m_RetryAfter = jittered(Decision.m_RetryAfter)});
+  co_return Own;
+}
+
 net::HttpRequest boundRequest(const CallerRequest &Call, const PoolId &Pool,
                               const UpstreamRoute &To) {
   net::HttpRequest Out;
--- a/src/daemon/entry-context.h
+++ b/src/daemon/entry-context.h
@@ -12,6 +12,8 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
+#include <optional>
 
 namespace deckpitch::daemon {
 
@@ -59,10 +61,21 @@
 };
 
 net::HttpResponse notRunResponse(const NotRun &Why);
-/// The refusal of a request that may not run or wait.
-net::HttpResponse overloadResponse(const AdmissionDecision &Decision);
 net::HttpResponse unknownResponse(std::string Reason, Duration RetryAfter);
 
+/// A request's place at its pool, or the answer that refuses it.
+struct Turn {
+  std::unique_ptr<Admission> m_Held; ///< null without need
+  std::optional<net::HttpResponse> m_Refusal;
+};
+
+/// Waits for the request's turn; not at a pool without any upstream, where
+/// there is nothing to wait for.
+boost::asio::awaitable<Turn> takeTurn(EntryContext &In,
+                                      std::shared_ptr<const EntryRoutes> Routes,
+                                      const PoolRoute &Pool,
+                                      const CallerRequest &Call);
+
 /// A request to an agent, bound to what the instance must be at this moment.
 net::HttpRequest boundRequest(const CallerRequest &Call, const PoolId &Pool,
                               const UpstreamRoute &To);
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -13,32 +13,31 @@
 
 ServiceCall::ServiceCall(EntryContext &In, CallerRequest Call,
                          net::HttpResponder &Answer)
-    : m_Context(In), m_Call(std::move(Call)), m_Answer(Answer),
-      m_Routes(In.m_Routes.routes()),
-      m_Pool(findServicePool(m_Routes->m_Table, m_Call.m_Http.path())) {}
+    : m_Context(In), m_Call(std::move(Call)), m_Answer(Answer) {
+  findPool();
+}
 
-asio::awaitable<RequestOutcome> ServiceCall::run() {
-  if (!m_Pool) {
-    auto Response =
-        notRunResponse({.m_Status = 404, .m_Reason = "no such path"});
-    co_return co_await answer(RequestOutcome::NotRun, std::move(Response));
-  }
-  // Without any upstream there is nothing to wait for.
-  if (m_Pool->m_Upstreams.empty())
-    co_return co_await runAdmitted();
-  const PoolId Pool = m_Pool->m_Pool.m_Id;
-  const auto Gate = m_Context.m_Gates.of(Pool);
-  const AdmissionDecision Turn = co_await Gate->enter(
-      *m_Routes, *m_Pool, m_Call.m_Terms, m_Call.m_Deadline);
-  if (!Turn.m_Admitted) {
-    co_return co_await answer(RequestOutcome::NotRun, overloadResponse(Turn));
-  }
-  const Admission Held(Gate, m_Call.m_Terms.m_Organisation, m_Context.m_Routes,
-                       Pool);
-  co_return co_await runAdmitted();
+void ServiceCall::findPool() {
+  m_Routes = m_Context.m_Routes.routes();
+  m_Pool = findServicePool(m_Routes->m_Table, m_Call.m_Http.path());
 }
 
-asio::awaitable<RequestOutcome> ServiceCall::runAdmitted() {
+asio::awaitable<RequestOutcome> ServiceCall::answerNoSuchPath() {
+  auto Response = notRunResponse({.m_Status = 404, .m_Reason = "no such path"});
+  co_return co_await answer(RequestOutcome::NotRun, std::move(Response));
+}
+
+asio::awaitable<RequestOutcome> ServiceCall::run() {
+  if (!m_Pool)
+    co_return co_await answerNoSuchPath();
+  Turn Own = co_await takeTurn(m_Context, m_Routes, *m_Pool, m_Call);
+  if (Own.m_Refusal)
+    co_return co_await answer(RequestOutcome::NotRun,
+                              std::move(*Own.m_Refusal));
+  // The routes may be out of date after a wait.
+  findPool();
+  if (!m_Pool)
+    co_return co_await answerNoSuchPath();
   if (!m_Call.m_Terms.m_Idempotent && !m_Call.m_Terms.m_IdempotencyKey.empty())
     co_return co_await runKeyed();
   co_return co_await runUnkeyed();
--- a/src/daemon/entry-service.h
+++ b/src/daemon/entry-service.h
@@ -20,8 +20,8 @@
   sendClaimed(std::shared_ptr<const EntryRoutes> Routes, UpstreamRoute To,
               Claim Claimed) override;
   boost::asio::awaitable<AttemptEnd> attempt(const UpstreamRoute &To);
-  /// Runs the request, whose turn it is.
-  boost::asio::awaitable<RequestOutcome> runAdmitted();
+  void findPool();
+  boost::asio::awaitable<RequestOutcome> answerNoSuchPath();
   boost::asio::awaitable<RequestOutcome> runUnkeyed();
   boost::asio::awaitable<RequestOutcome> runKeyed();
   boost::asio::awaitable<RequestOutcome> answer(RequestOutcome Outcome,
