--- /dev/null
+++ b/include/deckpitch/instance-table.h
@@ -0,0 +1,141 @@
+// What an entry believes of the instances that it calls, and which one takes
+// the next request.
+#pragma once
+
+#include "deckpitch/fleet.h"
+#include "deckpitch/time.h"
+#include "deckpitch/upstream-choice.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace deckpitch {
+
+/// What an instance's own agent tells of it; never older than the link.
+struct InstanceReport {
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Waiting = 0;
+  bool m_TakesRequests = true; ///< false while it swaps weights
+  std::vector<HeldWeights> m_Weights;
+
+  friend bool operator==(const InstanceReport &,
+                         const InstanceReport &) = default;
+};
+
+/// What is asked of the instance that is to take a request.
+struct ChoiceQuery {
+  ServiceId m_Service;
+  std::string m_Model; ///< empty: a plain service
+  std::chrono::milliseconds m_Objective{1'000};
+  std::set<InstanceId> m_Tried;
+  /// Work of this request against the usual one of the service.
+  double m_Size = 1;
+};
+
+enum class ChoiceOutcome {
+  Chosen,
+  NoInstance, ///< none is listed, or all were tried
+  NoWeights,  ///< none serves the declared weights yet
+  Full        ///< none could start the request in time
+};
+
+struct InstanceChoice {
+  ChoiceOutcome m_Outcome = ChoiceOutcome::NoInstance;
+  InstanceId m_Instance;
+  std::string m_Address;
+  double m_Load = 0;      ///< requests believed at the least loaded one
+  double m_Limit = 0;     ///< requests that it may hold
+  Duration m_ReportAge{}; ///< of what the load rests on; 0 without a report
+  Duration m_RetryAfter{};
+};
+
+/// How many requests an engine may hold so that the newest one's first token
+/// still comes in time, and how soon a place becomes free.
+struct EngineCapacity {
+  double m_Limit = 1;
+  Duration m_BetweenEnds{}; ///< mean time between two ends at a full engine
+
+  friend bool operator==(const EngineCapacity &,
+                         const EngineCapacity &) = default;
+};
+
+EngineCapacity capacityOf(const EngineProfile &Profile,
+                          std::chrono::milliseconds Objective);
+
+/// Objects by id, no clock, no socket. Own requests are counted exactly; those
+/// of other entries come from reports, or are guessed from the own ones.
+class InstanceTable {
+public:
+  explicit InstanceTable(DataCentreId Own) : m_Own(std::move(Own)) {}
+
+  void setServices(const std::vector<ServiceDeclaration> &Services);
+  void setInstances(const std::vector<ListedInstance> &Listed, TimePoint Now);
+  void setWeights(const std::vector<DeclaredWeights> &Declared, TimePoint Now);
+  /// Entries that share the instances, this one included.
+  void setEntries(std::size_t Count) {
+    m_Entries = std::max<std::size_t>(Count, 1);
+  }
+  /// How long an older version may still take requests once a newer one is
+  /// declared.
+  void setVersionGrace(Duration Grace) { m_VersionGrace = Grace; }
+
+  void report(const std::string &Address, InstanceReport Report, TimePoint Now);
+
+  InstanceChoice choose(const ChoiceQuery &Query, TimePoint Now);
+
+  void started(const InstanceId &Id, TimePoint Now);
+  enum class End { Good, Failed, Neutral };
+  void ended(const InstanceId &Id, End How, TimePoint Now);
+  /// Something came from it.
+  void heard(const InstanceId &Id, TimePoint Now);
+  /// The address now belongs to another life: not to be used any more.
+  void replaced(const InstanceId &Id);
+  /// Instances with requests under way from which nothing has come for so
+  /// long.
+  std::vector<InstanceId> silentFor(Duration Length, TimePoint Now) const;
+
+  std::size_t size() const { return m_Instances.size(); }
+  const ListedInstance *find(const InstanceId &Id) const;
+  /// Addresses of the instances of services with engines.
+  std::vector<std::string> engineAddresses() const;
+  std::uint32_t inFlight() const;
+
+private:
+  struct Instance {
+    ListedInstance m_Listed;
+    bool m_IsListed = true; ///< false: kept only until its requests end
+    bool m_IsReplaced = false;
+    std::uint32_t m_Own = 0;
+    std::uint32_t m_Others = 0; ///< at the time of the report
+    std::optional<TimePoint> m_Reported;
+    bool m_TakesRequests = true;
+    std::vector<HeldWeights> m_Weights;
+    Ejection m_Ejection;
+    TimePoint m_Heard{};
+  };
+  struct Wanted {
+    std::uint64_t m_Version = 0;
+    TimePoint m_Since{};
+  };
+
+  bool serves(const Instance &Each, const std::string &Model,
+              TimePoint Now) const;
+  double loadOf(const Instance &Each, TimePoint Now) const;
+  double limitOf(const Instance &Each, const ChoiceQuery &Query) const;
+
+  DataCentreId m_Own;
+  std::size_t m_Entries = 1;
+  Duration m_VersionGrace = std::chrono::seconds(6);
+  std::map<InstanceId, Instance> m_Instances;
+  std::map<std::string, InstanceId> m_ByAddress;
+  std::map<ServiceId, ServiceDeclaration> m_Services;
+  std::map<std::string, Wanted> m_Wanted;
+  std::minstd_rand m_Random{std::random_device{}()};
+};
+
+} // namespace deckpitch
--- a/include/deckpitch/json-reader.h
+++ b/include/deckpitch/json-reader.h
@@ -42,6 +42,7 @@
                 std::uint32_t Most);
   void optional(std::string_view Key, std::uint64_t &Out, std::uint64_t Least,
                 std::uint64_t Most);
+  void optional(std::string_view Key, double &Out, double Least, double Most);
   /// A number of milliseconds.
   void optional(std::string_view Key, std::chrono::milliseconds &Out,
                 std::chrono::milliseconds Least,
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,6 +1,8 @@
 // deckpitchd: one process of the system; its settings name the role.
 #include "daemon/module.h"
+#include "deckpitch/direct-settings.h"
 #include "deckpitch/json-reader.h"
+#include "direct/role.h"
 #include "net/adapters.h"
 #include "net/engine.h"
 #include "net/log.h"
@@ -72,6 +74,23 @@
   return *Parsed;
 }
 
+/// A process of a fleet whose entries call the instances themselves.
+int runDirectly(const std::string &Path, const std::string &Text,
+                deckpitch::Severity Least) {
+  const auto Parsed = deckpitch::outcomeOf(
+      [&] { return deckpitch::parseDirectSettings(Text); });
+  if (!Parsed) {
+    printFaults(Path, Parsed.error().m_Message);
+    return ExitUsage;
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    std::cout << Path << ": good\n";
+    return 0;
+  }
+  deckpitch::net::setUpJsonLog(Parsed->m_Instance.m_Text, Least);
+  return deckpitch::direct::runDirect(*Parsed, Path);
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -88,6 +107,11 @@
     std::cerr << "--settings=FILE is needed; see --help\n";
     return ExitUsage;
   }
+  const auto Least = absl::GetFlag(FLAGS_verbose) ? deckpitch::Severity::Debug
+                                                  : deckpitch::Severity::Info;
+  const std::optional<std::string> Text = deckpitch::net::readTextFile(Path);
+  if (Text && deckpitch::areDirectSettings(*Text))
+    return runDirectly(Path, *Text, Least);
   const std::optional<deckpitch::Settings> Value = readSettings(Path);
   if (!Value)
     return ExitUsage;
@@ -95,8 +119,6 @@
     std::cout << Path << ": good\n";
     return 0;
   }
-  const auto Least = absl::GetFlag(FLAGS_verbose) ? deckpitch::Severity::Debug
-                                                  : deckpitch::Severity::Info;
   deckpitch::net::setUpLog(Value->m_Instance.m_Text, Least);
   return deckpitch::daemon::runProcess(*Value);
 }
--- /dev/null
+++ b/src/direct/entry-peers.cc
@@ -0,0 +1,135 @@
+#include "direct/entry-peers.h"
+
+#include "deckpitch/json-reader.h"
+#include "net/log.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace deckpitch::direct {
+
+namespace {
+
+/// Between two hellos to one entry where entries are few.
+constexpr Duration LeastHelloSpan = std::chrono::milliseconds(300);
+/// For each known entry: each receives at most a hundred hellos a second.
+constexpr Duration HelloSpanPerEntry = std::chrono::milliseconds(10);
+/// Hellos that may be lost in a row before an entry counts as gone.
+constexpr int MissedHellos = 4;
+/// To an entry that has not been heard: it may be gone for good.
+constexpr Duration SpanToSilent = std::chrono::seconds(3);
+/// Entries of a caller's own data centre that are enough for it: one of them
+/// may just have failed.
+constexpr std::size_t EnoughNear = 2;
+
+} // namespace
+
+std::string formatEntry(const EntryAddress &Value) {
+  return boost::json::serialize(
+      boost::json::object{{"dataCentre", Value.m_DataCentre.m_Text},
+                          {"link", Value.m_Link},
+                          {"callers", Value.m_Callers}});
+}
+
+Result<EntryAddress> parseEntry(std::string_view Name, std::string_view Json) {
+  BOOST_LEAF_AUTO(Value, parseJson(Json));
+  Problems Found;
+  EntryAddress Out;
+  Out.m_Id.m_Text = std::string(Name);
+  JsonObjectReader Reader(Value, "", Found, UnknownKeys::Ignore);
+  Reader.required("dataCentre", Out.m_DataCentre.m_Text);
+  Reader.required("link", Out.m_Link);
+  Reader.required("callers", Out.m_Callers);
+  if (!Found.m_List.empty())
+    return failWith(std::move(Found));
+  return Out;
+}
+
+void EntryPeers::learn(const EntryAddress &Listed) {
+  if (Listed.m_Id == m_Own.m_Id)
+    return;
+  Peer &Known = m_Peers[Listed.m_Id];
+  // What an entry says itself is newer than what the store holds.
+  if (!Known.m_WasHeard)
+    Known.m_Address = Listed;
+}
+
+void EntryPeers::heard(const wire::LinkMessage &Message,
+                       const std::string &From, TimePoint Now) {
+  const wire::EntryHello &Hello = Message.hello();
+  const InstanceId Id{Hello.instance()};
+  if (Id.empty() || Id == m_Own.m_Id || Hello.callers().empty())
+    return;
+  Peer &Known = m_Peers[Id];
+  if (!Known.m_Order.isNewer(Message))
+    return;
+  const bool IsBack =
+      Hello.takes_callers() && !(isLive(Known, Now) && Known.m_TakesCallers);
+  const bool Leaves = !Hello.takes_callers() && Known.m_TakesCallers;
+  if (IsBack || Leaves)
+    net::log(IsBack ? Event::EntryHeard : Event::EntryLost,
+             {{"entry", Id.m_Text}, {"callers", Hello.callers()}});
+  Known.m_Address = {Id, DataCentreId{Hello.data_centre()}, From,
+                     Hello.callers()};
+  Known.m_Heard = Now;
+  Known.m_WasHeard = true;
+  Known.m_TakesCallers = Hello.takes_callers();
+}
+
+Duration EntryPeers::helloSpan() const {
+  const auto Count = static_cast<Duration::rep>(m_Peers.size());
+  return std::max(LeastHelloSpan, HelloSpanPerEntry * Count);
+}
+
+bool EntryPeers::isLive(const Peer &Each, TimePoint Now) const {
+  return Each.m_WasHeard && Now - Each.m_Heard < MissedHellos * helloSpan();
+}
+
+std::vector<std::string> EntryPeers::dueHellos(TimePoint Now) {
+  std::vector<std::string> Due;
+  for (auto &[Id, Each] : m_Peers) {
+    const bool IsLive = isLive(Each, Now);
+    if (Each.m_TakesCallers && !IsLive) {
+      net::log(Event::EntryLost,
+               {{"entry", Id.m_Text}, {"callers", Each.m_Address.m_Callers}});
+      Each.m_TakesCallers = false;
+    }
+    if (Now < Each.m_NextHello)
+      continue;
+    Due.push_back(Each.m_Address.m_Link);
+    Each.m_NextHello = Now + (IsLive || !Each.m_WasHeard
+                                  ? helloSpan()
+                                  : std::max(helloSpan(), SpanToSilent));
+  }
+  return Due;
+}
+
+std::size_t EntryPeers::liveCount(TimePoint Now) const {
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
+                   return isLive(Each.second, Now) &&
+                          Each.second.m_TakesCallers;
+                 }));
+}
+
+std::vector<std::string> EntryPeers::addressesFor(const DataCentreId &Caller,
+                                                  bool IncludeOwn,
+                                                  TimePoint Now) const {
+  std::vector<std::string> Near;
+  std::vector<std::string> All;
+  const auto Add = [&](const EntryAddress &Each) {
+    All.push_back(Each.m_Callers);
+    if (Each.m_DataCentre == Caller)
+      Near.push_back(Each.m_Callers);
+  };
+  if (IncludeOwn)
+    Add(m_Own);
+  for (const auto &[Id, Each] : m_Peers)
+    if (isLive(Each, Now) && Each.m_TakesCallers)
+      Add(Each.m_Address);
+  return Near.size() >= EnoughNear ? Near : All;
+}
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/direct/entry-peers.h
@@ -0,0 +1,69 @@
+// The entries that an entry knows: for callers who ask for addresses, and to
+// share what all entries together may do.
+#pragma once
+
+#include "deckpitch/id.h"
+#include "deckpitch/time.h"
+#include "direct/state-link.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace deckpitch::direct {
+
+/// How an entry is reached.
+struct EntryAddress {
+  InstanceId m_Id;
+  DataCentreId m_DataCentre;
+  std::string m_Link;    ///< for datagrams
+  std::string m_Callers; ///< for callers
+
+  friend bool operator==(const EntryAddress &, const EntryAddress &) = default;
+};
+
+/// The value of an entry's object in the store, and back. Errors: InvalidInput.
+std::string formatEntry(const EntryAddress &Value);
+Result<EntryAddress> parseEntry(std::string_view Name, std::string_view Json);
+
+/// An entry lives while its hellos come. No clock and no socket of its own.
+class EntryPeers {
+public:
+  explicit EntryPeers(EntryAddress Own) : m_Own(std::move(Own)) {}
+
+  /// From the store: told where to send hellos to, not that it lives.
+  void learn(const EntryAddress &Listed);
+  void heard(const wire::LinkMessage &Message, const std::string &From,
+             TimePoint Now);
+
+  /// Where hellos are due now; the spans grow with the number of entries, so
+  /// that each receives no more than some tens a second.
+  std::vector<std::string> dueHellos(TimePoint Now);
+
+  /// Entries that take callers, this one included if it does.
+  std::size_t liveCount(TimePoint Now) const;
+  /// For a caller in that data centre: the entries there if there are enough
+  /// of them, else all.
+  std::vector<std::string> addressesFor(const DataCentreId &Caller,
+                                        bool IncludeOwn, TimePoint Now) const;
+  const EntryAddress &own() const { return m_Own; }
+
+private:
+  struct Peer {
+    EntryAddress m_Address;
+    LinkOrder m_Order;
+    TimePoint m_Heard{};
+    bool m_WasHeard = false;
+    bool m_TakesCallers = false;
+    TimePoint m_NextHello{};
+  };
+
+  bool isLive(const Peer &Each, TimePoint Now) const;
+  Duration helloSpan() const;
+
+  EntryAddress m_Own;
+  std::map<InstanceId, Peer> m_Peers;
+};
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/direct/entry-requests.cc
@@ -0,0 +1,497 @@
+#include "direct/entry-requests.h"
+
+#include "daemon/clock.h"
+#include "deckpitch/event-stream.h"
+#include "net/log.h"
+#include "net/metrics.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace deckpitch::direct {
+
+using daemon::now;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A connection within a region takes some milliseconds; an instance that does
+/// not take it by then is gone or buried.
+constexpr milliseconds ConnectLimit{250};
+/// A kept connection that rested longer may just be closing, and what is sent
+/// on it then counts as sent.
+constexpr milliseconds MostIdle{4'000};
+/// Requests that run at most once take fresher connections: for them a closed
+/// one cannot be made good.
+constexpr milliseconds MostIdleOnce{1'000};
+/// An engine gives something at least every pass, which lasts some tens of
+/// milliseconds; after this long without a byte for any of its requests it
+/// hangs.
+constexpr milliseconds InstanceSilence{900};
+/// One stream of an engine that serves others may pause for longer, while it
+/// waits for a place or for memory. Below the least time after which callers
+/// leave.
+constexpr milliseconds StreamSilence{1'800};
+/// An idempotent call of a plain service that takes this many objectives is
+/// better repeated elsewhere.
+constexpr int PlainObjectives = 3;
+/// Less is not worth sending: the answer could not be back.
+constexpr milliseconds LeastTimeLeft{15};
+/// Instances that could not be reached before a request is refused.
+constexpr std::uint32_t MostUnreachable = 3;
+constexpr milliseconds DefaultPatience{30'000};
+/// Until the declaration is read after a start.
+constexpr Duration RetryAfterStart = milliseconds(500);
+/// Share of the retries that entries may use together which they do use: the
+/// rest covers entries that just started with a full budget.
+constexpr double UsedShareOfRetries = 0.7;
+/// Entries assumed when fewer are known, as after a start.
+constexpr std::size_t LeastEntries = 4;
+
+constexpr unsigned StatusUnauthorized = 401;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusServerError = 500;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+std::uint64_t msOf(Duration Value) {
+  const auto Count = std::chrono::duration_cast<milliseconds>(Value).count();
+  return Count < 0 ? 0 : static_cast<std::uint64_t>(Count);
+}
+
+bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
+
+net::Counter &answers(const char *Outcome) {
+  return net::metrics().counter("deckpitch_requests_total",
+                                {{"outcome", Outcome}});
+}
+
+} // namespace
+
+/// One request while it is served.
+struct EntryRequests::Call {
+  net::HttpRequest m_Request;
+  net::HttpResponder &m_Answer;
+  std::shared_ptr<const RouteTable> m_Routes;
+  CallerTerms m_Terms;
+  const ServiceRoute *m_Route = nullptr;
+  const OrganisationKeys *m_Organisation = nullptr;
+  ChoiceQuery m_Query;
+  TimePoint m_Start;
+  TimePoint m_Deadline;
+  std::uint32_t m_Sends = 0;       ///< that reached an instance
+  std::uint32_t m_Runs = 0;        ///< of these, that it may have run
+  std::uint32_t m_Unreachable = 0; ///< attempts that reached none
+  bool m_IsGone = false;
+  bool m_IsSilenced = false; ///< the instance of this attempt hangs
+  Duration m_RetryAfter{};   ///< as the last instance's state suggests
+  InstanceId m_Instance;     ///< of this attempt
+  /// Ends the attempt that is under way.
+  std::function<void()> m_Abort;
+
+  // What an instance answered, while it is held.
+  unsigned m_Status = 0;
+  net::HttpHeaders m_Headers;
+  std::string m_Body;
+
+  // What the caller has of a stream.
+  EventStreamSplitter m_Events;
+  std::uint64_t m_EventCount = 0;
+  std::string m_LastEventId;
+  std::optional<std::uint64_t> m_LastEvent;
+  Duration m_FirstByte{};
+
+  bool isStream() const {
+    return m_Route && m_Route->m_Kind == RouteKind::Stream;
+  }
+  /// Whether a further instance may run it once one may have.
+  bool isRepeatable() const {
+    if (isStream())
+      return m_Route->m_IsResumable;
+    return m_Route->m_Kind == RouteKind::Idempotent;
+  }
+  milliseconds timeLeft() const {
+    return std::chrono::duration_cast<milliseconds>(m_Deadline - now());
+  }
+  void abort() {
+    if (m_Abort)
+      m_Abort();
+  }
+};
+
+EntryRequests::EntryRequests(net::HttpClient &Http, const FleetAdapter &Adapter,
+                             InstanceTable &Instances, RetryShare Retries)
+    : m_Http(Http), m_Adapter(Adapter), m_Instances(Instances),
+      m_Retries(Retries) {}
+
+void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
+  m_Routes = std::make_shared<const RouteTable>(Declaration);
+}
+
+RetryBudget &EntryRequests::budgetOf(const ServiceId &Service) {
+  auto &Budget = m_Budgets[Service];
+  if (!Budget) {
+    const double Slack = UsedShareOfRetries * m_Retries.m_Slack /
+                         static_cast<double>(std::max(m_Entries, LeastEntries));
+    Budget = std::make_unique<RetryBudget>(
+        UsedShareOfRetries * m_Retries.m_Share,
+        std::max(1U, static_cast<std::uint32_t>(Slack)));
+  }
+  return *Budget;
+}
+
+void EntryRequests::checkSilence(TimePoint Now) {
+  for (const InstanceId &Id : m_Instances.silentFor(InstanceSilence, Now)) {
+    const auto Calls = m_AtInstance.find(Id);
+    if (Calls == m_AtInstance.end())
+      continue;
+    // Plain services answer once, at the end: silence says nothing there.
+    std::vector<Call *> Hanging;
+    for (Call *Each : Calls->second)
+      if (Each->isStream() && !Each->m_IsSilenced)
+        Hanging.push_back(Each);
+    if (Hanging.empty())
+      continue;
+    net::log(Event::InstanceSilent,
+             {{"instance", Id.m_Text},
+              {"requests", std::uint64_t{Hanging.size()}},
+              {"silentMs", msOf(InstanceSilence)}});
+    for (Call *Each : Hanging) {
+      Each->m_IsSilenced = true;
+      Each->abort();
+    }
+  }
+}
+
+asio::awaitable<void> EntryRequests::handle(net::HttpRequest Request,
+                                            net::HttpResponder &Answer) {
+  Call Of{std::move(Request), Answer, m_Routes};
+  Of.m_Start = now();
+  Of.m_Terms = m_Adapter.readTerms(Of.m_Request);
+  Answer.onGone([&Of] {
+    Of.m_IsGone = true;
+    Of.abort();
+  });
+  ++m_Open;
+  co_await serve(Of);
+  --m_Open;
+}
+
+asio::awaitable<void> EntryRequests::serve(Call &Of) {
+  const RouteTable &Routes = *Of.m_Routes;
+  if (Routes.declaration().m_Version == 0)
+    co_return co_await refuse(Of, StatusUnavailable, "starting",
+                              RetryAfterStart);
+  Of.m_Route =
+      Routes.find(Of.m_Request.m_Headers.find("Host"), Of.m_Request.path());
+  if (!Of.m_Route)
+    co_return co_await refuse(Of, StatusNotFound, "no such route", {});
+  Of.m_Organisation = Routes.organisationOf(Of.m_Terms.m_Key);
+  const bool NeedsKey = Routes.hasOrganisations() && !Of.m_Route->m_IsOpen;
+  if (NeedsKey && !Of.m_Organisation)
+    co_return co_await refuse(Of, StatusUnauthorized, "unknown key", {});
+  const ServiceId *Service = chooseService(*Of.m_Route, m_Random());
+  if (!Service)
+    co_return co_await refuse(Of, StatusUnavailable, "route without service",
+                              RetryAfterStart);
+  Of.m_Query.m_Service = *Service;
+  Of.m_Query.m_Model = Of.m_Terms.m_Model;
+  Of.m_Query.m_Objective = Of.m_Route->m_Objective;
+  const milliseconds Patience = Of.m_Terms.m_Patience.value_or(DefaultPatience);
+  Of.m_Deadline = Of.m_Start + std::min(Patience, Of.m_Route->m_Timeout);
+  Of.m_LastEventId = Of.m_Terms.m_LastEventId;
+  budgetOf(*Service).deposit();
+  co_await tryInstances(Of);
+}
+
+asio::awaitable<void> EntryRequests::tryInstances(Call &Of) {
+  Ended How = Ended::NotRun;
+  while (true) {
+    if (Of.timeLeft() < LeastTimeLeft)
+      break;
+    const InstanceChoice Chosen = m_Instances.choose(Of.m_Query, now());
+    if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
+      Of.m_RetryAfter = Chosen.m_RetryAfter;
+      if (Of.m_Sends == 0 && Of.m_Unreachable == 0) {
+        const char *Reason = Chosen.m_Outcome == ChoiceOutcome::Full ? "full"
+                             : Chosen.m_Outcome == ChoiceOutcome::NoWeights
+                                 ? "no weights"
+                                 : "no instance";
+        net::log(Event::AttemptEnded,
+                 {{"request", Of.m_Terms.m_AttemptId},
+                  {"outcome", Reason},
+                  {"instance", Chosen.m_Instance.m_Text},
+                  {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
+                  {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
+                  {"reportAgeMs", msOf(Chosen.m_ReportAge)}});
+        co_return co_await refuse(Of, StatusUnavailable, Reason,
+                                  Chosen.m_RetryAfter);
+      }
+      break;
+    }
+    How = co_await attempt(Of, Chosen);
+    if (How == Ended::Delivered || How == Ended::Gone)
+      co_return;
+    Of.m_Query.m_Tried.insert(Chosen.m_Instance);
+    if (!mayGoOn(Of, How))
+      break;
+  }
+  co_await giveUp(Of, How);
+}
+
+/// Whether a further attempt is allowed after one that ended so.
+bool EntryRequests::mayGoOn(Call &Of, Ended How) {
+  if (How == Ended::Unreachable)
+    return ++Of.m_Unreachable < MostUnreachable;
+  const bool MayRun = How == Ended::NotRun || Of.isRepeatable();
+  // A refused send ran nowhere, but counts as one more arrival.
+  const std::uint32_t MostSends = std::max(Of.m_Route->m_Attempts, 2U);
+  if (!MayRun || Of.m_Sends >= MostSends || Of.m_Runs >= Of.m_Route->m_Attempts)
+    return false;
+  return budgetOf(Of.m_Query.m_Service).withdraw();
+}
+
+/// The final answer where no instance gave a whole one.
+asio::awaitable<void> EntryRequests::giveUp(Call &Of, Ended How) {
+  if (Of.m_IsGone) {
+    answers("abandoned").add();
+    co_return;
+  }
+  if (Of.m_Answer.started()) {
+    answers("broken").add();
+    net::log(Event::StreamBroken, {{"request", Of.m_Terms.m_AttemptId},
+                                   {"events", Of.m_EventCount},
+                                   {"sends", std::uint64_t{Of.m_Sends}},
+                                   {"afterMs", msOf(now() - Of.m_Start)}});
+    Of.m_Answer.abort();
+    co_return;
+  }
+  if (How == Ended::Failed) {
+    // The instance's own failure, unchanged.
+    net::HttpResponse Held{Of.m_Status, std::move(Of.m_Headers),
+                           std::move(Of.m_Body)};
+    answers("failed").add();
+    net::log(Event::RequestFailed, {{"request", Of.m_Terms.m_AttemptId},
+                                    {"status", std::uint64_t{Of.m_Status}},
+                                    {"instance", Of.m_Instance.m_Text},
+                                    {"afterMs", msOf(now() - Of.m_Start)}});
+    co_await Of.m_Answer.send(std::move(Held));
+    co_return;
+  }
+  if (Of.m_Runs == 0)
+    co_return co_await refuse(
+        Of, StatusUnavailable, "not run",
+        std::max<Duration>(Of.m_RetryAfter, milliseconds(60)));
+  const bool IsLate = Of.timeLeft() < LeastTimeLeft;
+  co_await refuse(Of, IsLate ? StatusGatewayTimeout : StatusBadGateway,
+                  "unknown whether it ran", {});
+}
+
+asio::awaitable<void> EntryRequests::refuse(Call &Of, unsigned Status,
+                                            std::string Reason,
+                                            Duration RetryAfter) {
+  answers(Status == StatusUnavailable ? "refused" : "failed").add();
+  net::log(Status == StatusUnavailable ? Event::RequestRefused
+                                       : Event::RequestFailed,
+           {{"request", Of.m_Terms.m_AttemptId},
+            {"status", std::uint64_t{Status}},
+            {"reason", Reason},
+            {"route", Of.m_Route ? Of.m_Route->m_Name : ""},
+            {"declaration", Of.m_Routes->declaration().m_Version},
+            {"sends", std::uint64_t{Of.m_Sends}},
+            {"retryAfterMs", msOf(RetryAfter)},
+            {"leftMs", msOf(Of.m_Deadline - now())},
+            {"afterMs", msOf(now() - Of.m_Start)}});
+  co_await Of.m_Answer.send(
+      m_Adapter.ownAnswer(Status, Reason, Of.m_Terms.m_AttemptId, RetryAfter));
+}
+
+asio::awaitable<EntryRequests::Ended>
+EntryRequests::attempt(Call &Of, const InstanceChoice &Chosen) {
+  static constexpr std::array Words{"delivered", "gone",   "unreachable",
+                                    "not run",   "failed", "lost",
+                                    "broken"};
+  Of.m_Instance = Chosen.m_Instance;
+  Of.m_IsSilenced = false;
+  Of.m_Events.clear();
+  m_Instances.started(Chosen.m_Instance, now());
+  m_AtInstance[Chosen.m_Instance].insert(&Of);
+  Ended How = co_await exchange(Of, Chosen);
+  Of.m_Abort = nullptr;
+  if (Of.m_IsGone && How != Ended::Delivered)
+    How = Ended::Gone;
+  const auto At = m_AtInstance.find(Chosen.m_Instance);
+  At->second.erase(&Of);
+  if (At->second.empty())
+    m_AtInstance.erase(At);
+  using End = InstanceTable::End;
+  const bool IsBad = How == Ended::Unreachable || How == Ended::Lost ||
+                     How == Ended::Broken || How == Ended::Failed;
+  m_Instances.ended(Chosen.m_Instance,
+                    How == Ended::Delivered ? End::Good
+                    : IsBad                 ? End::Failed
+                                            : End::Neutral,
+                    now());
+  net::log(How == Ended::Delivered ? Event::RequestAnswered
+           : How == Ended::Gone    ? Event::RequestAbandoned
+                                   : Event::AttemptEnded,
+           {{"request", Of.m_Terms.m_AttemptId},
+            {"outcome", Words[static_cast<std::size_t>(How)]},
+            {"status", std::uint64_t{Of.m_Status}},
+            {"instance", Chosen.m_Instance.m_Text},
+            {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
+            {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
+            {"reportAgeMs", msOf(Chosen.m_ReportAge)},
+            {"sends", std::uint64_t{Of.m_Sends}},
+            {"events", Of.m_EventCount},
+            {"firstMs", msOf(Of.m_FirstByte)},
+            {"leftMs", msOf(Of.m_Deadline - now())},
+            {"afterMs", msOf(now() - Of.m_Start)}});
+  if (How == Ended::Delivered)
+    answers("answered").add();
+  if (How == Ended::Gone)
+    answers("abandoned").add();
+  co_return How;
+}
+
+asio::awaitable<EntryRequests::Ended>
+EntryRequests::exchange(Call &Of, const InstanceChoice &Chosen) {
+  const milliseconds Left = Of.timeLeft();
+  const bool IsOnce = Of.m_Route->m_Kind == RouteKind::NonIdempotent;
+  net::CallLimits Limits;
+  Limits.m_Connect = std::min(ConnectLimit, Left);
+  Limits.m_FirstByte = Left;
+  if (Of.isStream())
+    Limits.m_FirstByte = std::min(Left, StreamSilence);
+  else if (!IsOnce && Of.m_Runs + 1 < Of.m_Route->m_Attempts)
+    Limits.m_FirstByte =
+        std::min(Left, PlainObjectives * Of.m_Route->m_Objective);
+  Limits.m_BetweenBytes = Limits.m_FirstByte;
+  Limits.m_MostIdle = IsOnce ? MostIdleOnce : MostIdle;
+  Limits.m_RepeatsGet = false;
+
+  UpstreamTerms Terms;
+  Terms.m_TimeLeft = Left;
+  Terms.m_Instance = Chosen.m_Instance;
+  if (Of.m_Organisation)
+    Terms.m_Organisation = Of.m_Organisation->m_Organisation;
+  if (Of.m_EventCount > 0)
+    Terms.m_LastEventId = Of.m_LastEventId;
+  net::CallCancel Cancel;
+  Of.m_Abort = [&Cancel] { Cancel.cancel(); };
+  if (Of.m_IsGone)
+    co_return Ended::Gone;
+  auto Opened = co_await m_Http.open(Chosen.m_Address,
+                                     m_Adapter.toUpstream(Of.m_Request, Terms),
+                                     Limits, &Cancel);
+  if (!Opened && Opened.error().m_Code == ErrorCode::Unavailable)
+    co_return Ended::Unreachable;
+  ++Of.m_Sends;
+  ++Of.m_Runs;
+  if (!Opened)
+    co_return Ended::Lost;
+  net::HttpStream &Body = **Opened;
+  Of.m_Abort = [&Body] { Body.cancel(); };
+  m_Instances.heard(Chosen.m_Instance, now());
+  const AnswerMeaning Meaning = m_Adapter.meaningOf(
+      Body.status(), Body.headers(), Of.m_Terms.m_AttemptId);
+  if (Meaning == AnswerMeaning::Foreign) {
+    net::log(Event::UpstreamAnswerRefused,
+             {{"request", Of.m_Terms.m_AttemptId},
+              {"instance", Chosen.m_Instance.m_Text},
+              {"status", std::uint64_t{Body.status()}}});
+    co_return Ended::Lost;
+  }
+  if (Meaning == AnswerMeaning::WrongInstance ||
+      Meaning == AnswerMeaning::NotRun) {
+    --Of.m_Runs;
+    if (Meaning == AnswerMeaning::WrongInstance)
+      m_Instances.replaced(Chosen.m_Instance);
+    // The connection stays good once its short answer is read.
+    co_await Body.read();
+    co_return Ended::NotRun;
+  }
+  if (!Of.m_Answer.started()) {
+    Of.m_Status = Body.status();
+    Of.m_Headers = m_Adapter.toCaller(Body.headers());
+  }
+  if (Of.isStream() && isSuccess(Body.status()))
+    co_return co_await passEvents(Of, Body);
+  // A stream that went on elsewhere and met a failure has no answer to hold.
+  if (Of.m_Answer.started())
+    co_return Ended::Broken;
+  co_return co_await readWhole(Of, Body);
+}
+
+/// Reads all of an answer before any of it is passed on, so that one that
+/// breaks off can still be tried elsewhere.
+asio::awaitable<EntryRequests::Ended>
+EntryRequests::readWhole(Call &Of, net::HttpStream &Body) {
+  Of.m_Body.clear();
+  while (true) {
+    Body.setBetweenBytes(std::max(Of.timeLeft(), milliseconds(1)));
+    auto Piece = co_await Body.read();
+    if (!Piece)
+      co_return Ended::Lost;
+    if (Piece->empty())
+      break;
+    m_Instances.heard(Of.m_Instance, now());
+    Of.m_Body += *Piece;
+  }
+  Of.m_FirstByte = now() - Of.m_Start;
+  if (Of.m_Status >= StatusServerError)
+    co_return Ended::Failed;
+  net::HttpResponse Whole{Of.m_Status, Of.m_Headers, std::move(Of.m_Body)};
+  const bool Sent = co_await Of.m_Answer.send(std::move(Whole));
+  co_return Sent ? Ended::Delivered : Ended::Gone;
+}
+
+asio::awaitable<EntryRequests::Ended>
+EntryRequests::passEvents(Call &Of, net::HttpStream &Body) {
+  while (true) {
+    const milliseconds Left = Of.timeLeft();
+    if (Left <= milliseconds::zero())
+      co_return Ended::Broken;
+    Body.setBetweenBytes(std::min(Left, StreamSilence));
+    auto Piece = co_await Body.read();
+    if (!Piece)
+      co_return Of.m_Answer.started() ? Ended::Broken : Ended::Lost;
+    m_Instances.heard(Of.m_Instance, now());
+    const bool IsEnd = Piece->empty();
+    if (!IsEnd)
+      Of.m_Events.add(*Piece);
+    std::string Ready;
+    while (std::optional<StreamEvent> Next = Of.m_Events.next()) {
+      const bool IsRepeated =
+          Next->m_Id && Of.m_LastEvent && *Next->m_Id <= *Of.m_LastEvent;
+      if (IsRepeated)
+        continue;
+      if (Next->m_Id) {
+        Of.m_LastEvent = Next->m_Id;
+        Of.m_LastEventId = std::to_string(*Next->m_Id);
+      }
+      ++Of.m_EventCount;
+      Ready += Next->m_Bytes;
+    }
+    if (IsEnd) {
+      Ready += Of.m_Events.part();
+      Of.m_Events.clear();
+    }
+    if (!Ready.empty() || IsEnd) {
+      if (!Of.m_Answer.started()) {
+        Of.m_FirstByte = now() - Of.m_Start;
+        if (!co_await Of.m_Answer.begin(Of.m_Status, Of.m_Headers))
+          co_return Ended::Gone;
+      }
+      if (!co_await Of.m_Answer.write(Ready))
+        co_return Ended::Gone;
+    }
+    if (IsEnd)
+      co_return co_await Of.m_Answer.end() ? Ended::Delivered : Ended::Gone;
+  }
+}
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/direct/entry-requests.h
@@ -0,0 +1,82 @@
+// The way of one request through an entry: route, organisation, instance,
+// answer, and what follows when an attempt fails.
+#pragma once
+
+#include "deckpitch/instance-table.h"
+#include "deckpitch/retry.h"
+#include "deckpitch/route-table.h"
+#include "direct/adapter.h"
+#include "net/http.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace deckpitch::direct {
+
+namespace asio = boost::asio;
+
+/// What the retries of one entry may add up to.
+struct RetryShare {
+  double m_Share = 0.2;        ///< of the requests, of all entries together
+  std::uint32_t m_Slack = 100; ///< beside them, of all entries together
+};
+
+/// All on one loop.
+class EntryRequests {
+public:
+  EntryRequests(net::HttpClient &Http, const FleetAdapter &Adapter,
+                InstanceTable &Instances, RetryShare Retries);
+
+  void setDeclaration(const FleetDeclaration &Declaration);
+  void setEntries(std::size_t Count) { m_Entries = Count; }
+
+  asio::awaitable<void> handle(net::HttpRequest Request,
+                               net::HttpResponder &Answer);
+  /// Ends what waits for instances that have gone silent.
+  void checkSilence(TimePoint Now);
+
+  std::size_t open() const { return m_Open; }
+
+private:
+  struct Call;
+  /// How one attempt ended.
+  enum class Ended {
+    Delivered,   ///< the caller has the whole answer
+    Gone,        ///< the caller left
+    Unreachable, ///< the request cannot have reached the instance
+    NotRun,      ///< the instance says that it did not run it
+    Failed,      ///< the instance answered with a failure; it is held
+    Lost,        ///< it may have run; nothing was passed on
+    Broken       ///< it stopped after some of the answer was passed on
+  };
+
+  asio::awaitable<void> serve(Call &Of);
+  asio::awaitable<void> tryInstances(Call &Of);
+  asio::awaitable<Ended> attempt(Call &Of, const InstanceChoice &Chosen);
+  asio::awaitable<Ended> exchange(Call &Of, const InstanceChoice &Chosen);
+  asio::awaitable<Ended> readWhole(Call &Of, net::HttpStream &Body);
+  asio::awaitable<Ended> passEvents(Call &Of, net::HttpStream &Body);
+  bool mayGoOn(Call &Of, Ended How);
+  asio::awaitable<void> giveUp(Call &Of, Ended How);
+  asio::awaitable<void> refuse(Call &Of, unsigned Status, std::string Reason,
+                               Duration RetryAfter);
+  RetryBudget &budgetOf(const ServiceId &Service);
+
+  net::HttpClient &m_Http;
+  const FleetAdapter &m_Adapter;
+  InstanceTable &m_Instances;
+  RetryShare m_Retries;
+  std::shared_ptr<const RouteTable> m_Routes =
+      std::make_shared<const RouteTable>();
+  std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
+  /// Calls under way at each instance.
+  std::map<InstanceId, std::set<Call *>> m_AtInstance;
+  std::size_t m_Entries = 1;
+  std::size_t m_Open = 0;
+  std::mt19937_64 m_Random{std::random_device{}()};
+};
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/direct/entry.cc
@@ -0,0 +1,373 @@
+// The entry of a fleet: callers, directory, readiness.
+#include "daemon/clock.h"
+#include "direct/adapter.h"
+#include "direct/entry-peers.h"
+#include "direct/entry-requests.h"
+#include "direct/fleet-follower.h"
+#include "direct/role.h"
+#include "net/adapters.h"
+#include "net/address.h"
+#include "net/log.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace deckpitch::direct {
+
+using daemon::now;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
+/// The system's own kind of objects, for entries to find each other.
+const std::string EntryKind = "deckpitch-entries";
+constexpr Duration TickSpan = milliseconds(100);
+/// To each agent: it keeps on telling for several of these.
+constexpr Duration SubscribeSpan = milliseconds(1'000);
+/// Lists of instances within the time that a leaving one still takes calls.
+constexpr int ListsPerDrain = 3;
+/// Between two reads of the other entries; hellos tell the rest.
+constexpr Duration EntriesSpan = std::chrono::seconds(20);
+/// Callers keep an answer of the directory about that long; until then they
+/// may still come to an entry that leaves.
+constexpr milliseconds AcceptAfterStop{2'500};
+/// Kept free of the time until the kill.
+constexpr milliseconds GraceSpare{500};
+/// Left to instances when a new version must be in force everywhere: begun
+/// requests may wait that long at an instance.
+constexpr milliseconds VersionSpare{1'500};
+constexpr net::HttpLimits SmallLimits{std::size_t{8} * 1024,
+                                      std::size_t{64} * 1024,
+                                      milliseconds(2'000),
+                                      milliseconds(30'000),
+                                      milliseconds(5'000),
+                                      1'000,
+                                      true};
+
+class Entry final : public DirectRole {
+public:
+  explicit Entry(DirectContext &Context);
+
+  Result<void> start() override;
+  void apply(const DirectSettings &Settings) override;
+  void drain(std::function<void()> OnDone) override;
+  void stop() override;
+  boost::json::object dump() const override;
+
+private:
+  FleetFollower::Callbacks followerCalls();
+  asio::awaitable<void> answerReady(net::HttpRequest Request,
+                                    net::HttpResponder &Answer);
+  asio::awaitable<void> answerDirectory(net::HttpRequest Request,
+                                        net::HttpResponder &Answer);
+  asio::awaitable<void> tick();
+  asio::awaitable<void> registerSelf();
+  asio::awaitable<bool> writeSelf();
+  asio::awaitable<void> waitUntilDrained(std::function<void()> OnDone);
+  void onLink(const wire::LinkMessage &Message, const std::string &From);
+  void onState(const wire::InstanceState &State);
+  void sendHellos(TimePoint Now);
+  void noteReadiness();
+  bool isReady() const;
+  static EntryAddress ownAddress(const DirectSettings &Settings);
+  net::HttpLimits callerLimits(const CallerLimits &Declared) const;
+
+  DirectContext &m_Context;
+  asio::io_context &m_Io;
+  const FleetAdapter &m_Adapter;
+  net::HttpClient m_Http;
+  std::unique_ptr<net::Platform> m_Store;
+  InstanceTable m_Instances;
+  EntryRequests m_Requests;
+  EntryPeers m_Peers;
+  StateLink m_Link;
+  FleetFollower m_Follower;
+  net::HttpServer m_Callers;
+  net::HttpServer m_Ready;
+  net::HttpServer m_Directory;
+  std::vector<DeclaredWeights> m_Declared;
+  std::map<std::string, LinkOrder> m_StateOrder; ///< by instance address
+  TimePoint m_NextSubscribe{};
+  bool m_Leaving = false;
+  bool m_WasReady = false;
+  bool m_Stopped = false;
+};
+
+Entry::Entry(DirectContext &Context)
+    : m_Context(Context), m_Io(Context.m_Threads.control()),
+      m_Adapter(*fleetAdapter()), m_Store(net::Adapters<net::Platform>::make(
+                                      m_Http, Context.m_Settings.m_Store)),
+      m_Instances(Context.m_Settings.m_DataCentre),
+      m_Requests(m_Http, m_Adapter, m_Instances,
+                 {Context.m_Settings.m_Bounds.m_RetryShare,
+                  Context.m_Settings.m_Bounds.m_RetrySlack}),
+      m_Peers(ownAddress(Context.m_Settings)),
+      m_Link(m_Io, Context.m_Incarnation),
+      m_Follower(
+          m_Io, *m_Store, m_Adapter,
+          {true, true, Context.m_Settings.m_Bounds.m_Drain / ListsPerDrain},
+          followerCalls()),
+      m_Callers(
+          Context.m_Threads,
+          [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+            return m_Requests.handle(std::move(Request), Answer);
+          },
+          callerLimits({})),
+      m_Ready(
+          Context.m_Threads,
+          [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+            return answerReady(std::move(Request), Answer);
+          },
+          SmallLimits),
+      m_Directory(
+          Context.m_Threads,
+          [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+            return answerDirectory(std::move(Request), Answer);
+          },
+          SmallLimits) {
+  m_Instances.setVersionGrace(std::max(
+      Context.m_Settings.m_Bounds.m_Version - VersionSpare, milliseconds(0)));
+}
+
+EntryAddress Entry::ownAddress(const DirectSettings &Settings) {
+  return {Settings.m_Instance, Settings.m_DataCentre, Settings.m_Listen.m_Link,
+          Settings.m_Listen.m_Callers};
+}
+
+net::HttpLimits Entry::callerLimits(const CallerLimits &Declared) const {
+  net::HttpLimits Limits;
+  Limits.m_HeaderBytes = Declared.m_HeaderBytes;
+  Limits.m_BodyBytes = Declared.m_BodyBytes;
+  Limits.m_HeaderTimeout = Declared.m_HeaderTimeout;
+  Limits.m_IdleTimeout = Declared.m_IdleTimeout;
+  Limits.m_HalfClosedIsGone = true;
+  return Limits;
+}
+
+FleetFollower::Callbacks Entry::followerCalls() {
+  FleetFollower::Callbacks Calls;
+  Calls.m_OnDeclaration = [this](const FleetDeclaration &Declaration) {
+    m_Instances.setServices(Declaration.m_Services);
+    m_Requests.setDeclaration(Declaration);
+    m_Callers.setLimits(callerLimits(Declaration.m_Limits));
+    noteReadiness();
+  };
+  Calls.m_OnInstances = [this](const std::vector<ListedInstance> &Listed) {
+    m_Instances.setInstances(Listed, now());
+    noteReadiness();
+  };
+  Calls.m_OnWeights = [this](const std::vector<DeclaredWeights> &Declared) {
+    m_Declared = Declared;
+    m_Instances.setWeights(Declared, now());
+    m_NextSubscribe = {}; // Agents hear of it with the next hello.
+  };
+  return Calls;
+}
+
+Result<void> Entry::start() {
+  const DirectListen &Listen = m_Context.m_Settings.m_Listen;
+  BOOST_LEAF_CHECK(m_Callers.listen(Listen.m_Callers));
+  if (!Listen.m_Ready.empty())
+    BOOST_LEAF_CHECK(m_Ready.listen(Listen.m_Ready));
+  if (!Listen.m_Directory.empty())
+    BOOST_LEAF_CHECK(m_Directory.listen(Listen.m_Directory));
+  BOOST_LEAF_CHECK(
+      m_Link.listen(Listen.m_Link, [this](const wire::LinkMessage &Message,
+                                          const std::string &From) {
+        onLink(Message, From);
+      }));
+  m_Follower.start();
+  asio::co_spawn(m_Io, registerSelf(), asio::detached);
+  asio::co_spawn(m_Io, tick(), asio::detached);
+  return {};
+}
+
+void Entry::apply(const DirectSettings &Settings) {
+  m_Context.m_Settings.m_Bounds = Settings.m_Bounds;
+}
+
+bool Entry::isReady() const {
+  return !m_Leaving && m_Follower.knowsDeclaration() &&
+         m_Follower.knowsInstances();
+}
+
+void Entry::noteReadiness() {
+  if (m_WasReady || !isReady())
+    return;
+  m_WasReady = true;
+  net::log(Event::ProcessReady,
+           {{"instances", std::uint64_t{m_Instances.size()}}});
+}
+
+asio::awaitable<void> Entry::answerReady(net::HttpRequest Request,
+                                         net::HttpResponder &Answer) {
+  const unsigned Status =
+      !m_Adapter.isReadyQuery(Request) ? 404 : (isReady() ? 200 : 503);
+  co_await Answer.send(net::jsonResponse(Status, "{}"));
+}
+
+asio::awaitable<void> Entry::answerDirectory(net::HttpRequest Request,
+                                             net::HttpResponder &Answer) {
+  const auto Query = m_Adapter.readDirectoryQuery(Request);
+  if (!Query)
+    co_return (void) co_await Answer.send(
+        net::jsonResponse(404, R"({"error":"no such path"})"));
+  const std::vector<std::string> Addresses =
+      m_Peers.addressesFor(Query->m_DataCentre, isReady(), now());
+  if (Addresses.empty())
+    co_return (void) co_await Answer.send(
+        m_Adapter.ownAnswer(503, "no entry is ready", "", milliseconds(200)));
+  co_await Answer.send(m_Adapter.directoryAnswer(
+      Addresses, m_Context.m_Settings.m_Bounds.m_AddressLifetime));
+}
+
+void Entry::onLink(const wire::LinkMessage &Message, const std::string &From) {
+  if (Message.has_hello())
+    m_Peers.heard(Message, From, now());
+  if (!Message.has_state())
+    return;
+  if (m_StateOrder[Message.state().address()].isNewer(Message))
+    onState(Message.state());
+}
+
+void Entry::onState(const wire::InstanceState &State) {
+  InstanceReport Report;
+  Report.m_Running = State.running();
+  Report.m_Waiting = State.waiting();
+  Report.m_TakesRequests = State.takes_requests();
+  for (const wire::HeldWeightsState &Each : State.weights())
+    Report.m_Weights.push_back({Each.model(), Each.version(), Each.complete()});
+  m_Instances.report(State.address(), std::move(Report), now());
+}
+
+void Entry::sendHellos(TimePoint Now) {
+  wire::LinkMessage Message;
+  wire::EntryHello &Hello = *Message.mutable_hello();
+  const EntryAddress &Own = m_Peers.own();
+  Hello.set_instance(Own.m_Id.m_Text);
+  Hello.set_data_centre(Own.m_DataCentre.m_Text);
+  Hello.set_callers(Own.m_Callers);
+  Hello.set_takes_callers(isReady());
+  for (const std::string &To : m_Peers.dueHellos(Now))
+    m_Link.send(To, Message);
+  if (Now < m_NextSubscribe)
+    return;
+  m_NextSubscribe = Now + SubscribeSpan;
+  for (const DeclaredWeights &Each : m_Declared) {
+    wire::DeclaredWeightsState &Added = *Hello.add_declared();
+    Added.set_model(Each.m_Model);
+    Added.set_version(Each.m_Version);
+  }
+  const std::string Port =
+      ":" + std::to_string(m_Context.m_Settings.m_AgentLinkPort);
+  for (const std::string &Address : m_Instances.engineAddresses())
+    m_Link.send(Address.substr(0, Address.rfind(':')) + Port, Message);
+}
+
+asio::awaitable<void> Entry::tick() {
+  asio::steady_timer Timer(m_Io);
+  while (!m_Stopped) {
+    const TimePoint Now = now();
+    sendHellos(Now);
+    const std::size_t Entries = m_Peers.liveCount(Now);
+    m_Instances.setEntries(Entries);
+    m_Requests.setEntries(Entries);
+    m_Requests.checkSilence(Now);
+    Timer.expires_after(TickSpan);
+    co_await Timer.async_wait(UseAwaitable);
+  }
+}
+
+/// True when the store holds this entry's address.
+asio::awaitable<bool> Entry::writeSelf() {
+  const std::string Json = formatEntry(m_Peers.own());
+  const std::string &Name = m_Peers.own().m_Id.m_Text;
+  const auto Created = co_await m_Store->create(EntryKind, Name, Json);
+  if (Created)
+    co_return true;
+  if (Created.error().m_Code != ErrorCode::Conflict)
+    co_return false;
+  auto Stored = co_await m_Store->get(EntryKind, Name);
+  if (!Stored)
+    co_return false;
+  if (Stored->m_Json == Json)
+    co_return true;
+  Stored->m_Json = Json;
+  co_return (co_await m_Store->update(std::move(*Stored))).has_value();
+}
+
+asio::awaitable<void> Entry::registerSelf() {
+  asio::steady_timer Timer(m_Io);
+  bool IsWritten = false;
+  while (!m_Stopped) {
+    if (!IsWritten)
+      IsWritten = co_await writeSelf();
+    const auto List = co_await m_Store->list(EntryKind);
+    if (List)
+      for (const net::PlatformObject &Each : List->m_Items) {
+        const auto Known =
+            outcomeOf([&] { return parseEntry(Each.m_Name, Each.m_Json); });
+        if (Known)
+          m_Peers.learn(*Known);
+      }
+    Timer.expires_after(IsWritten && List ? EntriesSpan : TickSpan * 5);
+    co_await Timer.async_wait(UseAwaitable);
+  }
+}
+
+void Entry::drain(std::function<void()> OnDone) {
+  m_Leaving = true;
+  m_Callers.closeAfterAnswers();
+  // Not told by a late hello: callers ask other entries for addresses.
+  sendHellos(now());
+  asio::co_spawn(m_Io, waitUntilDrained(std::move(OnDone)), asio::detached);
+}
+
+asio::awaitable<void> Entry::waitUntilDrained(std::function<void()> OnDone) {
+  const TimePoint Stop = now();
+  const TimePoint End =
+      Stop + m_Context.m_Settings.m_Bounds.m_Grace - GraceSpare;
+  asio::steady_timer Timer(m_Io);
+  bool Accepts = true;
+  while (now() < End) {
+    if (Accepts && now() - Stop > AcceptAfterStop) {
+      m_Callers.drain();
+      Accepts = false;
+    }
+    if (!Accepts && m_Callers.openRequests() == 0)
+      break;
+    Timer.expires_after(milliseconds(50));
+    co_await Timer.async_wait(UseAwaitable);
+  }
+  OnDone();
+}
+
+void Entry::stop() {
+  m_Stopped = true;
+  m_Follower.stop();
+  m_Link.stop();
+  m_Callers.stop();
+  m_Ready.stop();
+  m_Directory.stop();
+}
+
+boost::json::object Entry::dump() const {
+  return {{"ready", isReady()},
+          {"leaving", m_Leaving},
+          {"entries", m_Peers.liveCount(now())},
+          {"instances", m_Instances.size()},
+          {"inFlight", m_Instances.inFlight()},
+          {"openRequests", m_Callers.openRequests()},
+          {"storeCalls", m_Store->calls()}};
+}
+
+} // namespace
+
+std::unique_ptr<DirectRole> makeEntry(DirectContext &Context) {
+  return std::make_unique<Entry>(Context);
+}
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/direct/process.cc
@@ -0,0 +1,188 @@
+// What every process of a fleet does around its role: signals, settings that
+// change, logs, metrics, state dump.
+#include "direct/adapter.h"
+#include "direct/role.h"
+#include "net/adapters.h"
+#include "net/log.h"
+#include "net/metrics.h"
+#include "net/platform.h"
+#include "net/text-file.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <utility>
+
+namespace deckpitch::direct {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long a line may wait before it is written.
+constexpr std::chrono::milliseconds FlushSpan{100};
+constexpr std::size_t OperatorConnections = 64;
+
+class Runner {
+public:
+  Runner(DirectSettings Settings, std::string Path)
+      : m_Context{m_Threads, std::move(Settings), newIncarnation()},
+        m_Path(std::move(Path)),
+        m_Signals(m_Threads.control(), SIGINT, SIGTERM, SIGHUP),
+        m_Flush(m_Threads.control()) {}
+
+  int run() {
+    m_Role = m_Context.m_Settings.m_Role == Role::Entry ? makeEntry(m_Context)
+                                                        : makeAgent(m_Context);
+    if (!startAll())
+      return 1;
+    m_Threads.start();
+    m_Done.get_future().wait();
+    asio::post(m_Threads.control(), [this] {
+      m_Role->stop();
+      m_Stopped.set_value();
+    });
+    m_Stopped.get_future().wait();
+    m_Threads.stop();
+    net::log(Event::ProcessStopped);
+    net::flushLog();
+    return 0;
+  }
+
+private:
+  static std::uint64_t newIncarnation() {
+    const auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(SinceEpoch)
+            .count());
+  }
+
+  bool startAll() {
+    const DirectListen &Listen = m_Context.m_Settings.m_Listen;
+    const auto Started = outcomeOf([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(m_Role->start());
+      if (!Listen.m_Operator.empty())
+        BOOST_LEAF_CHECK(m_Operator.listen(Listen.m_Operator));
+      return true;
+    });
+    if (!Started) {
+      net::log(Event::ListenFailed, {{"error", Started.error().m_Message}});
+      net::flushLog();
+      return false;
+    }
+    net::log(Event::ProcessStarted,
+             {{"role",
+               m_Context.m_Settings.m_Role == Role::Entry ? "entry" : "agent"},
+              {"version", DECKPITCH_VERSION},
+              {"callers", Listen.m_Callers},
+              {"link", Listen.m_Link},
+              {"incarnation", m_Context.m_Incarnation}});
+    waitForSignal();
+    flushLater();
+    return true;
+  }
+
+  void waitForSignal() {
+    m_Signals.async_wait(
+        [this](const boost::system::error_code &Ec, int Number) {
+          if (Ec)
+            return;
+          if (Number == SIGHUP)
+            readSettings();
+          else
+            beginDrain();
+          waitForSignal();
+        });
+  }
+
+  void readSettings() {
+    const auto Text = net::readTextFile(m_Path);
+    const auto Read = outcomeOf([&]() -> Result<DirectSettings> {
+      if (!Text)
+        return fail(ErrorCode::Unavailable, "cannot be read");
+      return parseDirectSettings(*Text);
+    });
+    if (!Read)
+      return net::log(Event::SettingsRefused,
+                      {{"path", m_Path}, {"error", Read.error().m_Message}});
+    net::log(Event::SettingsRead, {{"path", m_Path}});
+    m_Role->apply(*Read);
+  }
+
+  void beginDrain() {
+    if (std::exchange(m_IsLeaving, true))
+      return;
+    net::log(Event::ProcessDraining, {{"source", "signal"}});
+    m_Role->drain([this] { m_Done.set_value(); });
+  }
+
+  void flushLater() {
+    m_Flush.expires_after(FlushSpan);
+    m_Flush.async_wait([this](const boost::system::error_code &Ec) {
+      if (Ec)
+        return;
+      net::flushLog();
+      flushLater();
+    });
+  }
+
+  asio::awaitable<void> answerOperator(net::HttpRequest Request,
+                                       net::HttpResponder &Answer) {
+    if (Request.path() == "/v1/metrics") {
+      net::updateProcessUsage();
+      net::HttpResponse Response;
+      Response.m_Headers.add("Content-Type",
+                             std::string(net::MetricsContentType));
+      Response.m_Body = net::metrics().text();
+      co_await Answer.send(std::move(Response));
+    } else if (Request.path() == "/v1/dump") {
+      co_await Answer.send(
+          net::jsonResponse(200, boost::json::serialize(m_Role->dump())));
+    } else {
+      co_await Answer.send(
+          net::jsonResponse(404, R"({"error":"no such path"})"));
+    }
+  }
+
+  /// No workers: one loop, so that a small machine pays for no hand-over
+  /// between threads.
+  net::IoThreads m_Threads{0};
+  DirectContext m_Context;
+  std::string m_Path;
+  asio::signal_set m_Signals;
+  asio::steady_timer m_Flush;
+  std::unique_ptr<DirectRole> m_Role;
+  net::HttpServer m_Operator{
+      m_Threads,
+      [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+        return answerOperator(std::move(Request), Answer);
+      },
+      operatorLimits()};
+  std::promise<void> m_Done;
+  std::promise<void> m_Stopped;
+  bool m_IsLeaving = false;
+
+  static net::HttpLimits operatorLimits() {
+    net::HttpLimits Limits;
+    Limits.m_Connections = OperatorConnections;
+    return Limits;
+  }
+};
+
+} // namespace
+
+int runDirect(DirectSettings Settings, const std::string &SettingsPath) {
+  if (!fleetAdapter()) {
+    net::log(Event::ListenFailed,
+             {{"error", "no platform adapter is built in"}});
+    net::flushLog();
+    return 1;
+  }
+  Runner Process(std::move(Settings), SettingsPath);
+  return Process.run();
+}
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/direct/role.h
@@ -0,0 +1,46 @@
+// A process of a fleet whose entries call the instances themselves.
+#pragma once
+
+#include "deckpitch/direct-settings.h"
+#include "net/http.h"
+#include "net/io-threads.h"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace deckpitch::direct {
+
+/// What the process does; runs on the control loop only.
+class DirectRole {
+public:
+  DirectRole() = default;
+  virtual ~DirectRole() = default;
+  DirectRole(const DirectRole &) = delete;
+  DirectRole &operator=(const DirectRole &) = delete;
+
+  /// Errors: InvalidInput, Unavailable.
+  virtual Result<void> start() = 0;
+  /// The settings were read again; what can change while running does.
+  virtual void apply(const DirectSettings &Settings) = 0;
+  /// Takes nothing new. OnDone is called when all that was taken has ended.
+  virtual void drain(std::function<void()> OnDone) = 0;
+  virtual void stop() = 0;
+  virtual boost::json::object dump() const = 0;
+};
+
+/// Role and address of the operators' interface; what both roles share.
+struct DirectContext {
+  net::IoThreads &m_Threads;
+  DirectSettings m_Settings;
+  std::uint64_t m_Incarnation;
+};
+
+std::unique_ptr<DirectRole> makeEntry(DirectContext &Context);
+std::unique_ptr<DirectRole> makeAgent(DirectContext &Context);
+
+/// Runs until a stop signal; gives the exit code.
+int runDirect(DirectSettings Settings, const std::string &SettingsPath);
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/direct/state-link.cc
@@ -0,0 +1,76 @@
+#include "direct/state-link.h"
+
+#include "net/address.h"
+#include "net/log.h"
+
+#include <utility>
+
+namespace deckpitch::direct {
+
+using asio::ip::udp;
+
+namespace {
+
+Result<udp::endpoint> parseUdp(const std::string &Address) {
+  BOOST_LEAF_AUTO(Endpoint, net::parseEndpoint(Address));
+  return udp::endpoint(Endpoint.address(), Endpoint.port());
+}
+
+std::string textOf(const udp::endpoint &Of) {
+  return net::formatEndpoint({Of.address(), Of.port()});
+}
+
+} // namespace
+
+StateLink::StateLink(asio::io_context &Io, std::uint64_t Incarnation)
+    : m_Socket(Io), m_Incarnation(Incarnation) {}
+
+Result<void> StateLink::listen(const std::string &Address, OnMessage Call) {
+  BOOST_LEAF_AUTO(Endpoint, parseUdp(Address));
+  boost::system::error_code Ec;
+  m_Socket.open(Endpoint.protocol(), Ec);
+  if (!Ec)
+    m_Socket.bind(Endpoint, Ec);
+  if (!Ec)
+    m_Socket.non_blocking(true, Ec);
+  if (Ec)
+    return fail(ErrorCode::Unavailable,
+                "cannot bind " + Address + ": " + Ec.message());
+  m_OnMessage = std::move(Call);
+  receive();
+  return {};
+}
+
+void StateLink::receive() {
+  m_Socket.async_receive_from(
+      asio::buffer(m_Buffer), m_From,
+      [this](const boost::system::error_code &Ec, std::size_t Bytes) {
+        if (Ec == asio::error::operation_aborted)
+          return;
+        wire::LinkMessage Message;
+        // A refused port shows as an error of the next read; what cannot be
+        // parsed is another program's.
+        if (!Ec &&
+            Message.ParseFromArray(m_Buffer.data(), static_cast<int>(Bytes)))
+          m_OnMessage(Message, textOf(m_From));
+        receive();
+      });
+}
+
+void StateLink::send(const std::string &To, wire::LinkMessage Message) {
+  const auto Endpoint = outcomeOf([&] { return parseUdp(To); });
+  if (!Endpoint)
+    return net::log(Event::LinkAddressRefused, {{"address", To}});
+  Message.set_incarnation(m_Incarnation);
+  Message.set_sequence(++m_Sequence);
+  const std::string Bytes = Message.SerializeAsString();
+  boost::system::error_code Ignored; // The next message makes up for it.
+  m_Socket.send_to(asio::buffer(Bytes), *Endpoint, 0, Ignored);
+}
+
+void StateLink::stop() {
+  boost::system::error_code Ignored;
+  m_Socket.close(Ignored);
+}
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/kernel/instance-table.cc
@@ -0,0 +1,266 @@
+#include "deckpitch/instance-table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace deckpitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A report that old no longer tells how many requests others have there:
+/// several times the span between two reports.
+constexpr Duration ReportLifetime = std::chrono::milliseconds(800);
+/// Share of the objective that may be planned with; the rest covers links and
+/// reports that are late.
+constexpr double PlannedShare = 0.85;
+/// Requests beyond the slots that an engine may hold, as a share of the slots.
+constexpr double MostQueuedShare = 0.25;
+/// Requests that a plain service may hold for each of its slots: one that runs
+/// and one that is next.
+constexpr double PlainServiceDepth = 2;
+/// What a call to another data centre costs, in requests at the instance:
+/// breaks ties, and does not outweigh one request.
+constexpr double FarPenalty = 0.6;
+/// Retrying sooner would meet the same requests.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(60);
+/// Until weights arrive or instances come back.
+constexpr Duration RetryAfterNothing = std::chrono::milliseconds(1'000);
+
+Duration fromMs(double Ms) {
+  return Duration(static_cast<Duration::rep>(Ms * 1e6));
+}
+
+} // namespace
+
+EngineCapacity capacityOf(const EngineProfile &Profile,
+                          std::chrono::milliseconds Objective) {
+  const double Slots = std::max(1U, Profile.m_Slots);
+  const double Steps = std::max(1U, Profile.m_StepsPerPass);
+  const double KiloTokens =
+      (Profile.m_UsualPromptTokens + Profile.m_UsualAnswerTokens / 2) / 1'000;
+  const double StepMs =
+      Profile.m_StepMs + Slots * (Profile.m_StepMsPerWriter +
+                                  KiloTokens * Profile.m_StepMsPerKiloToken);
+  const double ReadMs =
+      Profile.m_UsualPromptTokens / std::max(Profile.m_ReadTokensPerMs, 0.001);
+  const double StreamMs = Profile.m_UsualAnswerTokens * StepMs + Slots * ReadMs;
+  const double BetweenMs = StreamMs / Slots;
+  // Half a pass until it is read, its own reading, and its first pass.
+  const double FirstMs = 1.5 * Steps * StepMs + ReadMs;
+  const double SpareMs =
+      PlannedShare * static_cast<double>(Objective.count()) - FirstMs;
+  const double Queued =
+      std::clamp(SpareMs / BetweenMs, 0.0, MostQueuedShare * Slots);
+  return {Slots + std::floor(Queued), fromMs(BetweenMs)};
+}
+
+void InstanceTable::setServices(
+    const std::vector<ServiceDeclaration> &Services) {
+  m_Services.clear();
+  for (const ServiceDeclaration &Each : Services)
+    m_Services.emplace(Each.m_Id, Each);
+}
+
+void InstanceTable::setInstances(const std::vector<ListedInstance> &Listed,
+                                 TimePoint Now) {
+  for (auto &[Id, Each] : m_Instances)
+    Each.m_IsListed = false;
+  m_ByAddress.clear();
+  for (const ListedInstance &Each : Listed) {
+    const auto [At, IsNew] = m_Instances.try_emplace(Each.m_Id);
+    Instance &Known = At->second;
+    if (IsNew)
+      Known.m_Heard = Now;
+    const bool HasFreshReport =
+        Known.m_Reported && Now - *Known.m_Reported < ReportLifetime;
+    if (!HasFreshReport)
+      Known.m_Weights = Each.m_Weights;
+    Known.m_Listed = Each;
+    Known.m_IsListed = true;
+    m_ByAddress[Each.m_Address] = Each.m_Id;
+  }
+  std::erase_if(m_Instances, [](const auto &Each) {
+    return !Each.second.m_IsListed && Each.second.m_Own == 0;
+  });
+}
+
+void InstanceTable::setWeights(const std::vector<DeclaredWeights> &Declared,
+                               TimePoint Now) {
+  for (const DeclaredWeights &Each : Declared) {
+    Wanted &Known = m_Wanted[Each.m_Model];
+    if (Each.m_Version > Known.m_Version)
+      Known = {Each.m_Version, Now};
+  }
+}
+
+void InstanceTable::report(const std::string &Address, InstanceReport Report,
+                           TimePoint Now) {
+  const auto Id = m_ByAddress.find(Address);
+  if (Id == m_ByAddress.end())
+    return;
+  Instance &Known = m_Instances.at(Id->second);
+  const std::uint32_t All = Report.m_Running + Report.m_Waiting;
+  Known.m_Others = All - std::min(All, Known.m_Own);
+  Known.m_Reported = Now;
+  Known.m_TakesRequests = Report.m_TakesRequests;
+  Known.m_Weights = std::move(Report.m_Weights);
+}
+
+bool InstanceTable::serves(const Instance &Each, const std::string &Model,
+                           TimePoint Now) const {
+  const auto Found = m_Wanted.find(Model);
+  const bool MayBeOlder =
+      Found == m_Wanted.end() || Now - Found->second.m_Since < m_VersionGrace;
+  return std::any_of(Each.m_Weights.begin(), Each.m_Weights.end(),
+                     [&](const HeldWeights &Held) {
+                       return Held.m_Model == Model && Held.m_IsComplete &&
+                              (MayBeOlder ||
+                               Held.m_Version >= Found->second.m_Version);
+                     });
+}
+
+double InstanceTable::loadOf(const Instance &Each, TimePoint Now) const {
+  const bool IsFresh =
+      Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
+  if (IsFresh)
+    return Each.m_Own + Each.m_Others;
+  // Without a report the other entries are taken to be as busy as this one.
+  return static_cast<double>(Each.m_Own) * static_cast<double>(m_Entries);
+}
+
+double InstanceTable::limitOf(const Instance &Each,
+                              const ChoiceQuery &Query) const {
+  const auto Service = m_Services.find(Each.m_Listed.m_Service);
+  if (Service != m_Services.end() && Service->second.m_Engine)
+    return capacityOf(*Service->second.m_Engine, Query.m_Objective).m_Limit;
+  return PlainServiceDepth * std::max(1U, Each.m_Listed.m_Slots);
+}
+
+InstanceChoice InstanceTable::choose(const ChoiceQuery &Query, TimePoint Now) {
+  InstanceChoice Best;
+  const Instance *BestInstance = nullptr;
+  double BestScore = std::numeric_limits<double>::max();
+  bool IsBestEjected = true;
+  bool LacksWeights = false;
+  std::uniform_real_distribution<double> Tie(0, 0.5);
+  for (const auto &[Id, Each] : m_Instances) {
+    const bool IsUsable = Each.m_IsListed && !Each.m_IsReplaced &&
+                          !Each.m_Listed.m_IsLeaving &&
+                          Each.m_Listed.m_Service == Query.m_Service &&
+                          !Query.m_Tried.contains(Id);
+    if (!IsUsable)
+      continue;
+    if (!Query.m_Model.empty() &&
+        (!Each.m_TakesRequests || !serves(Each, Query.m_Model, Now))) {
+      LacksWeights = true;
+      continue;
+    }
+    const double Load = loadOf(Each, Now);
+    const bool IsFar = Each.m_Listed.m_DataCentre != m_Own;
+    const double Score = Load + (IsFar ? FarPenalty : 0) + Tie(m_Random);
+    // Ejected ones only where there is no other: a broken instance may still
+    // serve some, an absent one none.
+    const bool IsEjected = Each.m_Ejection.until() > Now;
+    const bool IsBetter =
+        IsEjected == IsBestEjected ? Score < BestScore : IsBestEjected;
+    if (!IsBetter)
+      continue;
+    BestScore = Score;
+    IsBestEjected = IsEjected;
+    BestInstance = &Each;
+    Best.m_Instance = Id;
+    Best.m_Load = Load;
+  }
+  if (!BestInstance) {
+    Best.m_Outcome =
+        LacksWeights ? ChoiceOutcome::NoWeights : ChoiceOutcome::NoInstance;
+    Best.m_RetryAfter = RetryAfterNothing;
+    return Best;
+  }
+  Best.m_Address = BestInstance->m_Listed.m_Address;
+  Best.m_Limit = limitOf(*BestInstance, Query);
+  if (BestInstance->m_Reported)
+    Best.m_ReportAge = Now - *BestInstance->m_Reported;
+  Best.m_Outcome =
+      Best.m_Load < Best.m_Limit ? ChoiceOutcome::Chosen : ChoiceOutcome::Full;
+  const auto Service = m_Services.find(Query.m_Service);
+  Best.m_RetryAfter = LeastRetryAfter;
+  if (Service != m_Services.end() && Service->second.m_Engine)
+    Best.m_RetryAfter = std::max(
+        LeastRetryAfter,
+        capacityOf(*Service->second.m_Engine, Query.m_Objective).m_BetweenEnds);
+  return Best;
+}
+
+void InstanceTable::started(const InstanceId &Id, TimePoint Now) {
+  const auto Found = m_Instances.find(Id);
+  if (Found == m_Instances.end())
+    return;
+  Instance &Known = Found->second;
+  if (Known.m_Own++ == 0)
+    Known.m_Heard = Now;
+}
+
+void InstanceTable::ended(const InstanceId &Id, End How, TimePoint Now) {
+  const auto Found = m_Instances.find(Id);
+  if (Found == m_Instances.end())
+    return;
+  Instance &Known = Found->second;
+  Known.m_Own -= std::min(Known.m_Own, 1U);
+  if (How == End::Good)
+    Known.m_Ejection.succeeded();
+  if (How == End::Failed)
+    Known.m_Ejection.failed(Now);
+  if (!Known.m_IsListed && Known.m_Own == 0)
+    m_Instances.erase(Found);
+}
+
+void InstanceTable::heard(const InstanceId &Id, TimePoint Now) {
+  const auto Found = m_Instances.find(Id);
+  if (Found != m_Instances.end())
+    Found->second.m_Heard = Now;
+}
+
+void InstanceTable::replaced(const InstanceId &Id) {
+  const auto Found = m_Instances.find(Id);
+  if (Found != m_Instances.end())
+    Found->second.m_IsReplaced = true;
+}
+
+std::vector<InstanceId> InstanceTable::silentFor(Duration Length,
+                                                 TimePoint Now) const {
+  std::vector<InstanceId> Out;
+  for (const auto &[Id, Each] : m_Instances)
+    if (Each.m_Own > 0 && Now - Each.m_Heard > Length)
+      Out.push_back(Id);
+  return Out;
+}
+
+const ListedInstance *InstanceTable::find(const InstanceId &Id) const {
+  const auto Found = m_Instances.find(Id);
+  return Found == m_Instances.end() ? nullptr : &Found->second.m_Listed;
+}
+
+std::vector<std::string> InstanceTable::engineAddresses() const {
+  std::vector<std::string> Out;
+  for (const auto &[Id, Each] : m_Instances) {
+    const auto Service = m_Services.find(Each.m_Listed.m_Service);
+    const bool IsEngine =
+        Service != m_Services.end() && Service->second.m_Engine;
+    if (IsEngine && Each.m_IsListed)
+      Out.push_back(Each.m_Listed.m_Address);
+  }
+  return Out;
+}
+
+std::uint32_t InstanceTable::inFlight() const {
+  std::uint32_t Sum = 0;
+  for (const auto &[Id, Each] : m_Instances)
+    Sum += Each.m_Own;
+  return Sum;
+}
+
+} // namespace deckpitch
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -132,6 +132,19 @@
   Out = Number;
 }
 
+void JsonObjectReader::optional(std::string_view Key, double &Out, double Least,
+                                double Most) {
+  const boost::json::value *Value = take(Key);
+  if (!Value)
+    return;
+  boost::json::error_code Ec;
+  const double Number = Value->is_number() ? Value->to_number<double>(Ec) : 0;
+  if (!Value->is_number() || Ec || Number < Least || Number > Most)
+    return problem(Key, "a number from " + std::to_string(Least) + " to " +
+                            std::to_string(Most));
+  Out = Number;
+}
+
 void JsonObjectReader::optional(std::string_view Key, std::uint32_t &Out,
                                 std::uint32_t Least, std::uint32_t Most) {
   std::uint64_t Wide = Out;
--- /dev/null
+++ b/src/kernel/route-table.cc
@@ -0,0 +1,85 @@
+#include "deckpitch/route-table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace deckpitch {
+
+namespace {
+
+constexpr char Separator = '\n'; ///< cannot stand in a host
+
+std::string hostOf(std::string_view Header) {
+  const bool IsBracketed = Header.starts_with('[');
+  const std::size_t Colon = Header.rfind(':');
+  const std::size_t Bracket = Header.rfind(']');
+  const bool HasPort =
+      Colon != std::string_view::npos && (!IsBracketed || Colon > Bracket);
+  std::string Host(HasPort ? Header.substr(0, Colon) : Header);
+  std::transform(Host.begin(), Host.end(), Host.begin(), [](char C) {
+    return C >= 'A' && C <= 'Z' ? static_cast<char>(C - 'A' + 'a') : C;
+  });
+  return Host;
+}
+
+} // namespace
+
+RouteTable::RouteTable(FleetDeclaration Declaration)
+    : m_Declaration(std::move(Declaration)) {
+  for (std::size_t I = 0; I < m_Declaration.m_Routes.size(); ++I) {
+    const ServiceRoute &Route = m_Declaration.m_Routes[I];
+    m_Routes.emplace(hostOf(Route.m_Host) + Separator + Route.m_PathPrefix, I);
+  }
+  for (std::size_t I = 0; I < m_Declaration.m_Services.size(); ++I)
+    m_Services.emplace(m_Declaration.m_Services[I].m_Id.m_Text, I);
+  for (std::size_t I = 0; I < m_Declaration.m_Organisations.size(); ++I)
+    for (const std::string &Key : m_Declaration.m_Organisations[I].m_Keys)
+      m_Keys.emplace(Key, I);
+}
+
+const ServiceRoute *RouteTable::find(std::string_view Host,
+                                     std::string_view Path) const {
+  std::string Key = hostOf(Host) + Separator;
+  const std::size_t Stem = Key.size();
+  Key += Path;
+  // Prefixes end with a slash, so only those cuts of the path can be one.
+  while (true) {
+    const std::size_t Slash = Key.rfind('/');
+    if (Slash == std::string::npos || Slash < Stem)
+      return nullptr;
+    Key.resize(Slash + 1);
+    const auto Found = m_Routes.find(Key);
+    if (Found != m_Routes.end())
+      return &m_Declaration.m_Routes[Found->second];
+    Key.resize(Slash);
+  }
+}
+
+const OrganisationKeys *RouteTable::organisationOf(std::string_view Key) const {
+  const auto Found = m_Keys.find(std::string(Key));
+  return Found == m_Keys.end() ? nullptr
+                               : &m_Declaration.m_Organisations[Found->second];
+}
+
+const ServiceDeclaration *RouteTable::service(const ServiceId &Id) const {
+  const auto Found = m_Services.find(Id.m_Text);
+  return Found == m_Services.end() ? nullptr
+                                   : &m_Declaration.m_Services[Found->second];
+}
+
+const ServiceId *chooseService(const ServiceRoute &Route, std::uint64_t Draw) {
+  std::uint64_t Sum = 0;
+  for (const WeightedService &Each : Route.m_Services)
+    Sum += Each.m_Weight;
+  if (Sum == 0)
+    return nullptr;
+  std::uint64_t Left = Draw % Sum;
+  for (const WeightedService &Each : Route.m_Services) {
+    if (Left < Each.m_Weight)
+      return &Each.m_Service;
+    Left -= Each.m_Weight;
+  }
+  return nullptr;
+}
+
+} // namespace deckpitch
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -1,4 +1,5 @@
 #include "net/address.h"
+#include "net/dead-peer.h"
 #include "net/http.h"
 #include "net/progress-limit.h"
 
@@ -6,8 +7,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <charconv>
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace deckpitch::net {
 
@@ -29,10 +32,16 @@
   ProgressLimit m_Limit{m_Socket};
   beast::flat_buffer m_Buffer;
   std::size_t m_ReadBytes = LeastReadBytes; ///< grows with what comes at once
-
-  /// False when the server closed the connection or sent something unasked.
-  bool usable() {
-    if (m_Buffer.size() != 0)
+  std::chrono::steady_clock::time_point m_IdleSince;
+  std::optional<std::chrono::milliseconds> m_ServerKeeps; ///< idle, it says
+
+  /// False when the server closed the connection or sent something unasked,
+  /// or may be about to close it.
+  bool usable(std::chrono::milliseconds MostIdle) {
+    const auto Idle = std::chrono::steady_clock::now() - m_IdleSince;
+    const bool IsOld =
+        Idle > MostIdle || (m_ServerKeeps && Idle > *m_ServerKeeps / 2);
+    if (IsOld || m_Buffer.size() != 0)
       return false;
     char Byte = 0;
     boost::system::error_code Ec;
@@ -48,6 +57,21 @@
   friend auto operator<=>(const PoolKey &, const PoolKey &) = default;
 };
 
+/// How long a server says that it keeps an idle connection.
+std::optional<std::chrono::milliseconds> keptFor(std::string_view KeepAlive) {
+  constexpr std::string_view Field = "timeout=";
+  const std::size_t At = KeepAlive.find(Field);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view Text = KeepAlive.substr(At + Field.size());
+  unsigned Seconds = 0;
+  const auto Read =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
 Error unavailable(const std::string &Address,
                   const boost::system::error_code &Ec) {
   return Error{ErrorCode::Unavailable, Address + ": " + Ec.message()};
@@ -61,13 +85,14 @@
 } // namespace
 
 struct HttpClient::Impl {
-  std::unique_ptr<Connection> takeIdle(const PoolKey &Key) {
+  std::unique_ptr<Connection> takeIdle(const PoolKey &Key,
+                                       std::chrono::milliseconds MostIdle) {
     std::lock_guard Lock(m_Mutex);
     auto &Idle = m_Idle[Key];
     while (!Idle.empty()) {
       auto Taken = std::move(Idle.back());
       Idle.pop_back();
-      if (Taken->usable())
+      if (Taken->usable(MostIdle))
         return Taken;
     }
     return nullptr;
@@ -75,6 +100,7 @@
 
   void giveBack(const PoolKey &Key, std::unique_ptr<Connection> Returned) {
     Returned->m_Limit.stop();
+    Returned->m_IdleSince = std::chrono::steady_clock::now();
     std::lock_guard Lock(m_Mutex);
     auto &Idle = m_Idle[Key];
     if (Idle.size() < MaxIdlePerAddress)
@@ -105,6 +131,7 @@
     for (const auto &Field : m_Parser.get())
       m_Headers.add(std::string(Field.name_string()),
                     std::string(Field.value()));
+    m_Connection->m_ServerKeeps = keptFor(m_Headers.find("Keep-Alive"));
     co_return boost::system::error_code{};
   }
 
@@ -142,6 +169,10 @@
     co_return std::string();
   }
 
+  void setBetweenBytes(std::chrono::milliseconds Limit) override {
+    m_Limits.m_BetweenBytes = Limit;
+  }
+
   void cancel() override {
     if (!m_Connection)
       return;
@@ -224,6 +255,7 @@
   if (Ec)
     co_return unavailable(Address, Ec);
   Fresh->m_Socket.set_option(tcp::no_delay(true), Ec);
+  noticeDeadPeer(Fresh->m_Socket);
   Fresh->m_Socket.non_blocking(true, Ec);
   co_return std::move(Fresh);
 }
@@ -243,17 +275,18 @@
   Message.version(11);
   Message.method_string(Request.m_Method);
   Message.target(Request.m_Target);
-  Message.set(http::field::host, Address);
   for (const HttpHeader &Header : Request.m_Headers.m_List)
-    Message.set(Header.m_Name, Header.m_Value);
+    Message.insert(Header.m_Name, Header.m_Value);
+  if (Request.m_Headers.find("Host").empty())
+    Message.set(http::field::host, Address);
   Message.body() = std::move(Request.m_Body);
   Message.prepare_payload();
-  const bool MayRepeat = Request.m_Method == "GET";
+  const bool MayRepeat = Request.m_Method == "GET" && Limits.m_RepeatsGet;
   bool Sent = false;
   while (!Cancel || !Cancel->cancelled()) {
     std::unique_ptr<Connection> Used;
     if (const auto Kept = Pool.lock())
-      Used = Kept->takeIdle(Key);
+      Used = Kept->takeIdle(Key, Limits.m_MostIdle);
     const bool Kept = Used != nullptr;
     if (!Kept) {
       auto Fresh =
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -1,4 +1,5 @@
 #include "net/address.h"
+#include "net/dead-peer.h"
 #include "net/http.h"
 #include "net/progress-limit.h"
 
@@ -190,6 +191,7 @@
         continue;
       }
       Socket.set_option(tcp::no_delay(true), Ec);
+      noticeDeadPeer(Socket);
       Socket.non_blocking(true, Ec);
       auto Added = std::make_shared<Connection>(std::move(Socket));
       if (!add(Added))
@@ -293,7 +295,8 @@
     for (const auto &Field : Message)
       Request.m_Headers.add(std::string(Field.name_string()),
                             std::string(Field.value()));
-    const bool KeepAlive = Message.keep_alive() && !m_Draining;
+    const bool KeepAlive =
+        Message.keep_alive() && !m_Draining && !m_ClosesAfterAnswers;
     const bool TakesInterim = Message.version() >= Http11;
     Request.m_Body = std::move(Message.body());
     auto Answer = std::make_shared<Responder>(*Served, m_Limits.m_WriteTimeout,
@@ -332,7 +335,8 @@
               asio::buffer(&Byte, 1), tcp::socket::message_peek, Peek);
           if (Peek == asio::error::would_block || Got > 0)
             return;
-          if (Peek && Peek != asio::error::eof)
+          const bool IsGone = Peek && Peek != asio::error::eof;
+          if (IsGone || Self->m_Limits.m_HalfClosedIsGone)
             return Watched->gone();
           asio::co_spawn(Served->m_Socket.get_executor(),
                          probeHalfClosed(Served, Weak), asio::detached);
@@ -371,6 +375,7 @@
   /// Each is owned by its serve(), so that it ends with its own loop.
   std::unordered_map<Connection *, std::weak_ptr<Connection>> m_Connections;
   std::atomic<bool> m_Draining{false};
+  std::atomic<bool> m_ClosesAfterAnswers{false};
   std::atomic<std::size_t> m_Open{0};
 };
 
@@ -399,6 +404,13 @@
   return Bound;
 }
 
+void HttpServer::setLimits(HttpLimits Limits) {
+  asio::post(m_Impl->m_Acceptor.get_executor(),
+             [Impl = m_Impl, Limits] { Impl->m_Limits = Limits; });
+}
+
+void HttpServer::closeAfterAnswers() { m_Impl->m_ClosesAfterAnswers = true; }
+
 void HttpServer::drain() {
   m_Impl->m_Draining = true;
   asio::post(m_Impl->m_Acceptor.get_executor(), [Impl = m_Impl] {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -85,6 +85,9 @@
   std::chrono::milliseconds m_IdleTimeout{60'000};  ///< between requests
   std::chrono::milliseconds m_WriteTimeout{30'000}; ///< without progress
   std::size_t m_Connections = 20'000;
+  /// A client that closes its sending side wants no answer any more. Without
+  /// it the answer is still sent, and probed for with interim responses.
+  bool m_HalfClosedIsGone = false;
 };
 
 /// Serves each connection on one worker. A connection answers one request at
@@ -98,6 +101,10 @@
 
   /// Listens on "ip:port"; gives the bound address.
   Result<std::string> listen(const std::string &Address);
+  /// For requests that come from now on.
+  void setLimits(HttpLimits Limits);
+  /// Takes new connections still, but closes each after its next answer.
+  void closeAfterAnswers();
   /// Refuses new connections and closes each connection after its answer.
   void drain();
   /// Closes everything at once.
@@ -116,6 +123,11 @@
       30'000}; ///< request sent to headers read
   std::chrono::milliseconds m_BetweenBytes{30'000};
   std::size_t m_BodyBytes = std::size_t{64} * 1024 * 1024;
+  /// A kept connection that rested longer is not used: servers drop idle ones,
+  /// and what was sent on one that was just dropped may or may not have run.
+  std::chrono::milliseconds m_MostIdle{30'000};
+  /// A GET on a kept connection that turned out closed is sent again.
+  bool m_RepeatsGet = true;
 };
 
 /// An answer whose body is read piece by piece. Dropping it before its end
@@ -127,6 +139,8 @@
   virtual const HttpHeaders &headers() const = 0;
   /// The next piece; empty at the end of a whole answer.
   virtual asio::awaitable<Outcome<std::string>> read() = 0;
+  /// How long the next reads wait for bytes.
+  virtual void setBetweenBytes(std::chrono::milliseconds Limit) = 0;
   /// Ends a pending read; on the thread that reads.
   virtual void cancel() = 0;
 };
--- /dev/null
+++ b/src/net/line-sink.cc
@@ -0,0 +1,51 @@
+#include "net/line-sink.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+#include <utility>
+
+namespace deckpitch::net {
+
+void LineSink::add(std::string_view Line) {
+  std::lock_guard Lock(m_Mutex);
+  if (m_Pending.size() + Line.size() + 1 > m_MostBytes) {
+    ++m_Dropped;
+    return;
+  }
+  m_Pending.append(Line).push_back('\n');
+}
+
+void LineSink::flush() {
+  std::lock_guard Lock(m_Mutex);
+  std::size_t Done = 0;
+  while (Done < m_Pending.size()) {
+    // A pipe that is ready takes that many bytes without blocking; the
+    // descriptor may be shared, so its own mode is left alone.
+    pollfd Ready{m_Descriptor, POLLOUT, 0};
+    if (poll(&Ready, 1, 0) != 1 || (Ready.revents & POLLOUT) == 0)
+      break;
+    const std::size_t Length =
+        std::min<std::size_t>(m_Pending.size() - Done, PIPE_BUF);
+    const ssize_t Taken = write(m_Descriptor, m_Pending.data() + Done, Length);
+    if (Taken <= 0)
+      break;
+    Done += static_cast<std::size_t>(Taken);
+  }
+  m_Pending.erase(0, Done);
+  m_Written += Done;
+}
+
+std::uint64_t LineSink::takeDropped() {
+  std::lock_guard Lock(m_Mutex);
+  return std::exchange(m_Dropped, 0);
+}
+
+std::uint64_t LineSink::bytesWritten() const {
+  std::lock_guard Lock(m_Mutex);
+  return m_Written;
+}
+
+} // namespace deckpitch::net
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -1,9 +1,19 @@
 #include "net/log.h"
 
+#include "net/line-sink.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
 
 namespace deckpitch::net {
 
@@ -42,8 +52,98 @@
   return Out + "\"";
 }
 
+LineSink &standardOutput() {
+  static LineSink Sink(STDOUT_FILENO);
+  return Sink;
+}
+
+/// Hands finished lines to the bounded buffer instead of a stream.
+class SinkAppender final : public log4cxx::AppenderSkeleton {
+public:
+  void close() override {}
+  bool requiresLayout() const override { return false; }
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr &Told,
+              log4cxx::helpers::Pool &) override {
+    standardOutput().add(Told->getMessage());
+  }
+};
+
+/// Set once, before other threads run.
+std::string &processName() {
+  static std::string Name;
+  return Name;
+}
+
+bool &writesJson() {
+  static bool Value = false;
+  return Value;
+}
+
+/// Values may come from outside: what is no printable ASCII is escaped, so
+/// that no value can end a line or stand for another field.
+void appendJson(std::string &Out, std::string_view Value) {
+  Out.push_back('"');
+  for (const char C : Value) {
+    const auto Byte = static_cast<unsigned char>(C);
+    if (C == '"' || C == '\\') {
+      Out.push_back('\\');
+      Out.push_back(C);
+    } else if (Byte < 0x20 || Byte >= 0x7f) {
+      std::array<char, 8> Text{};
+      std::snprintf(Text.data(), Text.size(), "\\u%04x", Byte);
+      Out += Text.data();
+    } else {
+      Out.push_back(C);
+    }
+  }
+  Out.push_back('"');
+}
+
+constexpr std::size_t MostValueBytes = 200; ///< of one field of a line
+
+std::uint64_t microsecondsSinceEpoch() {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Now).count());
+}
+
+std::string jsonLine(Event Which, const EventInfo *Info,
+                     std::initializer_list<LogField> Fields) {
+  std::string Line =
+      "{\"us\":" + std::to_string(microsecondsSinceEpoch()) + ",\"process\":";
+  appendJson(Line, processName());
+  Line += ",\"event\":" + std::to_string(static_cast<int>(Which)) +
+          ",\"name\":\"" + std::string(Info ? Info->m_Name : "Unlisted") + '"';
+  for (const LogField &Field : Fields) {
+    Line += ",\"" + std::string(Field.m_Name) + "\":";
+    if (Field.m_IsNumber)
+      Line += Field.m_Value;
+    else
+      appendJson(Line,
+                 std::string_view(Field.m_Value).substr(0, MostValueBytes));
+  }
+  return Line + "}";
+}
+
 } // namespace
 
+void setUpJsonLog(std::string_view Process, Severity Least) {
+  processName() = std::string(Process);
+  writesJson() = true;
+  log4cxx::BasicConfigurator::resetConfiguration();
+  log4cxx::BasicConfigurator::configure(std::make_shared<SinkAppender>());
+  logger()->setLevel(levelOf(Least));
+}
+
+void flushLog() {
+  const std::uint64_t Dropped = standardOutput().takeDropped();
+  if (Dropped > 0)
+    log(Event::LinesDropped, {{"lines", Dropped}});
+  standardOutput().flush();
+}
+
 void setUpLog(std::string_view Process, Severity Least) {
   const auto Layout = std::make_shared<log4cxx::PatternLayout>(
       "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p " + std::string(Process) + " %m%n");
@@ -60,6 +160,8 @@
       levelOf(Info ? Info->m_Severity : Severity::Error);
   if (!logger()->isEnabledFor(Level))
     return;
+  if (writesJson())
+    return logger()->forcedLog(Level, jsonLine(Which, Info, Fields));
   std::string Line = std::to_string(static_cast<int>(Which)) + " " +
                      std::string(Info ? Info->m_Name : "Unlisted");
   for (const LogField &Field : Fields)
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,4 +1,4 @@
-// Structured log of numbered events, written by log4cxx.
+// Structured log of numbered events, through log4cxx.
 #pragma once
 
 #include "deckpitch/event.h"
@@ -15,15 +15,25 @@
   LogField(std::string_view Name, std::string_view Value)
       : m_Name(Name), m_Value(Value) {}
   LogField(std::string_view Name, std::uint64_t Value)
-      : m_Name(Name), m_Value(std::to_string(Value)) {}
+      : m_Name(Name), m_Value(std::to_string(Value)), m_IsNumber(true) {}
 
   std::string_view m_Name;
   std::string m_Value;
+  bool m_IsNumber = false;
 };
 
 /// Lines go to standard error as "time level number name key=value ...".
 void setUpLog(std::string_view Process, Severity Least);
 
+/// Lines go to standard output as one JSON object each, through a bounded
+/// buffer: writing never waits for the reader. Until flushLog() is called they
+/// only gather.
+void setUpJsonLog(std::string_view Process, Severity Least);
+
+/// Writes what the reader of standard output takes now, and says in a line how
+/// many lines were dropped since the last time.
+void flushLog();
+
 ///   log(Event::ProcessStarted, {{"role", "entry"}});
 void log(Event Which, std::initializer_list<LogField> Fields = {});
 
