--- a/src/daemon/weights-copy.h
+++ b/src/daemon/weights-copy.h
@@ -53,6 +53,9 @@
   void stop();
 
   void setInstances(std::vector<InstanceId> Instances);
+  void setNearInstances(std::vector<InstanceId> Near) {
+    m_Swarm.setNearInstances(Near);
+  }
   void setPreference(Preference Value) { m_Swarm.setPreference(Value); }
   void setPeers(std::vector<PeerAddress> Peers);
   /// Called when more peers are needed.
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -16,6 +16,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace deckpitch::direct {
@@ -44,6 +45,7 @@
 constexpr Duration EntriesSilence = std::chrono::seconds(3);
 constexpr Duration StepSpan = milliseconds(50);
 constexpr Duration ManifestRetry = milliseconds(300);
+constexpr Duration DeclarationRetry = milliseconds(500);
 constexpr Duration PeersSpan = milliseconds(1'000);
 /// After an order: the instance's state may not show it yet.
 constexpr Duration OrderRest = milliseconds(700);
@@ -54,6 +56,11 @@
 constexpr std::uint64_t FirstVersion = 1; ///< when none is declared
 /// A digest that fits nothing any peer or the origin sends is wrong itself.
 constexpr std::uint64_t CorruptToReread = 6;
+/// Chunks that the whole pool reads from the origin at once: enough to keep a
+/// link of some Mbit/s busy while it is told which of them have come.
+constexpr std::uint32_t OriginWindow = 16;
+/// Twice what a window of chunks takes at such an origin.
+constexpr Duration OriginStep = milliseconds(1'200);
 
 std::string ipOf(const std::string &Address) {
   return Address.substr(0, Address.rfind(':'));
@@ -72,6 +79,23 @@
   return Out;
 }
 
+/// Peers to connect to, in an order of this agent's own: near and far in turn,
+/// so that a bounded number of links holds some of both.
+std::vector<PeerAddress> interleave(std::vector<PeerAddress> Near,
+                                    std::vector<PeerAddress> Far) {
+  static std::minstd_rand Random{std::random_device{}()};
+  std::shuffle(Near.begin(), Near.end(), Random);
+  std::shuffle(Far.begin(), Far.end(), Random);
+  std::vector<PeerAddress> Out;
+  for (std::size_t I = 0; I < std::max(Near.size(), Far.size()); ++I) {
+    if (I < Near.size())
+      Out.push_back(std::move(Near[I]));
+    if (I < Far.size())
+      Out.push_back(std::move(Far[I]));
+  }
+  return Out;
+}
+
 class Agent final : public DirectRole {
 public:
   explicit Agent(DirectContext &Context);
@@ -98,6 +122,7 @@
   void want(const std::vector<DeclaredWeights> &Declared);
   void onDeclaration(const FleetDeclaration &Declaration);
   void onInstances(const std::vector<ListedInstance> &Listed);
+  void tellCopyOfPeers();
   WeightsState state() const;
 
   DirectContext &m_Context;
@@ -151,7 +176,7 @@
                  daemon::makeShapedLink(m_CopySettings.m_Weights),
                  nullptr},
       m_Link(m_Io, Context.m_Incarnation),
-      m_Follower(m_Io, *m_Store, m_Adapter, {true, false, Duration::zero()},
+      m_Follower(m_Io, *m_Store, m_Adapter, {false, false, Duration::zero()},
                  {[this](const FleetDeclaration &Declaration) {
                     onDeclaration(Declaration);
                   },
@@ -246,25 +271,36 @@
   for (const ListedInstance &Each : Listed)
     if (Each.m_Service.m_Text == m_Context.m_Settings.m_Service)
       m_Pool.push_back(Each);
-  if (!m_Copy)
-    return;
+  if (m_Copy)
+    tellCopyOfPeers();
+}
+
+void Agent::tellCopyOfPeers() {
   const std::string Port =
       ":" + std::to_string(m_Context.m_Settings.m_AgentBulkPort);
   std::vector<InstanceId> Ids;
-  std::vector<PeerAddress> Peers;
+  std::vector<InstanceId> Near;
+  std::vector<PeerAddress> NearPeers;
+  std::vector<PeerAddress> FarPeers;
   for (const ListedInstance &Each : m_Pool) {
     const std::string Ip = ipOf(Each.m_Address);
+    const bool IsNear = Each.m_DataCentre == m_CopySettings.m_DataCentre;
     Ids.push_back({Ip});
-    Peers.push_back({InstanceId{Ip}, Each.m_DataCentre, Ip + Port});
+    if (IsNear)
+      Near.push_back({Ip});
+    (IsNear ? NearPeers : FarPeers)
+        .push_back({InstanceId{Ip}, Each.m_DataCentre, Ip + Port});
   }
   m_Copy->setInstances(std::move(Ids));
-  m_Copy->setPeers(std::move(Peers));
+  m_Copy->setNearInstances(std::move(Near));
+  m_Copy->setPeers(interleave(std::move(NearPeers), std::move(FarPeers)));
 }
 
-/// Reads the declaration once, and what is declared of weights while no entry
-/// tells it.
+/// Reads the declaration once, and the list of peers while a copy is under
+/// way.
 asio::awaitable<void> Agent::storeLoop() {
-  m_Follower.start();
+  while (!m_Stopped && !co_await m_Follower.readDeclaration())
+    co_await pauseFor(DeclarationRetry);
   TimePoint NextPeers{};
   while (!m_Stopped) {
     const bool NeedsPeers = m_Copy && !m_Copy->swarm().complete();
@@ -379,8 +415,11 @@
     want({{m_Model, FirstVersion}});
   const bool HasCopy =
       m_Copy && m_Copy->manifest().m_Weights == weightsIdOf(m_Wanted);
-  if (!HasCopy)
+  // Not before the instance answers: what it has staged need not be fetched.
+  if (!HasCopy && m_HasReport)
     co_return co_await startCopy();
+  if (!HasCopy)
+    co_return;
   if (m_Copy->swarm().complete() && m_CopiedAt == TimePoint{}) {
     m_CopiedAt = now();
     const SwarmCounters &Counts = m_Copy->swarm().counters();
@@ -412,6 +451,10 @@
              {{"weights", Weights.m_Text}, {"error", Read.error().m_Message}});
     co_return co_await pauseFor(ManifestRetry);
   }
+  // Who else is to hold them decides who reads which chunk from the origin;
+  // an instance that believes itself alone would read a copy of its own.
+  if (!co_await m_Follower.listInstances())
+    co_return co_await pauseFor(ManifestRetry);
   if (m_Copy)
     m_Copy->stop();
   m_Staging->keepOnly(Weights);
@@ -430,7 +473,7 @@
   const std::shared_ptr<WeightsCopy> Copy = m_Copy;
   co_await Copy->recover(std::move(Staged), {});
   Copy->start();
-  onInstances(m_Pool);
+  tellCopyOfPeers();
 }
 
 asio::awaitable<void> Agent::order() {
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -165,6 +165,15 @@
   }
 }
 
+asio::awaitable<bool> FleetFollower::readDeclaration() {
+  const auto List = co_await m_Store.list(m_Kinds.m_Declarations);
+  noteStore("list " + m_Kinds.m_Declarations, faultOf(List));
+  if (List)
+    for (const net::PlatformObject &Each : List->m_Items)
+      applyDeclaration(Each);
+  co_return knowsDeclaration();
+}
+
 asio::awaitable<bool> FleetFollower::listInstances() {
   const auto List = co_await m_Store.list(m_Kinds.m_Instances);
   noteStore("list " + m_Kinds.m_Instances, faultOf(List));
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -43,6 +43,8 @@
 
   void start();
   void stop();
+  /// Reads the declaration once.
+  asio::awaitable<bool> readDeclaration();
   /// Reads the list of instances once.
   asio::awaitable<bool> listInstances();
 
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -27,22 +27,41 @@
 
 } // namespace
 
-void Swarm::setInstances(const std::vector<InstanceId> &Instances) {
+/// This instance's place in each chunk's rendezvous order.
+void Swarm::fillRanks(const std::vector<InstanceId> &Among,
+                      std::vector<std::uint16_t> &Ranks) const {
   std::vector<std::uint64_t> Others;
-  for (const InstanceId &Each : Instances)
+  for (const InstanceId &Each : Among)
     if (Each != m_Self)
       Others.push_back(hashOf(Each));
-  m_Instances = static_cast<std::uint32_t>(Others.size()) + 1;
   const std::uint64_t Own = hashOf(m_Self);
   for (std::uint32_t Chunk = 0; Chunk < m_Here.size(); ++Chunk) {
     const std::uint64_t Mine = score(Own, Chunk);
-    m_Rank[Chunk] = static_cast<std::uint16_t>(
+    Ranks[Chunk] = static_cast<std::uint16_t>(
         std::count_if(Others.begin(), Others.end(), [&](std::uint64_t Other) {
           return score(Other, Chunk) > Mine;
         }));
   }
 }
 
+void Swarm::setInstances(const std::vector<InstanceId> &Instances) {
+  const auto Others =
+      std::count_if(Instances.begin(), Instances.end(),
+                    [this](const InstanceId &Each) { return Each != m_Self; });
+  m_Instances = static_cast<std::uint32_t>(Others) + 1;
+  fillRanks(Instances, m_Rank);
+}
+
+void Swarm::setNearInstances(const std::vector<InstanceId> &Near) {
+  fillRanks(Near, m_NearRank);
+}
+
+bool Swarm::mayImport(std::uint32_t Chunk, TimePoint Now) const {
+  const std::uint32_t Rank =
+      std::min<std::uint32_t>(m_NearRank[Chunk], MaxRank);
+  return Now - m_SeenSince[Chunk] >= Rank * m_Options.m_ImportStep;
+}
+
 Duration Swarm::originStep() const {
   return std::clamp(DelayPatience * m_SeenDelay, m_Options.m_OriginStep,
                     MaxSteps * m_Options.m_OriginStep);
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -27,7 +27,8 @@
     : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)),
       m_Options(Options), m_Random(static_cast<std::uint32_t>(Seed | 1)),
       m_Here(Chunks), m_Unstaged(Chunks), m_Taken(Chunks), m_Seen(Chunks),
-      m_Copies(Chunks), m_NearCopies(Chunks), m_Rank(Chunks), m_Open(Chunks),
+      m_Copies(Chunks), m_NearCopies(Chunks), m_Rank(Chunks),
+      m_NearRank(Chunks), m_SeenSince(Chunks), m_Open(Chunks),
       m_Unheld(Chunks) {}
 
 Swarm::Peer *Swarm::find(PeerNumber Number) {
@@ -121,6 +122,7 @@
 void Swarm::markSeen(std::uint32_t Chunk, TimePoint Now) {
   if (!m_Seen.insert(Chunk))
     return;
+  m_SeenSince[Chunk] = Now;
   m_FreshSeen.push_back(Chunk);
   if (Chunk < m_Opened) {
     const Duration Took = Now - m_Open[Chunk];
@@ -205,7 +207,7 @@
   std::uint64_t Least = std::numeric_limits<std::uint64_t>::max();
   std::optional<std::uint32_t> Best;
   From.m_Has.forEachNotIn(m_Here, m_Taken, [&](std::uint32_t Chunk) {
-    if (!AnyWill && m_NearCopies[Chunk] > 0)
+    if (!AnyWill && (m_NearCopies[Chunk] > 0 || !mayImport(Chunk, Now)))
       return;
     const std::uint64_t Order =
         std::uint64_t{m_Copies[Chunk]} << 32 | scatter(Chunk, Salt);
