--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -59,6 +59,13 @@
 /// Chunks that the whole pool reads from the origin at once: enough to keep a
 /// link of some Mbit/s busy while it is told which of them have come.
 constexpr std::uint32_t OriginWindow = 16;
+/// Offers and chunks under way to peers at once. Many offers are declined,
+/// since far peers take only what no near one has, and the link must not run
+/// dry meanwhile.
+constexpr std::uint32_t Uploads = 6;
+constexpr std::uint32_t Expected = 6;
+/// About one chunk's time over such a link.
+constexpr Duration DeclineRest = milliseconds(40);
 /// Twice what a window of chunks takes at such an origin.
 constexpr Duration OriginStep = milliseconds(1'200);
 
@@ -472,8 +479,9 @@
     Staged.m_Staging.back().m_Chunks.push_back(I);
   const std::shared_ptr<WeightsCopy> Copy = m_Copy;
   co_await Copy->recover(std::move(Staged), {});
-  Copy->start();
+  // Before the start: who reads what rests on who there is.
   tellCopyOfPeers();
+  Copy->start();
 }
 
 asio::awaitable<void> Agent::order() {
