--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -36,9 +36,9 @@
   Duration m_KeepAlive = std::chrono::seconds(1);
   Duration m_SilentAfter = std::chrono::seconds(5); ///< without a message
   Duration m_OriginStep = std::chrono::seconds(1);  ///< least, for each rank
-  /// For each rank in the own data centre, before a far chunk is taken. Several
-  /// times what one chunk takes over a link of some Mbit/s.
-  Duration m_ImportStep = std::chrono::milliseconds(250);
+  /// How long others than the importer wait for it: several times what one
+  /// chunk takes over a link of some Mbit/s.
+  Duration m_ImportWait = std::chrono::milliseconds(400);
   Duration m_OriginRest = std::chrono::seconds(1); ///< after it refused
   /// The rest of one chunk doubles up to this while it arrives corrupted.
   Duration m_CorruptRestMost = std::chrono::minutes(1);
@@ -137,11 +137,12 @@
   /// Everyone that is to hold these weights, this instance included; orders
   /// who reads which chunk from the origin.
   void setInstances(const std::vector<InstanceId> &Instances);
-  /// Those in this instance's data centre, this one included. For each chunk
-  /// one of them fetches it from far peers first and the others wait a little,
-  /// so that it crosses between data centres once. Without this call nobody
-  /// waits.
-  void setNearInstances(const std::vector<InstanceId> &Near);
+  /// Every instance by its data centre. For each chunk one instance of each
+  /// data centre, the importer, takes it from far peers and the others wait a
+  /// little for it, so that it crosses between data centres once. Without this
+  /// call every instance takes far chunks that no near peer has.
+  void setDataCentres(
+      const std::map<DataCentreId, std::vector<InstanceId>> &Instances);
   void setPreference(Preference Value) { m_Options.m_Preference = Value; }
 
   /// Chunks found here at the start. Already verified.
@@ -192,6 +193,7 @@
 
   struct Peer {
     InstanceId m_Id;
+    DataCentreId m_DataCentre;
     bool m_IsNear = true; ///< in this instance's data centre
     ChunkSet m_Has;
     std::uint32_t m_Useful = 0; ///< chunks here that it misses
@@ -219,9 +221,9 @@
   void grant(SwarmActions &Out, TimePoint Now);
   Peer *neediest(TimePoint Now, PeerNumber &Number);
   std::optional<std::uint32_t> choose(const Peer &From, TimePoint Now);
-  bool mayImport(std::uint32_t Chunk, TimePoint Now) const;
-  void fillRanks(const std::vector<InstanceId> &Among,
-                 std::vector<std::uint16_t> &Ranks) const;
+  bool mayImport(const InstanceId &Who, const DataCentreId &In,
+                 std::uint32_t Chunk, TimePoint Now) const;
+  bool isUsefulTo(const Peer &To, TimePoint Now) const;
   std::optional<std::uint32_t> chooseHedge(const Peer &From,
                                            TimePoint Now) const;
   void markHas(Peer &Of, std::uint32_t Chunk, TimePoint Now);
@@ -263,9 +265,10 @@
   std::vector<std::uint32_t> m_FreshSeen; ///< not yet told to the peers
   TimePoint m_Told{};                     ///< when the peers were last told
 
-  std::vector<std::uint16_t> m_Rank;     ///< of this instance, for each chunk
-  std::vector<std::uint16_t> m_NearRank; ///< as m_Rank, in the data centre
-  std::vector<TimePoint> m_SeenSince;    ///< it was first known
+  std::vector<std::uint16_t> m_Rank; ///< of this instance, for each chunk
+  /// By data centre: the importer of each chunk. Empty: no one waits.
+  std::map<DataCentreId, std::vector<InstanceId>> m_Importers;
+  std::vector<TimePoint> m_SeenSince; ///< it was first known
   std::uint32_t m_Instances = 1;
   std::vector<TimePoint> m_Open;   ///< when a chunk's reading became due
   std::vector<TimePoint> m_Unheld; ///< since when seen, but with no known peer
--- a/src/daemon/weights-copy.h
+++ b/src/daemon/weights-copy.h
@@ -53,8 +53,9 @@
   void stop();
 
   void setInstances(std::vector<InstanceId> Instances);
-  void setNearInstances(std::vector<InstanceId> Near) {
-    m_Swarm.setNearInstances(Near);
+  void setDataCentres(
+      const std::map<DataCentreId, std::vector<InstanceId>> &Instances) {
+    m_Swarm.setDataCentres(Instances);
   }
   void setPreference(Preference Value) { m_Swarm.setPreference(Value); }
   void setPeers(std::vector<PeerAddress> Peers);
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -59,9 +59,8 @@
 /// Chunks that the whole pool reads from the origin at once: enough to keep a
 /// link of some Mbit/s busy while it is told which of them have come.
 constexpr std::uint32_t OriginWindow = 16;
-/// Offers and chunks under way to peers at once. Many offers are declined,
-/// since far peers take only what no near one has, and the link must not run
-/// dry meanwhile.
+/// Offers and chunks under way to peers at once. Some offers are declined, and
+/// the link must not run dry meanwhile.
 constexpr std::uint32_t Uploads = 6;
 constexpr std::uint32_t Expected = 6;
 /// About one chunk's time over such a link.
@@ -286,20 +285,19 @@
   const std::string Port =
       ":" + std::to_string(m_Context.m_Settings.m_AgentBulkPort);
   std::vector<InstanceId> Ids;
-  std::vector<InstanceId> Near;
+  std::map<DataCentreId, std::vector<InstanceId>> ByDataCentre;
   std::vector<PeerAddress> NearPeers;
   std::vector<PeerAddress> FarPeers;
   for (const ListedInstance &Each : m_Pool) {
     const std::string Ip = ipOf(Each.m_Address);
     const bool IsNear = Each.m_DataCentre == m_CopySettings.m_DataCentre;
     Ids.push_back({Ip});
-    if (IsNear)
-      Near.push_back({Ip});
+    ByDataCentre[Each.m_DataCentre].push_back({Ip});
     (IsNear ? NearPeers : FarPeers)
         .push_back({InstanceId{Ip}, Each.m_DataCentre, Ip + Port});
   }
   m_Copy->setInstances(std::move(Ids));
-  m_Copy->setNearInstances(std::move(Near));
+  m_Copy->setDataCentres(ByDataCentre);
   m_Copy->setPeers(interleave(std::move(NearPeers), std::move(FarPeers)));
 }
 
@@ -465,8 +463,13 @@
   if (m_Copy)
     m_Copy->stop();
   m_Staging->keepOnly(Weights);
-  const SwarmOptions Options =
+  SwarmOptions Options =
       daemon::swarmOptionsFor(m_CopySettings.m_Weights, Read->m_ChunkBytes);
+  Options.m_OriginWindow = OriginWindow;
+  Options.m_OriginStep = OriginStep;
+  Options.m_Uploads = Uploads;
+  Options.m_Expected = Expected;
+  Options.m_DeclineRest = DeclineRest;
   m_CopiedAt = {};
   m_Copy = std::make_shared<WeightsCopy>(m_Transfer, std::move(*Read), Options);
   net::log(Event::CopyStarted,
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -27,39 +27,41 @@
 
 } // namespace
 
-/// This instance's place in each chunk's rendezvous order.
-void Swarm::fillRanks(const std::vector<InstanceId> &Among,
-                      std::vector<std::uint16_t> &Ranks) const {
+void Swarm::setInstances(const std::vector<InstanceId> &Instances) {
   std::vector<std::uint64_t> Others;
-  for (const InstanceId &Each : Among)
+  for (const InstanceId &Each : Instances)
     if (Each != m_Self)
       Others.push_back(hashOf(Each));
+  m_Instances = static_cast<std::uint32_t>(Others.size()) + 1;
   const std::uint64_t Own = hashOf(m_Self);
   for (std::uint32_t Chunk = 0; Chunk < m_Here.size(); ++Chunk) {
     const std::uint64_t Mine = score(Own, Chunk);
-    Ranks[Chunk] = static_cast<std::uint16_t>(
+    m_Rank[Chunk] = static_cast<std::uint16_t>(
         std::count_if(Others.begin(), Others.end(), [&](std::uint64_t Other) {
           return score(Other, Chunk) > Mine;
         }));
   }
 }
 
-void Swarm::setInstances(const std::vector<InstanceId> &Instances) {
-  const auto Others =
-      std::count_if(Instances.begin(), Instances.end(),
-                    [this](const InstanceId &Each) { return Each != m_Self; });
-  m_Instances = static_cast<std::uint32_t>(Others) + 1;
-  fillRanks(Instances, m_Rank);
-}
-
-void Swarm::setNearInstances(const std::vector<InstanceId> &Near) {
-  fillRanks(Near, m_NearRank);
+void Swarm::setDataCentres(
+    const std::map<DataCentreId, std::vector<InstanceId>> &Instances) {
+  m_Importers.clear();
+  for (const auto &[DataCentre, Ids] : Instances) {
+    std::vector<InstanceId> &Importers = m_Importers[DataCentre];
+    for (std::uint32_t Chunk = 0; Chunk < m_Here.size(); ++Chunk)
+      Importers.push_back(*std::max_element(
+          Ids.begin(), Ids.end(), [&](const auto &One, const auto &Two) {
+            return score(hashOf(One), Chunk) < score(hashOf(Two), Chunk);
+          }));
+  }
 }
 
-bool Swarm::mayImport(std::uint32_t Chunk, TimePoint Now) const {
-  const std::uint32_t Rank =
-      std::min<std::uint32_t>(m_NearRank[Chunk], MaxRank);
-  return Now - m_SeenSince[Chunk] >= Rank * m_Options.m_ImportStep;
+/// Whether an instance may take a chunk from another data centre now.
+bool Swarm::mayImport(const InstanceId &Who, const DataCentreId &In,
+                      std::uint32_t Chunk, TimePoint Now) const {
+  const auto Importers = m_Importers.find(In);
+  return Importers == m_Importers.end() || Importers->second[Chunk] == Who ||
+         Now - m_SeenSince[Chunk] >= m_Options.m_ImportWait;
 }
 
 Duration Swarm::originStep() const {
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -28,8 +28,7 @@
       m_Options(Options), m_Random(static_cast<std::uint32_t>(Seed | 1)),
       m_Here(Chunks), m_Unstaged(Chunks), m_Taken(Chunks), m_Seen(Chunks),
       m_Copies(Chunks), m_NearCopies(Chunks), m_Rank(Chunks),
-      m_NearRank(Chunks), m_SeenSince(Chunks), m_Open(Chunks),
-      m_Unheld(Chunks) {}
+      m_SeenSince(Chunks), m_Open(Chunks), m_Unheld(Chunks) {}
 
 Swarm::Peer *Swarm::find(PeerNumber Number) {
   const auto Found = m_Peers.find(Number);
@@ -74,6 +73,7 @@
   Peer &Added = m_Peers[Number];
   Added.m_Id = std::move(Id);
   Added.m_IsNear = DataCentre == m_DataCentre;
+  Added.m_DataCentre = std::move(DataCentre);
   Added.m_Heard = Now;
   Added.m_Has = ChunkSet(m_Here.size());
   Added.m_Useful = m_Here.count();
@@ -164,12 +164,25 @@
   return Count;
 }
 
+/// Whether the peer likely takes something that is here: a far one declines
+/// what it is not to import, and an offer that is declined leaves the link idle
+/// for a round trip.
+bool Swarm::isUsefulTo(const Peer &To, TimePoint Now) const {
+  if (To.m_Useful == 0 || To.m_IsNear || m_Importers.empty())
+    return To.m_Useful > 0;
+  for (std::uint32_t Chunk = 0; Chunk < m_Here.size(); ++Chunk)
+    if (m_Here.contains(Chunk) && !To.m_Has.contains(Chunk) &&
+        mayImport(To.m_Id, To.m_DataCentre, Chunk, Now))
+      return true;
+  return false;
+}
+
 Swarm::Peer *Swarm::neediest(TimePoint Now, PeerNumber &Number) {
   Peer *Best = nullptr;
   std::pair<std::size_t, std::uint64_t> Least{};
   const auto Salt = static_cast<std::uint32_t>(m_Random());
   for (auto &[Candidate, Each] : m_Peers) {
-    if (Each.m_Useful == 0 || Each.m_Granted || Now < Each.m_RestUntil)
+    if (Each.m_Granted || Now < Each.m_RestUntil || !isUsefulTo(Each, Now))
       continue;
     const std::uint64_t Order =
         std::uint64_t{Each.m_Has.count()} << 32 | scatter(Candidate, Salt);
@@ -207,7 +220,8 @@
   std::uint64_t Least = std::numeric_limits<std::uint64_t>::max();
   std::optional<std::uint32_t> Best;
   From.m_Has.forEachNotIn(m_Here, m_Taken, [&](std::uint32_t Chunk) {
-    if (!AnyWill && (m_NearCopies[Chunk] > 0 || !mayImport(Chunk, Now)))
+    if (!AnyWill && (m_NearCopies[Chunk] > 0 ||
+                     !mayImport(m_Self, m_DataCentre, Chunk, Now)))
       return;
     const std::uint64_t Order =
         std::uint64_t{m_Copies[Chunk]} << 32 | scatter(Chunk, Salt);
