--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -21,9 +21,10 @@
 /// Requests that a plain service may hold for each of its slots: one that runs
 /// and one that is next.
 constexpr double PlainServiceDepth = 2;
-/// What a call to another data centre costs, in requests at the instance:
-/// breaks ties, and does not outweigh one request.
-constexpr double FarPenalty = 0.6;
+/// What a call to another data centre costs, in requests at the instance: its
+/// bytes are paid for, and a few requests more change little at an engine that
+/// still has places.
+constexpr double FarPenalty = 3;
 /// Retrying sooner would meet the same requests.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(60);
 /// Until weights arrive or instances come back.
