--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -2,6 +2,7 @@
 // the next request.
 #pragma once
 
+#include "deckpitch/declared-history.h"
 #include "deckpitch/fleet.h"
 #include "deckpitch/time.h"
 #include "deckpitch/upstream-choice.h"
@@ -118,10 +119,6 @@
     Ejection m_Ejection;
     TimePoint m_Heard{};
   };
-  struct Wanted {
-    std::uint64_t m_Version = 0;
-    TimePoint m_Since{};
-  };
 
   bool serves(const Instance &Each, const std::string &Model,
               TimePoint Now) const;
@@ -134,7 +131,7 @@
   std::map<InstanceId, Instance> m_Instances;
   std::map<std::string, InstanceId> m_ByAddress;
   std::map<ServiceId, ServiceDeclaration> m_Services;
-  std::map<std::string, Wanted> m_Wanted;
+  std::map<std::string, DeclaredHistory> m_Wanted; ///< by model
   std::minstd_rand m_Random{std::random_device{}()};
 };
 
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -2,6 +2,7 @@
 // and tells the entries what it does.
 #include "daemon/clock.h"
 #include "daemon/weights-copy.h"
+#include "deckpitch/declared-history.h"
 #include "deckpitch/weights-plan.h"
 #include "direct/adapter.h"
 #include "direct/fleet-follower.h"
@@ -52,7 +53,7 @@
 constexpr Duration HelloLimit = std::chrono::seconds(2);
 /// Share of the machine's link for weights; the rest is for requests, whose
 /// tokens must not queue behind chunks.
-constexpr double LinkShare = 0.9;
+constexpr double LinkShare = 0.95;
 constexpr std::uint64_t FirstVersion = 1; ///< when none is declared
 /// A digest that fits nothing any peer or the origin sends is wrong itself.
 constexpr std::uint64_t CorruptToReread = 6;
@@ -64,7 +65,7 @@
 constexpr std::uint32_t Uploads = 6;
 constexpr std::uint32_t Expected = 6;
 /// About one chunk's time over such a link.
-constexpr Duration DeclineRest = milliseconds(40);
+constexpr Duration DeclineRest = milliseconds(20);
 /// Twice what a window of chunks takes at such an origin.
 constexpr Duration OriginStep = milliseconds(1'200);
 
@@ -156,7 +157,7 @@
   std::string m_Model;
   std::string m_OriginAddress;
   DeclaredWeights m_Wanted;
-  TimePoint m_WantedAt{};
+  DeclaredHistory m_Declared;
   std::shared_ptr<WeightsCopy> m_Copy;
   TimePoint m_CopiedAt{};
   TimePoint m_OrderedAt{};
@@ -193,7 +194,7 @@
                     want(Declared);
                   }}),
       m_Acceptor(m_Io) {
-  auto Staging = std::make_unique<StagingCache>(*m_Engine);
+  auto Staging = std::make_unique<StagingCache>(m_Io, *m_Engine);
   m_Staging = Staging.get();
   m_Transfer.m_Engine = std::move(Staging);
   m_Transfer.m_Uplink =
@@ -261,12 +262,9 @@
 
 void Agent::want(const std::vector<DeclaredWeights> &Declared) {
   for (const DeclaredWeights &Each : Declared) {
-    const bool IsNewer =
-        Each.m_Model == m_Model && Each.m_Version > m_Wanted.m_Version;
-    if (!IsNewer)
+    if (Each.m_Model != m_Model || !m_Declared.add(Each.m_Version, now()))
       continue;
     m_Wanted = Each;
-    m_WantedAt = now();
     net::log(Event::WeightsDeclared,
              {{"model", Each.m_Model}, {"version", Each.m_Version}});
   }
@@ -400,7 +398,11 @@
       std::find(Ips.begin(), Ips.end(), m_CopySettings.m_Instance.m_Text);
   Out.m_Rank = static_cast<std::size_t>(At - Ips.begin());
   Out.m_PoolSize = std::max<std::size_t>(Ips.size(), 1);
-  Out.m_DeclaredAt = m_WantedAt;
+  std::uint64_t Held = 0;
+  for (const HeldWeights &Each : m_Report.m_Weights)
+    if (Each.m_Model == m_Model && Each.m_IsComplete)
+      Held = std::max(Held, Each.m_Version);
+  Out.m_DeclaredAt = m_Declared.behindSince(Held).value_or(now());
   Out.m_CopiedAt = m_CopiedAt;
   Out.m_Bound = m_Context.m_Settings.m_Bounds.m_Version;
   return Out;
--- a/src/direct/staging-cache.cc
+++ b/src/direct/staging-cache.cc
@@ -1,7 +1,11 @@
 #include "direct/staging-cache.h"
 
+#include "daemon/weights-link.h"
 #include "net/log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <span>
 #include <utility>
 
@@ -11,6 +15,10 @@
 
 namespace {
 
+/// Writes to the instance at once: one travels while another is stored.
+constexpr std::size_t MostWriters = 3;
+constexpr Duration WriteWait = std::chrono::milliseconds(5);
+
 bool matches(const Digest &Wanted, const std::string &Bytes) {
   return digestOf({reinterpret_cast<const std::uint8_t *>(Bytes.data()),
                    Bytes.size()}) == Wanted;
@@ -23,6 +31,7 @@
     return;
   m_Weights = Weights;
   m_Chunks.clear();
+  m_Unwritten.clear();
 }
 
 asio::awaitable<Outcome<EngineStatus>> StagingCache::status() {
@@ -31,10 +40,31 @@
 
 asio::awaitable<Outcome<bool>>
 StagingCache::stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) {
-  auto Stored = co_await m_Behind.stage(Weights, Index, Bytes);
-  if (Stored && Weights == m_Weights)
-    m_Chunks[Index] = std::move(Bytes);
-  co_return Stored;
+  if (Weights != m_Weights)
+    co_return co_await m_Behind.stage(Weights, Index, std::move(Bytes));
+  m_Chunks[Index] = std::move(Bytes);
+  m_Unwritten.push_back(Index);
+  if (m_Writers < MostWriters) {
+    ++m_Writers;
+    asio::co_spawn(m_Io, writeBehind(), asio::detached);
+  }
+  co_return true;
+}
+
+asio::awaitable<void> StagingCache::writeBehind() {
+  while (!m_Unwritten.empty()) {
+    const std::uint32_t Index = m_Unwritten.front();
+    m_Unwritten.pop_front();
+    const auto Kept = m_Chunks.find(Index);
+    if (Kept == m_Chunks.end())
+      continue;
+    const auto Stored = co_await m_Behind.stage(m_Weights, Index, Kept->second);
+    if (!Stored)
+      net::log(Event::StagingFailed, {{"weights", m_Weights.m_Text},
+                                      {"chunk", std::uint64_t{Index}},
+                                      {"error", Stored.error().m_Message}});
+  }
+  --m_Writers;
 }
 
 asio::awaitable<Outcome<std::string>>
@@ -68,6 +98,8 @@
 }
 
 asio::awaitable<bool> StagingCache::repair(const Manifest &Wanted) {
+  while (m_Writers > 0)
+    co_await daemon::pauseFor(WriteWait);
   for (std::uint32_t Index = 0; Index < Wanted.chunkCount(); ++Index) {
     const Digest &Right = Wanted.m_Chunks[Index];
     const auto Staged = co_await m_Behind.staged(Wanted.m_Weights, Index);
--- a/src/direct/staging-cache.h
+++ b/src/direct/staging-cache.h
@@ -3,17 +3,20 @@
 
 #include "net/engine.h"
 
+#include <deque>
 #include <map>
 #include <string>
 
 namespace deckpitch::direct {
 
-/// An engine port in front of another. Chunks that peers ask for come from
-/// memory, and before an order each staged chunk is compared with the one kept
-/// here: staging may have gone bad since it was written.
+/// An engine port in front of another. A verified chunk counts as staged once
+/// it is here and is written behind, so that it is passed on to peers without
+/// waiting for the instance. Before an order each staged chunk is compared with
+/// its digest: a write may have failed, or staging gone bad since.
 class StagingCache final : public net::Engine {
 public:
-  explicit StagingCache(net::Engine &Behind) : m_Behind(Behind) {}
+  StagingCache(net::asio::io_context &Io, net::Engine &Behind)
+      : m_Io(Io), m_Behind(Behind) {}
 
   net::asio::awaitable<Outcome<EngineStatus>> status() override;
   net::asio::awaitable<Outcome<bool>>
@@ -35,9 +38,14 @@
   net::asio::awaitable<bool> repair(const Manifest &Wanted);
 
 private:
+  net::asio::awaitable<void> writeBehind();
+
+  net::asio::io_context &m_Io;
   net::Engine &m_Behind;
   WeightsId m_Weights;
   std::map<std::uint32_t, std::string> m_Chunks;
+  std::deque<std::uint32_t> m_Unwritten;
+  std::size_t m_Writers = 0;
 };
 
 } // namespace deckpitch::direct
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -90,11 +90,8 @@
 
 void InstanceTable::setWeights(const std::vector<DeclaredWeights> &Declared,
                                TimePoint Now) {
-  for (const DeclaredWeights &Each : Declared) {
-    Wanted &Known = m_Wanted[Each.m_Model];
-    if (Each.m_Version > Known.m_Version)
-      Known = {Each.m_Version, Now};
-  }
+  for (const DeclaredWeights &Each : Declared)
+    m_Wanted[Each.m_Model].add(Each.m_Version, Now);
 }
 
 void InstanceTable::report(const std::string &Address, InstanceReport Report,
@@ -112,14 +109,16 @@
 
 bool InstanceTable::serves(const Instance &Each, const std::string &Model,
                            TimePoint Now) const {
-  const auto Found = m_Wanted.find(Model);
-  const bool MayBeOlder =
-      Found == m_Wanted.end() || Now - Found->second.m_Since < m_VersionGrace;
+  const auto Wanted = m_Wanted.find(Model);
   return std::any_of(Each.m_Weights.begin(), Each.m_Weights.end(),
                      [&](const HeldWeights &Held) {
-                       return Held.m_Model == Model && Held.m_IsComplete &&
-                              (MayBeOlder ||
-                               Held.m_Version >= Found->second.m_Version);
+                       if (Held.m_Model != Model || !Held.m_IsComplete)
+                         return false;
+                       const auto Behind =
+                           Wanted == m_Wanted.end()
+                               ? std::nullopt
+                               : Wanted->second.behindSince(Held.m_Version);
+                       return !Behind || Now - *Behind < m_VersionGrace;
                      });
 }
 
