--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -224,6 +224,8 @@
   bool mayImport(const InstanceId &Who, const DataCentreId &In,
                  std::uint32_t Chunk, TimePoint Now) const;
   bool isUsefulTo(const Peer &To, TimePoint Now) const;
+  std::uint32_t copiesIn(const DataCentreId &DataCentre,
+                         std::uint32_t Chunk) const;
   std::optional<std::uint32_t> chooseHedge(const Peer &From,
                                            TimePoint Now) const;
   void markHas(Peer &Of, std::uint32_t Chunk, TimePoint Now);
@@ -259,7 +261,8 @@
   ChunkSet m_Taken;    ///< on the way from a peer or the origin, or unstaged
   ChunkSet m_Seen;     ///< known to be out of the origin, anywhere
   std::vector<std::uint32_t> m_Copies; ///< of each chunk, among the peers
-  std::vector<std::uint32_t> m_NearCopies;
+  /// The same for the peers of each data centre.
+  std::map<DataCentreId, std::vector<std::uint32_t>> m_CopiesIn;
   std::map<PeerNumber, Peer> m_Peers;
   std::map<InstanceId, Failure> m_Failures;
   std::vector<std::uint32_t> m_FreshSeen; ///< not yet told to the peers
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -27,8 +27,8 @@
     : m_Self(std::move(Self)), m_DataCentre(std::move(DataCentre)),
       m_Options(Options), m_Random(static_cast<std::uint32_t>(Seed | 1)),
       m_Here(Chunks), m_Unstaged(Chunks), m_Taken(Chunks), m_Seen(Chunks),
-      m_Copies(Chunks), m_NearCopies(Chunks), m_Rank(Chunks),
-      m_SeenSince(Chunks), m_Open(Chunks), m_Unheld(Chunks) {}
+      m_Copies(Chunks), m_Rank(Chunks), m_SeenSince(Chunks), m_Open(Chunks),
+      m_Unheld(Chunks) {}
 
 Swarm::Peer *Swarm::find(PeerNumber Number) {
   const auto Found = m_Peers.find(Number);
@@ -89,7 +89,7 @@
     return;
   Gone->m_Has.forEach([&](std::uint32_t Chunk) {
     --m_Copies[Chunk];
-    m_NearCopies[Chunk] -= Gone->m_IsNear;
+    --m_CopiesIn[Gone->m_DataCentre][Chunk];
   });
   const std::vector<Transfer> Lost = std::move(Gone->m_Expected);
   m_Peers.erase(Number);
@@ -114,7 +114,9 @@
   if (!Of.m_Has.insert(Chunk))
     return;
   ++m_Copies[Chunk];
-  m_NearCopies[Chunk] += Of.m_IsNear;
+  auto &Near = m_CopiesIn[Of.m_DataCentre];
+  Near.resize(m_Here.size());
+  ++Near[Chunk];
   if (m_Here.contains(Chunk))
     --Of.m_Useful;
 }
@@ -164,6 +166,12 @@
   return Count;
 }
 
+std::uint32_t Swarm::copiesIn(const DataCentreId &DataCentre,
+                              std::uint32_t Chunk) const {
+  const auto Found = m_CopiesIn.find(DataCentre);
+  return Found == m_CopiesIn.end() ? 0 : Found->second[Chunk];
+}
+
 /// Whether the peer likely takes something that is here: a far one declines
 /// what it is not to import, and an offer that is declined leaves the link idle
 /// for a round trip.
@@ -172,6 +180,7 @@
     return To.m_Useful > 0;
   for (std::uint32_t Chunk = 0; Chunk < m_Here.size(); ++Chunk)
     if (m_Here.contains(Chunk) && !To.m_Has.contains(Chunk) &&
+        copiesIn(To.m_DataCentre, Chunk) == 0 &&
         mayImport(To.m_Id, To.m_DataCentre, Chunk, Now))
       return true;
   return false;
@@ -220,7 +229,7 @@
   std::uint64_t Least = std::numeric_limits<std::uint64_t>::max();
   std::optional<std::uint32_t> Best;
   From.m_Has.forEachNotIn(m_Here, m_Taken, [&](std::uint32_t Chunk) {
-    if (!AnyWill && (m_NearCopies[Chunk] > 0 ||
+    if (!AnyWill && (copiesIn(m_DataCentre, Chunk) > 0 ||
                      !mayImport(m_Self, m_DataCentre, Chunk, Now)))
       return;
     const std::uint64_t Order =
