--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -40,6 +40,10 @@
   /// chunk takes over a link of some Mbit/s.
   Duration m_ImportWait = std::chrono::milliseconds(400);
   Duration m_OriginRest = std::chrono::seconds(1); ///< after it refused
+  /// A chunk that one peer alone has for so long is read from the origin again
+  /// by one instance after the other: its holder's link may be narrow, and all
+  /// would wait for it. Zero: never.
+  Duration m_SoleHolderWait{};
   /// The rest of one chunk doubles up to this while it arrives corrupted.
   Duration m_CorruptRestMost = std::chrono::minutes(1);
   Duration m_SetAside = std::chrono::seconds(10);
@@ -235,6 +239,7 @@
   void expireGrants(TimePoint Now);
   void readOrigin(SwarmActions &Out, TimePoint Now);
   bool mayRead(std::uint32_t Chunk, TimePoint Now);
+  bool waitsForSoleHolder(std::uint32_t Chunk, TimePoint Now) const;
   bool unheldFor(std::uint32_t Chunk, Duration Length, TimePoint Now);
   void readForTime(SwarmActions &Out, TimePoint Now);
   void startRead(std::uint32_t Chunk, SwarmActions &Out);
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -60,6 +60,8 @@
 /// Chunks that the whole pool reads from the origin at once: enough to keep a
 /// link of some Mbit/s busy while it is told which of them have come.
 constexpr std::uint32_t OriginWindow = 16;
+/// A chunk has several holders within a third of that on sound links.
+constexpr Duration SoleHolderWait = milliseconds(700);
 /// Offers and chunks under way to peers at once. Some offers are declined, and
 /// the link must not run dry meanwhile.
 constexpr std::uint32_t Uploads = 6;
@@ -469,6 +471,7 @@
       daemon::swarmOptionsFor(m_CopySettings.m_Weights, Read->m_ChunkBytes);
   Options.m_OriginWindow = OriginWindow;
   Options.m_OriginStep = OriginStep;
+  Options.m_SoleHolderWait = SoleHolderWait;
   Options.m_Uploads = Uploads;
   Options.m_Expected = Expected;
   Options.m_DeclineRest = DeclineRest;
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -38,7 +38,7 @@
 constexpr milliseconds GraceSpare{500};
 /// Left to instances when a new version must be in force everywhere: begun
 /// requests may wait that long at an instance.
-constexpr milliseconds VersionSpare{1'500};
+constexpr milliseconds VersionSpare{2'000};
 constexpr net::HttpLimits SmallLimits{std::size_t{8} * 1024,
                                       std::size_t{64} * 1024,
                                       milliseconds(2'000),
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -92,7 +92,18 @@
   return m_Copies[Chunk] == 0 && Now - Since > Length;
 }
 
+bool Swarm::waitsForSoleHolder(std::uint32_t Chunk, TimePoint Now) const {
+  const Duration Longest = m_Options.m_SoleHolderWait;
+  if (Longest == Duration::zero() || !m_Seen.contains(Chunk) ||
+      m_Copies[Chunk] > 1 || m_Reading.contains(Chunk))
+    return false;
+  const std::uint32_t Rank = std::min<std::uint32_t>(m_Rank[Chunk], MaxRank);
+  return Now - m_SeenSince[Chunk] > Longest + Rank * Longest / 2;
+}
+
 bool Swarm::mayRead(std::uint32_t Chunk, TimePoint Now) {
+  if (wants(Chunk) && !rests(Chunk, Now) && waitsForSoleHolder(Chunk, Now))
+    return true;
   if (!wants(Chunk) || m_Taken.contains(Chunk) || rests(Chunk, Now))
     return false;
   const Duration Wait =
