Let larger requests leave places to smaller ones, and first tries to those who come back

Cause: places were given in order of arrival; a request of a tenth of a kind holds over a third of its work, so most refusals hit small requests.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -34,8 +34,8 @@
   std::string m_Model; ///< empty: a plain service
   std::chrono::milliseconds m_Objective{1'000};
   std::set<InstanceId> m_Tried;
-  /// Work of this request against the usual one of the service.
-  double m_Size = 1;
+  /// Places of an engine that are to stay free for others.
+  double m_Reserve = 0;
 };
 
 enum class ChoiceOutcome {
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -42,6 +42,12 @@
 /// Instances that could not be reached before a request is refused.
 constexpr std::uint32_t MostUnreachable = 3;
 constexpr milliseconds DefaultPatience{30'000};
+/// Time that a caller's first try cannot have used up.
+constexpr milliseconds ReturningUsed{25};
+/// Places left to callers who come back: a second refusal ends their request.
+constexpr double FirstTryReserve = 1;
+/// Work of a token written against one read.
+constexpr double WrittenTokenWork = 10;
 /// Until the declaration is read after a start.
 constexpr Duration RetryAfterStart = milliseconds(500);
 /// Share of the retries that entries may use together which they do use: the
@@ -105,6 +111,10 @@
   std::optional<std::uint64_t> m_LastEvent;
   Duration m_FirstByte{};
 
+  /// Work that the request asks for, in tokens read.
+  double size() const {
+    return m_Terms.m_PromptTokens + WrittenTokenWork * m_Terms.m_AnswerTokens;
+  }
   bool isStream() const {
     return m_Route && m_Route->m_Kind == RouteKind::Stream;
   }
@@ -144,6 +154,21 @@
   return *Budget;
 }
 
+/// Places of an engine that the request leaves to others.
+double EntryRequests::reserveFor(const Call &Of) {
+  if (Of.m_Query.m_Model.empty())
+    return 0;
+  RouteLoad &Load = m_RouteLoads[Of.m_Route->m_Name];
+  Load.m_Sizes.arrived(Of.size());
+  const milliseconds Patience = Of.m_Terms.m_Patience.value_or(DefaultPatience);
+  Load.m_LongestPatience = std::max(Load.m_LongestPatience, Patience);
+  // One that has used up some of its time has been refused before.
+  const bool IsReturning = Patience + ReturningUsed < Load.m_LongestPatience;
+  const double Reserve =
+      Load.m_Sizes.reserve(Of.size()) + (IsReturning ? 0 : FirstTryReserve);
+  return Reserve;
+}
+
 void EntryRequests::checkSilence(TimePoint Now) {
   for (const InstanceId &Id : m_Instances.silentFor(InstanceSilence, Now)) {
     const auto Calls = m_AtInstance.find(Id);
@@ -205,6 +230,7 @@
   Of.m_Deadline = Of.m_Start + std::min(Patience, Of.m_Route->m_Timeout);
   Of.m_LastEventId = Of.m_Terms.m_LastEventId;
   budgetOf(*Service).deposit();
+  Of.m_Query.m_Reserve = reserveFor(Of);
   co_await tryInstances(Of);
 }
 
@@ -233,6 +259,8 @@
       }
       break;
     }
+    if (Of.m_Sends == 0 && Of.m_Unreachable == 0 && !Of.m_Query.m_Model.empty())
+      m_RouteLoads[Of.m_Route->m_Name].m_Sizes.admitted(Of.size());
     How = co_await attempt(Of, Chosen);
     if (How == Ended::Delivered || How == Ended::Gone)
       co_return;
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -5,6 +5,7 @@
 #include "deckpitch/instance-table.h"
 #include "deckpitch/retry.h"
 #include "deckpitch/route-table.h"
+#include "deckpitch/size-shares.h"
 #include "direct/adapter.h"
 #include "net/http.h"
 
@@ -64,6 +65,7 @@
   asio::awaitable<void> refuse(Call &Of, unsigned Status, std::string Reason,
                                Duration RetryAfter);
   RetryBudget &budgetOf(const ServiceId &Service);
+  double reserveFor(const Call &Of);
 
   net::HttpClient &m_Http;
   const FleetAdapter &m_Adapter;
@@ -72,6 +74,12 @@
   std::shared_ptr<const RouteTable> m_Routes =
       std::make_shared<const RouteTable>();
   std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
+  /// What is known of one route's requests, by the route's name.
+  struct RouteLoad {
+    SizeShares m_Sizes;
+    std::chrono::milliseconds m_LongestPatience{};
+  };
+  std::map<std::string, RouteLoad> m_RouteLoads;
   /// Calls under way at each instance.
   std::map<InstanceId, std::set<Call *>> m_AtInstance;
   std::size_t m_Entries = 1;
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -140,7 +140,8 @@
                               const ChoiceQuery &Query) const {
   const auto Service = m_Services.find(Each.m_Listed.m_Service);
   if (Service != m_Services.end() && Service->second.m_Engine)
-    return capacityOf(*Service->second.m_Engine, Query.m_Objective).m_Limit;
+    return capacityOf(*Service->second.m_Engine, Query.m_Objective).m_Limit -
+           Query.m_Reserve;
   return PlainServiceDepth * std::max(1U, Each.m_Listed.m_Slots);
 }
 
