--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -334,8 +334,9 @@
             {"retryAfterMs", msOf(RetryAfter)},
             {"leftMs", msOf(Of.m_Deadline - now())},
             {"afterMs", msOf(now() - Of.m_Start)}});
-  co_await Of.m_Answer.send(
-      m_Adapter.ownAnswer(Status, Reason, Of.m_Terms.m_AttemptId, RetryAfter));
+  net::HttpResponse Told =
+      m_Adapter.ownAnswer(Status, Reason, Of.m_Terms.m_AttemptId, RetryAfter);
+  co_await Of.m_Answer.send(std::move(Told));
 }
 
 asio::awaitable<EntryRequests::Ended>
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -206,7 +206,8 @@
                                          net::HttpResponder &Answer) {
   const unsigned Status =
       !m_Adapter.isReadyQuery(Request) ? 404 : (isReady() ? 200 : 503);
-  co_await Answer.send(net::jsonResponse(Status, "{}"));
+  net::HttpResponse Told = net::jsonResponse(Status, "{}");
+  co_await Answer.send(std::move(Told));
 }
 
 asio::awaitable<void> Entry::answerDirectory(net::HttpRequest Request,
@@ -217,11 +218,12 @@
         net::jsonResponse(404, R"({"error":"no such path"})"));
   const std::vector<std::string> Addresses =
       m_Peers.addressesFor(Query->m_DataCentre, isReady(), now());
-  if (Addresses.empty())
-    co_return (void) co_await Answer.send(
-        m_Adapter.ownAnswer(503, "no entry is ready", "", milliseconds(200)));
-  co_await Answer.send(m_Adapter.directoryAnswer(
-      Addresses, m_Context.m_Settings.m_Bounds.m_AddressLifetime));
+  net::HttpResponse Told =
+      Addresses.empty()
+          ? m_Adapter.ownAnswer(503, "no entry is ready", "", milliseconds(200))
+          : m_Adapter.directoryAnswer(
+                Addresses, m_Context.m_Settings.m_Bounds.m_AddressLifetime);
+  co_await Answer.send(std::move(Told));
 }
 
 void Entry::onLink(const wire::LinkMessage &Message, const std::string &From) {
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -202,7 +202,8 @@
   }
 
   void finish() {
-    if (m_Connection && m_Parser.get().keep_alive())
+    if (m_Connection && m_Limits.m_KeepsConnection &&
+        m_Parser.get().keep_alive())
       if (const auto Pool = m_Pool.lock())
         Pool->giveBack(m_Key, std::move(m_Connection));
     m_Connection.reset();
@@ -279,6 +280,8 @@
     Message.insert(Header.m_Name, Header.m_Value);
   if (Request.m_Headers.find("Host").empty())
     Message.set(http::field::host, Address);
+  if (!Limits.m_KeepsConnection)
+    Message.set(http::field::connection, "close");
   Message.body() = std::move(Request.m_Body);
   Message.prepare_payload();
   const bool MayRepeat = Request.m_Method == "GET" && Limits.m_RepeatsGet;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -126,6 +126,9 @@
   /// A kept connection that rested longer is not used: servers drop idle ones,
   /// and what was sent on one that was just dropped may or may not have run.
   std::chrono::milliseconds m_MostIdle{30'000};
+  /// Whether the connection is kept for later calls. Not to servers that take
+  /// few connections from many callers.
+  bool m_KeepsConnection = true;
   /// A GET on a kept connection that turned out closed is sent again.
   bool m_RepeatsGet = true;
 };
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -109,8 +109,11 @@
       std::chrono::duration_cast<std::chrono::microseconds>(Now).count());
 }
 
-std::string jsonLine(Event Which, const EventInfo *Info,
-                     std::initializer_list<LogField> Fields) {
+} // namespace
+
+std::string detail::jsonLine(Event Which,
+                             std::initializer_list<LogField> Fields) {
+  const EventInfo *Info = findEvent(Which);
   std::string Line =
       "{\"us\":" + std::to_string(microsecondsSinceEpoch()) + ",\"process\":";
   appendJson(Line, processName());
@@ -127,8 +130,6 @@
   return Line + "}";
 }
 
-} // namespace
-
 void setUpJsonLog(std::string_view Process, Severity Least) {
   processName() = std::string(Process);
   writesJson() = true;
@@ -161,7 +162,7 @@
   if (!logger()->isEnabledFor(Level))
     return;
   if (writesJson())
-    return logger()->forcedLog(Level, jsonLine(Which, Info, Fields));
+    return logger()->forcedLog(Level, detail::jsonLine(Which, Fields));
   std::string Line = std::to_string(static_cast<int>(Which)) + " " +
                      std::string(Info ? Info->m_Name : "Unlisted");
   for (const LogField &Field : Fields)
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -3,6 +3,7 @@
 
 #include "deckpitch/event.h"
 
+#include <concepts>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -14,7 +15,7 @@
 struct LogField {
   LogField(std::string_view Name, std::string_view Value)
       : m_Name(Name), m_Value(Value) {}
-  LogField(std::string_view Name, std::uint64_t Value)
+  LogField(std::string_view Name, std::unsigned_integral auto Value)
       : m_Name(Name), m_Value(std::to_string(Value)), m_IsNumber(true) {}
 
   std::string_view m_Name;
@@ -22,6 +23,14 @@
   bool m_IsNumber = false;
 };
 
+namespace detail {
+
+/// One event as a JSON object without a line break. Values are cut to some
+/// hundred bytes.
+std::string jsonLine(Event Which, std::initializer_list<LogField> Fields);
+
+} // namespace detail
+
 /// Lines go to standard error as "time level number name key=value ...".
 void setUpLog(std::string_view Process, Severity Least);
 
--- /dev/null
+++ b/test/direct-entry-test.cc
@@ -0,0 +1,276 @@
+// A real entry before instances that misbehave, and a store that goes away.
+#include "direct-fleet.h"
+
+#include <gmock/gmock.h>
+
+using namespace deckpitch;
+using namespace deckpitch::test;
+using namespace std::chrono_literals;
+using testing::HasSubstr;
+
+namespace {
+
+std::string routeOf(const std::string &Name, const std::string &Kind,
+                    const std::string &Service) {
+  return R"({"name":")" + Name + R"(","host":"h.example","pathPrefix":"/)" +
+         Name + R"(/","kind":")" + Kind +
+         R"(","timeoutMs":20000,"sloMs":5000,"attempts":2,"resumable":true,)" +
+         R"("service":")" + Service + R"("})";
+}
+
+std::string declarationOf(int Version, const std::string &Routes) {
+  return R"({"version":)" + std::to_string(Version) + R"(,"routes":[)" +
+         Routes + R"(],"services":[{"name":"pool"},{"name":"spare"}],)" +
+         R"("tenants":[{"name":"shops","apiKeys":["k1"]}]})";
+}
+
+const std::string Routes = routeOf("stream", "stream", "pool") + "," +
+                           routeOf("once", "non_idempotent", "pool") + "," +
+                           routeOf("often", "idempotent", "pool");
+
+class DirectEntry : public testing::Test {
+protected:
+  DirectEntry() {
+    m_Store.put("config", "main", declarationOf(1, Routes));
+    for (StandInInstance *Each : {&m_One, &m_Two})
+      m_Store.put("servers", Each->id(), Each->listing("pool"));
+    m_Entry.emplace(m_Store.address());
+    EXPECT_TRUE(eventually([this] { return isReady(); }));
+  }
+
+  unsigned statusAt(const std::string &Address, const std::string &Target) {
+    const auto Answer = net::callAndWait(Address, {"GET", Target, {}, {}});
+    return Answer ? Answer->m_Status : 0;
+  }
+  bool isReady() { return statusAt(m_Entry->ready(), "/v1/ready") == 200; }
+
+  net::HttpRequest request(const std::string &Path,
+                           const std::string &Key = "k1") {
+    net::HttpRequest Out{"POST", Path, {}, "asked"};
+    Out.m_Headers.add("Host", "h.example");
+    Out.m_Headers.add("Attempt-Id", "id-" + std::to_string(++m_Calls));
+    Out.m_Headers.add("Deadline-Ms", "20000");
+    Out.m_Headers.add("Authorization", "Token " + Key);
+    return Out;
+  }
+  net::HttpResponse call(const std::string &Path,
+                         const std::string &Key = "k1") {
+    const auto Answer =
+        net::callAndWait(m_Entry->callers(), request(Path, Key));
+    return Answer ? *Answer
+                  : net::HttpResponse{0, {}, Answer.error().m_Message};
+  }
+  std::size_t arrivals() const {
+    return m_One.requests().size() + m_Two.requests().size();
+  }
+  void both(Conduct How) {
+    m_One.setConduct(How);
+    m_Two.setConduct(How);
+  }
+  /// Until one of them has answered: which one is tried first is drawn.
+  StandInInstance &other(const StandInInstance &Than) {
+    return &Than == &m_One ? m_Two : m_One;
+  }
+
+  static std::string events(std::size_t Count) {
+    std::string Out;
+    for (std::size_t I = 1; I <= Count; ++I)
+      Out += "id: " + std::to_string(I) + "\ndata: x\n\n";
+    return Out;
+  }
+
+  StandInStore m_Store;
+  StandInInstance m_One{"i-1"};
+  StandInInstance m_Two{"i-2"};
+  std::optional<RunningEntry> m_Entry;
+  int m_Calls = 0;
+};
+
+TEST_F(DirectEntry, PassesAStreamOnWhole) {
+  const net::HttpResponse Answer = call("/stream/1?x=%2F");
+  EXPECT_EQ(Answer.m_Status, 200U);
+  EXPECT_EQ(Answer.m_Body, events(5));
+  EXPECT_EQ(Answer.m_Headers.find("Attempt-Id"), "id-1");
+  EXPECT_THAT(std::string(Answer.m_Headers.find("Response-Seal")),
+              HasSubstr("sealed-by-i-"));
+  ASSERT_EQ(arrivals(), 1U);
+  const net::HttpRequest Sent =
+      (m_One.requests().empty() ? m_Two : m_One).requests().front();
+  EXPECT_EQ(Sent.m_Target, "/stream/1?x=%2F");
+  EXPECT_EQ(Sent.m_Body, "asked");
+  EXPECT_EQ(Sent.m_Headers.find("Tenant"), "shops");
+  EXPECT_THAT(std::string(Sent.m_Headers.find("Target-Instance")),
+              HasSubstr("i-"));
+}
+
+TEST_F(DirectEntry, ABrokenStreamGoesOnElsewhereWithoutAGap) {
+  m_One.setConduct(Conduct::Break);
+  // Until the broken one was the first: it is drawn.
+  while (m_One.requests().empty()) {
+    const net::HttpResponse Answer = call("/stream/1");
+    EXPECT_EQ(Answer.m_Status, 200U);
+    EXPECT_EQ(Answer.m_Body, events(5));
+  }
+  const net::HttpRequest Resumed = m_Two.requests().back();
+  EXPECT_EQ(Resumed.m_Headers.find("Last-Event-Id"), "2");
+}
+
+TEST_F(DirectEntry, AStreamOfAnInstanceThatHangsGoesOnElsewhere) {
+  m_One.setConduct(Conduct::Hang);
+  while (m_One.requests().empty()) {
+    const net::HttpResponse Answer = call("/stream/1");
+    EXPECT_EQ(Answer.m_Body, events(5));
+  }
+  EXPECT_TRUE(eventually([this] { return m_One.abandoned() == 1; }));
+}
+
+TEST_F(DirectEntry, AStreamThatNobodyEndsDoesNotLookWhole) {
+  both(Conduct::Break);
+  const net::HttpResponse Answer = call("/stream/1");
+  EXPECT_EQ(Answer.m_Status, 0U);
+}
+
+TEST_F(DirectEntry, WhatMayRunOnceIsSentOnce) {
+  both(Conduct::Break);
+  const net::HttpResponse Answer = call("/once/1");
+  EXPECT_EQ(Answer.m_Status, 502U);
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(DirectEntry, WhatMayRunOftenIsTriedElsewhere) {
+  m_One.setConduct(Conduct::Fail);
+  while (m_One.requests().empty()) {
+    const net::HttpResponse Answer = call("/often/1");
+    EXPECT_EQ(Answer.m_Status, 200U);
+    EXPECT_EQ(Answer.m_Body, "done by i-2");
+    EXPECT_EQ(Answer.m_Headers.find("Response-Seal"), "sealed-by-i-2");
+  }
+}
+
+TEST_F(DirectEntry, AnInstancesFailureComesUnchanged) {
+  both(Conduct::Fail);
+  const net::HttpResponse Answer = call("/once/1");
+  EXPECT_EQ(Answer.m_Status, 500U);
+  EXPECT_EQ(Answer.m_Body, "failed");
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(DirectEntry, WhatAnInstanceRefusedIsTriedElsewhere) {
+  m_One.setConduct(Conduct::Refuse);
+  while (m_One.requests().empty())
+    EXPECT_EQ(call("/once/1").m_Body, "done by i-2");
+}
+
+TEST_F(DirectEntry, SaysNotRunAndWhenToComeBackWhereAllRefuse) {
+  both(Conduct::Refuse);
+  const net::HttpResponse Answer = call("/once/1");
+  EXPECT_EQ(Answer.m_Status, 503U);
+  EXPECT_FALSE(Answer.m_Headers.find("Retry-After").empty());
+  EXPECT_TRUE(Answer.m_Headers.find("Response-Seal").empty());
+  EXPECT_EQ(arrivals(), 2U);
+}
+
+TEST_F(DirectEntry, NeverPassesOnAnotherRequestsAnswer) {
+  both(Conduct::Foreign);
+  const net::HttpResponse Answer = call("/once/1");
+  EXPECT_EQ(Answer.m_Status, 502U);
+  EXPECT_THAT(Answer.m_Body, Not(HasSubstr("done by")));
+}
+
+TEST_F(DirectEntry, AsksForAKeyAndForARoute) {
+  EXPECT_EQ(call("/once/1", "k2").m_Status, 401U);
+  EXPECT_EQ(call("/never/1").m_Status, 404U);
+  EXPECT_EQ(arrivals(), 0U);
+}
+
+TEST_F(DirectEntry, ALeavingInstanceGetsNothingNew) {
+  m_Store.put("servers", m_One.id(), m_One.listing("pool", "draining"));
+  ASSERT_TRUE(eventually([this] {
+    const std::size_t Before = m_One.requests().size();
+    for (int I = 0; I < 10; ++I)
+      call("/often/1");
+    return m_One.requests().size() == Before;
+  }));
+  const std::size_t Before = m_One.requests().size();
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(call("/once/1").m_Status, 200U);
+  EXPECT_EQ(m_One.requests().size(), Before);
+}
+
+TEST_F(DirectEntry, ANewerDeclarationHoldsAndAnOlderDoesNotComeBack) {
+  m_Store.put("config", "main",
+              declarationOf(5, routeOf("new", "idempotent", "pool")));
+  ASSERT_TRUE(eventually([this] { return call("/new/1").m_Status == 200; }));
+  EXPECT_EQ(call("/once/1").m_Status, 404U);
+  m_Store.put("config", "main", declarationOf(4, Routes));
+  m_Store.put("config", "main",
+              declarationOf(6, routeOf("newer", "idempotent", "pool")));
+  ASSERT_TRUE(eventually([this] { return call("/newer/1").m_Status == 200; }));
+  EXPECT_EQ(call("/once/1").m_Status, 404U);
+}
+
+TEST_F(DirectEntry, ServesOnWhileTheStoreIsAway) {
+  m_Store.setDown(true);
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(call("/often/1").m_Status, 200U);
+  EXPECT_TRUE(isReady());
+  m_Store.setDown(false);
+  m_Store.put("config", "main",
+              declarationOf(2, routeOf("new", "idempotent", "pool")));
+  EXPECT_TRUE(eventually([this] { return call("/new/1").m_Status == 200; }));
+}
+
+TEST_F(DirectEntry, KeepsInstancesThatLapsedWhileTheStoreWasAway) {
+  m_Store.setDown(true);
+  ASSERT_TRUE(eventually([this] {
+    return m_Entry->dump().at("storeCalls").to_number<int>() > 8;
+  }));
+  m_Store.remove("servers", m_One.id());
+  m_Store.remove("servers", m_Two.id());
+  m_Store.setDown(false);
+  EXPECT_EQ(call("/often/1").m_Status, 200U);
+  // Still missing after the time to come back: gone.
+  EXPECT_TRUE(eventually([this] { return call("/often/1").m_Status == 503; }));
+}
+
+TEST_F(DirectEntry, ACallerWhoLeavesEndsTheAttempt) {
+  both(Conduct::Hang);
+  net::CallLimits Impatient;
+  Impatient.m_FirstByte = 200ms;
+  net::callAndWait(m_Entry->callers(), request("/once/1"), Impatient);
+  EXPECT_TRUE(eventually(
+      [this] { return m_One.abandoned() + m_Two.abandoned() == 1; }));
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(DirectEntry, TellsItsAddressUntilItLeaves) {
+  const auto Addresses = [this] {
+    const auto Answer = net::callAndWait(
+        m_Entry->directory(), {"GET", "/v1/resolve?name=x&zone=a", {}, {}});
+    return Answer ? Answer->m_Body : "";
+  };
+  EXPECT_THAT(Addresses(), HasSubstr(m_Entry->callers()));
+  EXPECT_EQ(m_Store.count("deckpitch-entries"), 1U);
+  m_Entry->drain();
+  EXPECT_TRUE(eventually([this] { return !isReady(); }));
+  EXPECT_THAT(Addresses(), Not(HasSubstr(m_Entry->callers())));
+  // Callers who still hold its address are served.
+  EXPECT_EQ(call("/once/1").m_Status, 200U);
+}
+
+TEST(DirectEntryStart, KnowsNoDeclarationAndDeniesNothing) {
+  StandInStore Store;
+  Store.setDown(true);
+  RunningEntry Entry(Store.address());
+  net::HttpRequest Request{"GET", "/x/", {}, {}};
+  Request.m_Headers.add("Host", "h.example");
+  const auto Answer = net::callAndWait(Entry.callers(), Request);
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->m_Status, 503U);
+  EXPECT_FALSE(Answer->m_Headers.find("Retry-After").empty());
+  EXPECT_EQ(
+      net::callAndWait(Entry.ready(), {"GET", "/v1/ready", {}, {}})->m_Status,
+      503U);
+}
+
+} // namespace
--- /dev/null
+++ b/test/direct-fleet.cc
@@ -0,0 +1,306 @@
+#include "direct-fleet.h"
+
+#include "net/address.h"
+
+#include <boost/asio.hpp>
+
+#include <charconv>
+#include <future>
+#include <thread>
+
+namespace deckpitch::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t EventCount = 5;
+constexpr std::size_t EventsBeforeBreak = 2;
+
+std::uint64_t numberOf(const std::string &Text) {
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+asio::awaitable<void> pause(std::chrono::milliseconds Length) {
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Length);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+/// A caller that closes is told of at once.
+net::HttpLimits instanceLimits() {
+  net::HttpLimits Limits;
+  Limits.m_HalfClosedIsGone = true;
+  return Limits;
+}
+
+/// Not as an aggregate within co_await: g++ 12 copies a short literal's string
+/// bitwise into the coroutine's frame.
+net::HttpResponse responseOf(unsigned Status, const net::HttpHeaders &Headers,
+                             const std::string &Body) {
+  net::HttpResponse Out;
+  Out.m_Status = Status;
+  Out.m_Headers = Headers;
+  Out.m_Body = Body;
+  return Out;
+}
+
+std::string listenOn(net::HttpServer &Server, net::IoThreads &Threads) {
+  const auto Bound = outcomeOf([&] { return Server.listen("127.0.0.1:0"); });
+  Threads.start();
+  return Bound ? *Bound : "";
+}
+
+} // namespace
+
+StandInStore::StandInStore()
+    : m_Server(m_Threads,
+               [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+                 return answer(std::move(Request), Answer);
+               }),
+      m_Address(listenOn(m_Server, m_Threads)) {}
+
+std::string StandInStore::text(const std::string &Name, const Object &Of) {
+  return R"({"metadata":{"name":")" + Name + R"(","rev":)" +
+         std::to_string(Of.m_Revision) + R"(},"spec":)" + Of.m_Spec + "}";
+}
+
+void StandInStore::put(const std::string &Kind, const std::string &Name,
+                       const std::string &Spec) {
+  std::lock_guard Lock(m_Mutex);
+  Object &Written = m_Objects[Kind][Name];
+  Written = {++m_Revision, Spec};
+  m_Changes.push_back(
+      {m_Revision, Kind,
+       R"({"deleted":false,"object":)" + text(Name, Written) + "}"});
+}
+
+void StandInStore::remove(const std::string &Kind, const std::string &Name) {
+  std::lock_guard Lock(m_Mutex);
+  m_Objects[Kind].erase(Name);
+  ++m_Revision;
+}
+
+void StandInStore::setDown(bool IsDown) {
+  std::lock_guard Lock(m_Mutex);
+  m_IsDown = IsDown;
+}
+
+std::size_t StandInStore::count(const std::string &Kind) const {
+  std::lock_guard Lock(m_Mutex);
+  const auto Found = m_Objects.find(Kind);
+  return Found == m_Objects.end() ? 0 : Found->second.size();
+}
+
+std::string StandInStore::list(const std::string &Kind) const {
+  std::lock_guard Lock(m_Mutex);
+  std::string Items;
+  const auto Found = m_Objects.find(Kind);
+  if (Found != m_Objects.end())
+    for (const auto &[Name, Each] : Found->second)
+      Items += (Items.empty() ? "" : ",") + text(Name, Each);
+  return R"({"items":[)" + Items + R"(],"hasMore":false,"asOf":)" +
+         std::to_string(m_Revision) + "}";
+}
+
+std::optional<std::string>
+StandInStore::changesSince(const std::string &Kind,
+                           std::uint64_t Revision) const {
+  std::lock_guard Lock(m_Mutex);
+  std::string Events;
+  for (const Change &Each : m_Changes)
+    if (Each.m_Kind == Kind && Each.m_Revision > Revision)
+      Events += (Events.empty() ? "" : ",") + Each.m_Event;
+  if (Events.empty())
+    return std::nullopt;
+  return R"({"events":[)" + Events + R"(],"asOf":)" +
+         std::to_string(m_Revision) + "}";
+}
+
+asio::awaitable<void> StandInStore::answer(net::HttpRequest Request,
+                                           net::HttpResponder &Answer) {
+  {
+    std::lock_guard Lock(m_Mutex);
+    if (m_IsDown)
+      co_return (void) co_await Answer.send(net::jsonResponse(503, "{}"));
+  }
+  const std::string Rest =
+      std::string(Request.path()).substr(std::string("/v1/objects/").size());
+  const std::string Kind = Rest.substr(0, Rest.find('/'));
+  if (Request.m_Method == "POST") {
+    const json::object Body = json::parse(Request.m_Body).as_object();
+    const std::string Name(
+        Body.at("metadata").as_object().at("name").as_string());
+    put(Kind, Name, json::serialize(Body.at("spec")));
+    co_return (void) co_await Answer.send(
+        net::jsonResponse(201, R"({"metadata":{"rev":1}})"));
+  }
+  const std::string Watch = Request.query("watch");
+  if (Watch.empty())
+    co_return (void) co_await Answer.send(net::jsonResponse(200, list(Kind)));
+  for (std::uint64_t Waited = 0; Waited < numberOf(Request.query("waitMs"));
+       Waited += 5) {
+    if (const auto Changes = changesSince(Kind, numberOf(Watch)))
+      co_return (void) co_await Answer.send(net::jsonResponse(200, *Changes));
+    co_await pause(5ms);
+  }
+  co_await Answer.send(
+      net::jsonResponse(200, R"({"events":[],"asOf":)" + Watch + "}"));
+}
+
+StandInInstance::StandInInstance(std::string Id)
+    : m_Id(std::move(Id)),
+      m_Server(
+          m_Threads,
+          [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+            return answer(std::move(Request), Answer);
+          },
+          instanceLimits()),
+      m_Address(listenOn(m_Server, m_Threads)) {}
+
+void StandInInstance::setConduct(Conduct Value) {
+  std::lock_guard Lock(m_Mutex);
+  m_Conduct = Value;
+}
+
+std::vector<net::HttpRequest> StandInInstance::requests() const {
+  std::lock_guard Lock(m_Mutex);
+  return m_Requests;
+}
+
+std::size_t StandInInstance::abandoned() const {
+  std::lock_guard Lock(m_Mutex);
+  return m_Abandoned;
+}
+
+std::string StandInInstance::listing(const std::string &Service,
+                                     const std::string &State) const {
+  return json::serialize(json::object{
+      {"service", Service},
+      {"addr", m_Address},
+      {"zone", "a"},
+      {"slots", 4},
+      {"state", State},
+      {"models", json::array{json::object{{"name", "m"}, {"version", 1}}}}});
+}
+
+asio::awaitable<void> StandInInstance::answer(net::HttpRequest Request,
+                                              net::HttpResponder &Answer) {
+  Conduct How = Conduct::Answer;
+  {
+    std::lock_guard Lock(m_Mutex);
+    m_Requests.push_back(Request);
+    How = m_Conduct;
+  }
+  Answer.onGone([this] {
+    std::lock_guard Lock(m_Mutex);
+    ++m_Abandoned;
+  });
+  net::HttpHeaders Headers;
+  const std::string Attempt(Request.m_Headers.find("Attempt-Id"));
+  Headers.add("Attempt-Id", How == Conduct::Foreign ? "other" : Attempt);
+  Headers.add("Response-Seal", "sealed-by-" + m_Id);
+  if (How == Conduct::Refuse) {
+    net::HttpResponse Refused = net::jsonResponse(503, "{}");
+    Refused.m_Headers.add("Not-Executed", "1");
+    co_return (void) co_await Answer.send(std::move(Refused));
+  }
+  if (How == Conduct::Fail) {
+    co_await Answer.send(responseOf(500, Headers, "failed"));
+    co_return;
+  }
+  const bool IsStream = Request.path().starts_with("/stream/");
+  if (IsStream)
+    co_return co_await stream(
+        std::move(Headers), How,
+        numberOf(std::string(Request.m_Headers.find("Last-Event-Id"))), Answer);
+  if (How == Conduct::Break)
+    co_return Answer.abort();
+  while (How == Conduct::Hang && !m_Threads.control().stopped())
+    co_await pause(20ms);
+  net::HttpResponse Done{200, Headers, "done by " + m_Id};
+  co_await Answer.send(std::move(Done));
+}
+
+asio::awaitable<void> StandInInstance::stream(net::HttpHeaders Headers,
+                                              Conduct How, std::size_t After,
+                                              net::HttpResponder &Answer) {
+  Headers.add("Content-Type", "text/event-stream");
+  if (!co_await Answer.begin(200, std::move(Headers)))
+    co_return;
+  for (std::size_t I = After + 1; I <= EventCount; ++I) {
+    const bool IsCut = I > After + EventsBeforeBreak;
+    if (IsCut && How == Conduct::Break) {
+      // Ends in the middle of an event.
+      co_await Answer.write("id: " + std::to_string(I) + "\nda");
+      co_return Answer.abort();
+    }
+    while (IsCut && How == Conduct::Hang)
+      co_await pause(20ms);
+    if (!co_await Answer.write("id: " + std::to_string(I) + "\ndata: x\n\n"))
+      co_return;
+  }
+  co_await Answer.end();
+}
+
+std::string freeAddress() {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Bound(
+      Io, {asio::ip::address_v4::loopback(), std::uint16_t{0}});
+  return net::formatEndpoint(Bound.local_endpoint());
+}
+
+bool eventually(const std::function<bool()> &Holds) {
+  const auto End = std::chrono::steady_clock::now() + 60s;
+  while (std::chrono::steady_clock::now() < End) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(5ms);
+  }
+  return false;
+}
+
+RunningEntry::RunningEntry(const std::string &StoreAddress)
+    : m_Callers(freeAddress()), m_Ready(freeAddress()),
+      m_Directory(freeAddress()), m_Context{m_Threads, {}, 1} {
+  DirectSettings &Settings = m_Context.m_Settings;
+  Settings.m_Instance = {"entry"};
+  Settings.m_DataCentre = {"a"};
+  Settings.m_Listen = {m_Callers, m_Ready, m_Directory, "", freeAddress(), ""};
+  Settings.m_AgentLinkPort = 9; // Nobody listens there.
+  Settings.m_Store = "objects://" + StoreAddress;
+  Settings.m_Bounds.m_Drain = 150ms;
+  m_Role = direct::makeEntry(m_Context);
+  const auto Started = outcomeOf([this]() -> Result<bool> {
+    BOOST_LEAF_CHECK(m_Role->start());
+    return true;
+  });
+  if (!Started)
+    throw std::runtime_error(Started.error().m_Message);
+  m_Threads.start();
+}
+
+RunningEntry::~RunningEntry() {
+  std::promise<void> Stopped;
+  asio::post(m_Threads.control(), [&] {
+    m_Role->stop();
+    Stopped.set_value();
+  });
+  Stopped.get_future().wait();
+  m_Threads.stop();
+}
+
+void RunningEntry::drain() {
+  asio::post(m_Threads.control(), [this] { m_Role->drain([] {}); });
+}
+
+json::object RunningEntry::dump() {
+  std::promise<json::object> Told;
+  asio::post(m_Threads.control(), [&] { Told.set_value(m_Role->dump()); });
+  return Told.get_future().get();
+}
+
+} // namespace deckpitch::test
--- /dev/null
+++ b/test/direct-fleet.h
@@ -0,0 +1,133 @@
+// A small fleet within the test's process: the platform's store and some
+// instances as HTTP servers, and a real entry in front of them.
+#pragma once
+
+#include "direct/role.h"
+#include "net/http.h"
+#include "net/io-threads.h"
+
+#include <boost/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace deckpitch::test {
+
+/// Speaks the platform's object interface, as far as entries use it.
+class StandInStore {
+public:
+  StandInStore();
+
+  const std::string &address() const { return m_Address; }
+  void put(const std::string &Kind, const std::string &Name,
+           const std::string &Spec);
+  void remove(const std::string &Kind, const std::string &Name);
+  void setDown(bool IsDown);
+  std::size_t count(const std::string &Kind) const;
+
+private:
+  struct Object {
+    std::uint64_t m_Revision = 0;
+    std::string m_Spec;
+  };
+  struct Change {
+    std::uint64_t m_Revision = 0;
+    std::string m_Kind;
+    std::string m_Event;
+  };
+
+  net::asio::awaitable<void> answer(net::HttpRequest Request,
+                                    net::HttpResponder &Answer);
+  std::optional<std::string> changesSince(const std::string &Kind,
+                                          std::uint64_t Revision) const;
+  std::string list(const std::string &Kind) const;
+  static std::string text(const std::string &Name, const Object &Of);
+
+  mutable std::mutex m_Mutex;
+  std::map<std::string, std::map<std::string, Object>> m_Objects;
+  std::vector<Change> m_Changes;
+  std::uint64_t m_Revision = 0;
+  bool m_IsDown = false;
+  net::IoThreads m_Threads{1};
+  net::HttpServer m_Server;
+  std::string m_Address;
+};
+
+/// What an instance does with a request.
+enum class Conduct {
+  Answer,  ///< whole: five events, or a short body
+  Break,   ///< the connection ends after two events, or before an answer
+  Hang,    ///< nothing comes after two events
+  Refuse,  ///< says that it did not run it
+  Foreign, ///< answers another request
+  Fail     ///< answers 500
+};
+
+class StandInInstance {
+public:
+  explicit StandInInstance(std::string Id);
+
+  const std::string &id() const { return m_Id; }
+  const std::string &address() const { return m_Address; }
+  void setConduct(Conduct Value);
+  /// What came, refused ones included.
+  std::vector<net::HttpRequest> requests() const;
+  /// Requests whose sender went away before the end of the answer.
+  std::size_t abandoned() const;
+  std::string listing(const std::string &Service,
+                      const std::string &State = "ready") const;
+
+private:
+  net::asio::awaitable<void> answer(net::HttpRequest Request,
+                                    net::HttpResponder &Answer);
+  net::asio::awaitable<void> stream(net::HttpHeaders Headers, Conduct How,
+                                    std::size_t After,
+                                    net::HttpResponder &Answer);
+
+  std::string m_Id;
+  mutable std::mutex m_Mutex;
+  Conduct m_Conduct = Conduct::Answer;
+  std::vector<net::HttpRequest> m_Requests;
+  std::size_t m_Abandoned = 0;
+  net::IoThreads m_Threads{1};
+  net::HttpServer m_Server;
+  std::string m_Address;
+};
+
+/// A real entry on free ports.
+class RunningEntry {
+public:
+  explicit RunningEntry(const std::string &StoreAddress);
+  ~RunningEntry();
+  RunningEntry(const RunningEntry &) = delete;
+  RunningEntry &operator=(const RunningEntry &) = delete;
+
+  const std::string &callers() const { return m_Callers; }
+  const std::string &ready() const { return m_Ready; }
+  const std::string &directory() const { return m_Directory; }
+  void drain();
+  /// Runs on the entry's own loop.
+  boost::json::object dump();
+
+private:
+  net::IoThreads m_Threads{0};
+  std::string m_Callers;
+  std::string m_Ready;
+  std::string m_Directory;
+  direct::DirectContext m_Context;
+  std::unique_ptr<direct::DirectRole> m_Role;
+};
+
+/// A port of this machine that is free now.
+std::string freeAddress();
+
+/// Asks again until the condition holds; false after a long time, which only a
+/// failing test waits for.
+bool eventually(const std::function<bool()> &Holds);
+
+} // namespace deckpitch::test
--- /dev/null
+++ b/test/direct-settings-test.cc
@@ -0,0 +1,80 @@
+#include "deckpitch/direct-settings.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+using namespace deckpitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string EntryText = R"({
+  // comments are allowed
+  "mode": "direct", "role": "entry", "instance": "e1", "dataCentre": "a",
+  "listen": {"callers": "127.0.0.1:0", "link": "127.0.0.1:0"},
+  "store": "objects://127.0.0.1:1",
+  "bounds": {"retryShare": 0.25, "drainMs": 1500},
+})";
+
+std::string faultsOf(const std::string &Text) {
+  const auto Parsed = outcomeOf([&] { return parseDirectSettings(Text); });
+  return Parsed ? "" : Parsed.error().m_Message;
+}
+
+TEST(DirectSettings, ReadsAnEntry) {
+  ASSERT_TRUE(areDirectSettings(EntryText));
+  const auto Parsed = outcomeOf([] { return parseDirectSettings(EntryText); });
+  ASSERT_TRUE(Parsed) << Parsed.error().m_Message;
+  EXPECT_EQ(Parsed->m_Role, Role::Entry);
+  EXPECT_EQ(Parsed->m_Bounds.m_RetryShare, 0.25);
+  EXPECT_EQ(Parsed->m_Bounds.m_Drain, 1'500ms);
+  EXPECT_EQ(Parsed->m_Bounds.m_Version, 8'000ms);
+}
+
+TEST(DirectSettings, LeavesOtherSettingsAlone) {
+  EXPECT_FALSE(areDirectSettings(R"({"role": "entry"})"));
+  EXPECT_FALSE(areDirectSettings("not json"));
+  EXPECT_FALSE(areDirectSettings("[]"));
+}
+
+TEST(DirectSettings, NamesEveryFault) {
+  const std::string Faults = faultsOf(R"({"mode": "direct", "role": "agent",
+    "instance": "", "listen": {"callers": 7}, "stor": "x",
+    "bounds": {"retryShare": 2, "drainMs": 0}})");
+  for (const char *Each : {"instance", "dataCentre", "listen.callers",
+                           "listen.link", "store", "stor", "bounds.retryShare",
+                           "bounds.drainMs", "upstream", "listen.bulk"})
+    EXPECT_NE(Faults.find(Each), std::string::npos) << Each << "\n" << Faults;
+}
+
+std::string filled(const std::string &Path) {
+  std::ifstream File(Path);
+  std::stringstream Text;
+  Text << File.rdbuf();
+  std::string Out = Text.str();
+  const auto Fill = [&Out](const std::string &Pattern, const char *Value) {
+    Out = std::regex_replace(Out, std::regex(Pattern), Value);
+  };
+  Fill(R"(\{\{[^}]*\|json\}\})", "\"127.0.0.1:1\"");
+  Fill(R"(\{\{[^}]*retryRatio\}\})", "0.2");
+  Fill(R"(\{\{[^}]*linkMbps\}\})", "9.4");
+  Fill(R"(\{\{[^}]*portRange[^}]*\}\})", "7700");
+  Fill(R"(\{\{[^}]*(Ip|addr|app)\}\})", "127.0.0.1");
+  Fill(R"(\{\{[^}]*\}\})", "8");
+  return Out;
+}
+
+/// The templates that the deploy file names give settings without a fault.
+TEST(DirectSettings, AcceptsTheTemplatesOnceFilled) {
+  for (const char *Name : {"entry", "agent"}) {
+    const std::string Text = filled(std::string(DECKPITCH_SOURCE_DIR) +
+                                    "/platform/" + Name + ".settings.json");
+    ASSERT_FALSE(Text.empty());
+    EXPECT_EQ(faultsOf(Text), "") << Text;
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/test/event-stream-test.cc
@@ -0,0 +1,51 @@
+#include "deckpitch/event-stream.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+using namespace deckpitch;
+
+namespace {
+
+std::vector<StreamEvent> cut(const std::string &Text, std::size_t Step) {
+  EventStreamSplitter Splitter;
+  std::vector<StreamEvent> Out;
+  for (std::size_t At = 0; At < Text.size(); At += Step) {
+    Splitter.add(std::string_view(Text).substr(At, Step));
+    while (auto Event = Splitter.next())
+      Out.push_back(std::move(*Event));
+  }
+  return Out;
+}
+
+const std::string Two =
+    "id: 7\ndata: a\n\nweight: 2\r\nid:8\r\ndata: b\r\n\r\n";
+
+TEST(EventStream, CutsWholeEventsWhereverTheBytesAreCut) {
+  for (std::size_t Step = 1; Step <= Two.size(); ++Step) {
+    const std::vector<StreamEvent> Events = cut(Two, Step);
+    ASSERT_EQ(Events.size(), 2U) << "step " << Step;
+    EXPECT_EQ(Events[0], (StreamEvent{"id: 7\ndata: a\n\n", 7}));
+    EXPECT_EQ(Events[0].m_Bytes + Events[1].m_Bytes, Two);
+    EXPECT_EQ(Events[1].m_Id, 8U);
+  }
+}
+
+TEST(EventStream, KeepsAnEventThatDidNotEnd) {
+  EventStreamSplitter Splitter;
+  Splitter.add("id: 1\n\nid: 2\ndata: x");
+  EXPECT_EQ(Splitter.next()->m_Id, 1U);
+  EXPECT_FALSE(Splitter.next());
+  EXPECT_TRUE(Splitter.holdsPart());
+  EXPECT_EQ(Splitter.part(), "id: 2\ndata: x");
+  Splitter.clear();
+  EXPECT_FALSE(Splitter.holdsPart());
+}
+
+TEST(EventStream, AnEventWithoutANumberHasNoId) {
+  EXPECT_EQ(cut("id: x\n\n", 3).front().m_Id, std::nullopt);
+  EXPECT_EQ(cut("data: id: 4\n\n", 3).front().m_Id, std::nullopt);
+}
+
+} // namespace
--- /dev/null
+++ b/test/platform-adapter-test.cc
@@ -0,0 +1,195 @@
+// The adapter in platform/: what it reads off the wire and what it writes.
+#include "direct/adapter.h"
+#include "net/http.h"
+
+#include <gmock/gmock.h>
+
+using namespace deckpitch;
+using namespace deckpitch::direct;
+using namespace std::chrono_literals;
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+namespace {
+
+const FleetAdapter &adapter() { return *fleetAdapter(); }
+
+net::HttpRequest callersRequest() {
+  net::HttpRequest Out{"POST", "/a/b?c=%2F", {}, "body"};
+  Out.m_Headers.add("Host", "shop.example");
+  Out.m_Headers.add("Attempt-Id", "9c41");
+  Out.m_Headers.add("Deadline-Ms", "6000");
+  Out.m_Headers.add("Authorization", "Token secret");
+  Out.m_Headers.add("Model", "m");
+  Out.m_Headers.add("Token-Counts", "1460,80");
+  Out.m_Headers.add("Prompt-Prefix", "5c:800,91:410");
+  Out.m_Headers.add("Length-Hint", "33");
+  Out.m_Headers.add("Tenant", "someone-else");
+  Out.m_Headers.add("target-instance", "i-forged");
+  Out.m_Headers.add("Connection", "keep-alive, X-Hop");
+  Out.m_Headers.add("X-Hop", "1");
+  Out.m_Headers.add("X-End", "2");
+  return Out;
+}
+
+TEST(PlatformAdapter, ReadsACallersTerms) {
+  const CallerTerms Terms = adapter().readTerms(callersRequest());
+  EXPECT_EQ(Terms.m_AttemptId, "9c41");
+  EXPECT_EQ(Terms.m_Key, "secret");
+  EXPECT_EQ(Terms.m_Patience, 6'000ms);
+  EXPECT_EQ(Terms.m_Model, "m");
+  EXPECT_EQ(Terms.m_PromptTokens, 1'460U);
+  EXPECT_EQ(Terms.m_AnswerTokens, 80U);
+  EXPECT_EQ(Terms.m_LikelyTokens, 33U);
+}
+
+TEST(PlatformAdapter, TakesHeadersThatCannotBeReadAsAbsent) {
+  net::HttpRequest Request;
+  Request.m_Headers.add("Deadline-Ms", "soon");
+  Request.m_Headers.add("Token-Counts", "many");
+  Request.m_Headers.add("Authorization", "Basic abc");
+  EXPECT_EQ(adapter().readTerms(Request), CallerTerms());
+}
+
+TEST(PlatformAdapter, SendsOnWhatIsTheCallersAndSetsWhatIsTheSystems) {
+  const UpstreamTerms Terms{250ms, {"i-7"}, OrganisationId{"shops"}, ""};
+  const net::HttpRequest Sent = adapter().toUpstream(callersRequest(), Terms);
+  EXPECT_EQ(Sent.m_Method, "POST");
+  EXPECT_EQ(Sent.m_Target, "/a/b?c=%2F");
+  EXPECT_EQ(Sent.m_Body, "body");
+  const auto Values = [&Sent](const std::string &Name) {
+    std::vector<std::string> Out;
+    for (const net::HttpHeader &Each : Sent.m_Headers.m_List)
+      if (strcasecmp(Each.m_Name.c_str(), Name.c_str()) == 0)
+        Out.push_back(Each.m_Value);
+    return Out;
+  };
+  EXPECT_THAT(Values("Host"), ElementsAre("shop.example"));
+  EXPECT_THAT(Values("Attempt-Id"), ElementsAre("9c41"));
+  EXPECT_THAT(Values("Prompt-Prefix"), ElementsAre("5c:800,91:410"));
+  EXPECT_THAT(Values("X-End"), ElementsAre("2"));
+  EXPECT_THAT(Values("Deadline-Ms"), ElementsAre("250"));
+  EXPECT_THAT(Values("Target-Instance"), ElementsAre("i-7"));
+  EXPECT_THAT(Values("Tenant"), ElementsAre("shops"));
+  // Neither the key nor what concerns one connection goes on.
+  EXPECT_THAT(Values("Authorization"), IsEmpty());
+  EXPECT_THAT(Values("Connection"), IsEmpty());
+  EXPECT_THAT(Values("X-Hop"), IsEmpty());
+}
+
+TEST(PlatformAdapter, AResumedStreamNamesItsLastEvent) {
+  net::HttpRequest Request = callersRequest();
+  Request.m_Headers.add("Last-Event-Id", "3");
+  const auto LastOf = [&](const std::string &Resumed) {
+    return std::string(adapter()
+                           .toUpstream(Request, {1ms, {"i"}, {}, Resumed})
+                           .m_Headers.find("Last-Event-Id"));
+  };
+  EXPECT_EQ(LastOf(""), "3");
+  EXPECT_EQ(LastOf("12"), "12");
+}
+
+TEST(PlatformAdapter, TellsWhatAnAnswerMeans) {
+  const auto Meaning = [](unsigned Status, net::HttpHeaders Headers) {
+    return adapter().meaningOf(Status, Headers, "9c41");
+  };
+  EXPECT_EQ(Meaning(200, {{{"Attempt-Id", "9c41"}}}), AnswerMeaning::Answer);
+  EXPECT_EQ(Meaning(500, {{{"Attempt-Id", "9c41"}}}), AnswerMeaning::Answer);
+  EXPECT_EQ(Meaning(200, {{{"Attempt-Id", "other"}}}), AnswerMeaning::Foreign);
+  EXPECT_EQ(Meaning(200, {}), AnswerMeaning::Foreign);
+  EXPECT_EQ(Meaning(503, {{{"Not-Executed", "1"}}}), AnswerMeaning::NotRun);
+  EXPECT_EQ(Meaning(421, {}), AnswerMeaning::WrongInstance);
+  // Without the mark a refusal may have run.
+  EXPECT_EQ(Meaning(503, {{{"Attempt-Id", "9c41"}}}), AnswerMeaning::Answer);
+}
+
+TEST(PlatformAdapter, AnswersOfItsOwnSayWhenToComeBack) {
+  const net::HttpResponse Answer =
+      adapter().ownAnswer(503, "full", "9c41", 250ms);
+  EXPECT_EQ(Answer.m_Status, 503U);
+  EXPECT_EQ(Answer.m_Headers.find("Retry-After"), "0.250");
+  EXPECT_EQ(Answer.m_Headers.find("Attempt-Id"), "9c41");
+  EXPECT_TRUE(Answer.m_Headers.find("Response-Seal").empty());
+  const net::HttpResponse Final = adapter().ownAnswer(502, "lost", "9c41", {});
+  EXPECT_TRUE(Final.m_Headers.find("Retry-After").empty());
+}
+
+TEST(PlatformAdapter, AnswersTheDirectory) {
+  net::HttpRequest Request{"GET", "/v1/resolve?name=x&zone=lhr", {}, {}};
+  EXPECT_EQ(adapter().readDirectoryQuery(Request)->m_DataCentre.m_Text, "lhr");
+  Request.m_Target = "/v1/ready";
+  EXPECT_FALSE(adapter().readDirectoryQuery(Request));
+  EXPECT_TRUE(adapter().isReadyQuery(Request));
+  EXPECT_EQ(adapter().directoryAnswer({"1.2.3.4:5"}, 2'500ms).m_Body,
+            R"({"addrs":["1.2.3.4:5"],"ttlS":2.5E0})");
+}
+
+TEST(PlatformAdapter, ReadsADeclaration) {
+  const auto Read = outcomeOf([] {
+    return adapter().parseDeclaration(R"({"version":7,"new":true,"routes":[
+      {"name":"r","host":"h.example","pathPrefix":"/p/","kind":"stream",
+       "timeoutMs":6000,"sloMs":400,"priority":1,"attempts":2,"public":false,
+       "sticky":true,"resumable":true,"itlTargetMs":300,
+       "backends":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+      {"name":"q","host":"h.example","pathPrefix":"/q/","kind":"brand-new",
+       "service":"t"}],
+     "services":[{"name":"s","maxConns":424,"engine":{"slots":16,"step_ms":7.4,
+       "read_per_s":31900.0,"stride":6,"usual":{"prompt":973,"answer":106},
+       "models":[{"name":"m"}],"layers":16,"chunks":48,"chunkBytes":49152}},
+      {"name":"o","origin":"1.2.3.4:5"}],
+     "limits":{"maxHeaderBytes":8192,"idleTimeoutMs":9000},
+     "tenants":[{"name":"shops","apiKeys":["k1","k2"],"priority":1}]})");
+  });
+  ASSERT_TRUE(Read) << Read.error().m_Message;
+  EXPECT_EQ(Read->m_Version, 7U);
+  const ServiceRoute &Route = Read->m_Routes.at(0);
+  EXPECT_EQ(Route.m_Kind, RouteKind::Stream);
+  EXPECT_EQ(Route.m_Timeout, 6'000ms);
+  EXPECT_EQ(Route.m_Objective, 400ms);
+  EXPECT_TRUE(Route.m_IsResumable);
+  EXPECT_THAT(Route.m_Services, ElementsAre(WeightedService{{"s"}, 90},
+                                            WeightedService{{"t"}, 10}));
+  // A kind that is not known may be repeated least.
+  EXPECT_EQ(Read->m_Routes.at(1).m_Kind, RouteKind::NonIdempotent);
+  EXPECT_EQ(Read->m_Services.at(0).m_Engine->m_ReadTokensPerMs, 31.9);
+  EXPECT_THAT(Read->m_Services.at(0).m_Engine->m_Models, ElementsAre("m"));
+  EXPECT_EQ(Read->m_Services.at(1).m_Origin, "1.2.3.4:5");
+  EXPECT_EQ(Read->m_Limits.m_HeaderBytes, 8'192U);
+  EXPECT_EQ(Read->m_Limits.m_IdleTimeout, 9'000ms);
+  EXPECT_THAT(Read->m_Organisations.at(0).m_Keys, ElementsAre("k1", "k2"));
+}
+
+TEST(PlatformAdapter, RefusesDeclarationsThatAreNone) {
+  for (const char *Text : {"", "[]", "{}", R"({"version":1})",
+                           R"({"routes":[]})", R"({"version":0,"routes":[]})"})
+    EXPECT_FALSE(outcomeOf([&] { return adapter().parseDeclaration(Text); }))
+        << Text;
+}
+
+TEST(PlatformAdapter, ReadsAListedInstance) {
+  const auto Read = outcomeOf([] {
+    return adapter().parseInstance(
+        "i-7", R"({"service":"s","addr":"1.2.3.4:5","zone":"lhr","slots":16,
+        "state":"draining","models":[{"name":"m","version":3,
+        "layers":[{"from":0,"to":16,"version":3}]},
+        {"name":"n","version":1,"layers":[]}],"seq":4})");
+  });
+  ASSERT_TRUE(Read) << Read.error().m_Message;
+  EXPECT_TRUE(Read->m_IsLeaving);
+  EXPECT_EQ(Read->m_Slots, 16U);
+  EXPECT_THAT(Read->m_Weights, ElementsAre(HeldWeights{"m", 3, true},
+                                           HeldWeights{"n", 1, false}));
+  EXPECT_FALSE(outcomeOf(
+      [] { return adapter().parseInstance("i", R"({"service":"s"})"); }));
+}
+
+TEST(PlatformAdapter, ReadsDeclaredWeights) {
+  const auto Read = outcomeOf(
+      [] { return adapter().parseWeights(R"({"model":"m","version":2})"); });
+  ASSERT_TRUE(Read);
+  EXPECT_EQ(*Read, (DeclaredWeights{"m", 2}));
+  EXPECT_FALSE(
+      outcomeOf([] { return adapter().parseWeights(R"({"model":"m"})"); }));
+}
+
+} // namespace
