--- a/test/direct-fleet.cc
+++ b/test/direct-fleet.cc
@@ -89,6 +89,11 @@
   m_IsDown = IsDown;
 }
 
+bool StandInStore::isDown() const {
+  std::lock_guard Lock(m_Mutex);
+  return m_IsDown;
+}
+
 std::size_t StandInStore::count(const std::string &Kind) const {
   std::lock_guard Lock(m_Mutex);
   const auto Found = m_Objects.find(Kind);
@@ -122,10 +127,10 @@
 
 asio::awaitable<void> StandInStore::answer(net::HttpRequest Request,
                                            net::HttpResponder &Answer) {
-  {
-    std::lock_guard Lock(m_Mutex);
-    if (m_IsDown)
-      co_return (void) co_await Answer.send(net::jsonResponse(503, "{}"));
+  if (isDown()) {
+    net::HttpResponse Away = net::jsonResponse(503, "{}");
+    co_await Answer.send(std::move(Away));
+    co_return;
   }
   const std::string Rest =
       std::string(Request.path()).substr(std::string("/v1/objects/").size());
--- a/test/direct-fleet.h
+++ b/test/direct-fleet.h
@@ -46,6 +46,7 @@
   std::optional<std::string> changesSince(const std::string &Kind,
                                           std::uint64_t Revision) const;
   std::string list(const std::string &Kind) const;
+  bool isDown() const;
   static std::string text(const std::string &Name, const Object &Of);
 
   mutable std::mutex m_Mutex;
