--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -42,8 +42,6 @@
 constexpr Duration RepeatSpan = milliseconds(240);
 /// An entry that said nothing for so long is not told any more.
 constexpr Duration SubscriptionLifetime = std::chrono::seconds(4);
-/// Entries tell what is declared; the store is asked when none does.
-constexpr Duration EntriesSilence = std::chrono::seconds(3);
 constexpr Duration StepSpan = milliseconds(50);
 constexpr Duration ManifestRetry = milliseconds(300);
 constexpr Duration DeclarationRetry = milliseconds(500);
@@ -154,7 +152,6 @@
   std::string m_ToldText;
   TimePoint m_ToldAt{};
   std::map<std::string, TimePoint> m_Entries; ///< by link address: last hello
-  TimePoint m_EntryHeard{};
 
   std::string m_Model;
   std::string m_OriginAddress;
@@ -323,7 +320,6 @@
   const TimePoint Now = now();
   const bool IsNew = m_Entries.emplace(From, Now).second;
   m_Entries[From] = Now;
-  m_EntryHeard = Now;
   std::vector<DeclaredWeights> Declared;
   for (const wire::DeclaredWeightsState &Each : Message.hello().declared())
     Declared.push_back({Each.model(), Each.version()});
--- a/src/net/line-sink.h
+++ b/src/net/line-sink.h
@@ -14,7 +14,8 @@
 class LineSink {
 public:
   /// Bytes: a second of lines of a busy process.
-  explicit LineSink(int Descriptor, std::size_t MostBytes = 256 * 1024)
+  explicit LineSink(int Descriptor,
+                    std::size_t MostBytes = std::size_t{256} * 1024)
       : m_Descriptor(Descriptor), m_MostBytes(MostBytes) {}
 
   void add(std::string_view Line);
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -187,6 +187,7 @@
 /// just become free.
 TEST_F(Instances, ManyChoicesOnOneReportSpread) {
   std::vector<ListedInstance> List;
+  List.reserve(10);
   for (int I = 0; I < 10; ++I)
     List.push_back(listed("i" + std::to_string(I)));
   list(List);
--- a/test/line-sink-test.cc
+++ b/test/line-sink-test.cc
@@ -22,7 +22,7 @@
   Pipe &operator=(const Pipe &) = delete;
   int in() const { return m_Ends[1]; }
   std::string take() {
-    std::string Out(64 * 1024, '\0');
+    std::string Out(std::size_t{64} * 1024, '\0');
     const ssize_t Got = read(m_Ends[0], Out.data(), Out.size());
     Out.resize(Got > 0 ? static_cast<std::size_t>(Got) : 0);
     return Out;
