Make the test of a caller who leaves independent of speed

Cause: it gave the request 200 ms to reach an instance. It now waits for the arrival before the caller closes.

--- a/test/direct-entry-test.cc
+++ b/test/direct-entry-test.cc
@@ -1,5 +1,6 @@
 // A real entry before instances that misbehave, and a store that goes away.
 #include "direct-fleet.h"
+#include "raw-connection.h"
 
 #include <gmock/gmock.h>
 
@@ -235,9 +236,13 @@
 
 TEST_F(DirectEntry, ACallerWhoLeavesEndsTheAttempt) {
   both(Conduct::Hang);
-  net::CallLimits Impatient;
-  Impatient.m_FirstByte = 200ms;
-  net::callAndWait(m_Entry->callers(), request("/once/1"), Impatient);
+  RawConnection Caller(m_Entry->callers());
+  ASSERT_TRUE(Caller.send("POST /once/1 HTTP/1.1\r\nHost: h.example\r\n"
+                          "Attempt-Id: left\r\nDeadline-Ms: 20000\r\n"
+                          "Authorization: Token k1\r\n"
+                          "Content-Length: 0\r\n\r\n"));
+  ASSERT_TRUE(eventually([this] { return arrivals() == 1; }));
+  Caller.close();
   EXPECT_TRUE(eventually(
       [this] { return m_One.abandoned() + m_Two.abandoned() == 1; }));
   EXPECT_EQ(arrivals(), 1U);
@@ -252,10 +257,10 @@
   EXPECT_THAT(Addresses(), HasSubstr(m_Entry->callers()));
   EXPECT_EQ(m_Store.count("deckpitch-entries"), 1U);
   m_Entry->drain();
-  EXPECT_TRUE(eventually([this] { return !isReady(); }));
-  EXPECT_THAT(Addresses(), Not(HasSubstr(m_Entry->callers())));
   // Callers who still hold its address are served.
   EXPECT_EQ(call("/once/1").m_Status, 200U);
+  EXPECT_TRUE(eventually([this] { return !isReady(); }));
+  EXPECT_THAT(Addresses(), Not(HasSubstr(m_Entry->callers())));
 }
 
 TEST(DirectEntryStart, KnowsNoDeclarationAndDeniesNothing) {
