--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -113,7 +113,7 @@
 };
 
 /// One life of one instance, as the platform's list tells it.
-struct ListedInstance {
+struct FleetInstance {
   InstanceId m_Id; ///< new at each start
   ServiceId m_Service;
   std::string m_Address;
@@ -122,8 +122,8 @@
   bool m_IsLeaving = false;
   std::vector<HeldWeights> m_Weights;
 
-  friend bool operator==(const ListedInstance &,
-                         const ListedInstance &) = default;
+  friend bool operator==(const FleetInstance &,
+                         const FleetInstance &) = default;
 };
 
 /// The version of a model's weights that all its instances are to serve.
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -75,7 +75,7 @@
   explicit InstanceTable(DataCentreId Own) : m_Own(std::move(Own)) {}
 
   void setServices(const std::vector<ServiceDeclaration> &Services);
-  void setInstances(const std::vector<ListedInstance> &Listed, TimePoint Now);
+  void setInstances(const std::vector<FleetInstance> &Listed, TimePoint Now);
   void setWeights(const std::vector<DeclaredWeights> &Declared, TimePoint Now);
   /// Entries that share the instances, this one included.
   void setEntries(std::size_t Count) {
@@ -103,14 +103,14 @@
   std::vector<InstanceId> silentFor(Duration Length, TimePoint Now) const;
 
   std::size_t size() const { return m_Instances.size(); }
-  const ListedInstance *find(const InstanceId &Id) const;
+  const FleetInstance *find(const InstanceId &Id) const;
   /// Addresses of the instances of services with engines.
   std::vector<std::string> engineAddresses() const;
   std::uint32_t inFlight() const;
 
 private:
   struct Instance {
-    ListedInstance m_Listed;
+    FleetInstance m_Listed;
     bool m_IsListed = true; ///< false: kept only until its requests end
     bool m_IsReplaced = false;
     std::uint32_t m_Own = 0;
--- a/include/deckpitch/route-table.h
+++ b/include/deckpitch/route-index.h
@@ -13,11 +13,11 @@
 
 /// An index over one version of the declaration; immutable once built.
 ///
-///   const RouteTable Table(parseDeclaration(Json));
+///   const RouteIndex Table(parseDeclaration(Json));
 ///   const ServiceRoute *Route = Table.find("shop.example", "/orders/7");
-class RouteTable {
+class RouteIndex {
 public:
-  explicit RouteTable(FleetDeclaration Declaration = {});
+  explicit RouteIndex(FleetDeclaration Declaration = {});
 
   /// The route of that host with the longest prefix that begins the path, or
   /// null. The host may carry a port; its case does not matter.
--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -44,6 +44,10 @@
   /// by one instance after the other: its holder's link may be narrow, and all
   /// would wait for it. Zero: never.
   Duration m_SoleHolderWait{};
+  /// A chunk that takes longer from the asking to its arrival has queued on a
+  /// narrow link, and requests for the instance with it: fewer are then asked
+  /// for at once. Zero: always as many.
+  Duration m_ChunkPatience{};
   /// The rest of one chunk doubles up to this while it arrives corrupted.
   Duration m_CorruptRestMost = std::chrono::minutes(1);
   Duration m_SetAside = std::chrono::seconds(10);
@@ -222,6 +226,7 @@
   Peer *find(PeerNumber Number);
   std::uint32_t uploads() const;
   bool hasRoom() const;
+  void adaptRoom(Duration ChunkTook);
   void grant(SwarmActions &Out, TimePoint Now);
   Peer *neediest(TimePoint Now, PeerNumber &Number);
   std::optional<std::uint32_t> choose(const Peer &From, TimePoint Now);
@@ -290,6 +295,7 @@
   TimePoint m_LonelySince{}; ///< the last time with a peer
   std::uint32_t m_ExtraReads = 0;
   Duration m_ChunkTime{}; ///< moving mean from asked to arrived
+  double m_Room = 0;      ///< chunks that may be expected from peers at once
   SwarmCounters m_Counters;
 };
 
--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -100,8 +100,8 @@
   /// Errors of all: InvalidInput naming what is missing.
   virtual Result<FleetDeclaration>
   parseDeclaration(std::string_view Json) const = 0;
-  virtual Result<ListedInstance> parseInstance(std::string_view Name,
-                                               std::string_view Json) const = 0;
+  virtual Result<FleetInstance> parseInstance(std::string_view Name,
+                                              std::string_view Json) const = 0;
   virtual Result<DeclaredWeights> parseWeights(std::string_view Json) const = 0;
   /// What an instance tells of itself. Errors: Unavailable, Timeout,
   /// InvalidInput.
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -60,6 +60,10 @@
 constexpr std::uint32_t OriginWindow = 16;
 /// A chunk has several holders within a third of that on sound links.
 constexpr Duration SoleHolderWait = milliseconds(700);
+/// Twice what chunks take on sound links with this many under way. A link of
+/// 1.2 Mbit/s held requests back for 3.5 s behind the chunks asked for at once,
+/// past the bound of the version that they named.
+constexpr Duration ChunkPatience = milliseconds(600);
 /// Offers and chunks under way to peers at once. Some offers are declined, and
 /// the link must not run dry meanwhile.
 constexpr std::uint32_t Uploads = 6;
@@ -128,7 +132,7 @@
   void tellEntries(TimePoint Now);
   void want(const std::vector<DeclaredWeights> &Declared);
   void onDeclaration(const FleetDeclaration &Declaration);
-  void onInstances(const std::vector<ListedInstance> &Listed);
+  void onInstances(const std::vector<FleetInstance> &Listed);
   void tellCopyOfPeers();
   WeightsState state() const;
 
@@ -160,7 +164,7 @@
   std::shared_ptr<WeightsCopy> m_Copy;
   TimePoint m_CopiedAt{};
   TimePoint m_OrderedAt{};
-  std::vector<ListedInstance> m_Pool; ///< instances of the own service
+  std::vector<FleetInstance> m_Pool; ///< instances of the own service
   bool m_Stopped = false;
 };
 
@@ -186,7 +190,7 @@
                  {[this](const FleetDeclaration &Declaration) {
                     onDeclaration(Declaration);
                   },
-                  [this](const std::vector<ListedInstance> &Listed) {
+                  [this](const std::vector<FleetInstance> &Listed) {
                     onInstances(Listed);
                   },
                   [this](const std::vector<DeclaredWeights> &Declared) {
@@ -269,9 +273,9 @@
   }
 }
 
-void Agent::onInstances(const std::vector<ListedInstance> &Listed) {
+void Agent::onInstances(const std::vector<FleetInstance> &Listed) {
   m_Pool.clear();
-  for (const ListedInstance &Each : Listed)
+  for (const FleetInstance &Each : Listed)
     if (Each.m_Service.m_Text == m_Context.m_Settings.m_Service)
       m_Pool.push_back(Each);
   if (m_Copy)
@@ -285,7 +289,7 @@
   std::map<DataCentreId, std::vector<InstanceId>> ByDataCentre;
   std::vector<PeerAddress> NearPeers;
   std::vector<PeerAddress> FarPeers;
-  for (const ListedInstance &Each : m_Pool) {
+  for (const FleetInstance &Each : m_Pool) {
     const std::string Ip = ipOf(Each.m_Address);
     const bool IsNear = Each.m_DataCentre == m_CopySettings.m_DataCentre;
     Ids.push_back({Ip});
@@ -389,7 +393,7 @@
                          m_Copy->manifest().m_Weights == weightsIdOf(m_Wanted);
   Out.m_IsBusy = !m_Report.m_TakesRequests;
   std::vector<std::string> Ips;
-  for (const ListedInstance &Each : m_Pool)
+  for (const FleetInstance &Each : m_Pool)
     Ips.push_back(ipOf(Each.m_Address));
   std::sort(Ips.begin(), Ips.end());
   const auto At =
@@ -468,6 +472,7 @@
   Options.m_OriginWindow = OriginWindow;
   Options.m_OriginStep = OriginStep;
   Options.m_SoleHolderWait = SoleHolderWait;
+  Options.m_ChunkPatience = ChunkPatience;
   Options.m_Uploads = Uploads;
   Options.m_Expected = Expected;
   Options.m_DeclineRest = DeclineRest;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -81,7 +81,7 @@
 struct EntryRequests::Call {
   net::HttpRequest m_Request;
   net::HttpResponder &m_Answer;
-  std::shared_ptr<const RouteTable> m_Routes;
+  std::shared_ptr<const RouteIndex> m_Routes;
   CallerTerms m_Terms;
   const ServiceRoute *m_Route = nullptr;
   const OrganisationKeys *m_Organisation = nullptr;
@@ -139,7 +139,7 @@
       m_Retries(Retries) {}
 
 void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
-  m_Routes = std::make_shared<const RouteTable>(Declaration);
+  m_Routes = std::make_shared<const RouteIndex>(Declaration);
 }
 
 RetryBudget &EntryRequests::budgetOf(const ServiceId &Service) {
@@ -207,7 +207,7 @@
 }
 
 asio::awaitable<void> EntryRequests::serve(Call &Of) {
-  const RouteTable &Routes = *Of.m_Routes;
+  const RouteIndex &Routes = *Of.m_Routes;
   if (Routes.declaration().m_Version == 0)
     co_return co_await refuse(Of, StatusUnavailable, "starting",
                               RetryAfterStart);
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -4,7 +4,7 @@
 
 #include "deckpitch/instance-table.h"
 #include "deckpitch/retry.h"
-#include "deckpitch/route-table.h"
+#include "deckpitch/route-index.h"
 #include "deckpitch/size-shares.h"
 #include "direct/adapter.h"
 #include "net/http.h"
@@ -71,8 +71,8 @@
   const FleetAdapter &m_Adapter;
   InstanceTable &m_Instances;
   RetryShare m_Retries;
-  std::shared_ptr<const RouteTable> m_Routes =
-      std::make_shared<const RouteTable>();
+  std::shared_ptr<const RouteIndex> m_Routes =
+      std::make_shared<const RouteIndex>();
   std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
   /// What is known of one route's requests, by the route's name.
   struct RouteLoad {
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -155,7 +155,7 @@
     m_Callers.setLimits(callerLimits(Declaration.m_Limits));
     noteReadiness();
   };
-  Calls.m_OnInstances = [this](const std::vector<ListedInstance> &Listed) {
+  Calls.m_OnInstances = [this](const std::vector<FleetInstance> &Listed) {
     m_Instances.setInstances(Listed, now());
     noteReadiness();
   };
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -184,7 +184,7 @@
 
 void FleetFollower::applyInstances(const net::PlatformList &List) {
   const TimePoint Now = now();
-  std::map<InstanceId, ListedInstance> Listed;
+  std::map<InstanceId, FleetInstance> Listed;
   for (const net::PlatformObject &Each : List.m_Items) {
     const auto Parsed = outcomeOf(
         [&] { return m_Adapter.parseInstance(Each.m_Name, Each.m_Json); });
@@ -224,7 +224,7 @@
   m_Listed = std::move(Listed);
   m_KnowsInstances = true;
   m_InstancesSeen = Now;
-  std::vector<ListedInstance> All;
+  std::vector<FleetInstance> All;
   for (const auto &[Id, Each] : m_Listed)
     All.push_back(Each);
   m_Calls.m_OnInstances(All);
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -33,7 +33,7 @@
 public:
   struct Callbacks {
     std::function<void(const FleetDeclaration &)> m_OnDeclaration;
-    std::function<void(const std::vector<ListedInstance> &)> m_OnInstances;
+    std::function<void(const std::vector<FleetInstance> &)> m_OnInstances;
     std::function<void(const std::vector<DeclaredWeights> &)> m_OnWeights;
   };
 
@@ -72,7 +72,7 @@
   ObjectKinds m_Kinds;
   std::uint64_t m_Version = 0; ///< of the declaration in force
   std::map<std::string, DeclaredWeights> m_Weights;
-  std::map<InstanceId, ListedInstance> m_Listed;
+  std::map<InstanceId, FleetInstance> m_Listed;
   bool m_KnowsInstances = false;
   TimePoint m_InstancesSeen{};
   TimePoint m_StoreReturned{};
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -70,12 +70,12 @@
     m_Services.emplace(Each.m_Id, Each);
 }
 
-void InstanceTable::setInstances(const std::vector<ListedInstance> &Listed,
+void InstanceTable::setInstances(const std::vector<FleetInstance> &Listed,
                                  TimePoint Now) {
   for (auto &[Id, Each] : m_Instances)
     Each.m_IsListed = false;
   m_ByAddress.clear();
-  for (const ListedInstance &Each : Listed) {
+  for (const FleetInstance &Each : Listed) {
     const auto [At, IsNew] = m_Instances.try_emplace(Each.m_Id);
     Instance &Known = At->second;
     if (IsNew)
@@ -278,7 +278,7 @@
   return Out;
 }
 
-const ListedInstance *InstanceTable::find(const InstanceId &Id) const {
+const FleetInstance *InstanceTable::find(const InstanceId &Id) const {
   const auto Found = m_Instances.find(Id);
   return Found == m_Instances.end() ? nullptr : &Found->second.m_Listed;
 }
--- a/src/kernel/route-table.cc
+++ b/src/kernel/route-index.cc
@@ -1,4 +1,4 @@
-#include "deckpitch/route-table.h"
+#include "deckpitch/route-index.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,7 +24,7 @@
 
 } // namespace
 
-RouteTable::RouteTable(FleetDeclaration Declaration)
+RouteIndex::RouteIndex(FleetDeclaration Declaration)
     : m_Declaration(std::move(Declaration)) {
   for (std::size_t I = 0; I < m_Declaration.m_Routes.size(); ++I) {
     const ServiceRoute &Route = m_Declaration.m_Routes[I];
@@ -37,7 +37,7 @@
       m_Keys.emplace(Key, I);
 }
 
-const ServiceRoute *RouteTable::find(std::string_view Host,
+const ServiceRoute *RouteIndex::find(std::string_view Host,
                                      std::string_view Path) const {
   std::string Key = hostOf(Host) + Separator;
   const std::size_t Stem = Key.size();
@@ -55,13 +55,13 @@
   }
 }
 
-const OrganisationKeys *RouteTable::organisationOf(std::string_view Key) const {
+const OrganisationKeys *RouteIndex::organisationOf(std::string_view Key) const {
   const auto Found = m_Keys.find(std::string(Key));
   return Found == m_Keys.end() ? nullptr
                                : &m_Declaration.m_Organisations[Found->second];
 }
 
-const ServiceDeclaration *RouteTable::service(const ServiceId &Id) const {
+const ServiceDeclaration *RouteIndex::service(const ServiceId &Id) const {
   const auto Found = m_Services.find(Id.m_Text);
   return Found == m_Services.end() ? nullptr
                                    : &m_Declaration.m_Services[Found->second];
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -12,6 +12,8 @@
 constexpr int HedgePatience = 3; ///< times the usual time of a chunk
 constexpr Duration HedgeLeast = std::chrono::milliseconds(200);
 constexpr int MeanShare = 8; ///< weight of the past in moving means
+/// For each chunk that came in time: some ten of them make room for one more.
+constexpr double RoomGrowth = 0.1;
 
 /// Spreads numbers, so that ties are broken apart at each choice.
 std::uint32_t scatter(std::uint32_t Value, std::uint32_t Salt) {
@@ -28,7 +30,7 @@
       m_Options(Options), m_Random(static_cast<std::uint32_t>(Seed | 1)),
       m_Here(Chunks), m_Unstaged(Chunks), m_Taken(Chunks), m_Seen(Chunks),
       m_Copies(Chunks), m_Rank(Chunks), m_SeenSince(Chunks), m_Open(Chunks),
-      m_Unheld(Chunks) {}
+      m_Unheld(Chunks), m_Room(Options.m_Expected) {}
 
 Swarm::Peer *Swarm::find(PeerNumber Number) {
   const auto Found = m_Peers.find(Number);
@@ -220,7 +222,22 @@
   const std::uint32_t Unstaged = m_Unstaged.count();
   const auto Reading = static_cast<std::uint32_t>(m_Reading.size());
   const std::uint32_t Expected = m_Taken.count() - Unstaged - Reading;
-  return Expected < m_Options.m_Expected && Unstaged < m_Options.m_Unstaged;
+  return Expected < static_cast<std::uint32_t>(m_Room) &&
+         Unstaged < m_Options.m_Unstaged;
+}
+
+/// Shrinks at once in proportion, and grows again slowly.
+void Swarm::adaptRoom(Duration ChunkTook) {
+  const Duration Patience = m_Options.m_ChunkPatience;
+  if (Patience == Duration::zero())
+    return;
+  const double Most = m_Options.m_Expected;
+  if (ChunkTook > Patience)
+    m_Room *= static_cast<double>(Patience.count()) /
+              static_cast<double>(ChunkTook.count());
+  else
+    m_Room += RoomGrowth;
+  m_Room = std::clamp(m_Room, 1.0, Most);
 }
 
 std::optional<std::uint32_t> Swarm::choose(const Peer &From, TimePoint Now) {
@@ -356,8 +373,10 @@
     return Out;
   const bool IsNear = From->m_IsNear;
   for (const Transfer &Each : From->m_Expected)
-    if (Each.m_Chunk == Chunk)
+    if (Each.m_Chunk == Chunk) {
       m_ChunkTime += (Now - Each.m_Asked - m_ChunkTime) / MeanShare;
+      adaptRoom(Now - Each.m_Asked);
+    }
   std::erase_if(From->m_Expected,
                 [&](const Transfer &Each) { return Each.m_Chunk == Chunk; });
   if (!Verified) {
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -10,9 +10,9 @@
 constexpr TimePoint Start{1'000s};
 const ServiceId Pool{"pool"};
 
-ListedInstance listed(const std::string &Id, const std::string &Centre = "a",
-                      std::uint64_t Version = 1) {
-  ListedInstance Out;
+FleetInstance listed(const std::string &Id, const std::string &Centre = "a",
+                     std::uint64_t Version = 1) {
+  FleetInstance Out;
   Out.m_Id = {Id};
   Out.m_Service = Pool;
   Out.m_Address =
@@ -35,7 +35,7 @@
     m_Query.m_Objective = 1ms; // No room beside the slots.
   }
 
-  void list(std::vector<ListedInstance> List) {
+  void list(std::vector<FleetInstance> List) {
     m_Table.setInstances(List, Start);
   }
   ChoiceOutcome outcome(TimePoint Now = Start) {
@@ -52,7 +52,7 @@
 };
 
 TEST_F(Instances, ALeavingOneGetsNothing) {
-  ListedInstance Leaving = listed("i");
+  FleetInstance Leaving = listed("i");
   Leaving.m_IsLeaving = true;
   list({Leaving});
   EXPECT_EQ(outcome(), ChoiceOutcome::NoInstance);
@@ -71,9 +71,9 @@
 }
 
 TEST_F(Instances, OneWithoutTheModelIsPassedOver) {
-  ListedInstance Empty = listed("i");
+  FleetInstance Empty = listed("i");
   Empty.m_Weights.clear();
-  ListedInstance Part = listed("j");
+  FleetInstance Part = listed("j");
   Part.m_Weights = {{"m", 1, false}};
   list({Empty, Part});
   EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
@@ -115,7 +115,7 @@
 }
 
 TEST_F(Instances, AReportTellsOfOtherEntriesRequests) {
-  const ListedInstance One = listed("i");
+  const FleetInstance One = listed("i");
   list({One});
   m_Table.report(One.m_Address, {3, 1, true, One.m_Weights}, Start);
   EXPECT_EQ(outcome(), ChoiceOutcome::Full);
@@ -124,7 +124,7 @@
 }
 
 TEST_F(Instances, OwnRequestsInAReportAreNotCountedTwice) {
-  const ListedInstance One = listed("i");
+  const FleetInstance One = listed("i");
   list({One});
   m_Table.started({"i"}, Start);
   m_Table.started({"i"}, Start);
@@ -133,7 +133,7 @@
 }
 
 TEST_F(Instances, OneThatSwapsWeightsTakesNothing) {
-  const ListedInstance One = listed("i");
+  const FleetInstance One = listed("i");
   list({One});
   m_Table.report(One.m_Address, {0, 0, false, One.m_Weights}, Start);
   EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
@@ -186,12 +186,12 @@
 /// Entries that see the same reports must not all choose the instance that has
 /// just become free.
 TEST_F(Instances, ManyChoicesOnOneReportSpread) {
-  std::vector<ListedInstance> List;
+  std::vector<FleetInstance> List;
   List.reserve(10);
   for (int I = 0; I < 10; ++I)
     List.push_back(listed("i" + std::to_string(I)));
   list(List);
-  for (const ListedInstance &Each : List)
+  for (const FleetInstance &Each : List)
     m_Table.report(
         Each.m_Address,
         {Each.m_Id.m_Text == "i0" ? 0U : 2U, 0, true, Each.m_Weights}, Start);
--- a/test/route-table-test.cc
+++ b/test/route-index-test.cc
@@ -1,4 +1,4 @@
-#include "deckpitch/route-table.h"
+#include "deckpitch/route-index.h"
 
 #include <gtest/gtest.h>
 
@@ -16,24 +16,24 @@
   return Out;
 }
 
-RouteTable tableOf(std::vector<ServiceRoute> Routes) {
+RouteIndex tableOf(std::vector<ServiceRoute> Routes) {
   FleetDeclaration Declared;
   Declared.m_Version = 1;
   Declared.m_Routes = std::move(Routes);
   Declared.m_Organisations = {
       {OrganisationId{"shops"}, std::nullopt, {"key-1", "key-2"}},
       {OrganisationId{"riders"}, 2, {"key-3"}}};
-  return RouteTable(std::move(Declared));
+  return RouteIndex(std::move(Declared));
 }
 
-std::string nameOf(const RouteTable &Table, const std::string &Host,
+std::string nameOf(const RouteIndex &Table, const std::string &Host,
                    const std::string &Path) {
   const ServiceRoute *Found = Table.find(Host, Path);
   return Found ? Found->m_Name : "none";
 }
 
-TEST(RouteTable, TakesTheLongestPrefixOfTheHost) {
-  const RouteTable Table =
+TEST(RouteIndex, TakesTheLongestPrefixOfTheHost) {
+  const RouteIndex Table =
       tableOf({route("all", "a.example", "/"), route("x", "a.example", "/x/"),
                route("deep", "a.example", "/x/y/"),
                route("other", "b.example", "/x/")});
@@ -44,8 +44,8 @@
   EXPECT_EQ(nameOf(Table, "b.example", "/x/y/z"), "other");
 }
 
-TEST(RouteTable, FindsNothingWhereNothingFits) {
-  const RouteTable Table = tableOf({route("x", "a.example", "/x/")});
+TEST(RouteIndex, FindsNothingWhereNothingFits) {
+  const RouteIndex Table = tableOf({route("x", "a.example", "/x/")});
   EXPECT_EQ(nameOf(Table, "a.example", "/"), "none");
   EXPECT_EQ(nameOf(Table, "a.example", ""), "none");
   EXPECT_EQ(nameOf(Table, "c.example", "/x/"), "none");
@@ -53,20 +53,20 @@
   EXPECT_EQ(nameOf(Table, "a.example\n/x/", ""), "none");
 }
 
-TEST(RouteTable, IgnoresTheHostsCaseAndPort) {
-  const RouteTable Table = tableOf({route("x", "a.example", "/x/")});
+TEST(RouteIndex, IgnoresTheHostsCaseAndPort) {
+  const RouteIndex Table = tableOf({route("x", "a.example", "/x/")});
   EXPECT_EQ(nameOf(Table, "A.Example:8080", "/x/1"), "x");
 }
 
-TEST(RouteTable, KnowsWhoseKeyItIs) {
-  const RouteTable Table = tableOf({});
+TEST(RouteIndex, KnowsWhoseKeyItIs) {
+  const RouteIndex Table = tableOf({});
   EXPECT_EQ(Table.organisationOf("key-2")->m_Organisation.m_Text, "shops");
   EXPECT_EQ(Table.organisationOf("key-3")->m_Organisation.m_Text, "riders");
   EXPECT_EQ(Table.organisationOf("key-4"), nullptr);
   EXPECT_EQ(Table.organisationOf(""), nullptr);
 }
 
-TEST(RouteTable, SharesDrawsByWeight) {
+TEST(RouteIndex, SharesDrawsByWeight) {
   ServiceRoute Split;
   Split.m_Services = {{ServiceId{"a"}, 90}, {ServiceId{"b"}, 10}};
   int ToB = 0;
--- a/test/swarm-test.cc
+++ b/test/swarm-test.cc
@@ -292,4 +292,27 @@
   }
 }
 
+TEST(Swarm, AsksForFewerChunksAtOnceOverANarrowLink) {
+  SwarmOptions Options;
+  Options.m_Expected = 4;
+  Options.m_ChunkPatience = 600ms;
+  Swarm Under = makeSwarm(12, Options);
+  const std::vector<std::uint32_t> All{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11};
+  for (PeerNumber Number = 1; Number <= 6; ++Number)
+    join(Under, Number, All);
+  const auto Ask = [&](PeerNumber Number, TimePoint Now) {
+    const SwarmActions Out = Under.onGrant(Number, Now);
+    const auto *Request = std::get_if<SendRequest>(&Out.front());
+    return Request ? std::optional(Request->m_Chunk) : std::nullopt;
+  };
+  const auto First = Ask(1, Start);
+  for (PeerNumber Number = 2; Number <= 4; ++Number)
+    ASSERT_TRUE(Ask(Number, Start));
+  EXPECT_FALSE(Ask(5, Start));
+  // It took four times the patience: one at a time from now on, and three of
+  // those asked for before are still to come.
+  Under.onArrived(1, *First, true, Start + 2'400ms);
+  EXPECT_FALSE(Ask(5, Start + 2'400ms));
+}
+
 } // namespace
