Finish a copy before the next begins, spread swaps over all the time that is left

Ruled out: slow orders (0.3 s). Change: a copy with a quarter of its chunks that still gains is finished first and then passed on for 5 s beside the next one; staging is written only with the version that is loaded next. Swaps are spread up to the time from which older versions get nothing, not over 0.3 of the bound.

Change: two chunks are asked for at once until some came fast; agents tell whether their link proved sound, and only instances behind sound links get requests until 1.6 s before the bound, the others until 3.6 s.

The copying moved out of the agent into WeightsSupply.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -22,6 +22,7 @@
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
   bool m_TakesRequests = true; ///< false while it swaps weights
+  bool m_HasSoundLink = false; ///< see versionSpare()
   std::vector<HeldWeights> m_Weights;
 
   friend bool operator==(const InstanceReport &,
@@ -81,9 +82,8 @@
   void setEntries(std::size_t Count) {
     m_Entries = std::max<std::size_t>(Count, 1);
   }
-  /// How long an older version may still take requests once a newer one is
-  /// declared.
-  void setVersionGrace(Duration Grace) { m_VersionGrace = Grace; }
+  /// Until all instances are to serve a version, from its declaration on.
+  void setVersionBound(Duration Bound) { m_VersionBound = Bound; }
 
   void report(const std::string &Address, InstanceReport Report, TimePoint Now);
 
@@ -118,6 +118,7 @@
     std::uint32_t m_Others = 0;     ///< at the time of the report
     std::optional<TimePoint> m_Reported;
     bool m_TakesRequests = true;
+    bool m_HasSoundLink = false;
     std::vector<HeldWeights> m_Weights;
     Ejection m_Ejection;
     TimePoint m_Heard{};
@@ -133,7 +134,7 @@
 
   DataCentreId m_Own;
   std::size_t m_Entries = 1;
-  Duration m_VersionGrace = std::chrono::seconds(6);
+  Duration m_VersionBound = std::chrono::seconds(8);
   std::map<InstanceId, Instance> m_Instances;
   std::map<std::string, InstanceId> m_ByAddress;
   std::map<ServiceId, ServiceDeclaration> m_Services;
--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -193,6 +193,8 @@
   const ChunkSet &here() const { return m_Here; }
   const ChunkSet &seen() const { return m_Seen; }
   const SwarmCounters &counters() const { return m_Counters; }
+  /// Chunks take so long that fewer are asked for: they queue on the way.
+  bool hasNarrowLink() const { return m_Room * 2 < m_Options.m_Expected; }
   std::size_t peerCount() const { return m_Peers.size(); }
   bool setAside(const InstanceId &Id, TimePoint Now) const;
 
--- a/include/deckpitch/weights-plan.h
+++ b/include/deckpitch/weights-plan.h
@@ -5,6 +5,7 @@
 #include "deckpitch/fleet.h"
 #include "deckpitch/time.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -12,6 +13,15 @@
 
 namespace deckpitch {
 
+/// How long before a version's bound requests are no longer sent to instances
+/// with an older one, so that none begins past it. On a sound link a request
+/// begins within a second, also at a full instance; on a link of 1.2 Mbit/s
+/// that also takes in chunks it was measured to begin up to 3.2 s after it was
+/// sent.
+constexpr Duration versionSpare(bool HasSoundLink) {
+  return std::chrono::milliseconds(HasSoundLink ? 1'600 : 3'600);
+}
+
 /// What is known when the next step is decided.
 struct WeightsState {
   DeclaredWeights m_Wanted;        ///< version 0: none is declared
@@ -23,6 +33,8 @@
   TimePoint m_DeclaredAt{};                   ///< when the version was heard of
   TimePoint m_CopiedAt{};                     ///< when the copy became complete
   Duration m_Bound = std::chrono::seconds(8); ///< declared to served, for all
+  /// Instances with older weights get no requests that long before the bound.
+  Duration m_Spare{};
 
   friend bool operator==(const WeightsState &, const WeightsState &) = default;
 };
@@ -35,10 +47,25 @@
   Serve ///< the instance serves what it should
 };
 
+/// How far a copy is that a newer version has overtaken.
+struct CopyProgress {
+  std::uint32_t m_Held = 0; ///< chunks
+  std::uint32_t m_All = 0;
+  Duration m_SinceGain{}; ///< since the last chunk came
+
+  friend bool operator==(const CopyProgress &, const CopyProgress &) = default;
+};
+
+/// Whether the copy is to be finished before that of a newer version begins.
+/// Where versions follow each other as fast as they can be copied, none would
+/// ever be complete otherwise, and all instances be past the bound of the
+/// first one.
+bool isWorthFinishing(const CopyProgress &Of);
+
 WeightsStep nextWeightsStep(const WeightsState &State, TimePoint Now);
 
 /// When an instance that serves an older version may swap: the pool's swaps
 /// are spread over the time that is left, so that only some are away at once.
-Duration swapDelay(const WeightsState &State);
+TimePoint swapTime(const WeightsState &State);
 
 } // namespace deckpitch
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -35,10 +35,6 @@
 constexpr milliseconds AcceptAfterStop{2'500};
 /// Kept free of the time until the kill.
 constexpr milliseconds GraceSpare{500};
-/// Left to requests on their way when a new version must be in force: over an
-/// instance's link of 1.2 Mbit/s that also takes in chunks they were measured
-/// to begin up to 2.3 s after they were sent.
-constexpr milliseconds VersionSpare{2'600};
 constexpr net::HttpLimits SmallLimits{std::size_t{8} * 1024,
                                       std::size_t{64} * 1024,
                                       milliseconds(2'000),
@@ -128,8 +124,7 @@
             return answerDirectory(std::move(Request), Answer);
           },
           SmallLimits) {
-  m_Instances.setVersionGrace(std::max(
-      Context.m_Settings.m_Bounds.m_Version - VersionSpare, milliseconds(0)));
+  m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
 }
 
 EntryAddress Entry::ownAddress(const DirectSettings &Settings) {
@@ -248,6 +243,7 @@
   Report.m_Running = State.running();
   Report.m_Waiting = State.waiting();
   Report.m_TakesRequests = State.takes_requests();
+  Report.m_HasSoundLink = State.has_sound_link();
   for (const wire::HeldWeightsState &Each : State.weights())
     Report.m_Weights.push_back(read(Each));
   m_Instances.report(State.address(), std::move(Report), now());
--- a/src/direct/staging-cache.cc
+++ b/src/direct/staging-cache.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <span>
 #include <utility>
 
@@ -26,12 +27,34 @@
 
 } // namespace
 
-void StagingCache::keepOnly(const WeightsId &Weights) {
-  if (m_Weights == Weights)
+void StagingCache::keepOnly(std::set<WeightsId> Weights) {
+  std::erase_if(m_Chunks, [&](const auto &Each) {
+    return !Weights.contains(Each.first);
+  });
+  for (const WeightsId &Each : Weights)
+    m_Chunks[Each];
+}
+
+void StagingCache::writeBehind(const WeightsId &Weights) {
+  if (m_Written == Weights)
     return;
-  m_Weights = Weights;
-  m_Chunks.clear();
+  m_Written = Weights;
   m_Unwritten.clear();
+  const auto Kept = m_Chunks.find(Weights);
+  if (Kept == m_Chunks.end())
+    return;
+  for (const auto &[Index, Bytes] : Kept->second)
+    m_Unwritten.push_back(Index);
+  startWriters();
+}
+
+const std::string *StagingCache::find(const WeightsId &Weights,
+                                      std::uint32_t Index) const {
+  const auto Kept = m_Chunks.find(Weights);
+  if (Kept == m_Chunks.end())
+    return nullptr;
+  const auto Found = Kept->second.find(Index);
+  return Found == Kept->second.end() ? nullptr : &Found->second;
 }
 
 asio::awaitable<Outcome<EngineStatus>> StagingCache::status() {
@@ -40,27 +63,35 @@
 
 asio::awaitable<Outcome<bool>>
 StagingCache::stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) {
-  if (Weights != m_Weights)
+  const auto Kept = m_Chunks.find(Weights);
+  if (Kept == m_Chunks.end())
     co_return co_await m_Behind.stage(Weights, Index, std::move(Bytes));
-  m_Chunks[Index] = std::move(Bytes);
-  m_Unwritten.push_back(Index);
-  if (m_Writers < MostWriters) {
-    ++m_Writers;
-    asio::co_spawn(m_Io, writeBehind(), asio::detached);
+  Kept->second[Index] = std::move(Bytes);
+  if (Weights == m_Written) {
+    m_Unwritten.push_back(Index);
+    startWriters();
   }
   co_return true;
 }
 
-asio::awaitable<void> StagingCache::writeBehind() {
+void StagingCache::startWriters() {
+  while (m_Writers < std::min(MostWriters, m_Unwritten.size())) {
+    ++m_Writers;
+    asio::co_spawn(m_Io, write(), asio::detached);
+  }
+}
+
+asio::awaitable<void> StagingCache::write() {
   while (!m_Unwritten.empty()) {
+    const WeightsId Weights = m_Written;
     const std::uint32_t Index = m_Unwritten.front();
     m_Unwritten.pop_front();
-    const auto Kept = m_Chunks.find(Index);
-    if (Kept == m_Chunks.end())
+    const std::string *Kept = find(Weights, Index);
+    if (!Kept)
       continue;
-    const auto Stored = co_await m_Behind.stage(m_Weights, Index, Kept->second);
+    const auto Stored = co_await m_Behind.stage(Weights, Index, *Kept);
     if (!Stored)
-      net::log(Event::StagingFailed, {{"weights", m_Weights.m_Text},
+      net::log(Event::StagingFailed, {{"weights", Weights.m_Text},
                                       {"chunk", std::uint64_t{Index}},
                                       {"error", Stored.error().m_Message}});
   }
@@ -69,12 +100,12 @@
 
 asio::awaitable<Outcome<std::string>>
 StagingCache::staged(WeightsId Weights, std::uint32_t Index) {
-  const auto Found = m_Chunks.find(Index);
-  if (Weights == m_Weights && Found != m_Chunks.end())
-    co_return Found->second;
+  if (const std::string *Found = find(Weights, Index))
+    co_return *Found;
   auto Bytes = co_await m_Behind.staged(Weights, Index);
-  if (Bytes && Weights == m_Weights)
-    m_Chunks[Index] = *Bytes;
+  const auto Kept = m_Chunks.find(Weights);
+  if (Bytes && Kept != m_Chunks.end())
+    Kept->second.emplace(Index, *Bytes);
   co_return Bytes;
 }
 
@@ -109,13 +140,10 @@
       continue;
     net::log(Event::StagedChunkSpoilt, {{"weights", Wanted.m_Weights.m_Text},
                                         {"chunk", std::uint64_t{Index}}});
-    const auto Kept = m_Chunks.find(Index);
-    const bool IsKept = Wanted.m_Weights == m_Weights &&
-                        Kept != m_Chunks.end() && matches(Right, Kept->second);
-    if (!IsKept)
+    const std::string *Kept = find(Wanted.m_Weights, Index);
+    if (!Kept || !matches(Right, *Kept))
       co_return false;
-    const auto Stored =
-        co_await m_Behind.stage(Wanted.m_Weights, Index, Kept->second);
+    const auto Stored = co_await m_Behind.stage(Wanted.m_Weights, Index, *Kept);
     if (!Stored)
       co_return false;
   }
--- a/src/direct/staging-cache.h
+++ b/src/direct/staging-cache.h
@@ -1,18 +1,20 @@
-// Keeps the chunks of one version in memory beside the instance's staging.
+// Keeps chunks in memory beside the instance's staging.
 #pragma once
 
 #include "net/engine.h"
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 namespace deckpitch::direct {
 
 /// An engine port in front of another. A verified chunk counts as staged once
-/// it is here and is written behind, so that it is passed on to peers without
-/// waiting for the instance. Before an order each staged chunk is compared with
-/// its digest: a write may have failed, or staging gone bad since.
+/// it is here, so that it is passed on to peers without waiting for the
+/// instance. Staging holds one version, so only that one is written behind.
+/// Before an order each staged chunk is compared with its digest: a write may
+/// have failed, or staging gone bad since.
 class StagingCache final : public net::Engine {
 public:
   StagingCache(net::asio::io_context &Io, net::Engine &Behind)
@@ -32,18 +34,22 @@
                                              FencingNumber Fence) override;
 
   /// Forgets what is not of these weights.
-  void keepOnly(const WeightsId &Weights);
+  void keepOnly(std::set<WeightsId> Weights);
+  /// From now on chunks of these weights are written to the instance.
+  void writeBehind(const WeightsId &Weights);
   /// Writes again each staged chunk that differs from its digest. False while
   /// one is missing here too, or staging cannot be read.
   net::asio::awaitable<bool> repair(const Manifest &Wanted);
 
 private:
-  net::asio::awaitable<void> writeBehind();
+  net::asio::awaitable<void> write();
+  void startWriters();
+  const std::string *find(const WeightsId &Weights, std::uint32_t Index) const;
 
   net::asio::io_context &m_Io;
   net::Engine &m_Behind;
-  WeightsId m_Weights;
-  std::map<std::uint32_t, std::string> m_Chunks;
+  std::map<WeightsId, std::map<std::uint32_t, std::string>> m_Chunks;
+  WeightsId m_Written; ///< whose chunks go to the instance
   std::deque<std::uint32_t> m_Unwritten;
   std::size_t m_Writers = 0;
 };
--- /dev/null
+++ b/src/direct/weights-supply.cc
@@ -0,0 +1,439 @@
+#include "direct/weights-supply.h"
+
+#include "daemon/clock.h"
+#include "net/adapters.h"
+#include "net/address.h"
+#include "net/log.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace deckpitch::direct {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using daemon::BulkConnection;
+using daemon::now;
+using daemon::pauseFor;
+using daemon::PeerAddress;
+using daemon::WeightsCopy;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
+constexpr Duration AcceptRetry = milliseconds(50);
+constexpr Duration ManifestRetry = milliseconds(300);
+/// After an order: the instance's state may not show it yet.
+constexpr Duration OrderRest = milliseconds(700);
+constexpr Duration HelloLimit = std::chrono::seconds(2);
+/// Others that are behind finish an older version within that time; then its
+/// chunks only take memory.
+constexpr Duration FormerLifetime = std::chrono::seconds(5);
+constexpr std::uint64_t FirstVersion = 1; ///< when none is declared
+/// A digest that fits nothing any peer or the origin sends is wrong itself.
+constexpr std::uint64_t CorruptToReread = 6;
+/// Chunks that the whole pool reads from the origin at once: enough to keep a
+/// link of some Mbit/s busy while it is told which of them have come.
+constexpr std::uint32_t OriginWindow = 32;
+/// A chunk has several holders within a third of that on sound links.
+constexpr Duration SoleHolderWait = milliseconds(700);
+/// Twice what chunks take on sound links with this many under way. A link of
+/// 1.2 Mbit/s held requests back for 3.5 s behind the chunks asked for at once,
+/// past the bound of the version that they named.
+constexpr Duration ChunkPatience = milliseconds(600);
+/// Offers and chunks under way to peers at once. Some offers are declined, and
+/// the link must not run dry meanwhile.
+constexpr std::uint32_t Uploads = 6;
+constexpr std::uint32_t Expected = 6;
+/// Links to far peers beside those to the readers of what is imported.
+constexpr std::size_t NearForEachFar = 4;
+/// About one chunk's time over such a link.
+constexpr Duration DeclineRest = milliseconds(20);
+/// What a window of chunks takes at such an origin.
+constexpr Duration OriginStep = milliseconds(800);
+
+std::string ipOf(const std::string &Address) {
+  return Address.substr(0, Address.rfind(':'));
+}
+
+SwarmOptions swarmOptions(const WeightsSettings &Settings,
+                          std::uint32_t ChunkBytes) {
+  SwarmOptions Out = daemon::swarmOptionsFor(Settings, ChunkBytes);
+  Out.m_OriginWindow = OriginWindow;
+  Out.m_OriginStep = OriginStep;
+  Out.m_SoleHolderWait = SoleHolderWait;
+  Out.m_ChunkPatience = ChunkPatience;
+  Out.m_Uploads = Uploads;
+  Out.m_Expected = Expected;
+  Out.m_DeclineRest = DeclineRest;
+  return Out;
+}
+
+/// Peers to connect to, in an order of this agent's own, so that a bounded
+/// number of links holds what it needs: first those that read what it imports,
+/// then near ones, and a few far ones in case these fail.
+std::vector<PeerAddress> orderPeers(std::vector<PeerAddress> Near,
+                                    std::vector<PeerAddress> Far,
+                                    const std::set<InstanceId> &Sources) {
+  static std::minstd_rand Random{std::random_device{}()};
+  std::shuffle(Near.begin(), Near.end(), Random);
+  std::shuffle(Far.begin(), Far.end(), Random);
+  auto NextFar = std::stable_partition(
+      Far.begin(), Far.end(),
+      [&](const PeerAddress &Each) { return Sources.contains(Each.m_Id); });
+  std::vector<PeerAddress> Out(Far.begin(), NextFar);
+  for (std::size_t I = 0; I < Near.size(); ++I) {
+    Out.push_back(std::move(Near[I]));
+    if (I % NearForEachFar == 0 && NextFar != Far.end())
+      Out.push_back(*NextFar++);
+  }
+  Out.insert(Out.end(), NextFar, Far.end());
+  return Out;
+}
+
+} // namespace
+
+WeightsSupply::WeightsSupply(asio::io_context &Io, net::HttpClient &Http,
+                             net::Engine &Engine, SupplyOptions Options,
+                             Callbacks Calls)
+    : m_Io(Io), m_Http(Http), m_Engine(Engine), m_Options(std::move(Options)),
+      m_Calls(std::move(Calls)),
+      m_Acceptor(Io), m_Transfer{
+                          m_Io,
+                          m_Options.m_Copy,
+                          m_Options.m_Incarnation,
+                          nullptr,
+                          nullptr,
+                          nullptr,
+                          daemon::makeShapedLink(m_Options.m_Copy.m_Weights),
+                          nullptr} {
+  auto Staging = std::make_unique<StagingCache>(m_Io, m_Engine);
+  m_Staging = Staging.get();
+  m_Transfer.m_Engine = std::move(Staging);
+  m_Transfer.m_Uplink =
+      std::make_shared<daemon::Uplink>(m_Io, m_Transfer.m_Link.m_Up);
+}
+
+Result<void> WeightsSupply::listen() {
+  BOOST_LEAF_AUTO(Endpoint, net::parseEndpoint(m_Options.m_Listen));
+  boost::system::error_code Ec;
+  m_Acceptor.open(Endpoint.protocol(), Ec);
+  if (!Ec)
+    m_Acceptor.set_option(asio::socket_base::reuse_address(true), Ec);
+  if (!Ec)
+    m_Acceptor.bind(Endpoint, Ec);
+  if (!Ec)
+    m_Acceptor.listen(asio::socket_base::max_listen_connections, Ec);
+  if (Ec)
+    return fail(ErrorCode::Unavailable, "cannot listen for weights on " +
+                                            net::formatEndpoint(Endpoint) +
+                                            ": " + Ec.message());
+  return {};
+}
+
+Result<void> WeightsSupply::start() {
+  BOOST_LEAF_CHECK(listen());
+  m_Transfer.m_Uplink->start();
+  asio::co_spawn(m_Io, acceptPeers(), asio::detached);
+  return {};
+}
+
+void WeightsSupply::stop() {
+  m_Stopped = true;
+  boost::system::error_code Ignored;
+  m_Acceptor.close(Ignored);
+  for (Copy *Each : {&m_Current, &m_Former})
+    if (Each->m_Copy)
+      Each->m_Copy->stop();
+  m_Transfer.m_Uplink->stop();
+}
+
+void WeightsSupply::setOrigin(const std::string &Address) {
+  if (m_OriginAddress == Address)
+    return;
+  m_OriginAddress = Address;
+  m_Transfer.m_Origin =
+      net::Adapters<net::Origin>::make(m_Http, "pieces://" + Address);
+}
+
+void WeightsSupply::setPool(std::vector<FleetInstance> Pool) {
+  m_Pool = std::move(Pool);
+  std::erase_if(m_Pool, [this](const FleetInstance &Each) {
+    return Each.m_Service.m_Text != m_Options.m_Service;
+  });
+  if (m_Current.m_Copy)
+    tellCopyOfPeers();
+}
+
+void WeightsSupply::want(const DeclaredWeights &Declared) {
+  if (Declared.m_Model != m_Model || !m_Declared.add(Declared.m_Version, now()))
+    return;
+  m_Wanted = Declared;
+  net::log(Event::WeightsDeclared,
+           {{"model", Declared.m_Model}, {"version", Declared.m_Version}});
+}
+
+bool WeightsSupply::isCopying() const {
+  return m_Current.m_Copy && !m_Current.m_Copy->swarm().complete();
+}
+
+bool WeightsSupply::hasSoundLink() const {
+  return m_Current.m_Copy && !m_Current.m_Copy->swarm().hasNarrowLink();
+}
+
+void WeightsSupply::tellCopyOfPeers() {
+  std::vector<InstanceId> Ids;
+  std::map<DataCentreId, std::vector<InstanceId>> ByDataCentre;
+  std::vector<PeerAddress> NearPeers;
+  std::vector<PeerAddress> FarPeers;
+  for (const FleetInstance &Each : m_Pool) {
+    const std::string Ip = ipOf(Each.m_Address);
+    const bool IsNear = Each.m_DataCentre == m_Options.m_Copy.m_DataCentre;
+    // One that leaves still gives what it has, but others must not wait for
+    // what it would have read: one copy took 9 s instead of 3 s where a tenth
+    // of a pool left as a version was declared and the origin went away.
+    if (!Each.m_IsLeaving) {
+      Ids.push_back({Ip});
+      ByDataCentre[Each.m_DataCentre].push_back({Ip});
+    }
+    (IsNear ? NearPeers : FarPeers)
+        .push_back(
+            {InstanceId{Ip}, Each.m_DataCentre, Ip + m_Options.m_PeerPort});
+  }
+  WeightsCopy &Copy = *m_Current.m_Copy;
+  Copy.setInstances(std::move(Ids));
+  Copy.setDataCentres(ByDataCentre);
+  Copy.setPeers(orderPeers(std::move(NearPeers), std::move(FarPeers),
+                           Copy.swarm().importSources()));
+}
+
+std::size_t WeightsSupply::ownRank() const {
+  std::vector<std::string> Ips;
+  for (const FleetInstance &Each : m_Pool)
+    Ips.push_back(ipOf(Each.m_Address));
+  std::sort(Ips.begin(), Ips.end());
+  const auto At =
+      std::find(Ips.begin(), Ips.end(), m_Options.m_Copy.m_Instance.m_Text);
+  return static_cast<std::size_t>(At - Ips.begin());
+}
+
+WeightsState WeightsSupply::stateFor(const Copy &Of,
+                                     const InstanceReport &Report) const {
+  WeightsState Out;
+  Out.m_Wanted = Of.m_Weights;
+  Out.m_Held = Report.m_Weights;
+  Out.m_IsCopyComplete = Of.m_CompleteAt.has_value();
+  Out.m_IsBusy = !Report.m_TakesRequests;
+  Out.m_Rank = ownRank();
+  Out.m_PoolSize = std::max<std::size_t>(m_Pool.size(), 1);
+  std::uint64_t Held = 0;
+  for (const HeldWeights &Each : Report.m_Weights)
+    if (Each.m_Model == m_Model && Each.m_IsComplete)
+      Held = std::max(Held, Each.m_Version);
+  Out.m_DeclaredAt = m_Declared.behindSince(Held).value_or(now());
+  Out.m_CopiedAt = Of.m_CompleteAt.value_or(now());
+  Out.m_Bound = m_Options.m_Bound;
+  Out.m_Spare = versionSpare(hasSoundLink());
+  return Out;
+}
+
+/// Notes what has come, and says once when all has.
+void WeightsSupply::observe(Copy &Of) {
+  if (!Of.m_Copy)
+    return;
+  const Swarm &Swarm = Of.m_Copy->swarm();
+  if (Swarm.here().count() != Of.m_Held || Of.m_GainedAt == TimePoint{}) {
+    Of.m_Held = Swarm.here().count();
+    Of.m_GainedAt = now();
+  }
+  if (!Swarm.complete() || Of.m_CompleteAt)
+    return;
+  Of.m_CompleteAt = now();
+  const SwarmCounters &Counts = Swarm.counters();
+  net::log(Event::CopyComplete,
+           {{"weights", Of.m_Copy->manifest().m_Weights.m_Text},
+            {"fromPeers", Counts.m_FromPeers},
+            {"fromOrigin", Counts.m_FromOrigin},
+            {"crossings", Counts.m_Crossings},
+            {"corrupt", Counts.m_Corrupt},
+            {"soundLink", std::uint64_t{hasSoundLink()}}});
+}
+
+void WeightsSupply::retireFormer() {
+  const bool IsOld = m_Former.m_Copy && m_Current.m_Copy &&
+                     (m_Current.m_CompleteAt ||
+                      now() - *m_Former.m_CompleteAt > FormerLifetime);
+  if (!IsOld)
+    return;
+  m_Former.m_Copy->stop();
+  m_Former = {};
+  m_Staging->keepOnly({weightsIdOf(m_Current.m_Weights)});
+}
+
+const WeightsSupply::Copy *WeightsSupply::newestComplete() const {
+  if (m_Current.m_CompleteAt)
+    return &m_Current;
+  return m_Former.m_CompleteAt ? &m_Former : nullptr;
+}
+
+/// Whether the copy of the declared version is to begin now.
+bool WeightsSupply::mayStartCopy() const {
+  if (!m_Current.m_Copy || m_Current.m_CompleteAt)
+    return true;
+  return !isWorthFinishing({m_Current.m_Held,
+                            m_Current.m_Copy->manifest().chunkCount(),
+                            now() - m_Current.m_GainedAt});
+}
+
+asio::awaitable<void> WeightsSupply::step(const InstanceReport &Report) {
+  if (m_Model.empty())
+    co_return;
+  // Without any declared version the first one is meant.
+  if (m_Wanted.m_Version == 0)
+    want({m_Model, FirstVersion});
+  observe(m_Current);
+  retireFormer();
+  const bool IsWanted = m_Current.m_Copy && m_Current.m_Weights == m_Wanted;
+  const bool IsSpoilt =
+      isCopying() &&
+      m_Current.m_Copy->swarm().counters().m_Corrupt >= CorruptToReread;
+  if (IsSpoilt || (!IsWanted && mayStartCopy()))
+    co_await startCopy();
+  if (m_IsOrdered && now() - m_OrderedAt > OrderRest && Report.m_TakesRequests)
+    m_IsOrdered = false;
+  const Copy *Newest = newestComplete();
+  if (!Newest || m_IsOrdered)
+    co_return;
+  const WeightsStep Next = nextWeightsStep(stateFor(*Newest, Report), now());
+  // Staging holds one version: the newest stays there until it is loaded.
+  const bool IsLoaded = Next == WeightsStep::Serve;
+  m_Staging->writeBehind(
+      weightsIdOf((IsLoaded ? m_Current : *Newest).m_Weights));
+  if (Next == WeightsStep::Load)
+    co_await order(*Newest);
+}
+
+asio::awaitable<void> WeightsSupply::startCopy() {
+  if (!m_Transfer.m_Origin)
+    co_return;
+  const DeclaredWeights Wanted = m_Wanted;
+  const WeightsId Weights = weightsIdOf(Wanted);
+  auto Read = co_await m_Transfer.m_Origin->manifest(Weights);
+  if (!Read) {
+    net::log(Event::ManifestUnavailable,
+             {{"weights", Weights.m_Text}, {"error", Read.error().m_Message}});
+    co_return co_await pauseFor(ManifestRetry);
+  }
+  // Who else is to hold them decides who reads which chunk from the origin;
+  // an instance that believes itself alone would read a copy of its own.
+  if (!co_await m_Calls.m_ListInstances())
+    co_return co_await pauseFor(ManifestRetry);
+  if (m_Current.m_CompleteAt && m_Current.m_Weights != Wanted) {
+    if (m_Former.m_Copy)
+      m_Former.m_Copy->stop();
+    m_Former = std::exchange(m_Current, {});
+  } else if (m_Current.m_Copy) {
+    m_Current.m_Copy->stop();
+  }
+  std::set<WeightsId> Kept{Weights};
+  if (m_Former.m_Copy)
+    Kept.insert(weightsIdOf(m_Former.m_Weights));
+  else
+    m_Staging->writeBehind(Weights);
+  m_Staging->keepOnly(std::move(Kept));
+  const SwarmOptions Options =
+      swarmOptions(m_Options.m_Copy.m_Weights, Read->m_ChunkBytes);
+  m_Current = {};
+  m_Current.m_Weights = Wanted;
+  m_Current.m_Copy =
+      std::make_shared<WeightsCopy>(m_Transfer, std::move(*Read), Options);
+  const std::shared_ptr<WeightsCopy> Copy = m_Current.m_Copy;
+  const std::uint32_t Chunks = Copy->manifest().chunkCount();
+  net::log(Event::CopyStarted,
+           {{"weights", Weights.m_Text}, {"chunks", std::uint64_t{Chunks}}});
+  // Staging does not say of which version its chunks are: their digests do.
+  EngineStatus Staged;
+  Staged.m_Staging.push_back({Weights, {}});
+  for (std::uint32_t I = 0; I < Chunks; ++I)
+    Staged.m_Staging.back().m_Chunks.push_back(I);
+  co_await Copy->recover(std::move(Staged), {});
+  // Before the start: who reads what rests on who there is.
+  tellCopyOfPeers();
+  Copy->start();
+}
+
+asio::awaitable<void> WeightsSupply::order(const Copy &Of) {
+  const std::shared_ptr<WeightsCopy> Copy = Of.m_Copy;
+  const Manifest &Wanted = Copy->manifest();
+  // Checked at the last moment: what the instance takes is what lies there.
+  if (!co_await m_Staging->repair(Wanted)) {
+    // Starts over with what is still good.
+    (m_Current.m_Copy == Copy ? m_Current : m_Former) = {};
+    Copy->stop();
+    co_return;
+  }
+  m_IsOrdered = true;
+  m_OrderedAt = now();
+  m_Calls.m_OnOrder();
+  const auto Done = co_await m_Engine.load(Wanted, FencingNumber{});
+  net::log(Done ? Event::OrderSent : Event::EngineOrderRefused,
+           {{"weights", Wanted.m_Weights.m_Text},
+            {"error", Done ? "" : Done.error().m_Message}});
+}
+
+asio::awaitable<void> WeightsSupply::acceptPeers() {
+  while (!m_Stopped) {
+    auto [Ec, Socket] = co_await m_Acceptor.async_accept(UseAwaitable);
+    if (Ec) {
+      co_await pauseFor(AcceptRetry);
+      continue;
+    }
+    net::tuneBulkSocket(Socket);
+    auto Connection = std::make_shared<BulkConnection>(std::move(Socket));
+    Connection->start();
+    asio::co_spawn(m_Io, greet(std::move(Connection)), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+WeightsSupply::greet(std::shared_ptr<BulkConnection> Connection) {
+  asio::steady_timer Limit(m_Io, HelloLimit);
+  Limit.async_wait([Connection](const boost::system::error_code &Ec) {
+    if (!Ec)
+      Connection->close();
+  });
+  auto First = co_await net::readBulk(Connection->socket());
+  Limit.cancel();
+  if (First && First->m_Header.has_hello()) {
+    const std::string &Weights = First->m_Header.hello().weights();
+    for (const Copy *Each : {&m_Current, &m_Former}) {
+      const std::shared_ptr<WeightsCopy> Copy = Each->m_Copy;
+      if (Copy && weightsIdOf(Each->m_Weights).m_Text == Weights)
+        co_return co_await Copy->accept(std::move(Connection),
+                                        First->m_Header.hello());
+    }
+  }
+  Connection->close();
+}
+
+boost::json::object WeightsSupply::dump() const {
+  boost::json::object Out{{"wanted", weightsIdOf(m_Wanted).m_Text}};
+  if (!m_Current.m_Copy)
+    return Out;
+  const Swarm &Swarm = m_Current.m_Copy->swarm();
+  const SwarmCounters &Counts = Swarm.counters();
+  Out["copy"] = boost::json::object{
+      {"weights", m_Current.m_Copy->manifest().m_Weights.m_Text},
+      {"chunksHeld", Swarm.here().count()},
+      {"peers", Swarm.peerCount()},
+      {"soundLink", hasSoundLink()},
+      {"fromPeers", Counts.m_FromPeers},
+      {"fromOrigin", Counts.m_FromOrigin},
+      {"crossings", Counts.m_Crossings},
+      {"corrupt", Counts.m_Corrupt}};
+  return Out;
+}
+
+} // namespace deckpitch::direct
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -1,5 +1,7 @@
 #include "deckpitch/instance-table.h"
 
+#include "deckpitch/weights-plan.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -109,12 +111,17 @@
   Known.m_Others = All - std::min(All, Known.m_Own);
   Known.m_Reported = Now;
   Known.m_TakesRequests = Report.m_TakesRequests;
+  Known.m_HasSoundLink = Report.m_HasSoundLink;
   Known.m_Weights = std::move(Report.m_Weights);
 }
 
 bool InstanceTable::serves(const Instance &Each, const std::string &Model,
                            TimePoint Now) const {
   const auto Wanted = m_Wanted.find(Model);
+  const bool IsFresh =
+      Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
+  const Duration Grace =
+      m_VersionBound - versionSpare(IsFresh && Each.m_HasSoundLink);
   return std::any_of(Each.m_Weights.begin(), Each.m_Weights.end(),
                      [&](const HeldWeights &Held) {
                        if (Held.m_Model != Model || !Held.m_IsComplete)
@@ -123,7 +130,7 @@
                            Wanted == m_Wanted.end()
                                ? std::nullopt
                                : Wanted->second.behindSince(Held.m_Version);
-                       return !Behind || Now - *Behind < m_VersionGrace;
+                       return !Behind || Now - *Behind < Grace;
                      });
 }
 
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -12,8 +12,14 @@
 constexpr int HedgePatience = 3; ///< times the usual time of a chunk
 constexpr Duration HedgeLeast = std::chrono::milliseconds(200);
 constexpr int MeanShare = 8; ///< weight of the past in moving means
+/// Chunks asked for at once before anything is known of the link: all at once
+/// they lay before requests for 3 s on a link of 1.2 Mbit/s.
+constexpr double FirstRoom = 2;
 /// For each chunk that came in time: some ten of them make room for one more.
 constexpr double RoomGrowth = 0.1;
+/// For each that came in a fraction of that time.
+constexpr double FastRoomGrowth = 1;
+constexpr int FastPart = 4;
 
 /// Spreads numbers, so that ties are broken apart at each choice.
 std::uint32_t scatter(std::uint32_t Value, std::uint32_t Salt) {
@@ -30,7 +36,10 @@
       m_Options(Options), m_Random(static_cast<std::uint32_t>(Seed | 1)),
       m_Here(Chunks), m_Unstaged(Chunks), m_Taken(Chunks), m_Seen(Chunks),
       m_Copies(Chunks), m_Rank(Chunks), m_SeenSince(Chunks), m_Open(Chunks),
-      m_Unheld(Chunks), m_Room(Options.m_Expected) {}
+      m_Unheld(Chunks), m_Room(Options.m_Expected) {
+  if (Options.m_ChunkPatience != Duration::zero())
+    m_Room = std::min(m_Room, FirstRoom);
+}
 
 Swarm::Peer *Swarm::find(PeerNumber Number) {
   const auto Found = m_Peers.find(Number);
@@ -236,7 +245,7 @@
     m_Room *= static_cast<double>(Patience.count()) /
               static_cast<double>(ChunkTook.count());
   else
-    m_Room += RoomGrowth;
+    m_Room += ChunkTook < Patience / FastPart ? FastRoomGrowth : RoomGrowth;
   m_Room = std::clamp(m_Room, 1.0, Most);
 }
 
--- a/src/kernel/weights-plan.cc
+++ b/src/kernel/weights-plan.cc
@@ -6,9 +6,13 @@
 
 namespace {
 
-/// Share of the bound that swaps may be spread over; the rest is for copying,
-/// the requests that still run, and loading.
-constexpr double SpreadShare = 0.3;
+/// From the order until the instance takes requests again: those that run end
+/// first, most within a second, and then it loads.
+constexpr Duration SwapTime = std::chrono::milliseconds(600);
+/// Of a copy's chunks: what is missing then comes sooner than all of the next.
+constexpr double WorthFinishing = 0.25;
+/// Several times what one chunk takes: no more are coming.
+constexpr Duration CopyStalled = std::chrono::milliseconds(1'500);
 
 bool holds(const WeightsState &State) {
   return std::any_of(
@@ -27,12 +31,19 @@
 
 } // namespace
 
-Duration swapDelay(const WeightsState &State) {
+TimePoint swapTime(const WeightsState &State) {
   const double Place =
       static_cast<double>(State.m_Rank) /
       static_cast<double>(std::max<std::size_t>(State.m_PoolSize, 1));
-  return Duration(static_cast<Duration::rep>(
-      SpreadShare * Place * static_cast<double>(State.m_Bound.count())));
+  const TimePoint Last =
+      State.m_DeclaredAt + State.m_Bound - State.m_Spare - SwapTime;
+  const Duration Left = std::max(Last - State.m_CopiedAt, Duration::zero());
+  return State.m_CopiedAt + Duration(static_cast<Duration::rep>(
+                                Place * static_cast<double>(Left.count())));
+}
+
+bool isWorthFinishing(const CopyProgress &Of) {
+  return Of.m_Held >= WorthFinishing * Of.m_All && Of.m_SinceGain < CopyStalled;
 }
 
 WeightsStep nextWeightsStep(const WeightsState &State, TimePoint Now) {
@@ -45,11 +56,8 @@
   if (State.m_IsBusy)
     return WeightsStep::Wait;
   // An empty instance serves nobody: it has nothing to wait for.
-  const bool IsEarly =
-      servesOlder(State) && Now < State.m_CopiedAt + swapDelay(State);
-  // Late copies swap at once, whatever their place.
-  const bool IsLate = Now - State.m_DeclaredAt > State.m_Bound * 6 / 10;
-  return IsEarly && !IsLate ? WeightsStep::Wait : WeightsStep::Load;
+  const bool IsEarly = servesOlder(State) && Now < swapTime(State);
+  return IsEarly ? WeightsStep::Wait : WeightsStep::Load;
 }
 
 } // namespace deckpitch
