Tell agents from entries where weights come from; ask an origin that lost an answer again soon

Ruled out: the store's rates. Change: entries' hellos name model and origin (100 bytes), and only once they know the declared versions; an agent reads the store itself after 3 s without any.

Cause 2: an origin that lost two of five answers was left alone for 1 s after each. Now 0.1 s, doubling to 1 s while it fails in a row.

Also: an origin's client that is replaced lives on while reads are under way. Test: Swarm.AnOriginThatLosesAnswersIsAskedAgainSoonAndOneThatIsAwaySeldom.

--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -103,6 +103,19 @@
                          const FleetDeclaration &) = default;
 };
 
+/// Which model a service's instances serve, and where its weights come from.
+struct WeightsSource {
+  ServiceId m_Service;
+  std::string m_Model;
+  std::string m_Origin; ///< address
+
+  friend bool operator==(const WeightsSource &,
+                         const WeightsSource &) = default;
+};
+
+/// Of every service with engines; empty while no origin is declared.
+std::vector<WeightsSource> sourcesOf(const FleetDeclaration &Declaration);
+
 /// Weights that an instance holds.
 struct HeldWeights {
   std::string m_Model;
--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -39,7 +39,11 @@
   /// How long each further importer waits for those before it: several times
   /// what one chunk takes over a link of some Mbit/s.
   Duration m_ImportWait = std::chrono::milliseconds(600);
-  Duration m_OriginRest = std::chrono::seconds(1); ///< after it refused
+  /// After a read that failed; it doubles with each further one in a row up to
+  /// the longest. An origin that loses some answers is asked again soon, and
+  /// one that is away seldom.
+  Duration m_OriginRest = std::chrono::milliseconds(100);
+  Duration m_OriginRestMost = std::chrono::seconds(1);
   /// A chunk that one peer alone has for so long is read from the origin again
   /// by one instance after the other: its holder's link may be narrow, and all
   /// would wait for it. Zero: never.
@@ -295,6 +299,7 @@
   std::uint32_t m_Opened = 0;      ///< chunks below this are due
   std::set<std::uint32_t> m_Reading;
   TimePoint m_OriginRestUntil{};
+  Duration m_OriginRests{}; ///< how long, after the last failure
   std::map<std::uint32_t, CorruptRead> m_CorruptReads;
   Duration m_SeenDelay{}; ///< moving mean from due to seen
   TimePoint m_LastGain{};
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -35,7 +35,10 @@
 /// An entry that said nothing for so long is not told any more.
 constexpr Duration SubscriptionLifetime = std::chrono::seconds(4);
 constexpr Duration StepSpan = milliseconds(50);
-constexpr Duration DeclarationRetry = milliseconds(500);
+/// Entries tell where weights come from; a declaration of many routes, read by
+/// every agent at once after a loss of power, kept the link between two regions
+/// full for five seconds. Without entries each agent reads it after this time.
+constexpr Duration DeclarationPatience = milliseconds(3'000);
 constexpr Duration PeersSpan = milliseconds(1'000);
 /// Share of the machine's link for weights; the rest is for requests, whose
 /// tokens must not queue behind chunks.
@@ -88,6 +91,7 @@
   void onLink(const wire::LinkMessage &Message, const std::string &From);
   void tellEntries(TimePoint Now);
   void onDeclaration(const FleetDeclaration &Declaration);
+  void setSource(const WeightsSource &Source);
 
   DirectContext &m_Context;
   asio::io_context &m_Io;
@@ -158,22 +162,25 @@
 }
 
 void Agent::onDeclaration(const FleetDeclaration &Declaration) {
-  for (const ServiceDeclaration &Each : Declaration.m_Services) {
-    if (!Each.m_Origin.empty())
-      m_Weights.setOrigin(Each.m_Origin);
-    const bool IsOwn = Each.m_Id.m_Text == m_Context.m_Settings.m_Service;
-    if (IsOwn && Each.m_Engine && !Each.m_Engine->m_Models.empty())
-      m_Weights.setModel(Each.m_Engine->m_Models.front());
-  }
+  for (const WeightsSource &Each : sourcesOf(Declaration))
+    setSource(Each);
+}
+
+void Agent::setSource(const WeightsSource &Source) {
+  if (Source.m_Service.m_Text == m_Context.m_Settings.m_Service)
+    m_Weights.setSource(Source);
 }
 
-/// Reads the declaration once, and the list of peers while a copy is under
-/// way.
+/// Reads the declaration where no entry tells of it, and the list of peers
+/// while a copy is under way.
 asio::awaitable<void> Agent::storeLoop() {
-  while (!m_Stopped && !co_await m_Follower.readDeclaration())
-    co_await pauseFor(DeclarationRetry);
+  TimePoint NextDeclaration = now() + DeclarationPatience;
   TimePoint NextPeers{};
   while (!m_Stopped) {
+    if (!m_Weights.hasSource() && now() >= NextDeclaration) {
+      NextDeclaration = now() + DeclarationPatience;
+      co_await m_Follower.readDeclarations();
+    }
     if (m_Weights.isCopying() && now() >= NextPeers) {
       NextPeers = now() + PeersSpan;
       co_await m_Follower.listInstances();
@@ -188,6 +195,8 @@
   const TimePoint Now = now();
   const bool IsNew = m_Entries.emplace(From, Now).second;
   m_Entries[From] = Now;
+  for (const wire::WeightsSourceState &Each : Message.hello().sources())
+    setSource(read(Each));
   for (const wire::DeclaredWeightsState &Each : Message.hello().declared())
     m_Weights.want(read(Each));
   if (IsNew)
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -85,6 +85,7 @@
   net::HttpServer m_Ready;
   net::HttpServer m_Directory;
   std::vector<DeclaredWeights> m_Declared;
+  std::vector<WeightsSource> m_Sources;
   std::map<std::string, LinkOrder> m_StateOrder; ///< by instance address
   TimePoint m_NextSubscribe{};
   bool m_Leaving = false;
@@ -148,10 +149,12 @@
     m_Instances.setServices(Declaration.m_Services);
     m_Requests.setDeclaration(Declaration);
     m_Callers.setLimits(callerLimits(Declaration.m_Limits));
+    m_Sources = sourcesOf(Declaration);
     noteReadiness();
   };
   Calls.m_OnInstances = [this](const std::vector<FleetInstance> &Listed) {
     m_Instances.setInstances(Listed, now());
+    m_NextSubscribe = {}; // New agents hear at once where weights come from.
     noteReadiness();
   };
   Calls.m_OnWeights = [this](const std::vector<DeclaredWeights> &Declared) {
@@ -264,6 +267,10 @@
   m_NextSubscribe = Now + SubscribeSpan;
   for (const DeclaredWeights &Each : m_Declared)
     write(Each, *Hello.add_declared());
+  // An agent that knows of a model and of no version takes the first one.
+  if (m_Follower.knowsWeights())
+    for (const WeightsSource &Each : m_Sources)
+      write(Each, *Hello.add_sources());
   const std::string Port =
       ":" + std::to_string(m_Context.m_Settings.m_AgentLinkPort);
   for (const std::string &Address : m_Instances.engineAddresses())
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -293,13 +293,10 @@
   });
 }
 
-asio::awaitable<bool> FleetFollower::readDeclaration() {
-  const auto List = co_await m_Store.list(m_Kinds.m_Declarations);
-  noteStore("list " + m_Kinds.m_Declarations, faultOf(List));
-  if (List)
-    for (const net::PlatformObject &Each : List->m_Items)
-      applyDeclaration(Each);
-  co_return knowsDeclaration();
+asio::awaitable<bool> FleetFollower::readDeclarations() {
+  // The versions first: who knows a model without them takes the first one.
+  co_return co_await listOnce(m_WeightVersions) &&
+      co_await listOnce(m_Declarations);
 }
 
 asio::awaitable<bool> FleetFollower::listInstances() {
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -53,12 +53,16 @@
   /// What another entry has read.
   void hear(const wire::StoreNews &News);
 
-  /// Reads the declaration once.
-  asio::awaitable<bool> readDeclaration();
+  /// Reads the declaration and the declared weights once.
+  asio::awaitable<bool> readDeclarations();
   /// Reads the list of instances once.
   asio::awaitable<bool> listInstances();
 
   bool knowsDeclaration() const { return m_Version != 0; }
+  /// The store was read, whether or not it names any version.
+  bool knowsWeights() const {
+    return m_WeightVersions.m_Reading.asOf() != TimePoint{};
+  }
   bool knowsInstances() const { return m_KnowsInstances; }
 
 private:
--- a/src/direct/store-news.cc
+++ b/src/direct/store-news.cc
@@ -11,6 +11,16 @@
   return {From.model(), From.version()};
 }
 
+void write(const WeightsSource &From, wire::WeightsSourceState &To) {
+  To.set_service(From.m_Service.m_Text);
+  To.set_model(From.m_Model);
+  To.set_origin(From.m_Origin);
+}
+
+WeightsSource read(const wire::WeightsSourceState &From) {
+  return {{From.service()}, From.model(), From.origin()};
+}
+
 void write(const HeldWeights &From, wire::HeldWeightsState &To) {
   To.set_model(From.m_Model);
   To.set_version(From.m_Version);
--- a/src/direct/store-news.h
+++ b/src/direct/store-news.h
@@ -13,6 +13,9 @@
 void write(const DeclaredWeights &From, wire::DeclaredWeightsState &To);
 DeclaredWeights read(const wire::DeclaredWeightsState &From);
 
+void write(const WeightsSource &From, wire::WeightsSourceState &To);
+WeightsSource read(const wire::WeightsSourceState &From);
+
 void write(const HeldWeights &From, wire::HeldWeightsState &To);
 HeldWeights read(const wire::HeldWeightsState &From);
 
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -150,12 +150,17 @@
   m_Transfer.m_Uplink->stop();
 }
 
-void WeightsSupply::setOrigin(const std::string &Address) {
-  if (m_OriginAddress == Address)
-    return;
-  m_OriginAddress = Address;
-  m_Transfer.m_Origin =
-      net::Adapters<net::Origin>::make(m_Http, "pieces://" + Address);
+void WeightsSupply::setSource(const WeightsSource &Source) {
+  if (Source.m_Origin != m_Source.m_Origin) {
+    // Reads from the one before may still be under way.
+    if (m_Transfer.m_Origin)
+      m_FormerOrigins.push_back(std::move(m_Transfer.m_Origin));
+    m_Transfer.m_Origin =
+        net::Adapters<net::Origin>::make(m_Http, "pieces://" + Source.m_Origin);
+  }
+  m_Source = Source;
+  for (const DeclaredWeights &Each : std::exchange(m_Early, {}))
+    want(Each);
 }
 
 void WeightsSupply::setPool(std::vector<FleetInstance> Pool) {
@@ -168,7 +173,10 @@
 }
 
 void WeightsSupply::want(const DeclaredWeights &Declared) {
-  if (Declared.m_Model != m_Model || !m_Declared.add(Declared.m_Version, now()))
+  if (!hasSource())
+    return m_Early.push_back(Declared);
+  if (Declared.m_Model != m_Source.m_Model ||
+      !m_Declared.add(Declared.m_Version, now()))
     return;
   m_Wanted = Declared;
   net::log(Event::WeightsDeclared,
@@ -230,7 +238,7 @@
   Out.m_PoolSize = std::max<std::size_t>(m_Pool.size(), 1);
   std::uint64_t Held = 0;
   for (const HeldWeights &Each : Report.m_Weights)
-    if (Each.m_Model == m_Model && Each.m_IsComplete)
+    if (Each.m_Model == m_Source.m_Model && Each.m_IsComplete)
       Held = std::max(Held, Each.m_Version);
   Out.m_DeclaredAt = m_Declared.behindSince(Held).value_or(now());
   Out.m_CopiedAt = Of.m_CompleteAt.value_or(now());
@@ -288,11 +296,11 @@
 }
 
 asio::awaitable<void> WeightsSupply::step(const InstanceReport &Report) {
-  if (m_Model.empty())
+  if (!hasSource())
     co_return;
   // Without any declared version the first one is meant.
   if (m_Wanted.m_Version == 0)
-    want({m_Model, FirstVersion});
+    want({m_Source.m_Model, FirstVersion});
   observe(m_Current);
   retireFormer();
   const bool IsWanted = m_Current.m_Copy && m_Current.m_Weights == m_Wanted;
--- a/src/direct/weights-supply.h
+++ b/src/direct/weights-supply.h
@@ -48,8 +48,8 @@
   Result<void> start();
   void stop();
 
-  void setModel(const std::string &Model) { m_Model = Model; }
-  void setOrigin(const std::string &Address);
+  void setSource(const WeightsSource &Source);
+  bool hasSource() const { return !m_Source.m_Model.empty(); }
   void setPool(std::vector<FleetInstance> Pool);
   void want(const DeclaredWeights &Declared);
 
@@ -95,8 +95,9 @@
   daemon::TransferContext m_Transfer;
   StagingCache *m_Staging = nullptr; ///< owned by m_Transfer
 
-  std::string m_Model;
-  std::string m_OriginAddress;
+  WeightsSource m_Source;
+  std::vector<DeclaredWeights> m_Early; ///< told before the source
+  std::vector<std::unique_ptr<net::Origin>> m_FormerOrigins;
   DeclaredWeights m_Wanted;
   DeclaredHistory m_Declared;
   Copy m_Current;
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -217,6 +217,7 @@
   if (How == OriginOutcome::Good && wants(Chunk)) {
     m_Unstaged.insert(Chunk);
     m_CorruptReads.erase(Chunk);
+    m_OriginRests = {};
     ++m_Counters.m_FromOrigin;
     m_LastGain = Now;
     markSeen(Chunk, Now);
@@ -235,7 +236,9 @@
     readOrigin(Out, Now);
     return Out;
   }
-  m_OriginRestUntil = Now + m_Options.m_OriginRest;
+  m_OriginRests = std::clamp(2 * m_OriginRests, m_Options.m_OriginRest,
+                             m_Options.m_OriginRestMost);
+  m_OriginRestUntil = Now + m_OriginRests;
   return Out;
 }
 
--- a/test/swarm-test.cc
+++ b/test/swarm-test.cc
@@ -228,6 +228,32 @@
   EXPECT_EQ(Under.counters().m_Duplicates, 1U);
 }
 
+TEST(Swarm, AnOriginThatLosesAnswersIsAskedAgainSoonAndOneThatIsAwaySeldom) {
+  const SwarmOptions Options;
+  Swarm Under = makeSwarm(2, Options);
+  TimePoint Now = Start;
+  const auto RestOf = [&](std::uint32_t Chunk) {
+    Under.onOriginReply(Chunk, Swarm::OriginOutcome::Failed, Now);
+    Duration Rest{};
+    while (Rest < Options.m_OriginRestMost * 2) {
+      Rest += 10ms;
+      for (const SwarmAction &Each : Under.onTick(Now + Rest))
+        if (std::holds_alternative<ReadOrigin>(Each)) {
+          Now += Rest;
+          return Rest;
+        }
+    }
+    return Rest;
+  };
+  Under.onTick(Now); // Reads both.
+  Under.onOriginReply(1, Swarm::OriginOutcome::Good, Now);
+  EXPECT_EQ(RestOf(0), Options.m_OriginRest);
+  EXPECT_EQ(RestOf(0), 2 * Options.m_OriginRest);
+  for (int I = 0; I < 3; ++I)
+    RestOf(0);
+  EXPECT_EQ(RestOf(0), Options.m_OriginRestMost);
+}
+
 TEST(Swarm, ARequestThatWasNotGrantedIsRefused) {
   Swarm Under = makeSwarm(2);
   Under.addStaged(0, Start);
