Let agents refresh their peers from older lists; name 2 s until weights are there

Cause: 76 agents read the list of instances anew each second while they copied, at full price, though a peer that has gone shows by its connection; and callers refused for want of weights were told 1 s, met the same copies, and were refused again. Test: DirectEntry.OneReadsTheStoreForAllAndAnotherTakesOver, Fleet.NamesWhereTheWeightsOfEachServiceComeFrom.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -183,7 +183,8 @@
     }
     if (m_Weights.isCopying() && now() >= NextPeers) {
       NextPeers = now() + PeersSpan;
-      co_await m_Follower.listInstances();
+      // Peers that have gone are noticed by their connections.
+      co_await m_Follower.listOldInstances();
     }
     co_await pauseFor(StepSpan);
   }
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -301,14 +301,23 @@
 
 asio::awaitable<bool> FleetFollower::listInstances() {
   const TimePoint Asked = now();
-  const auto List = co_await m_Store.list(m_Kinds.m_Instances);
+  co_return takeInstances(co_await m_Store.list(m_Kinds.m_Instances), Asked);
+}
+
+asio::awaitable<bool> FleetFollower::listOldInstances() {
+  const TimePoint Asked = now();
+  co_return takeInstances(co_await m_Store.listOld(m_Kinds.m_Instances), Asked);
+}
+
+bool FleetFollower::takeInstances(const Outcome<net::PlatformList> &List,
+                                  TimePoint AsOf) {
   noteStore("list " + m_Kinds.m_Instances, faultOf(List));
   if (!List || m_Stopped)
-    co_return false;
+    return false;
   InstanceList Read = parseInstances(*List);
-  confirmInstances(Asked);
+  confirmInstances(AsOf);
   applyInstances(std::move(Read));
-  co_return true;
+  return true;
 }
 
 InstanceList FleetFollower::parseInstances(const net::PlatformList &List) {
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -57,6 +57,8 @@
   asio::awaitable<bool> readDeclarations();
   /// Reads the list of instances once.
   asio::awaitable<bool> listInstances();
+  /// The same at a lower price: it may be some seconds old.
+  asio::awaitable<bool> listOldInstances();
 
   bool knowsDeclaration() const { return m_Version != 0; }
   /// The store was read, whether or not it names any version.
@@ -93,6 +95,7 @@
   void setWeights(const DeclaredWeights &Declared);
   void applyDeclaration(const net::PlatformObject &Object);
   void applyWeights(const net::PlatformObject &Object);
+  bool takeInstances(const Outcome<net::PlatformList> &List, TimePoint AsOf);
   InstanceList parseInstances(const net::PlatformList &List);
   void confirmInstances(TimePoint AsOf);
   void applyInstances(InstanceList Listed);
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -34,8 +34,9 @@
 constexpr std::size_t Candidates = 3;
 /// Retrying sooner would meet the same requests.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(60);
-/// Until weights arrive or instances come back.
-constexpr Duration RetryAfterNothing = std::chrono::milliseconds(1'000);
+/// Until weights arrive or instances come back: a copy of some MB takes two to
+/// four seconds over links of some Mbit/s.
+constexpr Duration RetryAfterNothing = std::chrono::milliseconds(2'000);
 
 Duration fromMs(double Ms) {
   return Duration(static_cast<Duration::rep>(Ms * 1e6));
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -81,6 +81,10 @@
   virtual asio::awaitable<Outcome<PlatformObject>> get(std::string Kind,
                                                        std::string Name) = 0;
   virtual asio::awaitable<Outcome<PlatformList>> list(std::string Kind) = 0;
+  /// May be some seconds old, where that costs less.
+  virtual asio::awaitable<Outcome<PlatformList>> listOld(std::string Kind) {
+    return list(std::move(Kind));
+  }
   /// Replaces the object if it still has that revision; gives the new one.
   virtual asio::awaitable<Outcome<Revision>> update(PlatformObject Object) = 0;
   virtual asio::awaitable<Outcome<Revision>>
--- a/test/direct-entry-test.cc
+++ b/test/direct-entry-test.cc
@@ -210,6 +210,44 @@
   EXPECT_EQ(call("/once/1").m_Status, 404U);
 }
 
+/// Long enough that on the slowest machine nothing is read for being old.
+DirectBounds slowBounds() {
+  DirectBounds Out;
+  Out.m_Apply = 20s;
+  Out.m_Drain = 20s;
+  return Out;
+}
+
+std::int64_t callsOf(RunningEntry &Of) {
+  return Of.dump().at("storeCalls").to_number<std::int64_t>();
+}
+
+TEST_F(DirectEntry, OneReadsTheStoreForAllAndAnotherTakesOver) {
+  m_Entry.reset();
+  std::optional<RunningEntry> Reader;
+  Reader.emplace(m_Store.address(), "e1", slowBounds());
+  m_Entry.emplace(m_Store.address(), "e2", slowBounds());
+  ASSERT_TRUE(eventually(
+      [&] { return isReady() && m_Entry->dump().at("entries") == 2; }));
+  // A watch that began before they knew each other ends.
+  std::int64_t Before = 0;
+  ASSERT_TRUE(eventually([&] {
+    const std::int64_t Known = std::exchange(Before, callsOf(*m_Entry));
+    const std::int64_t Others = callsOf(*Reader);
+    return eventually([&] { return callsOf(*Reader) >= Others + 4; }) &&
+           Known == callsOf(*m_Entry);
+  }));
+  m_Store.put("config", "main",
+              declarationOf(2, routeOf("new", "idempotent", "pool")));
+  ASSERT_TRUE(eventually([this] { return call("/new/1").m_Status == 200; }));
+  // It read the change that it was told of, and nothing else.
+  EXPECT_LE(callsOf(*m_Entry), Before + 2);
+  Reader.reset();
+  m_Store.put("config", "main",
+              declarationOf(3, routeOf("newer", "idempotent", "pool")));
+  EXPECT_TRUE(eventually([this] { return call("/newer/1").m_Status == 200; }));
+}
+
 TEST_F(DirectEntry, ServesOnWhileTheStoreIsAway) {
   m_Store.setDown(true);
   for (int I = 0; I < 20; ++I)
--- a/test/direct-fleet.cc
+++ b/test/direct-fleet.cc
@@ -268,16 +268,23 @@
   return false;
 }
 
-RunningEntry::RunningEntry(const std::string &StoreAddress)
+DirectBounds RunningEntry::quickBounds() {
+  DirectBounds Out;
+  Out.m_Drain = 150ms;
+  return Out;
+}
+
+RunningEntry::RunningEntry(const std::string &StoreAddress,
+                           const std::string &Id, DirectBounds Bounds)
     : m_Callers(freeAddress()), m_Ready(freeAddress()),
       m_Directory(freeAddress()), m_Context{m_Threads, {}, 1} {
   DirectSettings &Settings = m_Context.m_Settings;
-  Settings.m_Instance = {"entry"};
+  Settings.m_Instance = {Id};
   Settings.m_DataCentre = {"a"};
   Settings.m_Listen = {m_Callers, m_Ready, m_Directory, "", freeAddress(), ""};
   Settings.m_AgentLinkPort = 9; // Nobody listens there.
   Settings.m_Store = "objects://" + StoreAddress;
-  Settings.m_Bounds.m_Drain = 150ms;
+  Settings.m_Bounds = Bounds;
   m_Role = direct::makeEntry(m_Context);
   const auto Started = outcomeOf([this]() -> Result<bool> {
     BOOST_LEAF_CHECK(m_Role->start());
--- a/test/direct-fleet.h
+++ b/test/direct-fleet.h
@@ -103,7 +103,9 @@
 /// A real entry on free ports.
 class RunningEntry {
 public:
-  explicit RunningEntry(const std::string &StoreAddress);
+  explicit RunningEntry(const std::string &StoreAddress,
+                        const std::string &Id = "entry",
+                        DirectBounds Bounds = quickBounds());
   ~RunningEntry();
   RunningEntry(const RunningEntry &) = delete;
   RunningEntry &operator=(const RunningEntry &) = delete;
@@ -116,6 +118,8 @@
   boost::json::object dump();
 
 private:
+  static DirectBounds quickBounds();
+
   net::IoThreads m_Threads{0};
   std::string m_Callers;
   std::string m_Ready;
