Tell entries of other data centres of an instance each 200 ms

Change: entries of other data centres hear at most five times a second, at once only of what they may not or may again send.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -32,6 +32,9 @@
 constexpr Duration IdleReportSpan = milliseconds(400);
 /// What has not changed is told again that often.
 constexpr Duration RepeatSpan = milliseconds(240);
+/// Entries of other data centres send here only what their own cannot take:
+/// they need no fresher count, and all agents tell all entries.
+constexpr Duration FarSpan = milliseconds(200);
 /// An entry that said nothing for so long is not told any more.
 constexpr Duration SubscriptionLifetime = std::chrono::seconds(4);
 constexpr Duration StepSpan = milliseconds(50);
@@ -73,6 +76,14 @@
   return Out;
 }
 
+/// An entry that is told of the instance.
+struct Listener {
+  TimePoint m_Heard{};  ///< its last hello
+  bool m_IsNear = true; ///< in the same data centre
+  TimePoint m_ToldAt{};
+  bool m_IsBehind = true; ///< something has changed since
+};
+
 class Agent final : public DirectRole {
 public:
   explicit Agent(DirectContext &Context);
@@ -89,6 +100,7 @@
   asio::awaitable<void> storeLoop();
   asio::awaitable<void> readReport();
   void onLink(const wire::LinkMessage &Message, const std::string &From);
+  wire::InstanceState state() const;
   void tellEntries(TimePoint Now);
   void onDeclaration(const FleetDeclaration &Declaration);
   void setSource(const WeightsSource &Source);
@@ -106,9 +118,8 @@
 
   InstanceReport m_Report;
   bool m_HasReport = false;
-  std::string m_ToldText;
-  TimePoint m_ToldAt{};
-  std::map<std::string, TimePoint> m_Entries; ///< by link address: last hello
+  wire::InstanceState m_Told;                ///< last, to any entry
+  std::map<std::string, Listener> m_Entries; ///< by link address
 
   bool m_Stopped = false;
 };
@@ -194,14 +205,14 @@
   if (!Message.has_hello())
     return;
   const TimePoint Now = now();
-  const bool IsNew = m_Entries.emplace(From, Now).second;
-  m_Entries[From] = Now;
+  Listener &Entry = m_Entries[From];
+  Entry.m_Heard = Now;
+  Entry.m_IsNear =
+      Message.hello().data_centre() == m_Context.m_Settings.m_DataCentre.m_Text;
   for (const wire::WeightsSourceState &Each : Message.hello().sources())
     setSource(read(Each));
   for (const wire::DeclaredWeightsState &Each : Message.hello().declared())
     m_Weights.want(read(Each));
-  if (IsNew)
-    m_ToldAt = {};
 }
 
 asio::awaitable<void> Agent::readReport() {
@@ -226,7 +237,7 @@
     co_await readReport();
     const TimePoint Now = now();
     std::erase_if(m_Entries, [Now](const auto &Each) {
-      return Now - Each.second > SubscriptionLifetime;
+      return Now - Each.second.m_Heard > SubscriptionLifetime;
     });
     if (m_HasReport)
       tellEntries(Now);
@@ -235,23 +246,46 @@
   }
 }
 
+wire::InstanceState Agent::state() const {
+  wire::InstanceState Out;
+  Out.set_address(m_InstanceAddress);
+  Out.set_running(m_Report.m_Running);
+  Out.set_waiting(m_Report.m_Waiting);
+  Out.set_takes_requests(m_Report.m_TakesRequests && !m_Weights.isOrdered());
+  Out.set_has_sound_link(m_Weights.hasSoundLink());
+  for (const HeldWeights &Each : m_Report.m_Weights)
+    write(Each, *Out.add_weights());
+  return Out;
+}
+
+/// Whether entries may no longer send what they sent before, or may again.
+bool isUrgent(const wire::InstanceState &Now, const wire::InstanceState &Told) {
+  wire::InstanceState Before = Told;
+  Before.set_running(Now.running());
+  Before.set_waiting(Now.waiting());
+  return Before.SerializeAsString() != Now.SerializeAsString();
+}
+
 void Agent::tellEntries(TimePoint Now) {
   wire::LinkMessage Message;
-  wire::InstanceState &State = *Message.mutable_state();
-  State.set_address(m_InstanceAddress);
-  State.set_running(m_Report.m_Running);
-  State.set_waiting(m_Report.m_Waiting);
-  State.set_takes_requests(m_Report.m_TakesRequests && !m_Weights.isOrdered());
-  State.set_has_sound_link(m_Weights.hasSoundLink());
-  for (const HeldWeights &Each : m_Report.m_Weights)
-    write(Each, *State.add_weights());
-  std::string Text = State.SerializeAsString();
-  if (Text == m_ToldText && Now - m_ToldAt < RepeatSpan)
-    return;
-  m_ToldText = std::move(Text);
-  m_ToldAt = Now;
-  for (const auto &[To, Heard] : m_Entries)
+  *Message.mutable_state() = state();
+  const bool IsChanged =
+      Message.state().SerializeAsString() != m_Told.SerializeAsString();
+  const bool IsUrgent = isUrgent(Message.state(), m_Told);
+  m_Told = Message.state();
+  for (auto &[To, Each] : m_Entries) {
+    Each.m_IsBehind = Each.m_IsBehind || IsChanged;
+    const Duration Since = Now - Each.m_ToldAt;
+    const Duration Span =
+        Each.m_IsNear || IsUrgent ? Duration::zero() : FarSpan;
+    const bool IsDue =
+        Since >= RepeatSpan || (Each.m_IsBehind && Since >= Span);
+    if (!IsDue)
+      continue;
     m_Link.send(To, Message);
+    Each.m_ToldAt = Now;
+    Each.m_IsBehind = false;
+  }
 }
 
 asio::awaitable<void> Agent::stepLoop() {
