--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,6 +7,9 @@
 cd "$(dirname "$0")/.."
 jobs=${JOBS:-$(nproc)}
 scripts/setup.sh
+# A compiler cache that is warm from another clone serves this one too.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+export CCACHE_SLOPPINESS=pch_defines,time_macros
 known_red=$(scripts/known-red.sh)
 
 build() { # folder, further options of cmake
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -62,11 +62,18 @@
   absl::SetProgramUsageMessage(
       "operators' tool of deckpitch\n"
       "  apply --file=FILE [--revision=R]\n  get KIND [NAME]\n  status\n"
-      "  watch [--revision=R]\n  dump\n  drain\n  check-settings FILE");
+      "  watch [--revision=R]\n  dump\n  drain\n  check-settings FILE\n"
+      "example: deckpitchctl --entry=10.0.0.1:7701 apply --file=pools.json\n"
+      "exit codes: 0 good, 1 refused, 2 bad command line, 3 no answer,\n"
+      "  4 another write came first");
   absl::FlagsUsageConfig Usage;
   Usage.version_string = [] {
     return std::string("deckpitchctl " DECKPITCH_VERSION "\n");
   };
+  // The library's default looks for a file named like the program.
+  Usage.contains_help_flags = [](absl::string_view File) {
+    return File.find("src/ctl/") != absl::string_view::npos;
+  };
   absl::SetFlagsUsageConfig(Usage);
   const std::vector<char *> Positional = absl::ParseCommandLine(Argc, Argv);
   const std::string Output = absl::GetFlag(FLAGS_output);
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -95,16 +95,26 @@
 
 int main(int Argc, char **Argv) {
   absl::SetProgramUsageMessage(
-      "runs one process of deckpitch; --settings=FILE [--check]");
+      "runs one process of deckpitch\n"
+      "  deckpitchd --settings=FILE            runs until a stop signal\n"
+      "  deckpitchd --settings=FILE --check    says whether the file is good\n"
+      "flags: --settings, --check, --verbose, --version, --help\n"
+      "exit codes: 0 stopped as asked or a good file, 1 could not start,\n"
+      "  2 bad flags or settings");
   absl::FlagsUsageConfig Usage;
   Usage.version_string = [] {
     return std::string("deckpitchd " DECKPITCH_VERSION "\n");
   };
+  // The library's default looks for a file named like the program.
+  Usage.contains_help_flags = [](absl::string_view File) {
+    return File.find("src/daemon/") != absl::string_view::npos;
+  };
   absl::SetFlagsUsageConfig(Usage);
   absl::ParseCommandLine(Argc, Argv);
   const std::string Path = absl::GetFlag(FLAGS_settings);
   if (Path.empty()) {
-    std::cerr << "--settings=FILE is needed; see --help\n";
+    std::cerr << "--settings=FILE is needed\n"
+              << absl::ProgramUsageMessage() << "\n";
     return ExitUsage;
   }
   const auto Least = absl::GetFlag(FLAGS_verbose) ? deckpitch::Severity::Debug
--- a/test/harness-test.cc
+++ b/test/harness-test.cc
@@ -50,4 +50,19 @@
     EXPECT_EQ(Under.entry(I).m_Process->stop(), 0);
 }
 
+TEST(Programs, SayHowTheyAreUsed) {
+  for (const std::string Name : {"deckpitchd", "deckpitchctl"}) {
+    Child Asked(Name, {"--help"});
+    EXPECT_EQ(Asked.waitForExit(), 1) << Name; // The flags library's own code.
+    const std::string Said = Asked.output();
+    EXPECT_EQ(Said.find("No flags matched"), std::string::npos) << Said;
+    EXPECT_NE(Said.find(Name == "deckpitchd" ? "--settings" : "--output"),
+              std::string::npos)
+        << Said;
+  }
+  Child Bare("deckpitchd", {});
+  EXPECT_EQ(Bare.waitForExit(), 2);
+  EXPECT_NE(Bare.errors().find("exit codes"), std::string::npos);
+}
+
 } // namespace
