--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -24,7 +24,6 @@
 
 namespace {
 
-constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
 /// Between two looks at the instance while entries listen: a share of the time
 /// in which one request ends at a full engine.
 constexpr Duration ReportSpan = milliseconds(50);
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -32,6 +32,7 @@
 std::vector<InstanceId> firstInOrder(const std::vector<InstanceId> &Of,
                                      std::uint32_t Chunk) {
   std::vector<std::pair<std::uint64_t, InstanceId>> Scored;
+  Scored.reserve(Of.size());
   for (const InstanceId &Each : Of)
     Scored.emplace_back(score(hashOf(Each), Chunk), Each);
   const std::size_t Count = std::min(MostImporters, Scored.size());
--- a/test/swarm-test.cc
+++ b/test/swarm-test.cc
@@ -313,6 +313,7 @@
   constexpr std::uint32_t Chunks = 48;
   Swarm Under({Self}, DataCentreId{"lahore"}, Chunks, {}, 1);
   std::vector<InstanceId> Near;
+  Near.reserve(25);
   for (int I = 0; I < 25; ++I)
     Near.push_back(named("near-" + std::to_string(I)));
   Under.setDataCentres({{DataCentreId{"lahore"}, Near},
