--- a/support/soak/faults.py
+++ b/support/soak/faults.py
@@ -13,12 +13,13 @@
 
 async def stop_process(system, daemon):
     """A planned stop: it must end by itself within its grace."""
-    daemon.signal(signal.SIGTERM)
-    if await daemon.wait(GRACE_S + 2.0) is None:
-        if system.record.is_timed:
-            system.record.violate(f"GRACE {daemon.name} still runs after its grace")
-        await daemon.kill()
-    await daemon.start()
+    async with daemon.lock:
+        daemon.signal(signal.SIGTERM)
+        if await daemon.wait(GRACE_S + 2.0) is None:
+            if system.record.is_timed:
+                system.record.violate(f"GRACE {daemon.name} still runs after its grace")
+            await daemon.kill()
+        await daemon.start()
 
 
 async def stop_entry(system):
@@ -63,21 +64,29 @@
 
 async def kill_process(system):
     daemon = system.random.choice(system.entries + system.agents)
-    await daemon.kill()
-    await asyncio.sleep(system.random.uniform(0.0, 1.0))
-    await daemon.start()
+    pause = system.random.uniform(0.0, 1.0)
+    async with daemon.lock:
+        await daemon.kill()
+        await asyncio.sleep(pause)
+        await daemon.start()
 
 
 async def kill_entries(system):
-    await asyncio.gather(*(each.kill() for each in system.entries))
-    await asyncio.gather(*(each.start() for each in system.entries))
+    async def kill_and_start(daemon):
+        async with daemon.lock:
+            await daemon.kill()
+            await daemon.start()
+
+    await asyncio.gather(*(kill_and_start(each) for each in system.entries))
 
 
 async def freeze_process(system):
     daemon = system.random.choice(system.entries + system.agents)
-    daemon.signal(signal.SIGSTOP)
-    await asyncio.sleep(system.random.uniform(0.3, 4.0))
-    daemon.signal(signal.SIGCONT)
+    pause = system.random.uniform(0.3, 4.0)
+    async with daemon.lock:
+        daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(pause)
+        daemon.signal(signal.SIGCONT)
 
 
 async def crash_instance(system):
@@ -205,5 +214,7 @@
 
 def check_memory(system):
     for each in system.entries + system.agents:
-        if each.memory_mb() > MOST_MEMORY_MB:
+        if not each.is_running():
+            system.record.violate(f"EXIT {each.name} ended by itself")
+        elif each.memory_mb() > MOST_MEMORY_MB:
             system.record.violate(f"MEMORY {each.name}: {each.memory_mb():.0f} MB")
--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -98,6 +98,7 @@
 
     def __init__(self, program, folder, name, settings):
         self.name = name
+        self.lock = asyncio.Lock()  # held by the fault that stops and starts it
         self._program = program
         self._path = folder / f"{name}.json"
         self._path.write_text(json.dumps(settings))
@@ -124,6 +125,9 @@
         if self._process:
             await self._process.wait()
 
+    def is_running(self):
+        return self._process is not None and self._process.returncode is None
+
     def memory_mb(self):
         text = Path(f"/proc/{self._process.pid}/status").read_text()
         line = next(each for each in text.splitlines() if each.startswith("VmHWM"))
