--- a/support/soak/faults.py
+++ b/support/soak/faults.py
@@ -7,7 +7,7 @@
 
 import addresses
 import standins
-from soak import APP, CALLERS, DRAIN_S, GRACE_S, KEY, MOST_MEMORY_MB, SETTLE_S
+from soak import APP, CALLERS, DRAIN_S, GRACE_S, KEY, MOST_MEMORY_MB, OPERATOR, SETTLE_S
 from http_lite import call
 
 
@@ -179,10 +179,20 @@
         while not await holds(system):
             if time.monotonic() > end:
                 system.record.violate(f"RECOVER {when}, not within {SETTLE_S:.0f} s: {what}")
+                await print_dumps(system)
                 return
             await asyncio.sleep(0.1)
 
 
+async def print_dumps(system):
+    """The state of each process, as operators see it."""
+    hosts = [addresses.entry(i + 1) for i in range(len(system.entries))]
+    hosts += [each.host for each in system.instances]
+    for host in hosts:
+        answer = await call(host, OPERATOR, "GET", "/v1/dump", limit=3.0)
+        print(f"dump {host}: {answer.body.decode() if answer else 'no answer'}")
+
+
 async def entries_ready(system):
     numbers = range(1, len(system.entries) + 1)
     return all([await system.is_ready(number) for number in numbers])
