--- a/include/deckpitch/declared-history.h
+++ b/include/deckpitch/declared-history.h
@@ -15,16 +15,30 @@
 /// not extend.
 class DeclaredHistory {
 public:
-  /// False when the version is not newer than all before it.
-  bool add(std::uint64_t Version, TimePoint Now) {
+  /// False when the version is not newer than all before it. Of several times
+  /// for one version the earliest holds: who hears of it late must not take
+  /// that for its declaration.
+  bool add(std::uint64_t Version, TimePoint Since) {
+    for (Declared &Each : m_List)
+      if (Each.m_Version == Version)
+        Each.m_Since = std::min(Each.m_Since, Since);
     if (Version <= newest())
       return false;
     if (m_List.size() == MostKept)
       m_List.erase(m_List.begin());
-    m_List.push_back({Version, Now});
+    m_List.push_back({Version, Since});
     return true;
   }
 
+  /// When that version was declared, at the earliest; nothing when it is not
+  /// known.
+  std::optional<TimePoint> since(std::uint64_t Version) const {
+    for (const Declared &Each : m_List)
+      if (Each.m_Version == Version)
+        return Each.m_Since;
+    return std::nullopt;
+  }
+
   std::uint64_t newest() const {
     return m_List.empty() ? 0 : m_List.back().m_Version;
   }
--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/id.h"
+#include "deckpitch/time.h"
 
 #include <chrono>
 #include <cstdint>
@@ -148,6 +149,15 @@
                          const DeclaredWeights &) = default;
 };
 
+/// A declared version, and when it was declared at the earliest: the last time
+/// at which it was known not to be.
+struct HeardWeights {
+  DeclaredWeights m_Declared;
+  TimePoint m_Since{};
+
+  friend bool operator==(const HeardWeights &, const HeardWeights &) = default;
+};
+
 /// "model@version", as the rest of the system names weights.
 inline WeightsId weightsIdOf(const DeclaredWeights &Value) {
   return {Value.m_Model + "@" + std::to_string(Value.m_Version)};
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/declared-history.h"
+#include "deckpitch/engine-model.h"
 #include "deckpitch/fleet.h"
 #include "deckpitch/time.h"
 #include "deckpitch/upstream-choice.h"
@@ -24,6 +25,8 @@
   bool m_TakesRequests = true; ///< false while it swaps weights
   bool m_HasSoundLink = false; ///< see versionSpare()
   std::vector<HeldWeights> m_Weights;
+  /// Until it is to load other weights, where these are ready.
+  std::optional<Duration> m_SwapIn;
 
   friend bool operator==(const InstanceReport &,
                          const InstanceReport &) = default;
@@ -35,8 +38,15 @@
   std::string m_Model; ///< empty: a plain service
   std::chrono::milliseconds m_Objective{1'000};
   std::set<InstanceId> m_Tried;
+  std::set<InstanceId> m_Full; ///< whose agents have just refused it
   /// Places of an engine that are to stay free for others.
   double m_Reserve = 0;
+  StreamSize m_Size; ///< of a request for a model
+  /// Requests by which an instance may be believed over its limit where its
+  /// agent, which knows, is asked before the request is sent.
+  double m_AskedBeyond = 0;
+  /// Only instances with these weights may take it; 0: any that may serve.
+  std::uint64_t m_Version = 0;
 };
 
 enum class ChoiceOutcome {
@@ -56,19 +66,6 @@
   Duration m_RetryAfter{};
 };
 
-/// How many requests an engine may hold so that the newest one's first token
-/// still comes in time, and how soon a place becomes free.
-struct EngineCapacity {
-  double m_Limit = 1;
-  Duration m_BetweenEnds{}; ///< mean time between two ends at a full engine
-
-  friend bool operator==(const EngineCapacity &,
-                         const EngineCapacity &) = default;
-};
-
-EngineCapacity capacityOf(const EngineProfile &Profile,
-                          std::chrono::milliseconds Objective);
-
 /// Objects by id, no clock, no socket. Own requests are counted exactly; those
 /// of other entries come from reports, or are guessed from the own ones.
 class InstanceTable {
@@ -90,18 +87,32 @@
   InstanceChoice choose(const ChoiceQuery &Query, TimePoint Now);
 
   void started(const InstanceId &Id, TimePoint Now);
+  /// What the instance's agent is to be asked before the request is sent;
+  /// nothing where no agent is heard, or none is needed.
+  std::optional<PlaceQuery> placeQuery(const InstanceId &Id,
+                                       const ChoiceQuery &Query,
+                                       TimePoint Now) const;
+  /// Its agent did not answer such a question.
+  void unanswered(const InstanceId &Id, TimePoint Now);
   /// The first byte of a request's answer came: its prompt has been read.
   void answering(const InstanceId &Id);
   enum class End { Good, Failed, Neutral };
   void ended(const InstanceId &Id, End How, bool WasAnswering, TimePoint Now);
   /// Something came from it.
   void heard(const InstanceId &Id, TimePoint Now);
+  /// The version of a model that an instance serves; 0 when it serves none.
+  std::uint64_t versionAt(const InstanceId &Id, const std::string &Model) const;
+  /// Instances that have been taking no requests for so long, since they are
+  /// loading other weights.
+  std::vector<InstanceId> swappingFor(Duration Length, TimePoint Now) const;
   /// The address now belongs to another life: not to be used any more.
   void replaced(const InstanceId &Id);
   /// Instances with requests under way from which nothing has come for so
   /// long.
   std::vector<InstanceId> silentFor(Duration Length, TimePoint Now) const;
 
+  /// That one event of a stream of the service usually holds; 0: not known.
+  std::uint32_t tokensPerEvent(const ServiceId &Service) const;
   std::size_t size() const { return m_Instances.size(); }
   const FleetInstance *find(const InstanceId &Id) const;
   /// Addresses of the instances of services with engines.
@@ -118,17 +129,25 @@
     std::uint32_t m_Others = 0;     ///< at the time of the report
     std::optional<TimePoint> m_Reported;
     bool m_TakesRequests = true;
+    TimePoint m_ClosedAt{}; ///< since it takes no requests
     bool m_HasSoundLink = false;
+    std::optional<TimePoint> m_SwapAt; ///< when it loads other weights
     std::vector<HeldWeights> m_Weights;
     Ejection m_Ejection;
     TimePoint m_Heard{};
+    TimePoint m_AskAgain{}; ///< its agent did not answer before
   };
 
   bool isUsable(const InstanceId &Id, const Instance &Each,
                 const ChoiceQuery &Query) const;
   double scoreOf(const Instance &Each, TimePoint Now);
-  bool serves(const Instance &Each, const std::string &Model,
+  bool serves(const Instance &Each, const ChoiceQuery &Query,
               TimePoint Now) const;
+  bool endsBeforeSwap(const Instance &Each, const ChoiceQuery &Query,
+                      TimePoint Now) const;
+  Duration beginsWithin(const Instance &Each, TimePoint Now) const;
+  const EngineProfile *engineOf(const ServiceId &Service) const;
+  bool isAsked(const Instance &Each, TimePoint Now) const;
   double loadOf(const Instance &Each, TimePoint Now) const;
   double limitOf(const Instance &Each, const ChoiceQuery &Query) const;
 
--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -60,6 +60,13 @@
   friend bool operator==(const SwarmOptions &, const SwarmOptions &) = default;
 };
 
+/// Whether chunks queue on the way to an instance, and requests behind them.
+enum class LinkVerdict {
+  Unknown, ///< too few chunks have come to tell
+  Sound,
+  Narrow ///< chunks take so long that fewer are asked for
+};
+
 /// Offers a peer one chunk of its choice.
 struct SendGrant {
   PeerNumber m_Peer;
@@ -197,8 +204,8 @@
   const ChunkSet &here() const { return m_Here; }
   const ChunkSet &seen() const { return m_Seen; }
   const SwarmCounters &counters() const { return m_Counters; }
-  /// Chunks take so long that fewer are asked for: they queue on the way.
-  bool hasNarrowLink() const { return m_Room * 2 < m_Options.m_Expected; }
+  /// What this copy's chunks have shown of the machine's link.
+  LinkVerdict linkVerdict() const;
   std::size_t peerCount() const { return m_Peers.size(); }
   bool setAside(const InstanceId &Id, TimePoint Now) const;
 
--- a/include/deckpitch/weights-plan.h
+++ b/include/deckpitch/weights-plan.h
@@ -9,17 +9,18 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace deckpitch {
 
-/// How long before a version's bound requests are no longer sent to instances
-/// with an older one, so that none begins past it. On a sound link a request
-/// begins within a second, also at a full instance; on a link of 1.2 Mbit/s
-/// that also takes in chunks it was measured to begin up to 3.2 s after it was
-/// sent.
+/// How long before a version's bound an instance with an older one must have
+/// begun the last request that it was sent: beside what it waits there, for the
+/// way to it and for what others have just sent. On a link of 1.2 Mbit/s that
+/// also takes in chunks a request was measured to begin up to 3.2 s after it
+/// was sent.
 constexpr Duration versionSpare(bool HasSoundLink) {
-  return std::chrono::milliseconds(HasSoundLink ? 1'600 : 3'600);
+  return std::chrono::milliseconds(HasSoundLink ? 600 : 3'600);
 }
 
 /// What is known when the next step is decided.
@@ -64,6 +65,19 @@
 
 WeightsStep nextWeightsStep(const WeightsState &State, TimePoint Now);
 
+/// One instance of a pool, as far as the order of swaps is concerned.
+struct PoolMember {
+  std::string m_Address;
+  DataCentreId m_DataCentre;
+
+  friend bool operator==(const PoolMember &, const PoolMember &) = default;
+};
+
+/// The place of an instance in the order in which the pool swaps. Neighbours in
+/// the order stand in different data centres, so that none is without more of
+/// its instances than the others. The size of the pool for an unknown one.
+std::size_t swapRank(std::vector<PoolMember> Pool, std::string_view Address);
+
 /// When an instance that serves an older version may swap: the pool's swaps
 /// are spread over the time that is left, so that only some are away at once.
 TimePoint swapTime(const WeightsState &State);
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -1,8 +1,10 @@
 // The agent of a fleet, beside one instance: brings it the declared weights
 // and tells the entries what it does.
 #include "daemon/clock.h"
+#include "deckpitch/place-ledger.h"
 #include "direct/adapter.h"
 #include "direct/fleet-follower.h"
+#include "direct/place-client.h"
 #include "direct/role.h"
 #include "direct/state-link.h"
 #include "direct/store-news.h"
@@ -14,6 +16,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace deckpitch::direct {
@@ -50,6 +53,11 @@
   return Address.substr(0, Address.rfind(':'));
 }
 
+std::uint32_t msOf(Duration Value) {
+  const auto Ms = std::chrono::duration_cast<milliseconds>(Value).count();
+  return static_cast<std::uint32_t>(std::max<milliseconds::rep>(Ms, 0));
+}
+
 /// What the copying of weights takes of the settings.
 Settings copySettings(const DirectSettings &From) {
   constexpr double BytesPerSecond = 1e6 / 8;
@@ -100,6 +108,10 @@
   asio::awaitable<void> readReport();
   void onLink(const wire::LinkMessage &Message, const std::string &From);
   wire::InstanceState state() const;
+  bool takesRequests() const {
+    return m_Report.m_TakesRequests && !m_Weights.isOrdered();
+  }
+  void answerPlace(const wire::PlaceQuery &Query, const std::string &From);
   void tellEntries(TimePoint Now);
   void onDeclaration(const FleetDeclaration &Declaration);
   void setSource(const WeightsSource &Source);
@@ -117,6 +129,7 @@
 
   InstanceReport m_Report;
   bool m_HasReport = false;
+  PlaceLedger m_Places;
   wire::InstanceState m_Told;                ///< last, to any entry
   std::map<std::string, Listener> m_Entries; ///< by link address
 
@@ -139,8 +152,8 @@
                   [this](const std::vector<FleetInstance> &Listed) {
                     m_Weights.setPool(Listed);
                   },
-                  [this](const std::vector<DeclaredWeights> &Declared) {
-                    for (const DeclaredWeights &Each : Declared)
+                  [this](const std::vector<HeardWeights> &Declared) {
+                    for (const HeardWeights &Each : Declared)
                       m_Weights.want(Each);
                   },
                   nullptr}),
@@ -200,7 +213,20 @@
   }
 }
 
+void Agent::answerPlace(const wire::PlaceQuery &Query,
+                        const std::string &From) {
+  wire::LinkMessage Message;
+  wire::PlaceAnswer &Answer = *Message.mutable_place_answer();
+  Answer.set_id(Query.id());
+  Answer.set_is_granted(m_HasReport && takesRequests() &&
+                        m_Places.grant(read(Query), now()));
+  *Answer.mutable_state() = state();
+  m_Link.send(From, std::move(Message));
+}
+
 void Agent::onLink(const wire::LinkMessage &Message, const std::string &From) {
+  if (Message.has_place_query())
+    answerPlace(Message.place_query(), From);
   if (!Message.has_hello())
     return;
   const TimePoint Now = now();
@@ -211,7 +237,7 @@
   for (const wire::WeightsSourceState &Each : Message.hello().sources())
     setSource(read(Each));
   for (const wire::DeclaredWeightsState &Each : Message.hello().declared())
-    m_Weights.want(read(Each));
+    m_Weights.want(read(Each, Now));
 }
 
 asio::awaitable<void> Agent::readReport() {
@@ -229,6 +255,7 @@
                 {"version", Each.m_Version},
                 {"complete", std::uint64_t{Each.m_IsComplete}}});
   m_Report = *Read;
+  m_Places.reported(Read->m_Running + Read->m_Waiting, now());
 }
 
 asio::awaitable<void> Agent::reportLoop() {
@@ -249,9 +276,13 @@
   wire::InstanceState Out;
   Out.set_address(m_InstanceAddress);
   Out.set_running(m_Report.m_Running);
-  Out.set_waiting(m_Report.m_Waiting);
-  Out.set_takes_requests(m_Report.m_TakesRequests && !m_Weights.isOrdered());
+  // With what was promised a place and is still on its way.
+  Out.set_waiting(std::max(m_Places.held(), m_Report.m_Running) -
+                  m_Report.m_Running);
+  Out.set_takes_requests(takesRequests());
   Out.set_has_sound_link(m_Weights.hasSoundLink());
+  if (const auto SwapIn = m_Weights.swapIn(m_Report, now()))
+    Out.set_swap_in_ms(msOf(*SwapIn));
   for (const HeldWeights &Each : m_Report.m_Weights)
     write(Each, *Out.add_weights());
   return Out;
@@ -262,6 +293,9 @@
   wire::InstanceState Before = Told;
   Before.set_running(Now.running());
   Before.set_waiting(Now.waiting());
+  // Counts down by itself at those that were told.
+  if (Before.has_swap_in_ms() && Now.has_swap_in_ms())
+    Before.set_swap_in_ms(Now.swap_in_ms());
   return Before.SerializeAsString() != Now.SerializeAsString();
 }
 
--- /dev/null
+++ b/src/direct/entry-call.h
@@ -0,0 +1,94 @@
+// One request while an entry serves it. For the files of EntryRequests only.
+#pragma once
+
+#include "daemon/clock.h"
+#include "deckpitch/event-stream.h"
+#include "direct/entry-requests.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+
+namespace deckpitch::direct {
+
+/// Work of a token written against one read.
+inline constexpr double WrittenTokenWork = 10;
+/// A send that was refused may be made good by one more.
+inline constexpr std::uint32_t LeastSends = 2;
+
+/// For log lines: whole milliseconds, 0 for what is past.
+inline std::uint64_t msOf(Duration Value) {
+  const auto Count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+  return Count < 0 ? 0 : static_cast<std::uint64_t>(Count);
+}
+
+/// One request while it is served.
+struct EntryRequests::Call {
+  net::HttpRequest m_Request;
+  net::HttpResponder &m_Answer;
+  std::shared_ptr<const RouteIndex> m_Routes;
+  CallerTerms m_Terms;
+  const ServiceRoute *m_Route = nullptr;
+  const OrganisationKeys *m_Organisation = nullptr;
+  ChoiceQuery m_Query;
+  TimePoint m_Start;
+  TimePoint m_Deadline;
+  std::uint32_t m_Sends = 0;       ///< that reached an instance
+  std::uint32_t m_Runs = 0;        ///< of these, that it may have run
+  std::uint32_t m_Unreachable = 0; ///< attempts that reached none
+  bool m_IsGone = false;
+  /// This attempt is being ended so that the request goes on at m_Next.
+  bool m_IsMoving = false;
+  InstanceChoice m_Next;
+  TimePoint m_Heard{}; ///< when something came last, or the attempt began
+  bool m_IsAnswering = false; ///< the first byte of this attempt has come
+  Duration m_RetryAfter{};    ///< as the last instance's state suggests
+  InstanceId m_Instance;      ///< of this attempt
+  /// Weights that the answer's first part comes from; 0: not known, or none.
+  std::uint64_t m_Version = 0;
+  /// Ends the attempt that is under way.
+  std::function<void()> m_Abort;
+
+  // What an instance answered, while it is held.
+  unsigned m_Status = 0;
+  net::HttpHeaders m_Headers;
+  std::string m_Body;
+
+  // What the caller has of a stream.
+  EventStreamSplitter m_Events;
+  std::uint64_t m_EventCount = 0;
+  std::string m_LastEventId;
+  std::optional<std::uint64_t> m_LastEvent;
+  Duration m_FirstByte{};
+
+  /// Work that the request asks for, in tokens read.
+  double size() const {
+    return m_Terms.m_PromptTokens + WrittenTokenWork * m_Terms.m_AnswerTokens;
+  }
+  bool isStream() const {
+    return m_Route && m_Route->m_Kind == RouteKind::Stream;
+  }
+  /// Whether a further instance may run it once one may have.
+  bool isRepeatable() const {
+    if (isStream())
+      return m_Route->m_IsResumable;
+    return m_Route->m_Kind == RouteKind::Idempotent;
+  }
+  /// Whether the route allows one more send and one more run.
+  bool hasAttemptsLeft() const {
+    // A refused send ran nowhere, but counts as one more arrival.
+    const std::uint32_t MostSends = std::max(m_Route->m_Attempts, LeastSends);
+    return m_Sends < MostSends && m_Runs < m_Route->m_Attempts;
+  }
+  std::chrono::milliseconds timeLeft() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_Deadline -
+                                                                 daemon::now());
+  }
+  void abort() {
+    if (m_Abort)
+      m_Abort();
+  }
+};
+
+} // namespace deckpitch::direct
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -1,7 +1,6 @@
-#include "direct/entry-requests.h"
+#include "direct/entry-call.h"
 
 #include "daemon/clock.h"
-#include "deckpitch/event-stream.h"
 #include "net/log.h"
 #include "net/metrics.h"
 
@@ -26,14 +25,6 @@
 /// Requests that run at most once take fresher connections: for them a closed
 /// one cannot be made good.
 constexpr milliseconds MostIdleOnce{1'000};
-/// An engine gives something at least every pass, which lasts some tens of
-/// milliseconds; after this long without a byte for any of its requests it
-/// hangs.
-constexpr milliseconds InstanceSilence{900};
-/// One stream of an engine that serves others may pause for longer, while it
-/// waits for a place or for memory. Below the least time after which callers
-/// leave.
-constexpr milliseconds StreamSilence{1'800};
 /// An idempotent call of a plain service that takes this many objectives is
 /// better repeated elsewhere.
 constexpr int PlainObjectives = 3;
@@ -41,13 +32,16 @@
 constexpr milliseconds LeastTimeLeft{15};
 /// Instances that could not be reached before a request is refused.
 constexpr std::uint32_t MostUnreachable = 3;
+/// Requests by which a report may be behind: so many ends of requests may have
+/// come since, and are not left unused.
+constexpr double AskedBeyond = 2;
+/// Agents that are asked for a place before a request is refused.
+constexpr unsigned MostAsked = 3;
 constexpr milliseconds DefaultPatience{30'000};
 /// Time that a caller's first try cannot have used up.
 constexpr milliseconds ReturningUsed{25};
 /// Places left to callers who come back: a second refusal ends their request.
 constexpr double FirstTryReserve = 1;
-/// Work of a token written against one read.
-constexpr double WrittenTokenWork = 10;
 /// Until the declaration is read after a start.
 constexpr Duration RetryAfterStart = milliseconds(500);
 /// Share of the retries that entries may use together which they do use: the
@@ -63,11 +57,6 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
-std::uint64_t msOf(Duration Value) {
-  const auto Count = std::chrono::duration_cast<milliseconds>(Value).count();
-  return Count < 0 ? 0 : static_cast<std::uint64_t>(Count);
-}
-
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
 net::Counter &answers(const char *Outcome) {
@@ -77,66 +66,11 @@
 
 } // namespace
 
-/// One request while it is served.
-struct EntryRequests::Call {
-  net::HttpRequest m_Request;
-  net::HttpResponder &m_Answer;
-  std::shared_ptr<const RouteIndex> m_Routes;
-  CallerTerms m_Terms;
-  const ServiceRoute *m_Route = nullptr;
-  const OrganisationKeys *m_Organisation = nullptr;
-  ChoiceQuery m_Query;
-  TimePoint m_Start;
-  TimePoint m_Deadline;
-  std::uint32_t m_Sends = 0;       ///< that reached an instance
-  std::uint32_t m_Runs = 0;        ///< of these, that it may have run
-  std::uint32_t m_Unreachable = 0; ///< attempts that reached none
-  bool m_IsGone = false;
-  bool m_IsSilenced = false;  ///< the instance of this attempt hangs
-  bool m_IsAnswering = false; ///< the first byte of this attempt has come
-  Duration m_RetryAfter{};    ///< as the last instance's state suggests
-  InstanceId m_Instance;      ///< of this attempt
-  /// Ends the attempt that is under way.
-  std::function<void()> m_Abort;
-
-  // What an instance answered, while it is held.
-  unsigned m_Status = 0;
-  net::HttpHeaders m_Headers;
-  std::string m_Body;
-
-  // What the caller has of a stream.
-  EventStreamSplitter m_Events;
-  std::uint64_t m_EventCount = 0;
-  std::string m_LastEventId;
-  std::optional<std::uint64_t> m_LastEvent;
-  Duration m_FirstByte{};
-
-  /// Work that the request asks for, in tokens read.
-  double size() const {
-    return m_Terms.m_PromptTokens + WrittenTokenWork * m_Terms.m_AnswerTokens;
-  }
-  bool isStream() const {
-    return m_Route && m_Route->m_Kind == RouteKind::Stream;
-  }
-  /// Whether a further instance may run it once one may have.
-  bool isRepeatable() const {
-    if (isStream())
-      return m_Route->m_IsResumable;
-    return m_Route->m_Kind == RouteKind::Idempotent;
-  }
-  milliseconds timeLeft() const {
-    return std::chrono::duration_cast<milliseconds>(m_Deadline - now());
-  }
-  void abort() {
-    if (m_Abort)
-      m_Abort();
-  }
-};
-
 EntryRequests::EntryRequests(net::HttpClient &Http, const FleetAdapter &Adapter,
-                             InstanceTable &Instances, RetryShare Retries)
+                             InstanceTable &Instances, RetryShare Retries,
+                             AskPlace Ask)
     : m_Http(Http), m_Adapter(Adapter), m_Instances(Instances),
-      m_Retries(Retries) {}
+      m_Retries(Retries), m_Ask(std::move(Ask)) {}
 
 void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
   m_Routes = std::make_shared<const RouteIndex>(Declaration);
@@ -169,29 +103,6 @@
   return Reserve;
 }
 
-void EntryRequests::checkSilence(TimePoint Now) {
-  for (const InstanceId &Id : m_Instances.silentFor(InstanceSilence, Now)) {
-    const auto Calls = m_AtInstance.find(Id);
-    if (Calls == m_AtInstance.end())
-      continue;
-    // Plain services answer once, at the end: silence says nothing there.
-    std::vector<Call *> Hanging;
-    for (Call *Each : Calls->second)
-      if (Each->isStream() && !Each->m_IsSilenced)
-        Hanging.push_back(Each);
-    if (Hanging.empty())
-      continue;
-    net::log(Event::InstanceSilent,
-             {{"instance", Id.m_Text},
-              {"requests", std::uint64_t{Hanging.size()}},
-              {"silentMs", msOf(InstanceSilence)}});
-    for (Call *Each : Hanging) {
-      Each->m_IsSilenced = true;
-      Each->abort();
-    }
-  }
-}
-
 asio::awaitable<void> EntryRequests::handle(net::HttpRequest Request,
                                             net::HttpResponder &Answer) {
   Call Of{std::move(Request), Answer, m_Routes};
@@ -226,6 +137,8 @@
   Of.m_Query.m_Service = *Service;
   Of.m_Query.m_Model = Of.m_Terms.m_Model;
   Of.m_Query.m_Objective = Of.m_Route->m_Objective;
+  Of.m_Query.m_AskedBeyond = AskedBeyond;
+  Of.m_Query.m_Size = {Of.m_Terms.m_PromptTokens, Of.m_Terms.m_LikelyTokens};
   const milliseconds Patience = Of.m_Terms.m_Patience.value_or(DefaultPatience);
   Of.m_Deadline = Of.m_Start + std::min(Patience, Of.m_Route->m_Timeout);
   Of.m_LastEventId = Of.m_Terms.m_LastEventId;
@@ -234,12 +147,43 @@
   co_await tryInstances(Of);
 }
 
+/// Chooses by what is known here, and has the choice confirmed by the agent
+/// beside the instance, which knows what all entries send.
+asio::awaitable<InstanceChoice> EntryRequests::choosePlace(Call &Of) {
+  Of.m_Query.m_Full.clear();
+  for (unsigned Asked = 0;; ++Asked) {
+    InstanceChoice Chosen = m_Instances.choose(Of.m_Query, now());
+    if (Chosen.m_Outcome != ChoiceOutcome::Chosen)
+      co_return Chosen;
+    const auto Query =
+        m_Instances.placeQuery(Chosen.m_Instance, Of.m_Query, now());
+    if (!Query)
+      co_return Chosen;
+    const auto Reply = co_await m_Ask(Chosen.m_Address, *Query);
+    if (!Reply) {
+      m_Instances.unanswered(Chosen.m_Instance, now());
+      co_return Chosen;
+    }
+    m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
+    if (Reply->m_IsGranted)
+      co_return Chosen;
+    Of.m_Query.m_Full.insert(Chosen.m_Instance);
+    if (Asked + 1 < MostAsked)
+      continue;
+    Chosen.m_Outcome = ChoiceOutcome::Full;
+    co_return Chosen;
+  }
+}
+
 asio::awaitable<void> EntryRequests::tryInstances(Call &Of) {
   Ended How = Ended::NotRun;
   while (true) {
     if (Of.timeLeft() < LeastTimeLeft)
       break;
-    const InstanceChoice Chosen = m_Instances.choose(Of.m_Query, now());
+    const bool IsMoving = std::exchange(Of.m_IsMoving, false);
+    InstanceChoice Chosen = Of.m_Next;
+    if (!IsMoving)
+      Chosen = co_await choosePlace(Of);
     if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
       Of.m_RetryAfter = Chosen.m_RetryAfter;
       if (Of.m_Sends == 0 && Of.m_Unreachable == 0) {
@@ -265,7 +209,7 @@
     if (How == Ended::Delivered || How == Ended::Gone)
       co_return;
     Of.m_Query.m_Tried.insert(Chosen.m_Instance);
-    if (!mayGoOn(Of, How))
+    if (!Of.m_IsMoving && !mayGoOn(Of, How))
       break;
   }
   co_await giveUp(Of, How);
@@ -276,9 +220,7 @@
   if (How == Ended::Unreachable)
     return ++Of.m_Unreachable < MostUnreachable;
   const bool MayRun = How == Ended::NotRun || Of.isRepeatable();
-  // A refused send ran nowhere, but counts as one more arrival.
-  const std::uint32_t MostSends = std::max(Of.m_Route->m_Attempts, 2U);
-  if (!MayRun || Of.m_Sends >= MostSends || Of.m_Runs >= Of.m_Route->m_Attempts)
+  if (!MayRun || !Of.hasAttemptsLeft())
     return false;
   return budgetOf(Of.m_Query.m_Service).withdraw();
 }
@@ -345,9 +287,11 @@
                                     "not run",   "failed", "lost",
                                     "broken"};
   Of.m_Instance = Chosen.m_Instance;
-  Of.m_IsSilenced = false;
   Of.m_IsAnswering = false;
+  Of.m_Heard = now();
   Of.m_Events.clear();
+  if (Of.m_EventCount == 0)
+    Of.m_Version = m_Instances.versionAt(Chosen.m_Instance, Of.m_Query.m_Model);
   m_Instances.started(Chosen.m_Instance, now());
   m_AtInstance[Chosen.m_Instance].insert(&Of);
   Ended How = co_await exchange(Of, Chosen);
@@ -395,9 +339,9 @@
   net::CallLimits Limits;
   Limits.m_Connect = std::min(ConnectLimit, Left);
   Limits.m_FirstByte = Left;
-  if (Of.isStream())
-    Limits.m_FirstByte = std::min(Left, StreamSilence);
-  else if (!IsOnce && Of.m_Runs + 1 < Of.m_Route->m_Attempts)
+  // A silent stream is moved where another instance can take it; else it may
+  // still be answered.
+  if (!Of.isStream() && !IsOnce && Of.m_Runs + 1 < Of.m_Route->m_Attempts)
     Limits.m_FirstByte =
         std::min(Left, PlainObjectives * Of.m_Route->m_Objective);
   Limits.m_BetweenBytes = Limits.m_FirstByte;
@@ -486,11 +430,12 @@
     const milliseconds Left = Of.timeLeft();
     if (Left <= milliseconds::zero())
       co_return Ended::Broken;
-    Body.setBetweenBytes(std::min(Left, StreamSilence));
+    Body.setBetweenBytes(Left);
     auto Piece = co_await Body.read();
     if (!Piece)
       co_return Of.m_Answer.started() ? Ended::Broken : Ended::Lost;
     m_Instances.heard(Of.m_Instance, now());
+    Of.m_Heard = now();
     if (!std::exchange(Of.m_IsAnswering, true))
       m_Instances.answering(Of.m_Instance);
     const bool IsEnd = Piece->empty();
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -9,8 +9,10 @@
 #include "direct/adapter.h"
 #include "net/http.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -25,19 +27,31 @@
   std::uint32_t m_Slack = 100; ///< beside them, of all entries together
 };
 
+/// What the agent beside an instance says when it is asked for a place.
+struct PlaceReply {
+  bool m_IsGranted = false;
+  InstanceReport m_Report;
+};
+
 /// All on one loop.
 class EntryRequests {
 public:
+  /// Asks an agent; nothing when no answer came in time.
+  using AskPlace = std::function<asio::awaitable<std::optional<PlaceReply>>(
+      std::string InstanceAddress, PlaceQuery Query)>;
+
   EntryRequests(net::HttpClient &Http, const FleetAdapter &Adapter,
-                InstanceTable &Instances, RetryShare Retries);
+                InstanceTable &Instances, RetryShare Retries, AskPlace Ask);
 
   void setDeclaration(const FleetDeclaration &Declaration);
   void setEntries(std::size_t Count) { m_Entries = Count; }
 
   asio::awaitable<void> handle(net::HttpRequest Request,
                                net::HttpResponder &Answer);
-  /// Ends what waits for instances that have gone silent.
+  /// Moves streams away from instances that have gone silent.
   void checkSilence(TimePoint Now);
+  /// Moves streams away from instances that wait for them to load weights.
+  void moveFromSwapping(TimePoint Now);
 
   std::size_t open() const { return m_Open; }
 
@@ -56,11 +70,17 @@
 
   asio::awaitable<void> serve(Call &Of);
   asio::awaitable<void> tryInstances(Call &Of);
+  asio::awaitable<InstanceChoice> choosePlace(Call &Of);
   asio::awaitable<Ended> attempt(Call &Of, const InstanceChoice &Chosen);
   asio::awaitable<Ended> exchange(Call &Of, const InstanceChoice &Chosen);
   asio::awaitable<Ended> readWhole(Call &Of, net::HttpStream &Body);
   asio::awaitable<Ended> passEvents(Call &Of, net::HttpStream &Body);
   bool mayGoOn(Call &Of, Ended How);
+  bool tryMove(Call &Of, ChoiceQuery Query, TimePoint Now);
+  ChoiceQuery queryForRest(const Call &Of) const;
+  template <typename Condition>
+  void moveFrom(const InstanceId &Id, const char *Reason, TimePoint Now,
+                Condition &&Holds);
   asio::awaitable<void> giveUp(Call &Of, Ended How);
   asio::awaitable<void> refuse(Call &Of, unsigned Status, std::string Reason,
                                Duration RetryAfter);
@@ -71,6 +91,7 @@
   const FleetAdapter &m_Adapter;
   InstanceTable &m_Instances;
   RetryShare m_Retries;
+  AskPlace m_Ask;
   std::shared_ptr<const RouteIndex> m_Routes =
       std::make_shared<const RouteIndex>();
   std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
@@ -82,6 +103,7 @@
   std::map<std::string, RouteLoad> m_RouteLoads;
   /// Calls under way at each instance.
   std::map<InstanceId, std::set<Call *>> m_AtInstance;
+  std::set<InstanceId> m_Silent; ///< already said to be
   std::size_t m_Entries = 1;
   std::size_t m_Open = 0;
   std::mt19937_64 m_Random{std::random_device{}()};
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -4,6 +4,7 @@
 #include "direct/entry-peers.h"
 #include "direct/entry-requests.h"
 #include "direct/fleet-follower.h"
+#include "direct/place-client.h"
 #include "direct/role.h"
 #include "direct/store-news.h"
 #include "net/adapters.h"
@@ -43,6 +44,19 @@
                                       1'000,
                                       true};
 
+InstanceReport reportOf(const wire::InstanceState &State) {
+  InstanceReport Report;
+  Report.m_Running = State.running();
+  Report.m_Waiting = State.waiting();
+  Report.m_TakesRequests = State.takes_requests();
+  Report.m_HasSoundLink = State.has_sound_link();
+  if (State.has_swap_in_ms())
+    Report.m_SwapIn = milliseconds(State.swap_in_ms());
+  for (const wire::HeldWeightsState &Each : State.weights())
+    Report.m_Weights.push_back(read(Each));
+  return Report;
+}
+
 class Entry final : public DirectRole {
 public:
   explicit Entry(DirectContext &Context);
@@ -65,6 +79,9 @@
   asio::awaitable<void> waitUntilDrained(std::function<void()> OnDone);
   void onLink(const wire::LinkMessage &Message, const std::string &From);
   void onState(const wire::InstanceState &State);
+  asio::awaitable<std::optional<PlaceReply>> askPlace(std::string Address,
+                                                      PlaceQuery Query);
+  std::string agentOf(const std::string &InstanceAddress) const;
   void sendHellos(TimePoint Now);
   void noteReadiness();
   bool isReady() const;
@@ -80,11 +97,12 @@
   EntryRequests m_Requests;
   EntryPeers m_Peers;
   StateLink m_Link;
+  PlaceClient m_Places;
   FleetFollower m_Follower;
   net::HttpServer m_Callers;
   net::HttpServer m_Ready;
   net::HttpServer m_Directory;
-  std::vector<DeclaredWeights> m_Declared;
+  std::vector<HeardWeights> m_Declared;
   std::vector<WeightsSource> m_Sources;
   std::map<std::string, LinkOrder> m_StateOrder; ///< by instance address
   TimePoint m_NextSubscribe{};
@@ -100,9 +118,12 @@
       m_Instances(Context.m_Settings.m_DataCentre),
       m_Requests(m_Http, m_Adapter, m_Instances,
                  {Context.m_Settings.m_Bounds.m_RetryShare,
-                  Context.m_Settings.m_Bounds.m_RetrySlack}),
+                  Context.m_Settings.m_Bounds.m_RetrySlack},
+                 [this](std::string Address, PlaceQuery Query) {
+                   return askPlace(std::move(Address), Query);
+                 }),
       m_Peers(ownAddress(Context.m_Settings)),
-      m_Link(m_Io, Context.m_Incarnation),
+      m_Link(m_Io, Context.m_Incarnation), m_Places(m_Io, m_Link),
       m_Follower(m_Io, *m_Store, m_Adapter,
                  {Context.m_Settings.m_Bounds.m_Apply,
                   Context.m_Settings.m_Bounds.m_Drain},
@@ -157,9 +178,10 @@
     m_NextSubscribe = {}; // New agents hear at once where weights come from.
     noteReadiness();
   };
-  Calls.m_OnWeights = [this](const std::vector<DeclaredWeights> &Declared) {
+  Calls.m_OnWeights = [this](const std::vector<HeardWeights> &Declared) {
     m_Declared = Declared;
-    m_Instances.setWeights(Declared, now());
+    for (const HeardWeights &Each : Declared)
+      m_Instances.setWeights({Each.m_Declared}, Each.m_Since);
     m_NextSubscribe = {}; // Agents hear of it with the next hello.
   };
   Calls.m_OnNews = [this](const wire::StoreNews &News) {
@@ -235,21 +257,30 @@
     m_Peers.heard(Message, From, now());
   if (Message.has_news())
     m_Follower.hear(Message.news());
+  if (Message.has_place_answer())
+    m_Places.answered(Message.place_answer());
   if (!Message.has_state())
     return;
   if (m_StateOrder[Message.state().address()].isNewer(Message))
     onState(Message.state());
 }
 
+/// An instance's agent listens at the same host.
+std::string Entry::agentOf(const std::string &InstanceAddress) const {
+  return InstanceAddress.substr(0, InstanceAddress.rfind(':')) + ":" +
+         std::to_string(m_Context.m_Settings.m_AgentLinkPort);
+}
+
+asio::awaitable<std::optional<PlaceReply>> Entry::askPlace(std::string Address,
+                                                           PlaceQuery Query) {
+  const auto Answer = co_await m_Places.ask(agentOf(Address), Query);
+  if (!Answer)
+    co_return std::nullopt;
+  co_return PlaceReply{Answer->is_granted(), reportOf(Answer->state())};
+}
+
 void Entry::onState(const wire::InstanceState &State) {
-  InstanceReport Report;
-  Report.m_Running = State.running();
-  Report.m_Waiting = State.waiting();
-  Report.m_TakesRequests = State.takes_requests();
-  Report.m_HasSoundLink = State.has_sound_link();
-  for (const wire::HeldWeightsState &Each : State.weights())
-    Report.m_Weights.push_back(read(Each));
-  m_Instances.report(State.address(), std::move(Report), now());
+  m_Instances.report(State.address(), reportOf(State), now());
 }
 
 void Entry::sendHellos(TimePoint Now) {
@@ -265,16 +296,14 @@
   if (Now < m_NextSubscribe)
     return;
   m_NextSubscribe = Now + SubscribeSpan;
-  for (const DeclaredWeights &Each : m_Declared)
-    write(Each, *Hello.add_declared());
+  for (const HeardWeights &Each : m_Declared)
+    write(Each, Now, *Hello.add_declared());
   // An agent that knows of a model and of no version takes the first one.
   if (m_Follower.knowsWeights())
     for (const WeightsSource &Each : m_Sources)
       write(Each, *Hello.add_sources());
-  const std::string Port =
-      ":" + std::to_string(m_Context.m_Settings.m_AgentLinkPort);
   for (const std::string &Address : m_Instances.engineAddresses())
-    m_Link.send(Address.substr(0, Address.rfind(':')) + Port, Message);
+    m_Link.send(agentOf(Address), Message);
 }
 
 asio::awaitable<void> Entry::tick() {
@@ -287,6 +316,7 @@
     m_Requests.setEntries(Entries);
     m_Follower.setTurn(m_Peers.ownTurn(Now));
     m_Requests.checkSilence(Now);
+    m_Requests.moveFromSwapping(Now);
     Timer.expires_after(TickSpan);
     co_await Timer.async_wait(UseAwaitable);
   }
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -27,6 +27,11 @@
 /// on others' reading. The rest is for the turns and for its own read. Above
 /// the time of one watch, so that the first entry confirms in time.
 constexpr double RelianceShare = 0.42;
+/// The store was away for all if nobody read it for longer, or this entry has
+/// just started: what was declared meanwhile counts from when it is heard. Else
+/// all instances were past the bound of a version at the moment at which the
+/// store returned and named it.
+constexpr Duration LongestUnread = milliseconds(1'500);
 /// Several times what news takes between entries.
 constexpr Duration TurnStep = milliseconds(40);
 /// The entries after the eighth read together.
@@ -45,12 +50,14 @@
   return Got ? std::nullopt : std::optional(Got.error());
 }
 
-std::uint32_t ageMs(const SharedReading &Of) {
+std::uint32_t ageMs(TimePoint Since) {
   const auto Age =
-      std::chrono::duration_cast<milliseconds>(now() - Of.asOf()).count();
+      std::chrono::duration_cast<milliseconds>(now() - Since).count();
   return static_cast<std::uint32_t>(std::max<milliseconds::rep>(Age, 0));
 }
 
+std::uint32_t ageMs(const SharedReading &Of) { return ageMs(Of.asOf()); }
+
 } // namespace
 
 FleetFollower::FleetFollower(asio::io_context &Io, net::Platform &Store,
@@ -81,7 +88,7 @@
           [this](wire::StoreNews &News) {
             wire::WeightsNews &Told = *News.mutable_weights();
             for (const auto &[Model, Each] : m_Weights)
-              write(Each, *Told.add_declared());
+              write(Each, now(), *Told.add_declared());
             Told.set_revision(m_WeightVersions.m_Seen.m_Value);
             Told.set_age_ms(ageMs(m_WeightVersions.m_Reading));
           }},
@@ -247,17 +254,25 @@
     return net::log(
         Event::DeclarationUnreadable,
         {{"name", Object.m_Name}, {"error", Parsed.error().m_Message}});
-  setWeights(*Parsed);
-}
-
-void FleetFollower::setWeights(const DeclaredWeights &Declared) {
-  DeclaredWeights &Known = m_Weights[Declared.m_Model];
-  if (Declared.m_Version <= Known.m_Version)
+  // Since the store was read before it may have been declared at any time.
+  const TimePoint ReadBefore = m_WeightVersions.m_Reading.asOf();
+  const bool WasAway = now() - ReadBefore > LongestUnread;
+  setWeights({*Parsed, WasAway ? now() : ReadBefore});
+}
+
+void FleetFollower::setWeights(const HeardWeights &Heard) {
+  HeardWeights &Known = m_Weights[Heard.m_Declared.m_Model];
+  const bool IsNewer = Heard.m_Declared.m_Version > Known.m_Declared.m_Version;
+  const bool IsEarlier =
+      Heard.m_Declared == Known.m_Declared && Heard.m_Since < Known.m_Since;
+  if (!IsNewer && !IsEarlier)
     return;
-  Known = Declared;
-  net::log(Event::WeightsDeclared,
-           {{"model", Declared.m_Model}, {"version", Declared.m_Version}});
-  std::vector<DeclaredWeights> All;
+  Known = Heard;
+  if (IsNewer)
+    net::log(Event::WeightsDeclared, {{"model", Heard.m_Declared.m_Model},
+                                      {"version", Heard.m_Declared.m_Version},
+                                      {"ageMs", ageMs(Heard.m_Since)}});
+  std::vector<HeardWeights> All;
   for (const auto &[Model, Each] : m_Weights)
     All.push_back(Each);
   m_Calls.m_OnWeights(All);
@@ -405,13 +420,14 @@
 
 void FleetFollower::hearWeights(const wire::WeightsNews &News, TimePoint Now) {
   for (const wire::DeclaredWeightsState &Each : News.declared())
-    setWeights(read(Each));
+    setWeights(read(Each, Now));
   // Who knows a version that is not told must not take the news for as new.
   for (const auto &[Model, Each] : m_Weights) {
     const auto Told = std::find_if(
         News.declared().begin(), News.declared().end(),
         [&Model = Model](const auto &At) { return At.model() == Model; });
-    if (Told == News.declared().end() || Told->version() < Each.m_Version)
+    if (Told == News.declared().end() ||
+        Told->version() < Each.m_Declared.m_Version)
       return;
   }
   m_WeightVersions.m_Reading.confirm(Now - milliseconds(News.age_ms()));
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -39,7 +39,7 @@
   struct Callbacks {
     std::function<void(const FleetDeclaration &)> m_OnDeclaration;
     std::function<void(const std::vector<FleetInstance> &)> m_OnInstances;
-    std::function<void(const std::vector<DeclaredWeights> &)> m_OnWeights;
+    std::function<void(const std::vector<HeardWeights> &)> m_OnWeights;
     /// What was just read for all entries; may be empty.
     std::function<void(const wire::StoreNews &)> m_OnNews;
   };
@@ -95,7 +95,7 @@
   void hearDeclaration(const wire::DeclarationNews &News, TimePoint Now);
   void hearWeights(const wire::WeightsNews &News, TimePoint Now);
   void hearInstances(const wire::InstancesNews &News, TimePoint Now);
-  void setWeights(const DeclaredWeights &Declared);
+  void setWeights(const HeardWeights &Heard);
   void applyDeclaration(const net::PlatformObject &Object);
   void applyWeights(const net::PlatformObject &Object);
   bool takeInstances(const Outcome<net::PlatformList> &List, TimePoint AsOf);
@@ -113,8 +113,8 @@
   Callbacks m_Calls;
   ObjectKinds m_Kinds;
   std::uint64_t m_Version = 0; ///< of the declaration in force
-  std::map<std::string, DeclaredWeights> m_Weights;
-  InstanceList m_Read;   ///< as the store held it
+  std::map<std::string, HeardWeights> m_Weights; ///< by model
+  InstanceList m_Read;                           ///< as the store held it
   InstanceList m_Listed; ///< these, and those that lapsed while it was away
   bool m_KnowsInstances = false;
   Followed m_Declarations;
--- a/src/direct/store-news.cc
+++ b/src/direct/store-news.cc
@@ -1,14 +1,23 @@
 #include "direct/store-news.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace deckpitch::direct {
 
-void write(const DeclaredWeights &From, wire::DeclaredWeightsState &To) {
-  To.set_model(From.m_Model);
-  To.set_version(From.m_Version);
+void write(const HeardWeights &From, TimePoint Now,
+           wire::DeclaredWeightsState &To) {
+  using std::chrono::milliseconds;
+  const auto Age = std::chrono::ceil<milliseconds>(Now - From.m_Since).count();
+  To.set_model(From.m_Declared.m_Model);
+  To.set_version(From.m_Declared.m_Version);
+  To.set_age_ms(
+      static_cast<std::uint32_t>(std::max<milliseconds::rep>(Age, 0)));
 }
 
-DeclaredWeights read(const wire::DeclaredWeightsState &From) {
-  return {From.model(), From.version()};
+HeardWeights read(const wire::DeclaredWeightsState &From, TimePoint Now) {
+  return {{From.model(), From.version()},
+          Now - std::chrono::milliseconds(From.age_ms())};
 }
 
 void write(const WeightsSource &From, wire::WeightsSourceState &To) {
--- a/src/direct/store-news.h
+++ b/src/direct/store-news.h
@@ -10,8 +10,9 @@
 /// 8 KB, and who misses one reads the list itself.
 inline constexpr std::size_t MostChangesTold = 40;
 
-void write(const DeclaredWeights &From, wire::DeclaredWeightsState &To);
-DeclaredWeights read(const wire::DeclaredWeightsState &From);
+void write(const HeardWeights &From, TimePoint Now,
+           wire::DeclaredWeightsState &To);
+HeardWeights read(const wire::DeclaredWeightsState &From, TimePoint Now);
 
 void write(const WeightsSource &From, wire::WeightsSourceState &To);
 WeightsSource read(const wire::WeightsSourceState &From);
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -159,7 +159,7 @@
         net::Adapters<net::Origin>::make(m_Http, "pieces://" + Source.m_Origin);
   }
   m_Source = Source;
-  for (const DeclaredWeights &Each : std::exchange(m_Early, {}))
+  for (const HeardWeights &Each : std::exchange(m_Early, {}))
     want(Each);
 }
 
@@ -172,11 +172,12 @@
     tellCopyOfPeers();
 }
 
-void WeightsSupply::want(const DeclaredWeights &Declared) {
+void WeightsSupply::want(const HeardWeights &Heard) {
+  const DeclaredWeights &Declared = Heard.m_Declared;
   if (!hasSource())
-    return m_Early.push_back(Declared);
+    return m_Early.push_back(Heard);
   if (Declared.m_Model != m_Source.m_Model ||
-      !m_Declared.add(Declared.m_Version, now()))
+      !m_Declared.add(Declared.m_Version, Heard.m_Since))
     return;
   m_Wanted = Declared;
   net::log(Event::WeightsDeclared,
@@ -187,8 +188,12 @@
   return m_Current.m_Copy && !m_Current.m_Copy->swarm().complete();
 }
 
-bool WeightsSupply::hasSoundLink() const {
-  return m_Current.m_Copy && !m_Current.m_Copy->swarm().hasNarrowLink();
+/// The verdict outlives the copy that gave it: the next one shows nothing of
+/// the link until its first chunks have come.
+void WeightsSupply::observeLink(const Swarm &Of) {
+  const LinkVerdict Verdict = Of.linkVerdict();
+  if (Verdict != LinkVerdict::Unknown)
+    m_HasSoundLink = Verdict == LinkVerdict::Sound;
 }
 
 void WeightsSupply::tellCopyOfPeers() {
@@ -218,13 +223,21 @@
 }
 
 std::size_t WeightsSupply::ownRank() const {
-  std::vector<std::string> Ips;
+  std::vector<PoolMember> Members;
   for (const FleetInstance &Each : m_Pool)
-    Ips.push_back(ipOf(Each.m_Address));
-  std::sort(Ips.begin(), Ips.end());
-  const auto At =
-      std::find(Ips.begin(), Ips.end(), m_Options.m_Copy.m_Instance.m_Text);
-  return static_cast<std::size_t>(At - Ips.begin());
+    Members.push_back({ipOf(Each.m_Address), Each.m_DataCentre});
+  return swapRank(Members, m_Options.m_Copy.m_Instance.m_Text);
+}
+
+std::optional<Duration> WeightsSupply::swapIn(const InstanceReport &Report,
+                                              TimePoint Now) const {
+  const Copy *Newest = newestComplete();
+  if (!Newest || m_IsOrdered)
+    return std::nullopt;
+  const WeightsState State = stateFor(*Newest, Report);
+  if (nextWeightsStep(State, Now) != WeightsStep::Wait || State.m_IsBusy)
+    return std::nullopt;
+  return swapTime(State) - Now;
 }
 
 WeightsState WeightsSupply::stateFor(const Copy &Of,
@@ -252,6 +265,7 @@
   if (!Of.m_Copy)
     return;
   const Swarm &Swarm = Of.m_Copy->swarm();
+  observeLink(Swarm);
   if (Swarm.here().count() != Of.m_Held || Of.m_GainedAt == TimePoint{}) {
     Of.m_Held = Swarm.here().count();
     Of.m_GainedAt = now();
@@ -300,7 +314,7 @@
     co_return;
   // Without any declared version the first one is meant.
   if (m_Wanted.m_Version == 0)
-    want({m_Source.m_Model, FirstVersion});
+    want({{m_Source.m_Model, FirstVersion}, now()});
   observe(m_Current);
   retireFormer();
   const bool IsWanted = m_Current.m_Copy && m_Current.m_Weights == m_Wanted;
--- a/src/direct/weights-supply.h
+++ b/src/direct/weights-supply.h
@@ -51,7 +51,11 @@
   void setSource(const WeightsSource &Source);
   bool hasSource() const { return !m_Source.m_Model.empty(); }
   void setPool(std::vector<FleetInstance> Pool);
-  void want(const DeclaredWeights &Declared);
+  void want(const HeardWeights &Heard);
+  /// Until the instance is to load weights that are ready, if it still serves
+  /// older ones.
+  std::optional<Duration> swapIn(const InstanceReport &Report,
+                                 TimePoint Now) const;
 
   /// Does what is due, given what the instance said last.
   boost::asio::awaitable<void> step(const InstanceReport &Report);
@@ -59,7 +63,7 @@
   bool isOrdered() const { return m_IsOrdered; }
   bool isCopying() const;
   /// Chunks do not queue on the way to this machine, nor requests behind them.
-  bool hasSoundLink() const;
+  bool hasSoundLink() const { return m_HasSoundLink; }
   boost::json::object dump() const;
 
 private:
@@ -80,6 +84,7 @@
   boost::asio::awaitable<void> order(const Copy &Of);
   bool mayStartCopy() const;
   void observe(Copy &Of);
+  void observeLink(const Swarm &Of);
   void retireFormer();
   void tellCopyOfPeers();
   const Copy *newestComplete() const;
@@ -96,13 +101,14 @@
   StagingCache *m_Staging = nullptr; ///< owned by m_Transfer
 
   WeightsSource m_Source;
-  std::vector<DeclaredWeights> m_Early; ///< told before the source
+  std::vector<HeardWeights> m_Early; ///< told before the source
   std::vector<std::unique_ptr<net::Origin>> m_FormerOrigins;
   DeclaredWeights m_Wanted;
   DeclaredHistory m_Declared;
   Copy m_Current;
   Copy m_Former; ///< complete, of an older version
   std::vector<FleetInstance> m_Pool;
+  bool m_HasSoundLink = false;
   bool m_IsOrdered = false;
   TimePoint m_OrderedAt{};
   bool m_Stopped = false;
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -15,11 +15,6 @@
 /// A report that old no longer tells how many requests others have there:
 /// several times the span between two reports.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(800);
-/// Share of the objective that may be planned with; the rest covers links and
-/// reports that are late.
-constexpr double PlannedShare = 0.85;
-/// Requests beyond the slots that an engine may hold, as a share of the slots.
-constexpr double MostQueuedShare = 0.25;
 /// Requests that a plain service may hold for each of its slots: one that runs
 /// and one that is next.
 constexpr double PlainServiceDepth = 2;
@@ -32,40 +27,19 @@
 constexpr double UnansweredWeight = 3;
 /// Instances that one choice looks at.
 constexpr std::size_t Candidates = 3;
+/// How much longer than its swap a stream may take: what it runs over by is
+/// waited for while nothing else may begin there.
+constexpr Duration SwapOverrun = std::chrono::milliseconds(250);
+/// An agent that did not answer is not asked again for so long.
+constexpr Duration AskRest = std::chrono::milliseconds(500);
 /// Retrying sooner would meet the same requests.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(60);
 /// Until weights arrive or instances come back: a copy of some MB takes two to
 /// four seconds over links of some Mbit/s.
 constexpr Duration RetryAfterNothing = std::chrono::milliseconds(2'000);
 
-Duration fromMs(double Ms) {
-  return Duration(static_cast<Duration::rep>(Ms * 1e6));
-}
-
 } // namespace
 
-EngineCapacity capacityOf(const EngineProfile &Profile,
-                          std::chrono::milliseconds Objective) {
-  const double Slots = std::max(1U, Profile.m_Slots);
-  const double Steps = std::max(1U, Profile.m_StepsPerPass);
-  const double KiloTokens =
-      (Profile.m_UsualPromptTokens + Profile.m_UsualAnswerTokens / 2) / 1'000;
-  const double StepMs =
-      Profile.m_StepMs + Slots * (Profile.m_StepMsPerWriter +
-                                  KiloTokens * Profile.m_StepMsPerKiloToken);
-  const double ReadMs =
-      Profile.m_UsualPromptTokens / std::max(Profile.m_ReadTokensPerMs, 0.001);
-  const double StreamMs = Profile.m_UsualAnswerTokens * StepMs + Slots * ReadMs;
-  const double BetweenMs = StreamMs / Slots;
-  // Half a pass until it is read, its own reading, and its first pass.
-  const double FirstMs = 1.5 * Steps * StepMs + ReadMs;
-  const double SpareMs =
-      PlannedShare * static_cast<double>(Objective.count()) - FirstMs;
-  const double Queued =
-      std::clamp(SpareMs / BetweenMs, 0.0, MostQueuedShare * Slots);
-  return {Slots + std::floor(Queued), fromMs(BetweenMs)};
-}
-
 void InstanceTable::setServices(
     const std::vector<ServiceDeclaration> &Services) {
   m_Services.clear();
@@ -111,28 +85,60 @@
   const std::uint32_t All = Report.m_Running + Report.m_Waiting;
   Known.m_Others = All - std::min(All, Known.m_Own);
   Known.m_Reported = Now;
+  if (Known.m_TakesRequests && !Report.m_TakesRequests)
+    Known.m_ClosedAt = Now;
   Known.m_TakesRequests = Report.m_TakesRequests;
+  Known.m_SwapAt.reset();
+  if (Report.m_SwapIn)
+    Known.m_SwapAt = Now + *Report.m_SwapIn;
   Known.m_HasSoundLink = Report.m_HasSoundLink;
   Known.m_Weights = std::move(Report.m_Weights);
 }
 
-bool InstanceTable::serves(const Instance &Each, const std::string &Model,
+/// Until a request that is sent now begins there.
+Duration InstanceTable::beginsWithin(const Instance &Each,
+                                     TimePoint Now) const {
+  const EngineProfile *Engine = engineOf(Each.m_Listed.m_Service);
+  return Engine ? waitUntilBegin(*Engine, loadOf(Each, Now)) : Duration::zero();
+}
+
+bool InstanceTable::serves(const Instance &Each, const ChoiceQuery &Query,
                            TimePoint Now) const {
+  const std::string &Model = Query.m_Model;
   const auto Wanted = m_Wanted.find(Model);
   const bool IsFresh =
       Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
-  const Duration Grace =
-      m_VersionBound - versionSpare(IsFresh && Each.m_HasSoundLink);
-  return std::any_of(Each.m_Weights.begin(), Each.m_Weights.end(),
-                     [&](const HeldWeights &Held) {
-                       if (Held.m_Model != Model || !Held.m_IsComplete)
-                         return false;
-                       const auto Behind =
-                           Wanted == m_Wanted.end()
-                               ? std::nullopt
-                               : Wanted->second.behindSince(Held.m_Version);
-                       return !Behind || Now - *Behind < Grace;
-                     });
+  const Duration Grace = m_VersionBound -
+                         versionSpare(IsFresh && Each.m_HasSoundLink) -
+                         beginsWithin(Each, Now);
+  return std::any_of(
+      Each.m_Weights.begin(), Each.m_Weights.end(),
+      [&](const HeldWeights &Held) {
+        if (Held.m_Model != Model || !Held.m_IsComplete)
+          return false;
+        if (Query.m_Version != 0 && Held.m_Version != Query.m_Version)
+          return false;
+        const auto Behind = Wanted == m_Wanted.end()
+                                ? std::nullopt
+                                : Wanted->second.behindSince(Held.m_Version);
+        return !Behind || Now - *Behind < Grace;
+      });
+}
+
+/// Whether the request would have ended when the instance loads other weights.
+bool InstanceTable::endsBeforeSwap(const Instance &Each,
+                                   const ChoiceQuery &Query,
+                                   TimePoint Now) const {
+  const EngineProfile *Engine = engineOf(Each.m_Listed.m_Service);
+  if (!Each.m_SwapAt || !Engine)
+    return true;
+  return Now + streamTime(*Engine, Query.m_Size) < *Each.m_SwapAt + SwapOverrun;
+}
+
+const EngineProfile *InstanceTable::engineOf(const ServiceId &Service) const {
+  const auto Found = m_Services.find(Service);
+  const bool HasEngine = Found != m_Services.end() && Found->second.m_Engine;
+  return HasEngine ? &*Found->second.m_Engine : nullptr;
 }
 
 double InstanceTable::loadOf(const Instance &Each, TimePoint Now) const {
@@ -146,10 +152,8 @@
 
 double InstanceTable::limitOf(const Instance &Each,
                               const ChoiceQuery &Query) const {
-  const auto Service = m_Services.find(Each.m_Listed.m_Service);
-  if (Service != m_Services.end() && Service->second.m_Engine)
-    return capacityOf(*Service->second.m_Engine, Query.m_Objective).m_Limit -
-           Query.m_Reserve;
+  if (const EngineProfile *Engine = engineOf(Each.m_Listed.m_Service))
+    return capacityOf(*Engine, Query.m_Objective).m_Limit - Query.m_Reserve;
   return PlainServiceDepth * std::max(1U, Each.m_Listed.m_Slots);
 }
 
@@ -157,7 +161,7 @@
                              const ChoiceQuery &Query) const {
   return Each.m_IsListed && !Each.m_IsReplaced && !Each.m_Listed.m_IsLeaving &&
          Each.m_Listed.m_Service == Query.m_Service &&
-         !Query.m_Tried.contains(Id);
+         !Query.m_Tried.contains(Id) && !Query.m_Full.contains(Id);
 }
 
 /// Lower is better, in requests.
@@ -176,9 +180,8 @@
     const Instance &Each = It->second;
     if (!isUsable(It->first, Each, Query))
       continue;
-    const bool Serves =
-        Query.m_Model.empty() ||
-        (Each.m_TakesRequests && serves(Each, Query.m_Model, Now));
+    const bool Serves = Query.m_Model.empty() ||
+                        (Each.m_TakesRequests && serves(Each, Query, Now));
     LacksWeights = LacksWeights || !Serves;
     if (Serves)
       Usable.push_back(It);
@@ -191,6 +194,14 @@
       });
   if (Healthy != Usable.begin())
     Usable.erase(Healthy, Usable.end());
+  // Nor ones that load other weights before the request would end, unless no
+  // other serves.
+  const auto Lasting =
+      std::partition(Usable.begin(), Usable.end(), [&](const auto &Each) {
+        return endsBeforeSwap(Each->second, Query, Now);
+      });
+  if (Lasting != Usable.begin())
+    Usable.erase(Lasting, Usable.end());
   if (Usable.empty()) {
     Best.m_Outcome =
         LacksWeights ? ChoiceOutcome::NoWeights : ChoiceOutcome::NoInstance;
@@ -216,7 +227,8 @@
     Chosen = &Each;
     Best.m_Instance = Usable[I]->first;
     Best.m_Load = loadOf(Each, Now);
-    Best.m_Limit = limitOf(Each, Query);
+    Best.m_Limit =
+        limitOf(Each, Query) + (isAsked(Each, Now) ? Query.m_AskedBeyond : 0);
   }
   Best.m_Address = Chosen->m_Listed.m_Address;
   if (Chosen->m_Reported)
@@ -224,11 +236,9 @@
   Best.m_Outcome =
       Best.m_Load < Best.m_Limit ? ChoiceOutcome::Chosen : ChoiceOutcome::Full;
   Best.m_RetryAfter = LeastRetryAfter;
-  const auto Service = m_Services.find(Query.m_Service);
-  if (Service != m_Services.end() && Service->second.m_Engine)
+  if (const EngineProfile *Engine = engineOf(Query.m_Service))
     Best.m_RetryAfter = std::max(
-        LeastRetryAfter,
-        capacityOf(*Service->second.m_Engine, Query.m_Objective).m_BetweenEnds);
+        LeastRetryAfter, capacityOf(*Engine, Query.m_Objective).m_BetweenEnds);
   return Best;
 }
 
@@ -286,6 +296,53 @@
   return Out;
 }
 
+std::uint64_t InstanceTable::versionAt(const InstanceId &Id,
+                                       const std::string &Model) const {
+  const auto Found = m_Instances.find(Id);
+  if (Found == m_Instances.end())
+    return 0;
+  for (const HeldWeights &Each : Found->second.m_Weights)
+    if (Each.m_Model == Model && Each.m_IsComplete)
+      return Each.m_Version;
+  return 0;
+}
+
+bool InstanceTable::isAsked(const Instance &Each, TimePoint Now) const {
+  return engineOf(Each.m_Listed.m_Service) && Each.m_Reported &&
+         Now - *Each.m_Reported < ReportLifetime && Now >= Each.m_AskAgain;
+}
+
+std::optional<PlaceQuery> InstanceTable::placeQuery(const InstanceId &Id,
+                                                    const ChoiceQuery &Query,
+                                                    TimePoint Now) const {
+  const auto Found = m_Instances.find(Id);
+  if (Found == m_Instances.end() || !isAsked(Found->second, Now))
+    return std::nullopt;
+  return placeQueryFor(*engineOf(Query.m_Service), Query.m_Size,
+                       Query.m_Objective, Query.m_Reserve);
+}
+
+void InstanceTable::unanswered(const InstanceId &Id, TimePoint Now) {
+  const auto Found = m_Instances.find(Id);
+  if (Found != m_Instances.end())
+    Found->second.m_AskAgain = Now + AskRest;
+}
+
+std::uint32_t InstanceTable::tokensPerEvent(const ServiceId &Service) const {
+  const EngineProfile *Engine = engineOf(Service);
+  return Engine ? Engine->m_StepsPerPass : 0;
+}
+
+std::vector<InstanceId> InstanceTable::swappingFor(Duration Length,
+                                                   TimePoint Now) const {
+  std::vector<InstanceId> Out;
+  for (const auto &[Id, Each] : m_Instances)
+    if (Each.m_Own > 0 && !Each.m_TakesRequests &&
+        Now - Each.m_ClosedAt > Length)
+      Out.push_back(Id);
+  return Out;
+}
+
 const FleetInstance *InstanceTable::find(const InstanceId &Id) const {
   const auto Found = m_Instances.find(Id);
   return Found == m_Instances.end() ? nullptr : &Found->second.m_Listed;
@@ -294,10 +351,7 @@
 std::vector<std::string> InstanceTable::engineAddresses() const {
   std::vector<std::string> Out;
   for (const auto &[Id, Each] : m_Instances) {
-    const auto Service = m_Services.find(Each.m_Listed.m_Service);
-    const bool IsEngine =
-        Service != m_Services.end() && Service->second.m_Engine;
-    if (IsEngine && Each.m_IsListed)
+    if (engineOf(Each.m_Listed.m_Service) && Each.m_IsListed)
       Out.push_back(Each.m_Listed.m_Address);
   }
   return Out;
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -249,6 +249,14 @@
   m_Room = std::clamp(m_Room, 1.0, Most);
 }
 
+LinkVerdict Swarm::linkVerdict() const {
+  if (m_ChunkTime == Duration::zero())
+    return LinkVerdict::Unknown;
+  if (m_Room * 2 >= m_Options.m_Expected)
+    return LinkVerdict::Sound;
+  return m_Room < FirstRoom ? LinkVerdict::Narrow : LinkVerdict::Unknown;
+}
+
 std::optional<std::uint32_t> Swarm::choose(const Peer &From, TimePoint Now) {
   const bool AnyWill = From.m_IsNear || starved(Now);
   const auto Salt = static_cast<std::uint32_t>(m_Random());
--- a/src/kernel/weights-plan.cc
+++ b/src/kernel/weights-plan.cc
@@ -1,14 +1,14 @@
 #include "deckpitch/weights-plan.h"
 
 #include <algorithm>
+#include <map>
 
 namespace deckpitch {
 
 namespace {
 
-/// From the order until the instance takes requests again: those that run end
-/// first, most within a second, and then it loads.
-constexpr Duration SwapTime = std::chrono::milliseconds(600);
+/// Within which an order is sent and in force after it is due.
+constexpr Duration SwapTime = std::chrono::milliseconds(200);
 /// Of a copy's chunks: what is missing then comes sooner than all of the next.
 constexpr double WorthFinishing = 0.25;
 /// Several times what one chunk takes: no more are coming.
@@ -31,6 +31,35 @@
 
 } // namespace
 
+std::size_t swapRank(std::vector<PoolMember> Pool, std::string_view Address) {
+  struct Place {
+    double m_InDataCentre = 0; ///< from 0 to 1
+    const PoolMember *m_Member = nullptr;
+  };
+  std::sort(Pool.begin(), Pool.end(),
+            [](const PoolMember &Left, const PoolMember &Right) {
+              return Left.m_Address < Right.m_Address;
+            });
+  std::map<DataCentreId, std::vector<const PoolMember *>> ByDataCentre;
+  for (const PoolMember &Each : Pool)
+    ByDataCentre[Each.m_DataCentre].push_back(&Each);
+  std::vector<Place> Order;
+  for (const auto &[Id, Members] : ByDataCentre)
+    for (std::size_t I = 0; I < Members.size(); ++I)
+      Order.push_back(
+          {static_cast<double>(I) / static_cast<double>(Members.size()),
+           Members[I]});
+  std::stable_sort(Order.begin(), Order.end(),
+                   [](const Place &Left, const Place &Right) {
+                     return Left.m_InDataCentre < Right.m_InDataCentre;
+                   });
+  const auto At =
+      std::find_if(Order.begin(), Order.end(), [Address](const Place &Each) {
+        return Each.m_Member->m_Address == Address;
+      });
+  return static_cast<std::size_t>(At - Order.begin());
+}
+
 TimePoint swapTime(const WeightsState &State) {
   const double Place =
       static_cast<double>(State.m_Rank) /
--- a/test/declared-history-test.cc
+++ b/test/declared-history-test.cc
@@ -28,6 +28,17 @@
   EXPECT_EQ(History.behindSince(4), Start);
 }
 
+TEST(DeclaredHistory, TheEarliestTimeOfAVersionHolds) {
+  DeclaredHistory History;
+  EXPECT_TRUE(History.add(2, Start + 1s));
+  EXPECT_FALSE(History.add(2, Start));
+  EXPECT_EQ(History.behindSince(1), Start);
+  EXPECT_FALSE(History.add(2, Start + 3s));
+  EXPECT_EQ(History.behindSince(1), Start);
+  EXPECT_EQ(History.since(2), Start);
+  EXPECT_EQ(History.since(3), std::nullopt);
+}
+
 TEST(DeclaredHistory, StaysBounded) {
   DeclaredHistory History;
   for (std::uint64_t I = 1; I <= 1'000; ++I)
