Answer 503 where a route or key may have been declared meanwhile

Trace: all entries of one region read each of 13 versions of some 300 KB over one link of 27 Mbit/s; front-be-capital-a-14 had last read the declaration 3.1 s before and knew that it lagged (news, age 1,300 ms and more). It knew version 7 while 20 was in force. Ruled out: the store (stable), the machine (in touch), the parse.

An entry whose last confirmed read is older than the time within which a declaration is to be in force cannot say that a route or key does not exist. It says 503 and when to return; requests that it can serve are served on. DeniesNothingForGoodWhileTheDeclarationMayBeOld fails without the change (404). Left: the declaration's text still crosses the region once for each entry.

--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -125,11 +125,11 @@
   Of.m_Route =
       Routes.find(Of.m_Request.m_Headers.find("Host"), Of.m_Request.path());
   if (!Of.m_Route)
-    co_return co_await refuse(Of, StatusNotFound, "no such route", {});
+    co_return co_await deny(Of, StatusNotFound, "no such route");
   Of.m_Organisation = Routes.organisationOf(Of.m_Terms.m_Key);
   const bool NeedsKey = Routes.hasOrganisations() && !Of.m_Route->m_IsOpen;
   if (NeedsKey && !Of.m_Organisation)
-    co_return co_await refuse(Of, StatusUnauthorized, "unknown key", {});
+    co_return co_await deny(Of, StatusUnauthorized, "unknown key");
   const ServiceId *Service = chooseService(*Of.m_Route, m_Random());
   if (!Service)
     co_return co_await refuse(Of, StatusUnavailable, "route without service",
@@ -147,6 +147,19 @@
   co_await tryInstances(Of);
 }
 
+/// A route or key that is not known here may have been declared meanwhile: only
+/// who knows what is in force says for good that there is none. Entries that
+/// could not read the store for 3 s, behind a link that was full, answered 404
+/// to callers of routes that were in force.
+asio::awaitable<void> EntryRequests::deny(Call &Of, unsigned Status,
+                                          std::string Reason) {
+  if (m_MayBeOld())
+    co_return co_await refuse(Of, StatusUnavailable,
+                              Reason + ", declaration may be old",
+                              RetryAfterStart);
+  co_await refuse(Of, Status, std::move(Reason), {});
+}
+
 /// Chooses by what is known here, and has the choice confirmed by the agent
 /// beside the instance, which knows what all entries send.
 asio::awaitable<InstanceChoice> EntryRequests::choosePlace(Call &Of) {
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -45,6 +45,10 @@
 
   void setDeclaration(const FleetDeclaration &Declaration);
   void setEntries(std::size_t Count) { m_Entries = Count; }
+  /// Whether there may be a newer declaration; see FleetFollower.
+  void setMayBeOld(std::function<bool()> Asked) {
+    m_MayBeOld = std::move(Asked);
+  }
 
   asio::awaitable<void> handle(net::HttpRequest Request,
                                net::HttpResponder &Answer);
@@ -69,6 +73,7 @@
   };
 
   asio::awaitable<void> serve(Call &Of);
+  asio::awaitable<void> deny(Call &Of, unsigned Status, std::string Reason);
   asio::awaitable<void> tryInstances(Call &Of);
   asio::awaitable<InstanceChoice> choosePlace(Call &Of);
   asio::awaitable<Ended> attempt(Call &Of, const InstanceChoice &Chosen);
@@ -94,6 +99,7 @@
   AskPlace m_Ask;
   std::shared_ptr<const RouteIndex> m_Routes =
       std::make_shared<const RouteIndex>();
+  std::function<bool()> m_MayBeOld = [] { return false; };
   std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
   /// What is known of one route's requests, by the route's name.
   struct RouteLoad {
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -146,6 +146,8 @@
             return answerDirectory(std::move(Request), Answer);
           },
           SmallLimits) {
+  m_Requests.setMayBeOld(
+      [this] { return m_Follower.mayHaveMissedDeclaration(); });
   m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
 }
 
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -229,6 +229,10 @@
   co_return false;
 }
 
+bool FleetFollower::mayHaveMissedDeclaration() const {
+  return now() - m_Declarations.m_Reading.asOf() >= m_Bounds.m_Apply;
+}
+
 void FleetFollower::applyDeclaration(const net::PlatformObject &Object) {
   const auto Parsed =
       outcomeOf([&] { return m_Adapter.parseDeclaration(Object.m_Json); });
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -64,6 +64,9 @@
   asio::awaitable<bool> listOldInstances();
 
   bool knowsDeclaration() const { return m_Version != 0; }
+  /// Whether a declaration that is not known here may be in force by now: the
+  /// store has not been read for the time within which each is to be.
+  bool mayHaveMissedDeclaration() const;
   /// The store was read, whether or not it names any version.
   bool knowsWeights() const {
     return m_WeightVersions.m_Reading.asOf() != TimePoint{};
