--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -170,15 +170,23 @@
 /// was sent there unasked came after 400 to 800 ms.
 asio::awaitable<InstanceChoice> EntryRequests::choosePlace(ChoiceQuery Query) {
   std::optional<InstanceChoice> Unanswered;
-  for (unsigned Asked = 0;; ++Asked) {
+  std::optional<InstanceChoice> Refused;
+  for (unsigned Asked = 0; Asked < MostAsked; ++Asked) {
     InstanceChoice Chosen = m_Instances.choose(Query, now());
-    const bool IsFound = Chosen.m_Outcome == ChoiceOutcome::Chosen;
-    if (!IsFound || Asked == MostAsked)
-      co_return Unanswered.value_or(Chosen);
+    if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
+      // Those that were asked are not looked at again.
+      if (!Refused)
+        Refused = std::move(Chosen);
+      break;
+    }
     const auto Place = m_Instances.placeQuery(Chosen.m_Instance, Query, now());
     if (!Place)
       co_return Chosen;
     const auto Reply = co_await m_Ask(Chosen.m_Address, *Place);
+    if (Reply)
+      m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
+    if (Reply && Reply->m_IsGranted)
+      co_return Chosen;
     Query.m_Full.insert(Chosen.m_Instance);
     if (!Reply) {
       m_Instances.unanswered(Chosen.m_Instance, now());
@@ -186,14 +194,17 @@
         Unanswered = std::move(Chosen);
       continue;
     }
-    m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
-    if (Reply->m_IsGranted)
-      co_return Chosen;
-    if (Asked + 1 == MostAsked) {
-      Chosen.m_Outcome = ChoiceOutcome::Full;
-      co_return Unanswered.value_or(Chosen);
-    }
+    Chosen.m_Outcome = ChoiceOutcome::Full;
+    Refused = std::move(Chosen);
   }
+  if (Unanswered)
+    co_return *std::move(Unanswered);
+  if (Refused)
+    co_return *std::move(Refused);
+  // No agent answered, and all are believed full.
+  Query.m_Full.clear();
+  Query.m_AskedBeyond = 0;
+  co_return m_Instances.choose(Query, now());
 }
 
 asio::awaitable<void> EntryRequests::tryInstances(Call &Of) {
