Count and log agents that do not answer; resume with the same weights

A stream that broke went on with whatever weights another instance had. It now prefers one with those that it began with; only where nobody serves them any more it goes on with others. PlaceUnanswered (4007) and deckpitch_place_questions_total tell of questions to agents.

--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -207,6 +207,17 @@
   co_return m_Instances.choose(Query, now());
 }
 
+/// A stream of which the caller has a part goes on with the same weights where
+/// anybody still serves them.
+asio::awaitable<InstanceChoice> EntryRequests::choosePlaceFor(Call &Of) {
+  if (Of.m_EventCount > 0 && Of.m_Version != 0) {
+    InstanceChoice Same = co_await choosePlace(queryForRest(Of));
+    if (Same.m_Outcome == ChoiceOutcome::Chosen)
+      co_return Same;
+  }
+  co_return co_await choosePlace(Of.m_Query);
+}
+
 asio::awaitable<void> EntryRequests::tryInstances(Call &Of) {
   Ended How = Ended::NotRun;
   while (true) {
@@ -215,7 +226,7 @@
     const bool IsMoving = std::exchange(Of.m_IsMoving, false);
     InstanceChoice Chosen = Of.m_Next;
     if (!IsMoving)
-      Chosen = co_await choosePlace(Of.m_Query);
+      Chosen = co_await choosePlaceFor(Of);
     if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
       Of.m_RetryAfter = Chosen.m_RetryAfter;
       if (Of.m_Sends == 0 && Of.m_Unreachable == 0) {
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -77,6 +77,7 @@
   asio::awaitable<void> deny(Call &Of, unsigned Status, std::string Reason);
   asio::awaitable<void> tryInstances(Call &Of);
   asio::awaitable<InstanceChoice> choosePlace(ChoiceQuery Query);
+  asio::awaitable<InstanceChoice> choosePlaceFor(Call &Of);
   asio::awaitable<Ended> attempt(Call &Of, const InstanceChoice &Chosen);
   asio::awaitable<Ended> exchange(Call &Of, const InstanceChoice &Chosen);
   asio::awaitable<Ended> readWhole(Call &Of, net::HttpStream &Body);
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -10,6 +10,7 @@
 #include "net/adapters.h"
 #include "net/address.h"
 #include "net/log.h"
+#include "net/metrics.h"
 
 #include <boost/asio.hpp>
 
@@ -276,8 +277,16 @@
 asio::awaitable<std::optional<PlaceReply>> Entry::askPlace(std::string Address,
                                                            PlaceQuery Query) {
   const auto Answer = co_await m_Places.ask(agentOf(Address), Query);
-  if (!Answer)
+  const char *Outcome = !Answer                ? "unanswered"
+                        : Answer->is_granted() ? "granted"
+                                               : "refused";
+  net::metrics()
+      .counter("deckpitch_place_questions_total", {{"outcome", Outcome}})
+      .add();
+  if (!Answer) {
+    net::log(Event::PlaceUnanswered, {{"address", Address}});
     co_return std::nullopt;
+  }
   co_return PlaceReply{Answer->is_granted(), reportOf(Answer->state())};
 }
 
