--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -173,6 +173,7 @@
 /// comes back after half of an objective of 300 ms is late.
 TEST_F(Instances, WhoIsRefusedComesBackWhileItCanStillBeInTime) {
   std::vector<FleetInstance> List;
+  List.reserve(12);
   for (int I = 0; I < 12; ++I)
     List.push_back(listed("i" + std::to_string(I)));
   list(List);
