--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -27,7 +27,7 @@
 /// How long an instance that is to load other weights may go on with what it
 /// runs: nothing else begins there until the last stream has ended, up to 3 s
 /// later, while its other places stand empty. With moves an instance is away
-/// for 0.9 s instead of 2.2 s (mean of 20).
+/// for 1.0 s instead of 2.2 s (mean of 20).
 constexpr milliseconds SwapPatience{200};
 
 } // namespace
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -45,7 +45,7 @@
 constexpr Duration ChunkPatience = milliseconds(600);
 /// Offers and chunks under way to peers at once. Some offers are declined, and
 /// the link must not run dry meanwhile; but what is under way lies before the
-/// requests for the instance: with six, 1 in 9 first tokens of the time of a
+/// requests for the instance: with six, 1 in 13 answers of the time of a
 /// copy was late and the copy took 3.4 s, with four 1 in 50 and 3.7 s (20
 /// instances, links of 7.6 Mbit/s).
 constexpr std::uint32_t Uploads = 4;
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -35,7 +35,7 @@
 constexpr Duration AskRest = std::chrono::milliseconds(100);
 /// Retrying sooner would meet the same requests; with the caller's own way,
 /// later leaves too little of an objective of 300 ms. With 60 to 90 ms, 1,707
-/// of 2,291 callers that were served when they came back were late.
+/// of 2,291 callers served when they came back were past 290 ms.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(25);
 /// Until weights arrive or instances come back: a copy of some MB takes two to
 /// four seconds over links of some Mbit/s.
