Log how old an entry's knowledge is, how long reads take and how late news comes

Cause still open between hypotheses; no decision has changed. Refusals and failures say how old the declaration is, ReadSlow which reads of the store take more than an eighth of their bound, NewsLate which news waited on its way (LinkDelay compares a sender's messages with its quickest; no common clock).

--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -157,7 +157,7 @@
 /// to callers of routes that were in force.
 asio::awaitable<void> EntryRequests::deny(Call &Of, unsigned Status,
                                           std::string Reason) {
-  if (m_MayBeOld())
+  if (m_Belief().m_MayBeOld)
     co_return co_await refuse(Of, StatusUnavailable,
                               Reason + ", declaration may be old",
                               RetryAfterStart);
@@ -315,6 +315,7 @@
             {"reason", Reason},
             {"route", Of.m_Route ? Of.m_Route->m_Name : ""},
             {"declaration", Of.m_Routes->declaration().m_Version},
+            {"declarationAgeMs", msOf(m_Belief().m_Age)},
             {"sends", std::uint64_t{Of.m_Sends}},
             {"retryAfterMs", msOf(RetryAfter)},
             {"leftMs", msOf(Of.m_Deadline - now())},
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -2,6 +2,7 @@
 // answer, and what follows when an attempt fails.
 #pragma once
 
+#include "deckpitch/declaration-belief.h"
 #include "deckpitch/instance-table.h"
 #include "deckpitch/retry.h"
 #include "deckpitch/route-index.h"
@@ -46,9 +47,9 @@
 
   void setDeclaration(const FleetDeclaration &Declaration);
   void setEntries(std::size_t Count) { m_Entries = Count; }
-  /// Whether there may be a newer declaration; see FleetFollower.
-  void setMayBeOld(std::function<bool()> Asked) {
-    m_MayBeOld = std::move(Asked);
+  /// How far the declaration may be relied on; see FleetFollower.
+  void setBelief(std::function<DeclarationBelief()> Asked) {
+    m_Belief = std::move(Asked);
   }
 
   asio::awaitable<void> handle(net::HttpRequest Request,
@@ -103,7 +104,9 @@
   AskPlace m_Ask;
   std::shared_ptr<const RouteIndex> m_Routes =
       std::make_shared<const RouteIndex>();
-  std::function<bool()> m_MayBeOld = [] { return false; };
+  std::function<DeclarationBelief()> m_Belief = [] {
+    return DeclarationBelief{};
+  };
   std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
   /// What is known of one route's requests, by the route's name.
   struct RouteLoad {
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -1,5 +1,6 @@
 // The entry of a fleet: callers, directory, readiness.
 #include "daemon/clock.h"
+#include "deckpitch/link-delay.h"
 #include "direct/adapter.h"
 #include "direct/entry-peers.h"
 #include "direct/entry-requests.h"
@@ -37,6 +38,10 @@
 constexpr milliseconds AcceptAfterStop{2'500};
 /// Kept free of the time until the kill.
 constexpr milliseconds GraceSpare{500};
+/// News of another entry that takes longer than it usually does by more than
+/// this is worth a line, but not more than one in each span.
+constexpr Duration LongestUsualWay = milliseconds(200);
+constexpr Duration LateLineSpan = milliseconds(1'000);
 constexpr net::HttpLimits SmallLimits{std::size_t{8} * 1024,
                                       std::size_t{64} * 1024,
                                       milliseconds(2'000),
@@ -79,6 +84,7 @@
   asio::awaitable<bool> writeSelf();
   asio::awaitable<void> waitUntilDrained(std::function<void()> OnDone);
   void onLink(const wire::LinkMessage &Message, const std::string &From);
+  void onEntry(const wire::LinkMessage &Message, const std::string &From);
   void onState(const wire::InstanceState &State);
   asio::awaitable<std::optional<PlaceReply>> askPlace(std::string Address,
                                                       PlaceQuery Query);
@@ -89,6 +95,12 @@
   static EntryAddress ownAddress(const DirectSettings &Settings);
   net::HttpLimits callerLimits(const CallerLimits &Declared) const;
 
+  /// An entry that sends hellos or news.
+  struct Sender {
+    LinkDelay m_Delay;
+    TimePoint m_NextLateLine{};
+  };
+
   DirectContext &m_Context;
   asio::io_context &m_Io;
   const FleetAdapter &m_Adapter;
@@ -106,6 +118,7 @@
   std::vector<HeardWeights> m_Declared;
   std::vector<WeightsSource> m_Sources;
   std::map<std::string, LinkOrder> m_StateOrder; ///< by instance address
+  std::map<std::string, Sender> m_Senders;       ///< by link address
   TimePoint m_NextSubscribe{};
   bool m_Leaving = false;
   bool m_WasReady = false;
@@ -147,8 +160,7 @@
             return answerDirectory(std::move(Request), Answer);
           },
           SmallLimits) {
-  m_Requests.setMayBeOld(
-      [this] { return m_Follower.mayHaveMissedDeclaration(); });
+  m_Requests.setBelief([this] { return m_Follower.declarationBelief(); });
   m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
 }
 
@@ -256,10 +268,8 @@
 }
 
 void Entry::onLink(const wire::LinkMessage &Message, const std::string &From) {
-  if (Message.has_hello())
-    m_Peers.heard(Message, From, now());
-  if (Message.has_news())
-    m_Follower.hear(Message.news());
+  if (Message.has_hello() || Message.has_news())
+    onEntry(Message, From);
   if (Message.has_place_answer())
     m_Places.answered(Message.place_answer());
   if (!Message.has_state())
@@ -268,6 +278,26 @@
     onState(Message.state());
 }
 
+void Entry::onEntry(const wire::LinkMessage &Message, const std::string &From) {
+  const TimePoint Now = now();
+  Sender &Known = m_Senders[From];
+  const Duration Late = Known.m_Delay.note(
+      Message.incarnation(), std::chrono::microseconds(Message.sent_us()), Now);
+  if (Message.has_hello())
+    m_Peers.heard(Message, From, Now);
+  if (!Message.has_news())
+    return;
+  if (Late > LongestUsualWay && Now >= Known.m_NextLateLine) {
+    Known.m_NextLateLine = Now + LateLineSpan;
+    net::log(Event::NewsLate,
+             {{"from", From},
+              {"lateMs",
+               std::uint64_t(
+                   std::chrono::duration_cast<milliseconds>(Late).count())}});
+  }
+  m_Follower.hear(Message.news());
+}
+
 /// An instance's agent listens at the same host.
 std::string Entry::agentOf(const std::string &InstanceAddress) const {
   return InstanceAddress.substr(0, InstanceAddress.rfind(':')) + ":" +
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -34,6 +34,9 @@
 constexpr Duration LongestUnread = milliseconds(1'500);
 /// Several times what news takes between entries.
 constexpr Duration TurnStep = milliseconds(40);
+/// Reads that take longer than this part of their bound are logged: links or
+/// the store are so slow that the bound may be missed.
+constexpr int SlowReadPart = 8;
 /// The entries after the eighth read together.
 constexpr Duration LastTurn = milliseconds(280);
 
@@ -56,6 +59,13 @@
   return static_cast<std::uint32_t>(std::max<milliseconds::rep>(Age, 0));
 }
 
+std::size_t bytesOf(const net::PlatformList &Of) {
+  std::size_t Sum = 0;
+  for (const net::PlatformObject &Each : Of.m_Items)
+    Sum += Each.m_Json.size();
+  return Sum;
+}
+
 std::uint32_t ageMs(const SharedReading &Of) { return ageMs(Of.asOf()); }
 
 } // namespace
@@ -158,6 +168,16 @@
              {{"subject", Kind}, {"ageMs", std::uint64_t{ageMs(Reading)}}});
 }
 
+/// Bytes: of the declarations that came.
+void FleetFollower::noteRead(const std::string &Subject, TimePoint Asked,
+                             Duration Bound, std::size_t Bytes) const {
+  if (now() - Asked <= Bound / SlowReadPart)
+    return;
+  net::log(Event::ReadSlow, {{"subject", Subject},
+                             {"ms", std::uint64_t{ageMs(Asked)}},
+                             {"bytes", std::uint64_t{Bytes}}});
+}
+
 void FleetFollower::tell(const std::function<void(wire::StoreNews &)> &Fill) {
   if (!m_Calls.m_OnNews)
     return;
@@ -191,6 +211,7 @@
   const TimePoint Asked = now();
   const auto List = co_await m_Store.list(Of.m_Kind);
   noteStore("list " + Of.m_Kind, faultOf(List));
+  noteRead(Of.m_Kind, Asked, m_Bounds.m_Apply, List ? bytesOf(*List) : 0);
   if (!List)
     co_return false;
   for (const net::PlatformObject &Each : List->m_Items)
@@ -229,8 +250,8 @@
   co_return false;
 }
 
-bool FleetFollower::mayHaveMissedDeclaration() const {
-  return now() - m_Declarations.m_Reading.asOf() >= m_Bounds.m_Apply;
+DeclarationBelief FleetFollower::declarationBelief() const {
+  return beliefOf(m_Declarations.m_Reading, m_Bounds.m_Apply, now());
 }
 
 void FleetFollower::applyDeclaration(const net::PlatformObject &Object) {
@@ -247,6 +268,7 @@
   net::log(Event::DeclarationAccepted,
            {{"version", Parsed->m_Version},
             {"revision", Object.m_Revision.m_Value},
+            {"bytes", std::uint64_t{Object.m_Json.size()}},
             {"routes", std::uint64_t{Parsed->m_Routes.size()}}});
   m_Calls.m_OnDeclaration(*Parsed);
 }
@@ -316,7 +338,9 @@
 
 asio::awaitable<bool> FleetFollower::listInstances() {
   const TimePoint Asked = now();
-  co_return takeInstances(co_await m_Store.list(m_Kinds.m_Instances), Asked);
+  const auto List = co_await m_Store.list(m_Kinds.m_Instances);
+  noteRead(m_Kinds.m_Instances, Asked, m_Bounds.m_Drain, 0);
+  co_return takeInstances(List, Asked);
 }
 
 asio::awaitable<bool> FleetFollower::listOldInstances() {
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -2,6 +2,7 @@
 // entries: one reads and tells the rest.
 #pragma once
 
+#include "deckpitch/declaration-belief.h"
 #include "deckpitch/fleet.h"
 #include "deckpitch/instance-list.h"
 #include "deckpitch/shared-reading.h"
@@ -64,9 +65,7 @@
   asio::awaitable<bool> listOldInstances();
 
   bool knowsDeclaration() const { return m_Version != 0; }
-  /// Whether a declaration that is not known here may be in force by now: the
-  /// store has not been read for the time within which each is to be.
-  bool mayHaveMissedDeclaration() const;
+  DeclarationBelief declarationBelief() const;
   /// The store was read, whether or not it names any version.
   bool knowsWeights() const {
     return m_WeightVersions.m_Reading.asOf() != TimePoint{};
@@ -93,6 +92,8 @@
                                  asio::steady_timer &Wake);
   asio::awaitable<void> pause(Duration Length);
   void noteTakeOver(const std::string &Kind, const SharedReading &Reading);
+  void noteRead(const std::string &Subject, TimePoint Asked, Duration Bound,
+                std::size_t Bytes) const;
   void tell(const std::function<void(wire::StoreNews &)> &Fill);
   void tellInstances(const InstanceListChange &Change);
   void hearDeclaration(const wire::DeclarationNews &News, TimePoint Now);
--- a/src/direct/state-link.cc
+++ b/src/direct/state-link.cc
@@ -1,5 +1,6 @@
 #include "direct/state-link.h"
 
+#include "daemon/clock.h"
 #include "net/address.h"
 #include "net/log.h"
 
@@ -63,6 +64,10 @@
     return net::log(Event::LinkAddressRefused, {{"address", To}});
   Message.set_incarnation(m_Incarnation);
   Message.set_sequence(++m_Sequence);
+  Message.set_sent_us(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          daemon::now().time_since_epoch())
+          .count()));
   const std::string Bytes = Message.SerializeAsString();
   boost::system::error_code Ignored; // The next message makes up for it.
   m_Socket.send_to(asio::buffer(Bytes), *Endpoint, 0, Ignored);
