Pass a declaration on between entries; ask the store for changes only

Cause: each entry read each version whole for itself, and read it whole again whenever it had not heard for 0.42 of the bound that nothing was new. Over links of 28 Mbit/s the copies of one version took 1.8 s to 3 s a region; the news that would have ended the reading was lost meanwhile, so the copies fed themselves. Lists of instances waited behind them. Class: many processes each fetch the same large value over one shared narrow link, and fetch it again because of the delay. Ruled out: news that comes late (none by more than 0.2 s: a full link drops it).

Change: the text comes from the entry that told of the version, packed; the first of a data centre fetches it from afar, the others beside them; a takeover asks for changes since the known revision; turns are counted within a data centre. Ages count from the store's look. An entry that is known to be behind denies nothing, and serves nothing after half of the bound.

--- a/include/deckpitch/shared-reading.h
+++ b/include/deckpitch/shared-reading.h
@@ -13,22 +13,33 @@
 
 struct ReadingPlan {
   Duration m_Every{};    ///< between two reads of the first process
-  Duration m_TakeOver{}; ///< age after which the second one reads
-  Duration m_TurnStep{}; ///< that much later for each further process
-  Duration m_LastTurn{}; ///< at most that much after the second one
+  Duration m_TakeOver{}; ///< age after which the next ones read
+  Duration m_TurnStep{}; ///< that much later for each process before it
+  Duration m_LastTurn{}; ///< at most that much later
+  Duration m_Stale{};    ///< age after which the store counts as away
 
   friend bool operator==(const ReadingPlan &, const ReadingPlan &) = default;
 };
 
+/// Where a process stands among those that may read. They take over from the
+/// first one in each data centre apart: a reading that crosses the link between
+/// two regions is then told to the others beside it.
+struct ReadingTurn {
+  std::size_t m_All = 0;  ///< processes before it
+  std::size_t m_Near = 0; ///< of these, in its own data centre
+
+  friend bool operator==(const ReadingTurn &, const ReadingTurn &) = default;
+};
+
 /// What one process knows of one subject was true at a moment in the past,
 /// whoever read it. No clock of its own.
 class SharedReading {
 public:
   explicit SharedReading(ReadingPlan Plan) : m_Plan(Plan) {}
 
-  /// 0 is the first process: it reads as long as it can.
-  void setTurn(std::size_t Turn) { m_Turn = Turn; }
-  bool isFirst() const { return m_Turn == 0; }
+  /// The first process reads as long as it can.
+  void setTurn(ReadingTurn Turn) { m_Turn = Turn; }
+  bool isFirst() const { return m_Turn.m_All == 0; }
 
   /// The store held what is known at that moment. Older news changes nothing.
   void confirm(TimePoint AsOf) {
@@ -37,33 +48,50 @@
     m_AsOf = AsOf;
     m_IsBehind = false;
   }
-  /// Another process knows something newer: read at once.
-  void noteBehind() { m_IsBehind = true; }
+  /// Another process knows something newer, to be read here after that time.
+  void noteBehind(TimePoint Now, Duration Wait) {
+    if (!m_IsBehind)
+      m_BehindSince = Now;
+    m_ReadAt = m_IsBehind ? std::min(m_ReadAt, Now + Wait) : Now + Wait;
+    m_IsBehind = true;
+  }
+  /// What the others knew is known here too.
+  void noteCaughtUp() { m_IsBehind = false; }
 
   TimePoint asOf() const { return m_AsOf; }
   bool isBehind() const { return m_IsBehind; }
+  /// How long something newer has been known to exist.
+  Duration behindFor(TimePoint Now) const {
+    return m_IsBehind ? Now - m_BehindSince : Duration::zero();
+  }
+  /// How long this process leaves a reading to those beside it that come first.
+  Duration turnWait() const {
+    const auto Before = static_cast<Duration::rep>(m_Turn.m_Near);
+    return std::min(m_Plan.m_TurnStep * Before, m_Plan.m_LastTurn);
+  }
   /// When this process is to read; at once while nothing is known.
   TimePoint due() const {
-    if (m_IsBehind || m_AsOf == TimePoint{})
+    if (m_AsOf == TimePoint{})
       return TimePoint{};
+    if (m_IsBehind)
+      return m_ReadAt;
     if (isFirst())
       return m_AsOf + m_Plan.m_Every;
-    const auto Before = static_cast<Duration::rep>(m_Turn - 1);
-    return m_AsOf + m_Plan.m_TakeOver +
-           std::min(m_Plan.m_TurnStep * Before, m_Plan.m_LastTurn);
+    return m_AsOf + m_Plan.m_TakeOver + turnWait();
   }
-  /// Nobody could confirm it for longer than all turns together take: the
-  /// store was away, for this process at least.
+  /// Nobody could confirm it for so long: the store was away, for this process
+  /// at least.
   bool isStale(TimePoint Now) const {
-    return m_AsOf != TimePoint{} &&
-           Now - m_AsOf > m_Plan.m_TakeOver + 2 * m_Plan.m_LastTurn;
+    return m_AsOf != TimePoint{} && Now - m_AsOf > m_Plan.m_Stale;
   }
 
 private:
   ReadingPlan m_Plan;
-  std::size_t m_Turn = 0;
+  ReadingTurn m_Turn;
   TimePoint m_AsOf{};
   bool m_IsBehind = false;
+  TimePoint m_BehindSince{};
+  TimePoint m_ReadAt{};
 };
 
 } // namespace deckpitch
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -156,7 +156,7 @@
                     for (const HeardWeights &Each : Declared)
                       m_Weights.want(Each);
                   },
-                  nullptr}),
+                  nullptr, nullptr, nullptr}),
       m_Weights(m_Io, m_Http, *m_Engine, supplyOptions(Context),
                 {[this] { return m_Follower.listInstances(); },
                  // Entries send elsewhere from now on.
--- a/src/direct/entry-peers.cc
+++ b/src/direct/entry-peers.cc
@@ -122,24 +122,37 @@
 }
 
 bool EntryPeers::isInGroup(const Peer &Each, TimePoint Now) const {
-  const bool IsNear = Each.m_Address.m_DataCentre == m_Own.m_DataCentre;
-  return isLive(Each, Now) && (IsNear || m_Peers.size() < MostInOneGroup);
+  return isLive(Each, Now) && (isNear(Each) || m_Peers.size() < MostInOneGroup);
 }
 
-std::vector<std::string> EntryPeers::group(TimePoint Now) const {
+std::vector<std::string> EntryPeers::group(TimePoint Now,
+                                           NewsReach Reach) const {
   std::vector<std::string> Out;
   for (const auto &[Id, Each] : m_Peers)
-    if (isInGroup(Each, Now))
+    if (isInGroup(Each, Now) && (Reach == NewsReach::All || isNear(Each)))
       Out.push_back(Each.m_Address.m_Link);
   return Out;
 }
 
-std::size_t EntryPeers::ownTurn(TimePoint Now) const {
-  return static_cast<std::size_t>(
-      std::count_if(m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
-        return Each.second.m_TakesCallers && Each.first < m_Own.m_Id &&
-               isInGroup(Each.second, Now);
-      }));
+ReadingTurn EntryPeers::ownTurn(TimePoint Now) const {
+  ReadingTurn Out;
+  for (const auto &[Id, Each] : m_Peers) {
+    const bool IsBefore =
+        Each.m_TakesCallers && Id < m_Own.m_Id && isInGroup(Each, Now);
+    Out.m_All += IsBefore ? 1 : 0;
+    Out.m_Near += IsBefore && isNear(Each) ? 1 : 0;
+  }
+  return Out;
+}
+
+bool EntryPeers::isNear(const Peer &Each) const {
+  return Each.m_Address.m_DataCentre == m_Own.m_DataCentre;
+}
+
+bool EntryPeers::isNear(const std::string &Link) const {
+  return std::any_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Each) {
+    return Each.second.m_Address.m_Link == Link && isNear(Each.second);
+  });
 }
 
 std::vector<std::string> EntryPeers::addressesFor(const DataCentreId &Caller,
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/id.h"
+#include "deckpitch/shared-reading.h"
 #include "deckpitch/time.h"
 #include "direct/state-link.h"
 
@@ -13,6 +14,9 @@
 
 namespace deckpitch::direct {
 
+/// Which entries are told what one has learnt.
+enum class NewsReach { All, Near };
+
 /// How an entry is reached.
 struct EntryAddress {
   InstanceId m_Id;
@@ -43,11 +47,14 @@
 
   /// Entries that take callers, this one included if it does.
   std::size_t liveCount(TimePoint Now) const;
-  /// Where to tell what this entry has read from the store.
-  std::vector<std::string> group(TimePoint Now) const;
+  /// Where to tell what this entry has read from the store: to all that share
+  /// a reader, or to those of them in its own data centre.
+  std::vector<std::string> group(TimePoint Now, NewsReach Reach) const;
   /// Entries of that group that read the store before this one: those that take
   /// callers and whose id is smaller.
-  std::size_t ownTurn(TimePoint Now) const;
+  ReadingTurn ownTurn(TimePoint Now) const;
+  /// Whether the entry with that link address is in this data centre.
+  bool isNear(const std::string &Link) const;
   /// For a caller in that data centre: the entries there if there are enough
   /// of them, else all.
   std::vector<std::string> addressesFor(const DataCentreId &Caller,
@@ -66,6 +73,7 @@
 
   bool isLive(const Peer &Each, TimePoint Now) const;
   bool isInGroup(const Peer &Each, TimePoint Now) const;
+  bool isNear(const Peer &Each) const;
   Duration helloSpan() const;
 
   EntryAddress m_Own;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -126,6 +126,9 @@
   if (Routes.declaration().m_Version == 0)
     co_return co_await refuse(Of, StatusUnavailable, "starting",
                               RetryAfterStart);
+  if (m_Belief().m_IsReplaced)
+    co_return co_await refuse(Of, StatusUnavailable, "declaration is replaced",
+                              RetryAfterStart);
   Of.m_Route =
       Routes.find(Of.m_Request.m_Headers.find("Host"), Of.m_Request.path());
   if (!Of.m_Route)
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -2,6 +2,7 @@
 #include "daemon/clock.h"
 #include "deckpitch/link-delay.h"
 #include "direct/adapter.h"
+#include "direct/declaration-relay.h"
 #include "direct/entry-peers.h"
 #include "direct/entry-requests.h"
 #include "direct/fleet-follower.h"
@@ -110,6 +111,7 @@
   EntryRequests m_Requests;
   EntryPeers m_Peers;
   StateLink m_Link;
+  DeclarationRelay m_Relay;
   PlaceClient m_Places;
   FleetFollower m_Follower;
   net::HttpServer m_Callers;
@@ -137,11 +139,11 @@
                    return askPlace(std::move(Address), Query);
                  }),
       m_Peers(ownAddress(Context.m_Settings)),
-      m_Link(m_Io, Context.m_Incarnation), m_Places(m_Io, m_Link),
-      m_Follower(m_Io, *m_Store, m_Adapter,
-                 {Context.m_Settings.m_Bounds.m_Apply,
-                  Context.m_Settings.m_Bounds.m_Drain},
-                 followerCalls()),
+      m_Link(m_Io, Context.m_Incarnation), m_Relay(Context.m_Threads, m_Http),
+      m_Places(m_Io, m_Link), m_Follower(m_Io, *m_Store, m_Adapter,
+                                         {Context.m_Settings.m_Bounds.m_Apply,
+                                          Context.m_Settings.m_Bounds.m_Drain},
+                                         followerCalls()),
       m_Callers(
           Context.m_Threads,
           [this](net::HttpRequest Request, net::HttpResponder &Answer) {
@@ -199,12 +201,18 @@
       m_Instances.setWeights({Each.m_Declared}, Each.m_Since);
     m_NextSubscribe = {}; // Agents hear of it with the next hello.
   };
-  Calls.m_OnNews = [this](const wire::StoreNews &News) {
+  Calls.m_OnNews = [this](const wire::StoreNews &News, NewsReach Reach) {
     wire::LinkMessage Message;
     *Message.mutable_news() = News;
-    for (const std::string &To : m_Peers.group(now()))
+    for (const std::string &To : m_Peers.group(now(), Reach))
       m_Link.send(To, Message);
   };
+  Calls.m_OnHeld = [this](HeldDeclaration Newest) {
+    m_Relay.hold(std::move(Newest));
+  };
+  Calls.m_Fetch = [this](std::string Holder, std::uint64_t Version) {
+    return m_Relay.fetch(std::move(Holder), Version);
+  };
   return Calls;
 }
 
@@ -220,6 +228,8 @@
                                           const std::string &From) {
         onLink(Message, From);
       }));
+  // Same port as the datagrams, so that who hears an entry can ask it.
+  BOOST_LEAF_CHECK(m_Relay.listen(Listen.m_Link));
   m_Follower.start();
   asio::co_spawn(m_Io, registerSelf(), asio::detached);
   asio::co_spawn(m_Io, tick(), asio::detached);
@@ -295,7 +305,7 @@
                std::uint64_t(
                    std::chrono::duration_cast<milliseconds>(Late).count())}});
   }
-  m_Follower.hear(Message.news());
+  m_Follower.hear(Message.news(), {From, m_Peers.isNear(From), Late});
 }
 
 /// An instance's agent listens at the same host.
@@ -431,6 +441,7 @@
   m_Stopped = true;
   m_Follower.stop();
   m_Link.stop();
+  m_Relay.stop();
   m_Callers.stop();
   m_Ready.stop();
   m_Directory.stop();
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -32,13 +32,19 @@
 /// all instances were past the bound of a version at the moment at which the
 /// store returned and named it.
 constexpr Duration LongestUnread = milliseconds(1'500);
-/// Several times what news takes between entries.
-constexpr Duration TurnStep = milliseconds(40);
+/// What a read and its news to the entries beside take on a sound link. A new
+/// declaration takes longer over one that is busy; then several of a data
+/// centre read it, and not all.
+constexpr Duration TurnStep = milliseconds(150);
+/// Above the time of all reads that go well.
+constexpr Duration StaleMargin = milliseconds(560);
 /// Reads that take longer than this part of their bound are logged: links or
 /// the store are so slow that the bound may be missed.
 constexpr int SlowReadPart = 8;
-/// The entries after the eighth read together.
-constexpr Duration LastTurn = milliseconds(280);
+/// The entries of a data centre after the fifth read together.
+constexpr Duration LastTurn = milliseconds(600);
+/// In the log, where a declaration came from.
+const std::string FromStore = "store";
 
 Duration reliance(Duration Bound) {
   return Duration(static_cast<Duration::rep>(
@@ -46,7 +52,8 @@
 }
 
 ReadingPlan planFor(Duration Bound, Duration Every) {
-  return {Every, reliance(Bound), TurnStep, LastTurn};
+  const Duration TakeOver = reliance(Bound);
+  return {Every, TakeOver, TurnStep, LastTurn, TakeOver + StaleMargin};
 }
 
 template <typename T> std::optional<Error> faultOf(const Outcome<T> &Got) {
@@ -81,14 +88,15 @@
           {},
           asio::steady_timer(Io),
           [this](const net::PlatformObject &Object) {
-            applyDeclaration(Object);
+            applyDeclaration(Object, FromStore);
           },
           [this](wire::StoreNews &News) {
             wire::DeclarationNews &Told = *News.mutable_declaration();
             Told.set_version(m_Version);
             Told.set_revision(m_Declarations.m_Seen.m_Value);
             Told.set_age_ms(ageMs(m_Declarations.m_Reading));
-          }},
+          },
+          [this] { return fetchTold(); }},
       m_WeightVersions{
           m_Kinds.m_Weights,
           SharedReading(planFor(Bounds.m_Apply, reliance(Bounds.m_Apply) / 2)),
@@ -101,7 +109,8 @@
               write(Each, now(), *Told.add_declared());
             Told.set_revision(m_WeightVersions.m_Seen.m_Value);
             Told.set_age_ms(ageMs(m_WeightVersions.m_Reading));
-          }},
+          },
+          nullptr},
       m_Instances(planFor(Bounds.m_Drain, Bounds.m_Drain / ListsPerDrain)),
       m_InstancesWake(Io) {}
 
@@ -118,7 +127,7 @@
   m_InstancesWake.cancel();
 }
 
-void FleetFollower::setTurn(std::size_t Turn) {
+void FleetFollower::setTurn(ReadingTurn Turn) {
   m_Declarations.m_Reading.setTurn(Turn);
   m_WeightVersions.m_Reading.setTurn(Turn);
   m_Instances.setTurn(Turn);
@@ -178,12 +187,13 @@
                              {"bytes", std::uint64_t{Bytes}}});
 }
 
-void FleetFollower::tell(const std::function<void(wire::StoreNews &)> &Fill) {
+void FleetFollower::tell(const std::function<void(wire::StoreNews &)> &Fill,
+                         NewsReach Reach) {
   if (!m_Calls.m_OnNews)
     return;
   wire::StoreNews News;
   Fill(News);
-  m_Calls.m_OnNews(News);
+  m_Calls.m_OnNews(News, Reach);
 }
 
 asio::awaitable<void> FleetFollower::follow(Followed &Of) {
@@ -195,31 +205,82 @@
       co_await untilDue(Of.m_Reading, Of.m_Wake);
     if (m_Stopped)
       break;
-    const bool Came = Watches ? co_await watchOnce(Of) : co_await listOnce(Of);
+    const bool Came = Watches ? co_await watchOnce(Of) : co_await readOnce(Of);
     Failures = Came ? 0 : Failures + 1;
     if (!Came)
       co_await pause(retryAfter(Failures));
   }
 }
 
+/// From another entry where one is known to have more, else from the store.
+asio::awaitable<bool> FleetFollower::readOnce(Followed &Of) {
+  const bool IsTold = Of.m_Reading.isBehind() && Of.m_FetchTold;
+  if (IsTold && co_await Of.m_FetchTold())
+    co_return true;
+  noteTakeOver(Of.m_Kind, Of.m_Reading);
+  co_return co_await refreshOnce(Of);
+}
+
+/// Reads what changed since it was read last. Whole reads by all who had not
+/// heard for a while kept links between regions full for 10 s and more.
+asio::awaitable<bool> FleetFollower::refreshOnce(Followed &Of) {
+  if (Of.m_Seen.m_Value == 0)
+    co_return co_await listOnce(Of);
+  const TimePoint Asked = now();
+  const auto Changed = co_await m_Store.changes(Of.m_Kind, Of.m_Seen);
+  if (Changed || Changed.error().m_Code != ErrorCode::NotFound)
+    co_return takeRead(Of, Changed, Asked, "changes of ");
+  Of.m_Seen = {};
+  co_return co_await listOnce(Of);
+}
+
 /// Reads all, whatever is known of it already.
 asio::awaitable<bool> FleetFollower::listOnce(Followed &Of) {
-  // Those that are only behind read for themselves: whoever told them of the
-  // change has told all.
-  const bool IsForAll = !Of.m_Reading.isBehind();
-  noteTakeOver(Of.m_Kind, Of.m_Reading);
   const TimePoint Asked = now();
   const auto List = co_await m_Store.list(Of.m_Kind);
-  noteStore("list " + Of.m_Kind, faultOf(List));
-  noteRead(Of.m_Kind, Asked, m_Bounds.m_Apply, List ? bytesOf(*List) : 0);
-  if (!List)
-    co_return false;
-  for (const net::PlatformObject &Each : List->m_Items)
+  co_return takeRead(Of, List, Asked, "list ");
+}
+
+bool FleetFollower::takeRead(Followed &Of,
+                             const Outcome<net::PlatformList> &Read,
+                             TimePoint Asked, const std::string &Call) {
+  noteStore(Call + Of.m_Kind, faultOf(Read));
+  noteRead(Of.m_Kind, Asked, m_Bounds.m_Apply, Read ? bytesOf(*Read) : 0);
+  if (!Read)
+    return false;
+  // Whoever told this entry that it is behind has told those of other data
+  // centres.
+  const NewsReach Reach =
+      Of.m_Reading.isBehind() ? NewsReach::Near : NewsReach::All;
+  for (const net::PlatformObject &Each : Read->m_Items)
     Of.m_Apply(Each);
-  Of.m_Seen = std::max(Of.m_Seen, List->m_Revision);
+  Of.m_Seen = std::max(Of.m_Seen, Read->m_Revision);
   Of.m_Reading.confirm(Asked);
-  if (IsForAll)
-    tell(Of.m_Tell);
+  tell(Of.m_Tell, Reach);
+  return true;
+}
+
+/// The text from the entry that told of it. One copy leaves the store then, and
+/// one packed to a tenth crosses to each data centre.
+asio::awaitable<bool> FleetFollower::fetchTold() {
+  const auto Told = std::exchange(m_Told, std::nullopt);
+  if (!Told || Told->m_Version <= m_Version || !m_Calls.m_Fetch)
+    co_return false;
+  const auto Got =
+      co_await m_Calls.m_Fetch(Told->m_From.m_Link, Told->m_Version);
+  if (!Got) {
+    net::log(Event::DeclarationNotRelayed, {{"version", Told->m_Version},
+                                            {"from", Told->m_From.m_Link},
+                                            {"error", Got.error().m_Message}});
+    co_return false;
+  }
+  applyDeclaration(Got->m_Object, Told->m_From.m_Link);
+  if (m_Stopped || m_Version < Told->m_Version)
+    co_return false;
+  m_Declarations.m_Seen = std::max(m_Declarations.m_Seen, Told->m_Revision);
+  m_Declarations.m_Reading.confirm(Told->m_AsOf);
+  m_Declarations.m_Reading.noteCaughtUp();
+  tell(m_Declarations.m_Tell, NewsReach::Near);
   co_return true;
 }
 
@@ -233,8 +294,8 @@
           Of.m_Apply(Told.m_Object);
         if (Told.m_Type == net::PlatformEvent::Type::Bookmark) {
           Of.m_Seen = std::max(Of.m_Seen, Told.m_Object.m_Revision);
-          Of.m_Reading.confirm(now());
-          tell(Of.m_Tell);
+          Of.m_Reading.confirm(now() - Told.m_Age);
+          tell(Of.m_Tell, NewsReach::All);
         }
         return !m_Stopped && Of.m_Reading.isFirst();
       };
@@ -254,7 +315,8 @@
   return beliefOf(m_Declarations.m_Reading, m_Bounds.m_Apply, now());
 }
 
-void FleetFollower::applyDeclaration(const net::PlatformObject &Object) {
+void FleetFollower::applyDeclaration(const net::PlatformObject &Object,
+                                     const std::string &Source) {
   const auto Parsed =
       outcomeOf([&] { return m_Adapter.parseDeclaration(Object.m_Json); });
   if (!Parsed)
@@ -269,8 +331,11 @@
            {{"version", Parsed->m_Version},
             {"revision", Object.m_Revision.m_Value},
             {"bytes", std::uint64_t{Object.m_Json.size()}},
+            {"from", Source},
             {"routes", std::uint64_t{Parsed->m_Routes.size()}}});
   m_Calls.m_OnDeclaration(*Parsed);
+  if (m_Calls.m_OnHeld)
+    m_Calls.m_OnHeld({Parsed->m_Version, Object});
 }
 
 void FleetFollower::applyWeights(const net::PlatformObject &Object) {
@@ -311,23 +376,26 @@
     if (m_Stopped)
       break;
     noteTakeOver(m_Kinds.m_Instances, m_Instances);
-    const bool IsForAll = !m_Instances.isBehind();
+    const NewsReach Reach =
+        m_Instances.isBehind() ? NewsReach::Near : NewsReach::All;
     const InstanceList Before = m_Read;
     const bool Came = co_await listInstances();
     Failures = Came ? 0 : Failures + 1;
     if (!Came)
       co_await pause(retryAfter(Failures));
-    else if (IsForAll)
-      tellInstances(changeBetween(Before, m_Read));
+    else
+      tellInstances(changeBetween(Before, m_Read), Reach);
   }
 }
 
-void FleetFollower::tellInstances(const InstanceListChange &Change) {
-  tell([&](wire::StoreNews &News) {
+void FleetFollower::tellInstances(const InstanceListChange &Change,
+                                  NewsReach Reach) {
+  const auto Fill = [&](wire::StoreNews &News) {
     wire::InstancesNews &Told = *News.mutable_instances();
     write(Change, Told);
     Told.set_age_ms(ageMs(m_Instances));
-  });
+  };
+  tell(Fill, Reach);
 }
 
 asio::awaitable<bool> FleetFollower::readDeclarations() {
@@ -422,31 +490,41 @@
   }
 }
 
-void FleetFollower::hear(const wire::StoreNews &News) {
+void FleetFollower::hear(const wire::StoreNews &News, const NewsOrigin &From) {
   const TimePoint Now = now();
   if (News.has_declaration())
-    hearDeclaration(News.declaration(), Now);
+    hearDeclaration(News.declaration(), From, Now);
   if (News.has_weights())
-    hearWeights(News.weights(), Now);
+    hearWeights(News.weights(), From, Now);
   if (News.has_instances())
-    hearInstances(News.instances(), Now);
+    hearInstances(News.instances(), From, Now);
 }
 
+/// The first entry of a data centre gets a newer declaration from wherever it
+/// is, and the others get it from an entry beside them.
 void FleetFollower::hearDeclaration(const wire::DeclarationNews &News,
-                                    TimePoint Now) {
+                                    const NewsOrigin &From, TimePoint Now) {
   if (News.version() < m_Version)
     return;
+  const TimePoint AsOf = Now - milliseconds(News.age_ms()) - From.m_Late;
+  SharedReading &Reading = m_Declarations.m_Reading;
   if (News.version() > m_Version) {
-    m_Declarations.m_Reading.noteBehind();
+    const bool IsBetter = !m_Told || News.version() > m_Told->m_Version ||
+                          (From.m_IsNear && !m_Told->m_From.m_IsNear);
+    if (IsBetter)
+      m_Told = {News.version(), Revision{News.revision()}, AsOf, From};
+    Reading.noteBehind(Now,
+                       From.m_IsNear ? Duration::zero() : Reading.turnWait());
     m_Declarations.m_Wake.cancel();
     return;
   }
-  m_Declarations.m_Reading.confirm(Now - milliseconds(News.age_ms()));
+  Reading.confirm(AsOf);
   m_Declarations.m_Seen =
       std::max(m_Declarations.m_Seen, Revision{News.revision()});
 }
 
-void FleetFollower::hearWeights(const wire::WeightsNews &News, TimePoint Now) {
+void FleetFollower::hearWeights(const wire::WeightsNews &News,
+                                const NewsOrigin &From, TimePoint Now) {
   for (const wire::DeclaredWeightsState &Each : News.declared())
     setWeights(read(Each, Now));
   // Who knows a version that is not told must not take the news for as new.
@@ -458,14 +536,15 @@
         Told->version() < Each.m_Declared.m_Version)
       return;
   }
-  m_WeightVersions.m_Reading.confirm(Now - milliseconds(News.age_ms()));
+  m_WeightVersions.m_Reading.confirm(Now - milliseconds(News.age_ms()) -
+                                     From.m_Late);
   m_WeightVersions.m_Seen =
       std::max(m_WeightVersions.m_Seen, Revision{News.revision()});
 }
 
 void FleetFollower::hearInstances(const wire::InstancesNews &News,
-                                  TimePoint Now) {
-  const TimePoint AsOf = Now - milliseconds(News.age_ms());
+                                  const NewsOrigin &From, TimePoint Now) {
+  const TimePoint AsOf = Now - milliseconds(News.age_ms()) - From.m_Late;
   // Older than what was read here: it may name those that have left.
   if (AsOf < m_Instances.asOf())
     return;
@@ -475,7 +554,7 @@
   else if (m_KnowsInstances)
     Told = applyChange(m_Read, read(News));
   if (!Told) {
-    m_Instances.noteBehind();
+    m_Instances.noteBehind(Now, m_Instances.turnWait());
     m_InstancesWake.cancel();
     return;
   }
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -8,6 +8,8 @@
 #include "deckpitch/shared-reading.h"
 #include "deckpitch/time.h"
 #include "direct/adapter.h"
+#include "direct/declaration-relay.h"
+#include "direct/entry-peers.h"
 #include "net/platform.h"
 #include "proto/link.pb.h"
 
@@ -34,6 +36,13 @@
   bool m_KeepsLapsed = true;
 };
 
+/// Where news came from.
+struct NewsOrigin {
+  std::string m_Link;    ///< address of the entry that sent it
+  bool m_IsNear = false; ///< in the same data centre
+  Duration m_Late{};     ///< how much longer than usual it took
+};
+
 /// Goes on with what it knew while the store is away. All on one loop.
 class FleetFollower {
 public:
@@ -41,8 +50,14 @@
     std::function<void(const FleetDeclaration &)> m_OnDeclaration;
     std::function<void(const std::vector<FleetInstance> &)> m_OnInstances;
     std::function<void(const std::vector<HeardWeights> &)> m_OnWeights;
-    /// What was just read for all entries; may be empty.
-    std::function<void(const wire::StoreNews &)> m_OnNews;
+    /// What was just learnt, and which entries are to be told; may be empty.
+    std::function<void(const wire::StoreNews &, NewsReach)> m_OnNews;
+    /// What to serve to other entries; may be empty.
+    std::function<void(HeldDeclaration)> m_OnHeld;
+    /// Gets a declaration from the entry with that link address; may be empty.
+    std::function<asio::awaitable<Outcome<HeldDeclaration>>(
+        std::string Holder, std::uint64_t Version)>
+        m_Fetch;
   };
 
   FleetFollower(asio::io_context &Io, net::Platform &Store,
@@ -53,9 +68,9 @@
   void start();
   void stop();
   /// Entries that read before this one; see SharedReading.
-  void setTurn(std::size_t Turn);
+  void setTurn(ReadingTurn Turn);
   /// What another entry has read.
-  void hear(const wire::StoreNews &News);
+  void hear(const wire::StoreNews &News, const NewsOrigin &From);
 
   /// Reads the declaration and the declared weights once.
   asio::awaitable<bool> readDeclarations();
@@ -73,6 +88,13 @@
   bool knowsInstances() const { return m_KnowsInstances; }
 
 private:
+  /// A declaration that another entry holds and this one does not.
+  struct ToldDeclaration {
+    std::uint64_t m_Version = 0;
+    Revision m_Revision{}; ///< of the store, as of which it is the newest
+    TimePoint m_AsOf{};
+    NewsOrigin m_From;
+  };
   /// A kind of objects that is read when it is due, and watched by the first
   /// entry.
   struct Followed {
@@ -82,11 +104,18 @@
     asio::steady_timer m_Wake;
     std::function<void(const net::PlatformObject &)> m_Apply;
     std::function<void(wire::StoreNews &)> m_Tell;
+    /// Gets from another entry what is behind here; false where none has it.
+    std::function<asio::awaitable<bool>()> m_FetchTold;
   };
 
   asio::awaitable<void> follow(Followed &Of);
   asio::awaitable<bool> watchOnce(Followed &Of);
+  asio::awaitable<bool> readOnce(Followed &Of);
+  asio::awaitable<bool> refreshOnce(Followed &Of);
   asio::awaitable<bool> listOnce(Followed &Of);
+  asio::awaitable<bool> fetchTold();
+  bool takeRead(Followed &Of, const Outcome<net::PlatformList> &Read,
+                TimePoint Asked, const std::string &Call);
   asio::awaitable<void> pollInstances();
   asio::awaitable<void> untilDue(SharedReading &Reading,
                                  asio::steady_timer &Wake);
@@ -94,13 +123,18 @@
   void noteTakeOver(const std::string &Kind, const SharedReading &Reading);
   void noteRead(const std::string &Subject, TimePoint Asked, Duration Bound,
                 std::size_t Bytes) const;
-  void tell(const std::function<void(wire::StoreNews &)> &Fill);
-  void tellInstances(const InstanceListChange &Change);
-  void hearDeclaration(const wire::DeclarationNews &News, TimePoint Now);
-  void hearWeights(const wire::WeightsNews &News, TimePoint Now);
-  void hearInstances(const wire::InstancesNews &News, TimePoint Now);
+  void tell(const std::function<void(wire::StoreNews &)> &Fill,
+            NewsReach Reach);
+  void tellInstances(const InstanceListChange &Change, NewsReach Reach);
+  void hearDeclaration(const wire::DeclarationNews &News,
+                       const NewsOrigin &From, TimePoint Now);
+  void hearWeights(const wire::WeightsNews &News, const NewsOrigin &From,
+                   TimePoint Now);
+  void hearInstances(const wire::InstancesNews &News, const NewsOrigin &From,
+                     TimePoint Now);
   void setWeights(const HeardWeights &Heard);
-  void applyDeclaration(const net::PlatformObject &Object);
+  void applyDeclaration(const net::PlatformObject &Object,
+                        const std::string &Source);
   void applyWeights(const net::PlatformObject &Object);
   bool takeInstances(const Outcome<net::PlatformList> &List, TimePoint AsOf);
   InstanceList parseInstances(const net::PlatformList &List);
@@ -117,6 +151,7 @@
   Callbacks m_Calls;
   ObjectKinds m_Kinds;
   std::uint64_t m_Version = 0; ///< of the declaration in force
+  std::optional<ToldDeclaration> m_Told;
   std::map<std::string, HeardWeights> m_Weights; ///< by model
   InstanceList m_Read;                           ///< as the store held it
   InstanceList m_Listed; ///< these, and those that lapsed while it was away
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -3,6 +3,7 @@
 
 #include "deckpitch/error.h"
 #include "deckpitch/id.h"
+#include "deckpitch/time.h"
 #include "net/http.h"
 
 #include <concepts>
@@ -32,6 +33,9 @@
   enum class Type { Put, Delete, Bookmark };
   Type m_Type = Type::Put;
   PlatformObject m_Object; ///< a bookmark has only the revision
+  /// Of a bookmark: how long ago, at most, the platform held nothing newer; 0
+  /// where an adapter cannot tell.
+  Duration m_Age{};
 };
 
 /// One entry of the platform's list of instances, which lags.
@@ -85,6 +89,12 @@
   virtual asio::awaitable<Outcome<PlatformList>> listOld(std::string Kind) {
     return list(std::move(Kind));
   }
+  /// What changed since a revision of the kind that is known, without waiting;
+  /// where that cannot be asked, all. NotFound means that it is too old.
+  virtual asio::awaitable<Outcome<PlatformList>> changes(std::string Kind,
+                                                         Revision /*Since*/) {
+    return list(std::move(Kind));
+  }
   /// Replaces the object if it still has that revision; gives the new one.
   virtual asio::awaitable<Outcome<Revision>> update(PlatformObject Object) = 0;
   virtual asio::awaitable<Outcome<Revision>>
--- a/test/entry-peers-test.cc
+++ b/test/entry-peers-test.cc
@@ -80,14 +80,31 @@
   Entry &First = add("e1");
   Entry &Third = add("e3");
   run(2s);
-  EXPECT_EQ(First.m_Peers.ownTurn(m_Now), 0U);
-  EXPECT_EQ(Second.m_Peers.ownTurn(m_Now), 1U);
-  EXPECT_EQ(Third.m_Peers.ownTurn(m_Now), 2U);
-  EXPECT_EQ(Third.m_Peers.group(m_Now),
+  EXPECT_EQ(First.m_Peers.ownTurn(m_Now), (ReadingTurn{0, 0}));
+  EXPECT_EQ(Second.m_Peers.ownTurn(m_Now), (ReadingTurn{1, 1}));
+  EXPECT_EQ(Third.m_Peers.ownTurn(m_Now), (ReadingTurn{2, 2}));
+  EXPECT_EQ(Third.m_Peers.group(m_Now, NewsReach::All),
             (std::vector<std::string>{"link-e1", "link-e2"}));
   m_IsCut = true;
   run(8s);
-  EXPECT_EQ(Third.m_Peers.ownTurn(m_Now), 0U);
+  EXPECT_EQ(Third.m_Peers.ownTurn(m_Now), (ReadingTurn{0, 0}));
+}
+
+TEST_F(EntryHellos, TellWhoIsNearAndWhoComesFirstThere) {
+  add("e1", "a");
+  Entry &Second = add("e2", "b");
+  Entry &Third = add("e3", "a");
+  Entry &Fourth = add("e4", "b");
+  run(2s);
+  EXPECT_EQ(Second.m_Peers.ownTurn(m_Now), (ReadingTurn{1, 0}));
+  EXPECT_EQ(Third.m_Peers.ownTurn(m_Now), (ReadingTurn{2, 1}));
+  EXPECT_EQ(Fourth.m_Peers.ownTurn(m_Now), (ReadingTurn{3, 1}));
+  EXPECT_EQ(Fourth.m_Peers.group(m_Now, NewsReach::Near),
+            std::vector<std::string>{"link-e2"});
+  EXPECT_EQ(Fourth.m_Peers.group(m_Now, NewsReach::All).size(), 3U);
+  EXPECT_TRUE(Fourth.m_Peers.isNear("link-e2"));
+  EXPECT_FALSE(Fourth.m_Peers.isNear("link-e1"));
+  EXPECT_FALSE(Fourth.m_Peers.isNear("link-unknown"));
 }
 
 TEST_F(EntryHellos, ReadTogetherOnlyWithinADataCentreWhereTheyAreMany) {
@@ -97,9 +114,10 @@
     add("b" + std::to_string(I), "b");
   }
   run(3s);
-  EXPECT_EQ(m_Entries.front()->m_Peers.group(m_Now).size(), OfEach - 1U);
+  EXPECT_EQ(m_Entries.front()->m_Peers.group(m_Now, NewsReach::All).size(),
+            OfEach - 1U);
   // "b0": all of the other data centre have smaller ids, and do not count.
-  EXPECT_EQ(m_Entries[1]->m_Peers.ownTurn(m_Now), 0U);
+  EXPECT_EQ(m_Entries[1]->m_Peers.ownTurn(m_Now), (ReadingTurn{0, 0}));
 }
 
 } // namespace
--- a/test/shared-reading-test.cc
+++ b/test/shared-reading-test.cc
@@ -1,5 +1,6 @@
 #include "deckpitch/shared-reading.h"
 
+#include "deckpitch/declaration-belief.h"
 #include "deckpitch/instance-list.h"
 
 #include <gtest/gtest.h>
@@ -9,51 +10,92 @@
 
 namespace {
 
-constexpr ReadingPlan Plan{500ms, 840ms, 40ms, 280ms};
+constexpr ReadingPlan Plan{500ms, 840ms, 40ms, 280ms, 1'400ms};
 constexpr TimePoint Start{1h};
 
-SharedReading readingOf(std::size_t Turn) {
+SharedReading readingOf(ReadingTurn Turn) {
   SharedReading Out(Plan);
   Out.setTurn(Turn);
   return Out;
 }
 
 TEST(SharedReading, IsDueAtOnceWhileNothingIsKnown) {
-  EXPECT_LE(readingOf(0).due(), Start);
-  EXPECT_LE(readingOf(7).due(), Start);
+  EXPECT_LE(readingOf({0, 0}).due(), Start);
+  EXPECT_LE(readingOf({7, 3}).due(), Start);
 }
 
 TEST(SharedReading, TheFirstReadsAndTheOthersTakeOverInTurn) {
   struct Row {
-    std::size_t m_Turn;
+    ReadingTurn m_Turn;
     Duration m_Due;
   };
-  for (const Row Each : {Row{0, 500ms}, Row{1, 840ms}, Row{2, 880ms},
-                         Row{8, 1'120ms}, Row{41, 1'120ms}}) {
+  // One in each data centre first: reads of several cross different links.
+  for (const Row &Each :
+       {Row{{0, 0}, 500ms}, Row{{1, 0}, 840ms}, Row{{1, 1}, 880ms},
+        Row{{12, 0}, 840ms}, Row{{13, 1}, 880ms}, Row{{19, 7}, 1'120ms},
+        Row{{41, 41}, 1'120ms}}) {
     SharedReading Under = readingOf(Each.m_Turn);
     Under.confirm(Start);
-    EXPECT_EQ(Under.due() - Start, Each.m_Due) << Each.m_Turn;
+    EXPECT_EQ(Under.due() - Start, Each.m_Due)
+        << Each.m_Turn.m_All << " " << Each.m_Turn.m_Near;
   }
 }
 
 TEST(SharedReading, OlderNewsPutsNothingOff) {
-  SharedReading Under = readingOf(1);
+  SharedReading Under = readingOf({1, 1});
   Under.confirm(Start);
   Under.confirm(Start - 300ms);
   EXPECT_EQ(Under.asOf(), Start);
 }
 
-TEST(SharedReading, AChangeThatOthersKnowIsReadAtOnce) {
-  SharedReading Under = readingOf(3);
+TEST(SharedReading, AChangeThatOthersKnowIsReadAtOnceOrAfterThoseBefore) {
+  SharedReading Under = readingOf({5, 3});
   Under.confirm(Start);
-  Under.noteBehind();
-  EXPECT_LE(Under.due(), Start);
+  Under.noteBehind(Start + 50ms, Under.turnWait());
+  EXPECT_EQ(Under.due(), Start + 50ms + 120ms);
+  Under.noteBehind(Start + 60ms, 0ms); // It is held nearby now.
+  EXPECT_EQ(Under.due(), Start + 60ms);
+  Under.noteBehind(Start + 70ms, Under.turnWait());
+  EXPECT_EQ(Under.due(), Start + 60ms);
+  EXPECT_EQ(Under.behindFor(Start + 90ms), 40ms);
   Under.confirm(Start + 100ms);
   EXPECT_GT(Under.due(), Start + 100ms);
+  EXPECT_EQ(Under.behindFor(Start + 200ms), 0ms);
+}
+
+TEST(SharedReading, WhatIsKnownFromAnOlderLookEndsBeingBehindToo) {
+  SharedReading Under = readingOf({1, 0});
+  Under.confirm(Start);
+  Under.noteBehind(Start, 0ms);
+  Under.confirm(Start - 10ms);
+  EXPECT_TRUE(Under.isBehind());
+  Under.noteCaughtUp();
+  EXPECT_FALSE(Under.isBehind());
+  EXPECT_EQ(Under.asOf(), Start);
+}
+
+TEST(DeclarationBelief,
+     DeniesNothingWhileANewerOneIsKnownAndThenServesNothing) {
+  constexpr Duration Bound = 2s;
+  SharedReading Under = readingOf({1, 0});
+  Under.confirm(Start);
+  EXPECT_EQ(beliefOf(Under, Bound, Start + 100ms),
+            (DeclarationBelief{100ms, false, false}));
+  EXPECT_EQ(beliefOf(Under, Bound, Start + 2s),
+            (DeclarationBelief{2s, true, false}));
+  Under.confirm(Start + 2s);
+  Under.noteBehind(Start + 2'100ms, 0ms);
+  EXPECT_EQ(beliefOf(Under, Bound, Start + 2'100ms),
+            (DeclarationBelief{100ms, true, false}));
+  EXPECT_EQ(beliefOf(Under, Bound, Start + 3'100ms),
+            (DeclarationBelief{1'100ms, true, true}));
+  Under.confirm(Start + 3'200ms);
+  EXPECT_EQ(beliefOf(Under, Bound, Start + 3'200ms),
+            (DeclarationBelief{0ms, false, false}));
 }
 
 TEST(SharedReading, IsStaleWhenNoTurnBroughtAnything) {
-  SharedReading Under = readingOf(3);
+  SharedReading Under = readingOf({3, 3});
   EXPECT_FALSE(Under.isStale(Start));
   Under.confirm(Start);
   EXPECT_FALSE(Under.isStale(Start + 1'300ms));
