Count an attempt as a run from its sending on

Ruled out: an error that says 'not reached' after the request was written (the client gives it before the write only).

--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -34,7 +34,7 @@
   ChoiceQuery m_Query;
   TimePoint m_Start;
   TimePoint m_Deadline;
-  std::uint32_t m_Sends = 0;       ///< that reached an instance
+  std::uint32_t m_Sends = 0;       ///< that reached an instance, or may have
   std::uint32_t m_Runs = 0;        ///< of these, that it may have run
   std::uint32_t m_Unreachable = 0; ///< attempts that reached none
   bool m_IsGone = false;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -407,13 +407,19 @@
   Of.m_Abort = [&Cancel] { Cancel.cancel(); };
   if (Of.m_IsGone)
     co_return Ended::Gone;
+  // From here on it may run: whether the stream may move is asked meanwhile.
+  // Counted from the answer's head only, it ran at one more instance than its
+  // route allows.
+  ++Of.m_Sends;
+  ++Of.m_Runs;
   auto Opened = co_await m_Http.open(Chosen.m_Address,
                                      m_Adapter.toUpstream(Of.m_Request, Terms),
                                      Limits, &Cancel);
-  if (!Opened && Opened.error().m_Code == ErrorCode::Unavailable)
+  if (!Opened && Opened.error().m_Code == ErrorCode::Unavailable) {
+    --Of.m_Sends;
+    --Of.m_Runs;
     co_return Ended::Unreachable;
-  ++Of.m_Sends;
-  ++Of.m_Runs;
+  }
   if (!Opened)
     co_return Ended::Lost;
   net::HttpStream &Body = **Opened;
