--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -128,7 +128,12 @@
 
 /// One life of one instance, as the platform's list tells it.
 struct FleetInstance {
-  InstanceId m_Id; ///< new at each start
+  /// New at each start, also where the platform's name stays the same: nothing
+  /// that was believed of the former life holds for the next.
+  InstanceId m_Id;
+  /// Unix milliseconds by that machine's clock; 0: not told. Only compared for
+  /// equality, since that clock may stand behind.
+  std::uint64_t m_Start = 0;
   ServiceId m_Service;
   std::string m_Address;
   DataCentreId m_DataCentre;
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -28,6 +28,8 @@
   std::vector<HeldWeights> m_Weights;
   /// Until it is to load other weights, where these are ready.
   std::optional<Duration> m_SwapIn;
+  /// Of the life that it is about, as in FleetInstance; 0: not told.
+  std::uint64_t m_Start = 0;
 
   friend bool operator==(const InstanceReport &,
                          const InstanceReport &) = default;
@@ -111,6 +113,9 @@
   std::vector<InstanceId> swappingFor(Duration Length, TimePoint Now) const;
   /// The address now belongs to another life: not to be used any more.
   void replaced(const InstanceId &Id);
+  /// Instances with requests under way whose address another life has by now:
+  /// nothing more will come.
+  std::vector<InstanceId> supersededWithRequests() const;
   /// Instances with requests under way from which nothing has come for so
   /// long.
   std::vector<InstanceId> silentFor(Duration Length, TimePoint Now) const;
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -248,6 +248,10 @@
   m_HasReport = Read.has_value();
   if (!Read)
     co_return;
+  if (m_Report.m_Start != 0 && Read->m_Start != m_Report.m_Start)
+    net::log(Event::InstanceRestarted, {{"address", m_InstanceAddress},
+                                        {"startMs", Read->m_Start},
+                                        {"formerStartMs", m_Report.m_Start}});
   if (Read->m_Weights != m_Report.m_Weights)
     for (const HeldWeights &Each : Read->m_Weights)
       net::log(Event::WeightsActivated,
@@ -275,6 +279,7 @@
 wire::InstanceState Agent::state() const {
   wire::InstanceState Out;
   Out.set_address(m_InstanceAddress);
+  Out.set_start_ms(m_Report.m_Start);
   Out.set_running(m_Report.m_Running);
   // With what was promised a place and is still on its way.
   Out.set_waiting(std::max(m_Places.held(), m_Report.m_Running) -
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -104,6 +104,8 @@
                {{"instance", Id.m_Text}, {"silentMs", msOf(InstanceSilence)}});
     moveFrom(Id, "instance silent", [](const Call &) { return true; });
   }
+  for (const InstanceId &Id : m_Instances.supersededWithRequests())
+    moveFrom(Id, "instance restarted", [](const Call &) { return true; });
   m_Silent = std::move(Silent);
   for (const auto &[Id, Calls] : m_AtInstance)
     moveFrom(Id, "stream silent", [Now](const Call &Each) {
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -53,6 +53,7 @@
 
 InstanceReport reportOf(const wire::InstanceState &State) {
   InstanceReport Report;
+  Report.m_Start = State.start_ms();
   Report.m_Running = State.running();
   Report.m_Waiting = State.waiting();
   Report.m_TakesRequests = State.takes_requests();
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -4,6 +4,7 @@
 #include "deckpitch/back-off.h"
 #include "direct/store-news.h"
 #include "net/log.h"
+#include "net/metrics.h"
 
 #include <boost/asio.hpp>
 
@@ -427,20 +428,39 @@
   return true;
 }
 
+/// An entry that cannot be read names no instance; the others hold.
 InstanceList FleetFollower::parseInstances(const net::PlatformList &List) {
   InstanceList Out;
+  std::map<std::string, std::string> Unreadable;
   for (const net::PlatformObject &Each : List.m_Items) {
     const auto Parsed = outcomeOf(
         [&] { return m_Adapter.parseInstance(Each.m_Name, Each.m_Json); });
     if (Parsed)
       Out.emplace(Parsed->m_Id, *Parsed);
     else
-      net::log(Event::DeclarationUnreadable,
-               {{"name", Each.m_Name}, {"error", Parsed.error().m_Message}});
+      Unreadable.emplace(Each.m_Name, Parsed.error().m_Message);
   }
+  noteUnreadable(std::move(Unreadable));
   return Out;
 }
 
+/// Says each change once and not at each read.
+void FleetFollower::noteUnreadable(
+    std::map<std::string, std::string> Unreadable) {
+  for (const auto &[Name, Fault] : Unreadable) {
+    const auto Known = m_Unreadable.find(Name);
+    if (Known == m_Unreadable.end() || Known->second != Fault)
+      net::log(Event::InstanceUnreadable, {{"name", Name}, {"error", Fault}});
+  }
+  for (const auto &[Name, Fault] : m_Unreadable)
+    if (!Unreadable.contains(Name))
+      net::log(Event::InstanceReadable, {{"name", Name}});
+  m_Unreadable = std::move(Unreadable);
+  net::metrics()
+      .gauge("deckpitch_unreadable_instances")
+      .set(static_cast<std::int64_t>(m_Unreadable.size()));
+}
+
 void FleetFollower::confirmInstances(TimePoint AsOf) {
   // Where no entry could read for so long, the store was away for all. That
   // only this one could not reach it makes no instance lapse.
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -138,6 +138,7 @@
   void applyWeights(const net::PlatformObject &Object);
   bool takeInstances(const Outcome<net::PlatformList> &List, TimePoint AsOf);
   InstanceList parseInstances(const net::PlatformList &List);
+  void noteUnreadable(std::map<std::string, std::string> Unreadable);
   void confirmInstances(TimePoint AsOf);
   void applyInstances(InstanceList Listed);
   void logChanges(const InstanceList &Now);
@@ -155,6 +156,8 @@
   std::map<std::string, HeardWeights> m_Weights; ///< by model
   InstanceList m_Read;                           ///< as the store held it
   InstanceList m_Listed; ///< these, and those that lapsed while it was away
+  /// Entries of the list that name no instance, and what is wrong with each.
+  std::map<std::string, std::string> m_Unreadable;
   bool m_KnowsInstances = false;
   Followed m_Declarations;
   Followed m_WeightVersions;
--- a/src/kernel/instance-list.cc
+++ b/src/kernel/instance-list.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <set>
 #include <string>
 
 namespace deckpitch {
@@ -25,6 +26,7 @@
 
 void add(std::string &Text, const FleetInstance &Each) {
   add(Text, Each.m_Id.m_Text);
+  add(Text, Each.m_Start);
   add(Text, Each.m_Service.m_Text);
   add(Text, Each.m_Address);
   add(Text, Each.m_DataCentre.m_Text);
@@ -74,8 +76,13 @@
   m_IsFirst = false;
   if (Now - m_Returned >= LapsedReturn)
     m_Lapsed.clear();
-  std::erase_if(m_Lapsed, [&Read](const auto &Each) {
-    return Each.second.m_IsLeaving || Read.contains(Each.first);
+  std::set<std::string> Addresses;
+  for (const auto &[Id, Each] : Read)
+    Addresses.insert(Each.m_Address);
+  // One whose address another life has is gone for good.
+  std::erase_if(m_Lapsed, [&](const auto &Each) {
+    return Each.second.m_IsLeaving || Read.contains(Each.first) ||
+           Addresses.contains(Each.second.m_Address);
   });
   Read.insert(m_Lapsed.begin(), m_Lapsed.end());
   return Read;
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -85,6 +85,15 @@
   if (Id == m_ByAddress.end())
     return;
   Instance &Known = m_Instances.at(Id->second);
+  // The list and the report come by different ways, either may be older. What
+  // the newer life holds shows when both speak of it.
+  const bool IsOtherLife = Report.m_Start != 0 && Known.m_Listed.m_Start != 0 &&
+                           Report.m_Start != Known.m_Listed.m_Start;
+  if (IsOtherLife) {
+    Known.m_Weights.clear();
+    Known.m_Reported.reset();
+    return;
+  }
   const std::uint32_t All = Report.m_Running + Report.m_Waiting;
   Known.m_Others = All - std::min(All, Known.m_Own);
   Known.m_Reported = Now;
@@ -363,6 +372,17 @@
   return Out;
 }
 
+std::vector<InstanceId> InstanceTable::supersededWithRequests() const {
+  std::vector<InstanceId> Out;
+  for (const auto &[Id, Each] : m_Instances) {
+    const auto Now = m_ByAddress.find(Each.m_Listed.m_Address);
+    const bool HasOther = Now != m_ByAddress.end() && Now->second != Id;
+    if (Each.m_Own > 0 && !Each.m_IsListed && HasOther)
+      Out.push_back(Id);
+  }
+  return Out;
+}
+
 const FleetInstance *InstanceTable::find(const InstanceId &Id) const {
   const auto Found = m_Instances.find(Id);
   return Found == m_Instances.end() ? nullptr : &Found->second.m_Listed;
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -82,6 +82,81 @@
   EXPECT_GT(m_Table.choose(m_Query, Start).m_RetryAfter, Duration::zero());
 }
 
+/// The first life holds weights and is full, the second has its name, its
+/// address and nothing else of it.
+class Restarted : public Instances {
+protected:
+  Restarted() {
+    m_First.m_Start = 100;
+    m_Second.m_Start = 90; // Its machine's clock stands behind now.
+    m_Second.m_Weights.clear();
+    list({m_First});
+    report(100, 4, {{"m", 1, true}});
+  }
+
+  static FleetInstance life(const std::string &Id) {
+    FleetInstance Out = listed(Id);
+    Out.m_Address = "10.0.0.1:80";
+    return Out;
+  }
+  void report(std::uint64_t Life, std::uint32_t Running,
+              std::vector<HeldWeights> Weights) {
+    InstanceReport Report{Running, 0, true, true, std::move(Weights)};
+    Report.m_Start = Life;
+    m_Table.report(m_First.m_Address, Report, Start);
+  }
+
+  FleetInstance m_First = life("i~100");
+  FleetInstance m_Second = life("i~90");
+};
+
+TEST_F(Restarted, NothingOfTheFormerLifeIsBelieved) {
+  EXPECT_EQ(outcome(), ChoiceOutcome::Full);
+  list({m_Second});
+  EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
+  report(90, 0, {{"m", 1, true}});
+  EXPECT_EQ(chosen(), "i~90");
+}
+
+TEST_F(Restarted, AReportOfTheFormerLifeSaysNothingOfTheNext) {
+  list({m_Second});
+  report(90, 0, {{"m", 1, true}});
+  report(100, 0, {{"m", 1, true}});
+  EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
+  report(90, 0, {{"m", 1, true}});
+  EXPECT_EQ(chosen(), "i~90");
+}
+
+TEST_F(Restarted, AReportOfTheNextLifeEndsWhatTheListSaysOfTheFormer) {
+  report(100, 0, {{"m", 1, true}});
+  EXPECT_EQ(chosen(), "i~100");
+  report(90, 0, {});
+  EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
+}
+
+TEST_F(Restarted, AReportWithoutAStartIsOfTheListedLife) {
+  list({m_Second});
+  report(0, 0, {{"m", 1, true}});
+  EXPECT_EQ(chosen(), "i~90");
+}
+
+TEST_F(Restarted, TheSameLifeAfterACutIsKnownStill) {
+  list({});
+  list({m_First});
+  report(100, 0, {{"m", 1, true}});
+  EXPECT_EQ(chosen(), "i~100");
+}
+
+TEST_F(Restarted, RequestsAtTheFormerLifeAreNamedAtOnce) {
+  m_Table.started(m_First.m_Id, Start);
+  EXPECT_TRUE(m_Table.supersededWithRequests().empty());
+  list({m_Second});
+  EXPECT_EQ(m_Table.supersededWithRequests(),
+            std::vector<InstanceId>{m_First.m_Id});
+  m_Table.ended(m_First.m_Id, InstanceTable::End::Failed, false, Start);
+  EXPECT_TRUE(m_Table.supersededWithRequests().empty());
+}
+
 TEST_F(Instances, AnOlderVersionServesLongerOverASoundLink) {
   m_Table.setVersionBound(8s);
   list({listed("old", "a", 1)});
--- a/test/shared-reading-test.cc
+++ b/test/shared-reading-test.cc
@@ -105,7 +105,7 @@
 FleetInstance instanceOf(const std::string &Id, bool IsLeaving = false) {
   FleetInstance Out;
   Out.m_Id = {Id};
-  Out.m_Address = "10.0.0.1:80";
+  Out.m_Address = "10.0.0." + Id.substr(0, 2) + ":80";
   Out.m_IsLeaving = IsLeaving;
   Out.m_Weights = {{"m", 1, true}};
   return Out;
@@ -147,6 +147,9 @@
   Other = instanceOf("i1");
   Other.m_Slots = 7;
   EXPECT_NE(Plain, fingerprintOf(listOf({Other})));
+  Other = instanceOf("i1");
+  Other.m_Start = 7;
+  EXPECT_NE(Plain, fingerprintOf(listOf({Other})));
   EXPECT_NE(Plain, fingerprintOf({}));
 }
 
@@ -169,6 +172,14 @@
   EXPECT_EQ(Under.complete(Left, Known, Start + 100ms), Left);
 }
 
+TEST(LapsedInstances, OneWhoseAddressAnotherLifeHasIsGone) {
+  const InstanceList Known = listOf({instanceOf("i1~1")});
+  LapsedInstances Under;
+  Under.storeReturned(Start);
+  const InstanceList Next = listOf({instanceOf("i1~2")});
+  EXPECT_EQ(Under.complete(Next, Known, Start), Next);
+}
+
 TEST(LapsedInstances, WithoutAnOutageWhatIsMissingHasGone) {
   const InstanceList Known = listOf({instanceOf("i1")});
   LapsedInstances Under;
