Take back requests that have not begun when their weights are due

The time kept in hand when a request is sent (0.6 s, a pass, the queue) bounds nothing where the instance stands still or loads other weights first. Change: half a second before the bound a request whose first token has not come seeks a place elsewhere; 0.3 s before it the attempt ends, and the request is tried where it may run or answered truthfully (502: it may have run). Agents tell which version an instance is ordered to load: what waits for that begins on it. Weighed and left: not to load a version of which little use is left.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -28,6 +28,8 @@
   std::vector<HeldWeights> m_Weights;
   /// Until it is to load other weights, where these are ready.
   std::optional<Duration> m_SwapIn;
+  /// Version that it is ordered to load: what waits begins on that; 0: none.
+  std::uint64_t m_Loading = 0;
   /// Of the life that it is about, as in FleetInstance; 0: not told.
   std::uint64_t m_Start = 0;
 
@@ -108,6 +110,10 @@
   void heard(const InstanceId &Id, TimePoint Now);
   /// The version of a model that an instance serves; 0 when it serves none.
   std::uint64_t versionAt(const InstanceId &Id, const std::string &Model) const;
+  /// By when a request that waits there must have begun, since the weights that
+  /// it would begin on are due to be replaced; nothing where they are not.
+  std::optional<TimePoint> beginBy(const InstanceId &Id,
+                                   const std::string &Model) const;
   /// Instances that have been taking no requests for so long, since they are
   /// loading other weights.
   std::vector<InstanceId> swappingFor(Duration Length, TimePoint Now) const;
@@ -138,6 +144,7 @@
     std::uint32_t m_Others = 0;     ///< at the time of the report
     std::optional<TimePoint> m_Reported;
     bool m_TakesRequests = true;
+    std::uint64_t m_Loading = 0;
     TimePoint m_ClosedAt{}; ///< since it takes no requests
     bool m_HasSoundLink = false;
     std::optional<TimePoint> m_SwapAt; ///< when it loads other weights
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -280,6 +280,7 @@
   wire::InstanceState Out;
   Out.set_address(m_InstanceAddress);
   Out.set_start_ms(m_Report.m_Start);
+  Out.set_loading(m_Weights.orderedVersion());
   Out.set_running(m_Report.m_Running);
   // With what was promised a place and is still on its way.
   Out.set_waiting(std::max(m_Places.held(), m_Report.m_Running) -
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace deckpitch::direct {
 
@@ -30,6 +31,14 @@
 /// for 1.0 s instead of 2.2 s (mean of 20).
 constexpr milliseconds SwapPatience{200};
 
+/// Before the moment by which a request must have begun: for a look around each
+/// 100 ms, three questions for a place of 20 ms each, and then the close.
+constexpr milliseconds SeekSpare{500};
+/// The same for a request that no other instance takes: the close lies behind
+/// four chunks on the way to an instance that copies weights, 0.17 s at
+/// 9.4 Mbit/s, and the look around may just have been.
+constexpr milliseconds CloseSpare{300};
+
 } // namespace
 
 /// One that cannot move is left where it is: silence alone ends no answer.
@@ -95,6 +104,35 @@
              [](const Call &Each) { return Each.m_IsAnswering; });
 }
 
+/// An instance may stand still, or load other weights first, for longer than
+/// any time that is kept in hand when a request is sent to it: requests began
+/// up to 60 ms after the bound that had been there for 2.3 s.
+void EntryRequests::takeBackOverdue(TimePoint Now) {
+  std::vector<Call *> Ended;
+  for (const auto &[Id, Calls] : m_AtInstance) {
+    const auto By =
+        Calls.empty()
+            ? std::nullopt
+            : m_Instances.beginBy(Id, (*Calls.begin())->m_Query.m_Model);
+    if (!By || Now < *By - SeekSpare)
+      continue;
+    moveFrom(Id, "weights are due",
+             [](const Call &Each) { return !Each.m_IsAnswering; });
+    if (Now < *By - CloseSpare)
+      continue;
+    for (Call *Each : Calls)
+      if (Each->isStream() && !Each->m_IsAnswering && !Each->m_IsMoving &&
+          !Each->m_Query.m_Model.empty() && Each->m_Abort)
+        Ended.push_back(Each);
+  }
+  for (Call *Each : Ended) {
+    net::log(Event::RequestTakenBack, {{"request", Each->m_Terms.m_AttemptId},
+                                       {"instance", Each->m_Instance.m_Text},
+                                       {"sentMs", msOf(Now - Each->m_Sent)}});
+    Each->abort();
+  }
+}
+
 void EntryRequests::checkSilence(TimePoint Now) {
   std::set<InstanceId> Silent;
   for (const InstanceId &Id : m_Instances.silentFor(InstanceSilence, Now)) {
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -56,6 +56,9 @@
                                net::HttpResponder &Answer);
   /// Moves streams away from instances that have gone silent.
   void checkSilence(TimePoint Now);
+  /// Requests that have not begun go elsewhere, or end, before the weights that
+  /// they would begin on are due to be replaced.
+  void takeBackOverdue(TimePoint Now);
   /// Moves streams away from instances that wait for them to load weights.
   void moveFromSwapping(TimePoint Now);
 
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -54,6 +54,7 @@
 InstanceReport reportOf(const wire::InstanceState &State) {
   InstanceReport Report;
   Report.m_Start = State.start_ms();
+  Report.m_Loading = State.loading();
   Report.m_Running = State.running();
   Report.m_Waiting = State.waiting();
   Report.m_TakesRequests = State.takes_requests();
@@ -369,6 +370,7 @@
     m_Follower.setTurn(m_Peers.ownTurn(Now));
     m_Requests.checkSilence(Now);
     m_Requests.moveFromSwapping(Now);
+    m_Requests.takeBackOverdue(Now);
     Timer.expires_after(TickSpan);
     co_await Timer.async_wait(UseAwaitable);
   }
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -391,6 +391,7 @@
 
 asio::awaitable<void> WeightsSupply::order(const Copy &Of) {
   const std::shared_ptr<WeightsCopy> Copy = Of.m_Copy;
+  const DeclaredWeights Ordered = Of.m_Weights;
   const Manifest &Wanted = Copy->manifest();
   // Checked at the last moment: what the instance takes is what lies there.
   if (!co_await m_Staging->repair(Wanted)) {
@@ -401,6 +402,7 @@
   }
   m_IsOrdered = true;
   m_OrderedAt = now();
+  m_OrderedVersion = Ordered.m_Version;
   m_Calls.m_OnOrder();
   const auto Done = co_await m_Engine.load(Wanted, FencingNumber{});
   net::log(Done ? Event::OrderSent : Event::EngineOrderRefused,
--- a/src/direct/weights-supply.h
+++ b/src/direct/weights-supply.h
@@ -61,6 +61,10 @@
   boost::asio::awaitable<void> step(const InstanceReport &Report);
   /// An order was sent and does not show yet: the instance takes nothing new.
   bool isOrdered() const { return m_IsOrdered; }
+  /// The version of that order; 0 without one.
+  std::uint64_t orderedVersion() const {
+    return m_IsOrdered ? m_OrderedVersion : 0;
+  }
   bool isCopying() const;
   /// Chunks do not queue on the way to this machine, nor requests behind them.
   bool hasSoundLink() const { return m_HasSoundLink; }
@@ -111,6 +115,7 @@
   bool m_HasSoundLink = false;
   bool m_IsOrdered = false;
   TimePoint m_OrderedAt{};
+  std::uint64_t m_OrderedVersion = 0;
   bool m_Stopped = false;
 };
 
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -100,6 +100,7 @@
   if (Known.m_TakesRequests && !Report.m_TakesRequests)
     Known.m_ClosedAt = Now;
   Known.m_TakesRequests = Report.m_TakesRequests;
+  Known.m_Loading = Report.m_Loading;
   Known.m_SwapAt.reset();
   if (Report.m_SwapIn)
     Known.m_SwapAt = Now + *Report.m_SwapIn;
@@ -137,6 +138,23 @@
       });
 }
 
+std::optional<TimePoint>
+InstanceTable::beginBy(const InstanceId &Id, const std::string &Model) const {
+  const auto Found = m_Instances.find(Id);
+  const auto Wanted = m_Wanted.find(Model);
+  if (Found == m_Instances.end() || Wanted == m_Wanted.end())
+    return std::nullopt;
+  const Instance &Each = Found->second;
+  std::uint64_t Begins = Each.m_Loading;
+  for (const HeldWeights &Held : Each.m_Weights)
+    if (Held.m_Model == Model && Held.m_IsComplete)
+      Begins = std::max(Begins, Held.m_Version);
+  const auto Behind = Wanted->second.behindSince(Begins);
+  if (!Behind)
+    return std::nullopt;
+  return *Behind + m_VersionBound;
+}
+
 /// Whether the request would have ended when the instance loads other weights.
 bool InstanceTable::endsBeforeSwap(const Instance &Each,
                                    const ChoiceQuery &Query,
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -178,6 +178,27 @@
   EXPECT_EQ(outcome(Start + 7'360ms), ChoiceOutcome::NoWeights);
 }
 
+TEST_F(Instances, SaysByWhenWaitingRequestsMustHaveBegun) {
+  m_Table.setVersionBound(8s);
+  list({listed("old", "a", 1)});
+  EXPECT_FALSE(m_Table.beginBy({"old"}, "m"));
+  m_Table.setWeights({{"m", 2}}, Start);
+  m_Table.setWeights({{"m", 3}}, Start + 4s);
+  EXPECT_EQ(m_Table.beginBy({"old"}, "m"), Start + 8s);
+  EXPECT_FALSE(m_Table.beginBy({"old"}, "other"));
+  EXPECT_FALSE(m_Table.beginBy({"unknown"}, "m"));
+  const auto Load = [&](std::uint64_t Version) {
+    InstanceReport Report{1, 0, false, true, {{"m", 1, true}}};
+    Report.m_Loading = Version;
+    m_Table.report(listed("old").m_Address, Report, Start);
+  };
+  // What waits for a load begins on what is loaded.
+  Load(2);
+  EXPECT_EQ(m_Table.beginBy({"old"}, "m"), Start + 12s);
+  Load(3);
+  EXPECT_FALSE(m_Table.beginBy({"old"}, "m"));
+}
+
 TEST_F(Instances, AnOlderVersionServesShorterWhereRequestsWait) {
   m_Table.setVersionBound(8s);
   list({listed("old", "a", 1)});
