Count an instance of another data centre as behind a link that is not sound

Its agent vouches for its machine's link only; the one between data centres was full of weights. Ruled out: the instance's queue (load 1), an old report.

Change: older weights far away get nothing in the last 3.6 s before the bound, as over any link that has not proved sound. Instances.AnOlderVersionFarAway... failed before.

--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -121,9 +121,12 @@
   const auto Wanted = m_Wanted.find(Model);
   const bool IsFresh =
       Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
-  const Duration Grace = m_VersionBound -
-                         versionSpare(IsFresh && Each.m_HasSoundLink) -
-                         beginsWithin(Each, Now);
+  // Its agent knows the link of its machine, and nobody the one between data
+  // centres, which weights fill: requests were there 1.3 s after their sending.
+  const bool IsNear = Each.m_Listed.m_DataCentre == m_Own;
+  const bool IsSound = IsFresh && Each.m_HasSoundLink && IsNear;
+  const Duration Grace =
+      m_VersionBound - versionSpare(IsSound) - beginsWithin(Each, Now);
   return std::any_of(
       Each.m_Weights.begin(), Each.m_Weights.end(),
       [&](const HeldWeights &Held) {
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -178,6 +178,26 @@
   EXPECT_EQ(outcome(Start + 7'360ms), ChoiceOutcome::NoWeights);
 }
 
+/// A stream went on at an idle instance of another data centre 1.7 s before the
+/// bound, by a report that was 2 ms old, over a link between the regions that
+/// was full of weights: it was there 1.28 s later, and the close that followed
+/// it 1.1 s after it was sent came after it had begun.
+///   24.295 sent (load 1), 25.404 taken back, 25.571 there, 27.181 begins;
+///   the bound was 26.02
+TEST_F(Instances, AnOlderVersionFarAwayServesAsOverALinkThatIsNotSound) {
+  m_Table.setVersionBound(8s);
+  list({listed("far", "b", 1), listed("near", "a", 1)});
+  m_Table.setWeights({{"m", 2}}, Start);
+  for (const char *Id : {"far", "near"})
+    m_Table.report(listed(Id).m_Address, {0, 0, true, true, {{"m", 1, true}}},
+                   Start + 6'300ms);
+  m_Query.m_Tried = {{"near"}};
+  EXPECT_EQ(outcome(Start + 6'300ms), ChoiceOutcome::NoWeights);
+  EXPECT_EQ(chosen(Start + 4'300ms), "far");
+  m_Query.m_Tried = {{"far"}};
+  EXPECT_EQ(chosen(Start + 6'300ms), "near");
+}
+
 TEST_F(Instances, SaysByWhenWaitingRequestsMustHaveBegun) {
   m_Table.setVersionBound(8s);
   list({listed("old", "a", 1)});
