Do not let an unaware entry's news unmake a version that is known

Now news of an older version than the newest that was told of confirms nothing, until the store itself has been read after that. A failed watch of the reading entry is followed by a read of changes and no longer by a whole list.

--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -88,6 +88,7 @@
           SharedReading(planFor(Bounds.m_Apply, reliance(Bounds.m_Apply) / 2)),
           {},
           asio::steady_timer(Io),
+          false,
           [this](const net::PlatformObject &Object) {
             applyDeclaration(Object, FromStore);
           },
@@ -103,6 +104,7 @@
           SharedReading(planFor(Bounds.m_Apply, reliance(Bounds.m_Apply) / 2)),
           {},
           asio::steady_timer(Io),
+          false,
           [this](const net::PlatformObject &Object) { applyWeights(Object); },
           [this](wire::StoreNews &News) {
             wire::WeightsNews &Told = *News.mutable_weights();
@@ -201,7 +203,7 @@
   unsigned Failures = 0;
   while (!m_Stopped) {
     const bool Watches = Of.m_Reading.isFirst() && !Of.m_Reading.isBehind() &&
-                         Of.m_Seen.m_Value != 0;
+                         !Of.m_MustRead && Of.m_Seen.m_Value != 0;
     if (!Watches)
       co_await untilDue(Of.m_Reading, Of.m_Wake);
     if (m_Stopped)
@@ -242,6 +244,12 @@
   co_return takeRead(Of, List, Asked, "list ");
 }
 
+/// A version may have been told of while an older one was on its way here.
+void FleetFollower::stayBehindWhatWasTold() {
+  if (m_NewestTold > m_Version)
+    m_Declarations.m_Reading.noteBehind(now(), Duration::zero());
+}
+
 bool FleetFollower::takeRead(Followed &Of,
                              const Outcome<net::PlatformList> &Read,
                              TimePoint Asked, const std::string &Call) {
@@ -256,7 +264,12 @@
   for (const net::PlatformObject &Each : Read->m_Items)
     Of.m_Apply(Each);
   Of.m_Seen = std::max(Of.m_Seen, Read->m_Revision);
+  Of.m_MustRead = false;
   Of.m_Reading.confirm(Asked);
+  // What the store does not hold after it was told of does not exist.
+  if (&Of == &m_Declarations && m_NewestToldAt < Asked)
+    m_NewestTold = m_Version;
+  stayBehindWhatWasTold();
   tell(Of.m_Tell, Reach);
   return true;
 }
@@ -280,10 +293,12 @@
   const Error End = co_await m_Store.watch(Kinds, Of.m_Seen, OnEvent);
   if (m_Stopped || !Of.m_Reading.isFirst())
     co_return true;
-  // A list shows what was missed, and whether the store answers at all.
-  Of.m_Seen = {};
-  if (End.m_Code == ErrorCode::NotFound)
+  // A read shows what was missed, and whether the store answers at all.
+  Of.m_MustRead = true;
+  if (End.m_Code == ErrorCode::NotFound) {
+    Of.m_Seen = {};
     co_return true;
+  }
   noteStore("watch " + Of.m_Kind, End);
   co_return false;
 }
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -102,6 +102,7 @@
     SharedReading m_Reading;
     Revision m_Seen{}; ///< to watch from; 0: list first
     asio::steady_timer m_Wake;
+    bool m_MustRead = false; ///< a watch failed: what was missed?
     std::function<void(const net::PlatformObject &)> m_Apply;
     std::function<void(wire::StoreNews &)> m_Tell;
     /// Gets from another entry what is behind here; false where none has it.
@@ -133,6 +134,7 @@
   void hearInstances(const wire::InstancesNews &News, const NewsOrigin &From,
                      TimePoint Now);
   void setWeights(const HeardWeights &Heard);
+  void stayBehindWhatWasTold();
   void applyDeclaration(const net::PlatformObject &Object,
                         const std::string &Source);
   void applyWeights(const net::PlatformObject &Object);
@@ -153,6 +155,9 @@
   ObjectKinds m_Kinds;
   std::uint64_t m_Version = 0; ///< of the declaration in force
   std::optional<ToldDeclaration> m_Told;
+  /// Version that others have told of since the store was read here last.
+  std::uint64_t m_NewestTold = 0;
+  TimePoint m_NewestToldAt{};
   std::map<std::string, HeardWeights> m_Weights; ///< by model
   InstanceList m_Read;                           ///< as the store held it
   InstanceList m_Listed; ///< these, and those that lapsed while it was away
--- a/src/direct/fleet-news.cc
+++ b/src/direct/fleet-news.cc
@@ -39,9 +39,14 @@
       m_Told = {News.version(), Revision{News.revision()}, AsOf, From};
     Reading.noteBehind(Now,
                        From.m_IsNear ? Duration::zero() : Reading.turnWait());
+    m_NewestTold = std::max(m_NewestTold, News.version());
+    m_NewestToldAt = Now;
     m_Declarations.m_Wake.cancel();
     return;
   }
+  // Whoever says so has not heard yet of the one that this entry is behind.
+  if (m_NewestTold > m_Version)
+    return;
   Reading.confirm(AsOf);
   m_Declarations.m_Seen =
       std::max(m_Declarations.m_Seen, Revision{News.revision()});
@@ -106,6 +111,7 @@
   m_Declarations.m_Seen = std::max(m_Declarations.m_Seen, Told->m_Revision);
   m_Declarations.m_Reading.confirm(Told->m_AsOf);
   m_Declarations.m_Reading.noteCaughtUp();
+  stayBehindWhatWasTold();
   tell(m_Declarations.m_Tell, NewsReach::Near);
   co_return true;
 }
