--- a/include/deckpitch/instance-list.h
+++ b/include/deckpitch/instance-list.h
@@ -39,8 +39,12 @@
 /// back soon after its return, and until then they count as listed.
 class LapsedInstances {
 public:
-  /// The next list is the first since the store was away.
-  void storeReturned(TimePoint Now);
+  /// The store was back at that moment, after it had been away for all. The
+  /// next list is the first since, as far as this process knows. Heard of
+  /// again, it changes nothing.
+  void storeReturned(TimePoint At);
+  /// When that was, while instances may still come back.
+  std::optional<TimePoint> returnedLately(TimePoint Now) const;
   /// What counts as listed: what was read, and those of the known ones that may
   /// come back. One that a list since the return has held has not lapsed: when
   /// it is missing later, it has gone.
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -56,9 +56,10 @@
 
 enum class ChoiceOutcome {
   Chosen,
-  NoInstance, ///< none is listed, or all were tried
-  NoWeights,  ///< none serves the declared weights yet
-  Full        ///< none could start the request in time
+  NoInstance,  ///< none is listed, or all were tried
+  NoWeights,   ///< none serves the declared weights yet
+  Full,        ///< none could start the request in time
+  ListOutdated ///< who still takes requests is not known here, but elsewhere
 };
 
 struct InstanceChoice {
--- a/include/deckpitch/shared-reading.h
+++ b/include/deckpitch/shared-reading.h
@@ -7,7 +7,9 @@
 #include "deckpitch/time.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
+#include <optional>
 
 namespace deckpitch {
 
@@ -31,6 +33,33 @@
   friend bool operator==(const ReadingTurn &, const ReadingTurn &) = default;
 };
 
+/// What another process says that it knew, and how that came here.
+struct ToldReading {
+  Duration m_Age{};         ///< at its sending
+  Duration m_Late{};        ///< how much longer than usual it took
+  bool m_IsNear = false;    ///< from the own data centre
+  bool m_IsRelayed = false; ///< that process has it from another one
+
+  friend bool operator==(const ToldReading &, const ToldReading &) = default;
+};
+
+/// Taken off what is told at second hand, each time: more than the way within a
+/// data centre takes. What two processes tell each other again and again would
+/// else become fresher with each message, though nobody reads the store.
+inline constexpr Duration RelayAllowance = std::chrono::milliseconds(25);
+
+/// When the store held what is told; nothing where that is not certain: the way
+/// between data centres may be longer than what is taken off.
+inline std::optional<TimePoint> asOfTold(const ToldReading &Told,
+                                         TimePoint Now) {
+  const TimePoint AsOf = Now - Told.m_Age - Told.m_Late;
+  if (!Told.m_IsRelayed)
+    return AsOf;
+  if (!Told.m_IsNear)
+    return std::nullopt;
+  return AsOf - RelayAllowance;
+}
+
 /// What one process knows of one subject was true at a moment in the past,
 /// whoever read it. No clock of its own.
 class SharedReading {
@@ -41,11 +70,13 @@
   void setTurn(ReadingTurn Turn) { m_Turn = Turn; }
   bool isFirst() const { return m_Turn.m_All == 0; }
 
-  /// The store held what is known at that moment. Older news changes nothing.
-  void confirm(TimePoint AsOf) {
+  /// The store held what is known at that moment, as this process has read or
+  /// another has told it. Older news changes nothing.
+  void confirm(TimePoint AsOf, bool IsRelayed = false) {
     if (AsOf < m_AsOf)
       return;
     m_AsOf = AsOf;
+    m_IsRelayed = IsRelayed;
     m_IsBehind = false;
   }
   /// Another process knows something newer, to be read here after that time.
@@ -59,6 +90,8 @@
   void noteCaughtUp() { m_IsBehind = false; }
 
   TimePoint asOf() const { return m_AsOf; }
+  /// Whether that moment is known from another process only.
+  bool isRelayed() const { return m_IsRelayed; }
   bool isBehind() const { return m_IsBehind; }
   /// How long something newer has been known to exist.
   Duration behindFor(TimePoint Now) const {
@@ -89,6 +122,7 @@
   ReadingPlan m_Plan;
   ReadingTurn m_Turn;
   TimePoint m_AsOf{};
+  bool m_IsRelayed = false;
   bool m_IsBehind = false;
   TimePoint m_BehindSince{};
   TimePoint m_ReadAt{};
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -17,6 +17,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace deckpitch::direct {
@@ -106,6 +107,9 @@
   asio::awaitable<void> stepLoop();
   asio::awaitable<void> storeLoop();
   asio::awaitable<void> readReport();
+  asio::awaitable<bool> fetchPeers();
+  asio::awaitable<bool> listPeers();
+  std::optional<std::string> someNearEntry();
   void onLink(const wire::LinkMessage &Message, const std::string &From);
   wire::InstanceState state() const;
   bool takesRequests() const {
@@ -132,6 +136,7 @@
   PlaceLedger m_Places;
   wire::InstanceState m_Told;                ///< last, to any entry
   std::map<std::string, Listener> m_Entries; ///< by link address
+  std::minstd_rand m_Random{std::random_device{}()};
 
   bool m_Stopped = false;
 };
@@ -145,7 +150,7 @@
       m_Engine(net::Adapters<net::Engine>::make(m_Http,
                                                 Context.m_Settings.m_Upstream)),
       m_Link(m_Io, Context.m_Incarnation),
-      m_Follower(m_Io, *m_Store, m_Adapter, {.m_KeepsLapsed = false},
+      m_Follower(m_Io, m_Http, *m_Store, m_Adapter, {.m_KeepsLapsed = false},
                  {[this](const FleetDeclaration &Declaration) {
                     onDeclaration(Declaration);
                   },
@@ -156,9 +161,10 @@
                     for (const HeardWeights &Each : Declared)
                       m_Weights.want(Each);
                   },
-                  nullptr, nullptr, nullptr}),
+                  nullptr},
+                 nullptr),
       m_Weights(m_Io, m_Http, *m_Engine, supplyOptions(Context),
-                {[this] { return m_Follower.listInstances(); },
+                {[this] { return listPeers(); },
                  // Entries send elsewhere from now on.
                  [this] { tellEntries(now()); }}) {}
 
@@ -207,12 +213,37 @@
     if (m_Weights.isCopying() && now() >= NextPeers) {
       NextPeers = now() + PeersSpan;
       // Peers that have gone are noticed by their connections.
-      co_await m_Follower.listOldInstances();
+      if (!co_await fetchPeers())
+        co_await m_Follower.listOldInstances();
     }
     co_await pauseFor(StepSpan);
   }
 }
 
+std::optional<std::string> Agent::someNearEntry() {
+  std::vector<std::string> Near;
+  for (const auto &[Link, Each] : m_Entries)
+    if (Each.m_IsNear)
+      Near.push_back(Link);
+  if (Near.empty())
+    return std::nullopt;
+  std::uniform_int_distribution<std::size_t> Any(0, Near.size() - 1);
+  return Near[Any(m_Random)];
+}
+
+/// From an entry of this data centre, so that agents that copy at the same time
+/// do not fill the link between regions with lists.
+asio::awaitable<bool> Agent::fetchPeers() {
+  const auto Entry = someNearEntry();
+  co_return Entry &&co_await m_Follower.fetchInstancesFrom(*Entry);
+}
+
+asio::awaitable<bool> Agent::listPeers() {
+  if (co_await fetchPeers())
+    co_return true;
+  co_return co_await m_Follower.listInstances();
+}
+
 void Agent::answerPlace(const wire::PlaceQuery &Query,
                         const std::string &From) {
   wire::LinkMessage Message;
--- a/src/direct/entry-peers.cc
+++ b/src/direct/entry-peers.cc
@@ -23,6 +23,10 @@
 /// Up to so many entries one reads the store for all; where there are more, one
 /// in each data centre: it sends a datagram to each of the others at each read.
 constexpr std::size_t MostInOneGroup = 64;
+/// Entries of a data centre that tell those of others what they know: one of
+/// them may just have failed, and each message crosses the link between
+/// regions.
+constexpr std::size_t TellingFar = 2;
 /// Entries of a caller's own data centre that are enough for it: one of them
 /// may just have failed.
 constexpr std::size_t EnoughNear = 2;
@@ -94,8 +98,9 @@
   return Each.m_WasHeard && Now - Each.m_Heard < MissedHellos * helloSpan();
 }
 
-std::vector<std::string> EntryPeers::dueHellos(TimePoint Now) {
-  std::vector<std::string> Due;
+DueHellos EntryPeers::dueHellos(TimePoint Now) {
+  const bool TellsFar = ownTurn(Now).m_Near < TellingFar;
+  DueHellos Due;
   for (auto &[Id, Each] : m_Peers) {
     const bool IsLive = isLive(Each, Now);
     if (Each.m_TakesCallers && !IsLive) {
@@ -105,7 +110,8 @@
     }
     if (Now < Each.m_NextHello)
       continue;
-    Due.push_back(Each.m_Address.m_Link);
+    const bool IsTold = TellsFar || isNear(Each);
+    (IsTold ? Due.m_Telling : Due.m_Plain).push_back(Each.m_Address.m_Link);
     Each.m_NextHello = Now + (IsLive || !Each.m_WasHeard
                                   ? helloSpan()
                                   : std::max(helloSpan(), SpanToSilent));
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -31,6 +31,17 @@
 std::string formatEntry(const EntryAddress &Value);
 Result<EntryAddress> parseEntry(std::string_view Name, std::string_view Json);
 
+/// Addresses of entries to which hellos are due.
+struct DueHellos {
+  /// That are to say what is known of the store too: to all of the own data
+  /// centre, and from its first entries to those of others. Who has missed a
+  /// change hears of it with one of the next few.
+  std::vector<std::string> m_Telling;
+  std::vector<std::string> m_Plain;
+
+  friend bool operator==(const DueHellos &, const DueHellos &) = default;
+};
+
 /// An entry lives while its hellos come. No clock and no socket of its own.
 class EntryPeers {
 public:
@@ -42,8 +53,8 @@
              TimePoint Now);
 
   /// Where hellos are due now; the spans grow with the number of entries, so
-  /// that each receives no more than some tens a second.
-  std::vector<std::string> dueHellos(TimePoint Now);
+  /// that each receives no more than a hundred a second.
+  DueHellos dueHellos(TimePoint Now);
 
   /// Entries that take callers, this one included if it does.
   std::size_t liveCount(TimePoint Now) const;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -44,6 +44,9 @@
 constexpr double FirstTryReserve = 1;
 /// Until the declaration is read after a start.
 constexpr Duration RetryAfterStart = milliseconds(500);
+/// Another entry is known to have the list that this one lacks: callers are to
+/// ask elsewhere, and this one may have it by then.
+constexpr Duration RetryAfterOutdated = milliseconds(50);
 /// Share of the retries that entries may use together which they do use: the
 /// rest covers entries that just started with a full budget.
 constexpr double UsedShareOfRetries = 0.7;
@@ -57,6 +60,23 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
+/// For log lines and answers.
+const char *reasonOf(ChoiceOutcome Value) {
+  switch (Value) {
+  case ChoiceOutcome::Chosen:
+    return "chosen";
+  case ChoiceOutcome::NoInstance:
+    return "no instance";
+  case ChoiceOutcome::NoWeights:
+    return "no weights";
+  case ChoiceOutcome::Full:
+    return "full";
+  case ChoiceOutcome::ListOutdated:
+    return "list of instances is outdated";
+  }
+  return "";
+}
+
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
 net::Counter &answers(const char *Outcome) {
@@ -126,7 +146,7 @@
   if (Routes.declaration().m_Version == 0)
     co_return co_await refuse(Of, StatusUnavailable, "starting",
                               RetryAfterStart);
-  if (m_Belief().m_IsReplaced)
+  if (m_Belief().m_IsOutdated)
     co_return co_await refuse(Of, StatusUnavailable, "declaration is replaced",
                               RetryAfterStart);
   Of.m_Route =
@@ -172,6 +192,12 @@
 /// does not answer is passed over while others do: its link is full, and what
 /// was sent there unasked came after 400 to 800 ms.
 asio::awaitable<InstanceChoice> EntryRequests::choosePlace(ChoiceQuery Query) {
+  if (m_ListBelief().m_IsOutdated) {
+    InstanceChoice Unknown;
+    Unknown.m_Outcome = ChoiceOutcome::ListOutdated;
+    Unknown.m_RetryAfter = RetryAfterOutdated;
+    co_return Unknown;
+  }
   std::optional<InstanceChoice> Unanswered;
   std::optional<InstanceChoice> Refused;
   for (unsigned Asked = 0; Asked < MostAsked; ++Asked) {
@@ -233,10 +259,7 @@
     if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
       Of.m_RetryAfter = Chosen.m_RetryAfter;
       if (Of.m_Sends == 0 && Of.m_Unreachable == 0) {
-        const char *Reason = Chosen.m_Outcome == ChoiceOutcome::Full ? "full"
-                             : Chosen.m_Outcome == ChoiceOutcome::NoWeights
-                                 ? "no weights"
-                                 : "no instance";
+        const char *Reason = reasonOf(Chosen.m_Outcome);
         net::log(Event::AttemptEnded,
                  {{"request", Of.m_Terms.m_AttemptId},
                   {"outcome", Reason},
@@ -319,6 +342,7 @@
             {"route", Of.m_Route ? Of.m_Route->m_Name : ""},
             {"declaration", Of.m_Routes->declaration().m_Version},
             {"declarationAgeMs", msOf(m_Belief().m_Age)},
+            {"listAgeMs", msOf(m_ListBelief().m_Age)},
             {"sends", std::uint64_t{Of.m_Sends}},
             {"retryAfterMs", msOf(RetryAfter)},
             {"leftMs", msOf(Of.m_Deadline - now())},
@@ -336,6 +360,7 @@
   Of.m_Instance = Chosen.m_Instance;
   Of.m_IsAnswering = false;
   Of.m_Sent = now();
+  const std::uint64_t ListAgeMs = msOf(m_ListBelief().m_Age);
   Of.m_Heard = Of.m_Sent;
   Of.m_Events.clear();
   if (Of.m_EventCount == 0)
@@ -368,6 +393,7 @@
             {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
             {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
             {"reportAgeMs", msOf(Chosen.m_ReportAge)},
+            {"listAgeMs", ListAgeMs},
             {"sends", std::uint64_t{Of.m_Sends}},
             {"events", Of.m_EventCount},
             {"firstMs", msOf(Of.m_FirstByte)},
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -2,11 +2,11 @@
 // answer, and what follows when an attempt fails.
 #pragma once
 
-#include "deckpitch/declaration-belief.h"
 #include "deckpitch/instance-table.h"
 #include "deckpitch/retry.h"
 #include "deckpitch/route-index.h"
 #include "deckpitch/size-shares.h"
+#include "deckpitch/store-belief.h"
 #include "direct/adapter.h"
 #include "net/http.h"
 
@@ -47,9 +47,12 @@
 
   void setDeclaration(const FleetDeclaration &Declaration);
   void setEntries(std::size_t Count) { m_Entries = Count; }
-  /// How far the declaration may be relied on; see FleetFollower.
-  void setBelief(std::function<DeclarationBelief()> Asked) {
-    m_Belief = std::move(Asked);
+  /// How far the declaration and the list of instances may be relied on; see
+  /// FleetFollower.
+  void setBeliefs(std::function<StoreBelief()> Declaration,
+                  std::function<StoreBelief()> Instances) {
+    m_Belief = std::move(Declaration);
+    m_ListBelief = std::move(Instances);
   }
 
   asio::awaitable<void> handle(net::HttpRequest Request,
@@ -107,9 +110,8 @@
   AskPlace m_Ask;
   std::shared_ptr<const RouteIndex> m_Routes =
       std::make_shared<const RouteIndex>();
-  std::function<DeclarationBelief()> m_Belief = [] {
-    return DeclarationBelief{};
-  };
+  std::function<StoreBelief()> m_Belief = [] { return StoreBelief{}; };
+  std::function<StoreBelief()> m_ListBelief = [] { return StoreBelief{}; };
   std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
   /// What is known of one route's requests, by the route's name.
   struct RouteLoad {
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -2,13 +2,13 @@
 #include "daemon/clock.h"
 #include "deckpitch/link-delay.h"
 #include "direct/adapter.h"
-#include "direct/declaration-relay.h"
 #include "direct/entry-peers.h"
 #include "direct/entry-requests.h"
 #include "direct/fleet-follower.h"
 #include "direct/place-client.h"
 #include "direct/role.h"
 #include "direct/store-news.h"
+#include "direct/store-relay.h"
 #include "net/adapters.h"
 #include "net/address.h"
 #include "net/log.h"
@@ -94,6 +94,7 @@
   std::string agentOf(const std::string &InstanceAddress) const;
   void sendHellos(TimePoint Now);
   void noteReadiness();
+  void noteListBelief();
   bool isReady() const;
   static EntryAddress ownAddress(const DirectSettings &Settings);
   net::HttpLimits callerLimits(const CallerLimits &Declared) const;
@@ -113,7 +114,7 @@
   EntryRequests m_Requests;
   EntryPeers m_Peers;
   StateLink m_Link;
-  DeclarationRelay m_Relay;
+  StoreRelay m_Relay;
   PlaceClient m_Places;
   FleetFollower m_Follower;
   net::HttpServer m_Callers;
@@ -126,6 +127,7 @@
   TimePoint m_NextSubscribe{};
   bool m_Leaving = false;
   bool m_WasReady = false;
+  bool m_WasOutdated = false; ///< the list of instances
   bool m_Stopped = false;
 };
 
@@ -141,11 +143,11 @@
                    return askPlace(std::move(Address), Query);
                  }),
       m_Peers(ownAddress(Context.m_Settings)),
-      m_Link(m_Io, Context.m_Incarnation), m_Relay(Context.m_Threads, m_Http),
-      m_Places(m_Io, m_Link), m_Follower(m_Io, *m_Store, m_Adapter,
+      m_Link(m_Io, Context.m_Incarnation), m_Relay(Context.m_Threads),
+      m_Places(m_Io, m_Link), m_Follower(m_Io, m_Http, *m_Store, m_Adapter,
                                          {Context.m_Settings.m_Bounds.m_Apply,
                                           Context.m_Settings.m_Bounds.m_Drain},
-                                         followerCalls()),
+                                         followerCalls(), &m_Relay),
       m_Callers(
           Context.m_Threads,
           [this](net::HttpRequest Request, net::HttpResponder &Answer) {
@@ -164,7 +166,8 @@
             return answerDirectory(std::move(Request), Answer);
           },
           SmallLimits) {
-  m_Requests.setBelief([this] { return m_Follower.declarationBelief(); });
+  m_Requests.setBeliefs([this] { return m_Follower.declarationBelief(); },
+                        [this] { return m_Follower.instancesBelief(); });
   m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
 }
 
@@ -209,12 +212,6 @@
     for (const std::string &To : m_Peers.group(now(), Reach))
       m_Link.send(To, Message);
   };
-  Calls.m_OnHeld = [this](HeldDeclaration Newest) {
-    m_Relay.hold(std::move(Newest));
-  };
-  Calls.m_Fetch = [this](std::string Holder, std::uint64_t Version) {
-    return m_Relay.fetch(std::move(Holder), Version);
-  };
   return Calls;
 }
 
@@ -255,6 +252,19 @@
            {{"instances", std::uint64_t{m_Instances.size()}}});
 }
 
+/// Says once when nothing is sent any more by the list that is known here, and
+/// once when it is again.
+void Entry::noteListBelief() {
+  const StoreBelief Belief = m_Follower.instancesBelief();
+  if (Belief.m_IsOutdated == m_WasOutdated)
+    return;
+  m_WasOutdated = Belief.m_IsOutdated;
+  const auto AgeMs =
+      std::chrono::duration_cast<milliseconds>(Belief.m_Age).count();
+  net::log(m_WasOutdated ? Event::ListOutdated : Event::ListCurrent,
+           {{"ageMs", static_cast<std::uint64_t>(AgeMs)}});
+}
+
 asio::awaitable<void> Entry::answerReady(net::HttpRequest Request,
                                          net::HttpResponder &Answer) {
   const unsigned Status =
@@ -297,6 +307,9 @@
       Message.incarnation(), std::chrono::microseconds(Message.sent_us()), Now);
   if (Message.has_hello())
     m_Peers.heard(Message, From, Now);
+  const NewsOrigin Origin{From, m_Peers.isNear(From), Late};
+  if (Message.has_hello() && Message.hello().has_known())
+    m_Follower.hear(Message.hello().known(), Origin);
   if (!Message.has_news())
     return;
   if (Late > LongestUsualWay && Now >= Known.m_NextLateLine) {
@@ -307,7 +320,7 @@
                std::uint64_t(
                    std::chrono::duration_cast<milliseconds>(Late).count())}});
   }
-  m_Follower.hear(Message.news(), {From, m_Peers.isNear(From), Late});
+  m_Follower.hear(Message.news(), Origin);
 }
 
 /// An instance's agent listens at the same host.
@@ -344,8 +357,14 @@
   Hello.set_data_centre(Own.m_DataCentre.m_Text);
   Hello.set_callers(Own.m_Callers);
   Hello.set_takes_callers(isReady());
-  for (const std::string &To : m_Peers.dueHellos(Now))
+  const DueHellos Due = m_Peers.dueHellos(Now);
+  for (const std::string &To : Due.m_Plain)
+    m_Link.send(To, Message);
+  if (!Due.m_Telling.empty())
+    *Hello.mutable_known() = m_Follower.digest();
+  for (const std::string &To : Due.m_Telling)
     m_Link.send(To, Message);
+  Hello.clear_known();
   if (Now < m_NextSubscribe)
     return;
   m_NextSubscribe = Now + SubscribeSpan;
@@ -368,6 +387,7 @@
     m_Instances.setEntries(Entries);
     m_Requests.setEntries(Entries);
     m_Follower.setTurn(m_Peers.ownTurn(Now));
+    noteListBelief();
     m_Requests.checkSilence(Now);
     m_Requests.moveFromSwapping(Now);
     m_Requests.takeBackOverdue(Now);
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -61,11 +61,7 @@
   return Got ? std::nullopt : std::optional(Got.error());
 }
 
-std::uint32_t ageMs(TimePoint Since) {
-  const auto Age =
-      std::chrono::duration_cast<milliseconds>(now() - Since).count();
-  return static_cast<std::uint32_t>(std::max<milliseconds::rep>(Age, 0));
-}
+std::uint32_t ageMs(TimePoint Since) { return direct::ageMs(Since, now()); }
 
 std::size_t bytesOf(const net::PlatformList &Of) {
   std::size_t Sum = 0;
@@ -78,11 +74,13 @@
 
 } // namespace
 
-FleetFollower::FleetFollower(asio::io_context &Io, net::Platform &Store,
-                             const FleetAdapter &Adapter, FollowerBounds Bounds,
-                             Callbacks Calls)
-    : m_Io(Io), m_Store(Store), m_Adapter(Adapter), m_Bounds(Bounds),
-      m_Calls(std::move(Calls)), m_Kinds(Adapter.kinds()),
+FleetFollower::FleetFollower(asio::io_context &Io, net::HttpClient &Http,
+                             net::Platform &Store, const FleetAdapter &Adapter,
+                             FollowerBounds Bounds, Callbacks Calls,
+                             StoreRelay *Relay)
+    : m_Io(Io), m_Http(Http), m_Store(Store), m_Adapter(Adapter),
+      m_Bounds(Bounds), m_Calls(std::move(Calls)), m_Relay(Relay),
+      m_Kinds(Adapter.kinds()),
       m_Declarations{
           m_Kinds.m_Declarations,
           SharedReading(planFor(Bounds.m_Apply, reliance(Bounds.m_Apply) / 2)),
@@ -97,6 +95,7 @@
             Told.set_version(m_Version);
             Told.set_revision(m_Declarations.m_Seen.m_Value);
             Told.set_age_ms(ageMs(m_Declarations.m_Reading));
+            Told.set_is_relayed(m_Declarations.m_Reading.isRelayed());
           },
           [this] { return fetchTold(); }},
       m_WeightVersions{
@@ -112,6 +111,7 @@
               write(Each, now(), *Told.add_declared());
             Told.set_revision(m_WeightVersions.m_Seen.m_Value);
             Told.set_age_ms(ageMs(m_WeightVersions.m_Reading));
+            Told.set_is_relayed(m_WeightVersions.m_Reading.isRelayed());
           },
           nullptr},
       m_Instances(planFor(Bounds.m_Drain, Bounds.m_Drain / ListsPerDrain)),
@@ -303,10 +303,14 @@
   co_return false;
 }
 
-DeclarationBelief FleetFollower::declarationBelief() const {
+StoreBelief FleetFollower::declarationBelief() const {
   return beliefOf(m_Declarations.m_Reading, m_Bounds.m_Apply, now());
 }
 
+StoreBelief FleetFollower::instancesBelief() const {
+  return beliefOf(m_Instances, m_Bounds.m_Drain, now());
+}
+
 void FleetFollower::applyDeclaration(const net::PlatformObject &Object,
                                      const std::string &Source) {
   const auto Parsed =
@@ -326,8 +330,8 @@
             {"from", Source},
             {"routes", std::uint64_t{Parsed->m_Routes.size()}}});
   m_Calls.m_OnDeclaration(*Parsed);
-  if (m_Calls.m_OnHeld)
-    m_Calls.m_OnHeld({Parsed->m_Version, Object});
+  if (m_Relay)
+    m_Relay->hold(HeldDeclaration{Parsed->m_Version, Object});
 }
 
 void FleetFollower::applyWeights(const net::PlatformObject &Object) {
@@ -367,11 +371,10 @@
     co_await untilDue(m_Instances, m_InstancesWake);
     if (m_Stopped)
       break;
-    noteTakeOver(m_Kinds.m_Instances, m_Instances);
     const NewsReach Reach =
         m_Instances.isBehind() ? NewsReach::Near : NewsReach::All;
     const InstanceList Before = m_Read;
-    const bool Came = co_await listInstances();
+    const bool Came = co_await readInstances();
     Failures = Came ? 0 : Failures + 1;
     if (!Came)
       co_await pause(retryAfter(Failures));
@@ -380,12 +383,26 @@
   }
 }
 
+/// From another entry where one is known to have a newer one, else from the
+/// store, which may turn this entry away while it serves the other.
+asio::awaitable<bool> FleetFollower::readInstances() {
+  const bool IsTold = m_Instances.isBehind();
+  if (IsTold && co_await fetchToldInstances())
+    co_return true;
+  noteTakeOver(m_Kinds.m_Instances, m_Instances);
+  co_return co_await listInstances();
+}
+
 void FleetFollower::tellInstances(const InstanceListChange &Change,
                                   NewsReach Reach) {
   const auto Fill = [&](wire::StoreNews &News) {
     wire::InstancesNews &Told = *News.mutable_instances();
     write(Change, Told);
+    Told.set_revision(m_ReadRevision.m_Value);
     Told.set_age_ms(ageMs(m_Instances));
+    Told.set_is_relayed(m_Instances.isRelayed());
+    if (const auto Returned = m_Lapsed.returnedLately(now()))
+      Told.set_returned_ms(ageMs(*Returned));
   };
   tell(Fill, Reach);
 }
@@ -411,14 +428,57 @@
 bool FleetFollower::takeInstances(const Outcome<net::PlatformList> &List,
                                   TimePoint AsOf) {
   noteStore("list " + m_Kinds.m_Instances, faultOf(List));
+  m_HasListFailed = m_HasListFailed || !List;
   if (!List || m_Stopped)
     return false;
-  InstanceList Read = parseInstances(*List);
-  confirmInstances(AsOf);
-  applyInstances(std::move(Read));
+  HeardAsOf Heard{AsOf, false, std::nullopt};
+  if (m_Bounds.m_KeepsLapsed &&
+      showsReturn(m_Instances, m_HasListFailed, now()))
+    Heard.m_Returned = now();
+  m_HasListFailed = false;
+  // Something newer was heard of while this one was on its way.
+  if (List->m_Revision < m_ReadRevision)
+    return false;
+  // What the store does not hold after it was told of does not exist.
+  if (m_ToldInstances && m_ToldInstances->m_ToldAt < AsOf)
+    m_ToldInstances.reset();
+  adoptInstances(parseInstances(*List), List->m_Revision, Heard);
   return true;
 }
 
+/// A list that is older than the known one is left: it may name those that have
+/// left since.
+void FleetFollower::adoptInstances(InstanceList Listed, Revision At,
+                                   const HeardAsOf &AsOf) {
+  if (At < m_ReadRevision)
+    return;
+  noteInstancesAsOf(At, AsOf);
+  if (m_Bounds.m_KeepsLapsed && AsOf.m_Returned)
+    m_Lapsed.storeReturned(*AsOf.m_Returned);
+  applyInstances(std::move(Listed));
+}
+
+/// The known list is still the newest.
+void FleetFollower::keepInstances(Revision At, const HeardAsOf &AsOf) {
+  noteInstancesAsOf(At, AsOf);
+  // Those that have lapsed count as listed for a while only.
+  if (m_Listed.size() != m_Read.size())
+    applyInstances(m_Read);
+  if (m_Relay)
+    m_Relay->confirmInstances(m_ReadRevision, m_Instances.asOf());
+}
+
+void FleetFollower::noteInstancesAsOf(Revision At, const HeardAsOf &AsOf) {
+  m_ReadRevision = At;
+  const bool IsBehind =
+      m_ToldInstances && m_ToldInstances->m_Revision > m_ReadRevision;
+  if (IsBehind)
+    return;
+  if (AsOf.m_AsOf)
+    m_Instances.confirm(*AsOf.m_AsOf, AsOf.m_IsRelayed);
+  m_Instances.noteCaughtUp();
+}
+
 /// An entry that cannot be read names no instance; the others hold.
 InstanceList FleetFollower::parseInstances(const net::PlatformList &List) {
   InstanceList Out;
@@ -452,16 +512,12 @@
       .set(static_cast<std::int64_t>(m_Unreadable.size()));
 }
 
-void FleetFollower::confirmInstances(TimePoint AsOf) {
-  // Where no entry could read for so long, the store was away for all. That
-  // only this one could not reach it makes no instance lapse.
-  if (m_Bounds.m_KeepsLapsed && m_Instances.isStale(now()))
-    m_Lapsed.storeReturned(now());
-  m_Instances.confirm(AsOf);
-}
-
 void FleetFollower::applyInstances(InstanceList Read) {
+  if (m_Relay)
+    m_Relay->hold(HeldInstances{Read, m_ReadRevision, m_Instances.asOf(),
+                                m_Lapsed.returnedLately(now())});
   m_Read = std::move(Read);
+  m_ReadFingerprint = fingerprintOf(m_Read);
   InstanceList Listed = m_Lapsed.complete(m_Read, m_Listed, now());
   if (m_KnowsInstances && Listed == m_Listed)
     return;
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -2,14 +2,14 @@
 // entries: one reads and tells the rest.
 #pragma once
 
-#include "deckpitch/declaration-belief.h"
 #include "deckpitch/fleet.h"
 #include "deckpitch/instance-list.h"
 #include "deckpitch/shared-reading.h"
+#include "deckpitch/store-belief.h"
 #include "deckpitch/time.h"
 #include "direct/adapter.h"
-#include "direct/declaration-relay.h"
 #include "direct/entry-peers.h"
+#include "direct/store-relay.h"
 #include "net/platform.h"
 #include "proto/link.pb.h"
 
@@ -52,25 +52,23 @@
     std::function<void(const std::vector<HeardWeights> &)> m_OnWeights;
     /// What was just learnt, and which entries are to be told; may be empty.
     std::function<void(const wire::StoreNews &, NewsReach)> m_OnNews;
-    /// What to serve to other entries; may be empty.
-    std::function<void(HeldDeclaration)> m_OnHeld;
-    /// Gets a declaration from the entry with that link address; may be empty.
-    std::function<asio::awaitable<Outcome<HeldDeclaration>>(
-        std::string Holder, std::uint64_t Version)>
-        m_Fetch;
   };
 
-  FleetFollower(asio::io_context &Io, net::Platform &Store,
-                const FleetAdapter &Adapter, FollowerBounds Bounds,
-                Callbacks Calls);
+  /// What was read is passed on through the relay, where there is one.
+  FleetFollower(asio::io_context &Io, net::HttpClient &Http,
+                net::Platform &Store, const FleetAdapter &Adapter,
+                FollowerBounds Bounds, Callbacks Calls, StoreRelay *Relay);
 
   /// Follows all until stopped. Without it, only what is asked for is read.
   void start();
   void stop();
   /// Entries that read before this one; see SharedReading.
   void setTurn(ReadingTurn Turn);
-  /// What another entry has read.
+  /// What another entry has read, or knows.
   void hear(const wire::StoreNews &News, const NewsOrigin &From);
+  /// All that is known here, without the texts: for others to see whether they
+  /// are behind. Who has missed a change learns of it with the next.
+  wire::StoreNews digest();
 
   /// Reads the declaration and the declared weights once.
   asio::awaitable<bool> readDeclarations();
@@ -78,9 +76,12 @@
   asio::awaitable<bool> listInstances();
   /// The same at a lower price: it may be some seconds old.
   asio::awaitable<bool> listOldInstances();
+  /// The list that the entry with that link address holds.
+  asio::awaitable<bool> fetchInstancesFrom(std::string Holder);
 
   bool knowsDeclaration() const { return m_Version != 0; }
-  DeclarationBelief declarationBelief() const;
+  StoreBelief declarationBelief() const;
+  StoreBelief instancesBelief() const;
   /// The store was read, whether or not it names any version.
   bool knowsWeights() const {
     return m_WeightVersions.m_Reading.asOf() != TimePoint{};
@@ -95,6 +96,19 @@
     TimePoint m_AsOf{};
     NewsOrigin m_From;
   };
+  /// A list of instances that another entry holds and this one does not.
+  struct ToldInstances {
+    Revision m_Revision{};
+    NewsOrigin m_From;
+    TimePoint m_ToldAt{};
+  };
+  /// When the store held what came, if that is certain.
+  struct HeardAsOf {
+    std::optional<TimePoint> m_AsOf;
+    bool m_IsRelayed = false; ///< read by another process
+    /// When the store was back after it had been away for all, if lately.
+    std::optional<TimePoint> m_Returned;
+  };
   /// A kind of objects that is read when it is due, and watched by the first
   /// entry.
   struct Followed {
@@ -118,6 +132,11 @@
   bool takeRead(Followed &Of, const Outcome<net::PlatformList> &Read,
                 TimePoint Asked, const std::string &Call);
   asio::awaitable<void> pollInstances();
+  asio::awaitable<bool> readInstances();
+  asio::awaitable<bool> fetchToldInstances();
+  void noteInstancesTold(Revision At, const NewsOrigin &From, TimePoint Now);
+  void confirmIfCertain(SharedReading &Reading, const ToldReading &Told,
+                        TimePoint Now);
   asio::awaitable<void> untilDue(SharedReading &Reading,
                                  asio::steady_timer &Wake);
   asio::awaitable<void> pause(Duration Length);
@@ -139,19 +158,23 @@
                         const std::string &Source);
   void applyWeights(const net::PlatformObject &Object);
   bool takeInstances(const Outcome<net::PlatformList> &List, TimePoint AsOf);
+  void adoptInstances(InstanceList Listed, Revision At, const HeardAsOf &AsOf);
+  void keepInstances(Revision At, const HeardAsOf &AsOf);
+  void noteInstancesAsOf(Revision At, const HeardAsOf &AsOf);
   InstanceList parseInstances(const net::PlatformList &List);
   void noteUnreadable(std::map<std::string, std::string> Unreadable);
-  void confirmInstances(TimePoint AsOf);
   void applyInstances(InstanceList Listed);
   void logChanges(const InstanceList &Now);
   void noteStore(const std::string &Call, std::optional<Error> Fault);
   Duration retryAfter(unsigned Failures);
 
   asio::io_context &m_Io;
+  net::HttpClient &m_Http;
   net::Platform &m_Store;
   const FleetAdapter &m_Adapter;
   FollowerBounds m_Bounds;
   Callbacks m_Calls;
+  StoreRelay *m_Relay;
   ObjectKinds m_Kinds;
   std::uint64_t m_Version = 0; ///< of the declaration in force
   std::optional<ToldDeclaration> m_Told;
@@ -160,6 +183,9 @@
   TimePoint m_NewestToldAt{};
   std::map<std::string, HeardWeights> m_Weights; ///< by model
   InstanceList m_Read;                           ///< as the store held it
+  std::uint64_t m_ReadFingerprint = 0;           ///< of that list
+  Revision m_ReadRevision{};                     ///< of the store then
+  std::optional<ToldInstances> m_ToldInstances;
   InstanceList m_Listed; ///< these, and those that lapsed while it was away
   /// Entries of the list that name no instance, and what is wrong with each.
   std::map<std::string, std::string> m_Unreadable;
@@ -169,6 +195,7 @@
   SharedReading m_Instances;
   asio::steady_timer m_InstancesWake;
   LapsedInstances m_Lapsed;
+  bool m_HasListFailed = false; ///< since a list came last
   bool m_StoreAway = false;
   bool m_Stopped = false;
   std::minstd_rand m_Random{std::random_device{}()};
--- a/src/direct/fleet-news.cc
+++ b/src/direct/fleet-news.cc
@@ -14,6 +14,42 @@
 using daemon::now;
 using std::chrono::milliseconds;
 
+namespace {
+
+/// An entry beside this one may have a change first that is on its way here
+/// too: the way between data centres, and the time in which datagrams to all
+/// entries are sent.
+constexpr Duration ChangeOnItsWay = milliseconds(40);
+
+ToldReading toldBy(const auto &News, const NewsOrigin &From) {
+  return {milliseconds(News.age_ms()), From.m_Late, From.m_IsNear,
+          News.is_relayed()};
+}
+
+} // namespace
+
+wire::StoreNews FleetFollower::digest() {
+  wire::StoreNews Out;
+  if (knowsDeclaration())
+    m_Declarations.m_Tell(Out);
+  if (knowsWeights())
+    m_WeightVersions.m_Tell(Out);
+  if (!m_KnowsInstances)
+    return Out;
+  wire::InstancesNews &Told = *Out.mutable_instances();
+  Told.set_after(m_ReadFingerprint);
+  Told.set_revision(m_ReadRevision.m_Value);
+  Told.set_age_ms(ageMs(m_Instances.asOf(), now()));
+  Told.set_is_relayed(m_Instances.isRelayed());
+  return Out;
+}
+
+void FleetFollower::confirmIfCertain(SharedReading &Reading,
+                                     const ToldReading &Told, TimePoint Now) {
+  if (const auto AsOf = asOfTold(Told, Now))
+    Reading.confirm(*AsOf, Told.m_IsRelayed);
+}
+
 void FleetFollower::hear(const wire::StoreNews &News, const NewsOrigin &From) {
   const TimePoint Now = now();
   if (News.has_declaration())
@@ -30,13 +66,13 @@
                                     const NewsOrigin &From, TimePoint Now) {
   if (News.version() < m_Version)
     return;
-  const TimePoint AsOf = Now - milliseconds(News.age_ms()) - From.m_Late;
   SharedReading &Reading = m_Declarations.m_Reading;
   if (News.version() > m_Version) {
     const bool IsBetter = !m_Told || News.version() > m_Told->m_Version ||
                           (From.m_IsNear && !m_Told->m_From.m_IsNear);
     if (IsBetter)
-      m_Told = {News.version(), Revision{News.revision()}, AsOf, From};
+      m_Told = {News.version(), Revision{News.revision()},
+                asOfTold(toldBy(News, From), Now).value_or(TimePoint{}), From};
     Reading.noteBehind(Now,
                        From.m_IsNear ? Duration::zero() : Reading.turnWait());
     m_NewestTold = std::max(m_NewestTold, News.version());
@@ -47,7 +83,7 @@
   // Whoever says so has not heard yet of the one that this entry is behind.
   if (m_NewestTold > m_Version)
     return;
-  Reading.confirm(AsOf);
+  confirmIfCertain(Reading, toldBy(News, From), Now);
   m_Declarations.m_Seen =
       std::max(m_Declarations.m_Seen, Revision{News.revision()});
 }
@@ -65,40 +101,75 @@
         Told->version() < Each.m_Declared.m_Version)
       return;
   }
-  m_WeightVersions.m_Reading.confirm(Now - milliseconds(News.age_ms()) -
-                                     From.m_Late);
+  confirmIfCertain(m_WeightVersions.m_Reading, toldBy(News, From), Now);
   m_WeightVersions.m_Seen =
       std::max(m_WeightVersions.m_Seen, Revision{News.revision()});
 }
 
+/// Lists are told apart by the store's revision: by their age, two that were
+/// read within some milliseconds could not be.
 void FleetFollower::hearInstances(const wire::InstancesNews &News,
                                   const NewsOrigin &From, TimePoint Now) {
-  const TimePoint AsOf = Now - milliseconds(News.age_ms()) - From.m_Late;
-  // Older than what was read here: it may name those that have left.
-  if (AsOf < m_Instances.asOf())
-    return;
-  std::optional<InstanceList> Told;
-  if (m_KnowsInstances && fingerprintOf(m_Read) == News.after())
-    Told = m_Read;
-  else if (m_KnowsInstances)
-    Told = applyChange(m_Read, read(News));
-  if (!Told) {
-    m_Instances.noteBehind(Now, m_Instances.turnWait());
-    m_InstancesWake.cancel();
+  const Revision At{News.revision()};
+  if (At < m_ReadRevision)
     return;
+  const ToldReading Told = toldBy(News, From);
+  HeardAsOf AsOf{asOfTold(Told, Now), Told.m_IsRelayed, std::nullopt};
+  if (News.has_returned_ms())
+    AsOf.m_Returned = Now - milliseconds(News.returned_ms());
+  if (m_KnowsInstances && m_ReadFingerprint == News.after())
+    return keepInstances(At, AsOf);
+  const auto Changed =
+      m_KnowsInstances ? applyChange(m_Read, read(News)) : std::nullopt;
+  if (Changed)
+    adoptInstances(*Changed, At, AsOf);
+  else if (At > m_ReadRevision)
+    noteInstancesTold(At, From, Now);
+}
+
+/// Near ones are asked first; the change itself may just be on its way.
+void FleetFollower::noteInstancesTold(Revision At, const NewsOrigin &From,
+                                      TimePoint Now) {
+  const bool IsBetter = !m_ToldInstances || At > m_ToldInstances->m_Revision ||
+                        (From.m_IsNear && !m_ToldInstances->m_From.m_IsNear);
+  if (IsBetter)
+    m_ToldInstances = {At, From, Now};
+  m_Instances.noteBehind(Now, From.m_IsNear
+                                  ? ChangeOnItsWay
+                                  : ChangeOnItsWay + m_Instances.turnWait());
+  m_InstancesWake.cancel();
+}
+
+asio::awaitable<bool> FleetFollower::fetchToldInstances() {
+  const auto Told = m_ToldInstances;
+  if (!Told || Told->m_Revision < m_ReadRevision)
+    co_return false;
+  if (!co_await fetchInstancesFrom(Told->m_From.m_Link))
+    co_return false;
+  co_return m_ReadRevision >= Told->m_Revision;
+}
+
+asio::awaitable<bool> FleetFollower::fetchInstancesFrom(std::string Holder) {
+  const auto Got = co_await fetchInstances(m_Http, Holder, m_Read);
+  if (!Got) {
+    net::log(Event::ListNotRelayed,
+             {{"from", Holder}, {"error", Got.error().m_Message}});
+    co_return false;
   }
-  confirmInstances(AsOf);
-  applyInstances(std::move(*Told));
+  if (!m_Stopped)
+    adoptInstances(Got->m_List, Got->m_Revision,
+                   {Got->m_AsOf, true, Got->m_Returned});
+  co_return !m_Stopped;
 }
 
 /// The text from the entry that told of it. One copy leaves the store then, and
 /// one packed to a tenth crosses to each data centre.
 asio::awaitable<bool> FleetFollower::fetchTold() {
   const auto Told = std::exchange(m_Told, std::nullopt);
-  if (!Told || Told->m_Version <= m_Version || !m_Calls.m_Fetch)
+  if (!Told || Told->m_Version <= m_Version)
     co_return false;
   const auto Got =
-      co_await m_Calls.m_Fetch(Told->m_From.m_Link, Told->m_Version);
+      co_await fetchDeclaration(m_Http, Told->m_From.m_Link, Told->m_Version);
   if (!Got) {
     net::log(Event::DeclarationNotRelayed, {{"version", Told->m_Version},
                                             {"from", Told->m_From.m_Link},
@@ -109,7 +180,7 @@
   if (m_Stopped || m_Version < Told->m_Version)
     co_return false;
   m_Declarations.m_Seen = std::max(m_Declarations.m_Seen, Told->m_Revision);
-  m_Declarations.m_Reading.confirm(Told->m_AsOf);
+  m_Declarations.m_Reading.confirm(Told->m_AsOf, true);
   m_Declarations.m_Reading.noteCaughtUp();
   stayBehindWhatWasTold();
   tell(m_Declarations.m_Tell, NewsReach::Near);
--- a/src/direct/store-news.cc
+++ b/src/direct/store-news.cc
@@ -7,12 +7,9 @@
 
 void write(const HeardWeights &From, TimePoint Now,
            wire::DeclaredWeightsState &To) {
-  using std::chrono::milliseconds;
-  const auto Age = std::chrono::ceil<milliseconds>(Now - From.m_Since).count();
   To.set_model(From.m_Declared.m_Model);
   To.set_version(From.m_Declared.m_Version);
-  To.set_age_ms(
-      static_cast<std::uint32_t>(std::max<milliseconds::rep>(Age, 0)));
+  To.set_age_ms(ageMs(From.m_Since, Now));
 }
 
 HeardWeights read(const wire::DeclaredWeightsState &From, TimePoint Now) {
@@ -70,6 +67,28 @@
 
 } // namespace
 
+std::uint32_t ageMs(TimePoint Since, TimePoint Now) {
+  using std::chrono::milliseconds;
+  const auto Age = std::chrono::ceil<milliseconds>(Now - Since).count();
+  return static_cast<std::uint32_t>(std::max<milliseconds::rep>(Age, 0));
+}
+
+void writeWhole(const InstanceList &From, std::uint64_t Fingerprint,
+                wire::InstancesNews &To) {
+  To.set_after(Fingerprint);
+  for (const auto &[Id, Each] : From)
+    write(Each, *To.add_put());
+}
+
+InstanceList readWhole(const wire::InstancesNews &From) {
+  InstanceList Out;
+  for (const wire::ListedInstanceState &Each : From.put()) {
+    FleetInstance Read = read(Each);
+    Out.emplace(Read.m_Id, std::move(Read));
+  }
+  return Out;
+}
+
 void write(const InstanceListChange &From, wire::InstancesNews &To) {
   To.set_before(From.m_Before);
   To.set_after(From.m_After);
--- a/src/direct/store-news.h
+++ b/src/direct/store-news.h
@@ -20,6 +20,14 @@
 void write(const HeldWeights &From, wire::HeldWeightsState &To);
 HeldWeights read(const wire::HeldWeightsState &From);
 
+/// Whole milliseconds since then, 0 for what is to come.
+std::uint32_t ageMs(TimePoint Since, TimePoint Now);
+
+/// A list as a change that puts all of it.
+void writeWhole(const InstanceList &From, std::uint64_t Fingerprint,
+                wire::InstancesNews &To);
+InstanceList readWhole(const wire::InstancesNews &From);
+
 void write(const InstanceListChange &From, wire::InstancesNews &To);
 InstanceListChange read(const wire::InstancesNews &From);
 
--- /dev/null
+++ b/src/direct/store-relay.cc
@@ -0,0 +1,229 @@
+#include "direct/store-relay.h"
+
+#include "daemon/clock.h"
+#include "direct/store-news.h"
+#include "net/deflate.h"
+#include "proto/link.pb.h"
+
+#include <charconv>
+#include <utility>
+
+namespace deckpitch::direct {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string DeclarationPath = "/v1/declaration";
+const std::string InstancesPath = "/v1/instances";
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+/// Of a text: the store's own limit is 1 MiB a value. A list of 1,000 instances
+/// takes 0.2 MB.
+constexpr std::size_t MostTextBytes = std::size_t{4} * 1024 * 1024;
+/// Of an answer: packed texts are smaller than the text.
+constexpr std::size_t MostBodyBytes = std::size_t{5} * 1024 * 1024;
+/// The holder packs 1 MB in some 100 ms of a quarter of a core, once. An entry
+/// that takes longer is buried, and the store is asked instead.
+constexpr net::CallLimits FetchLimits{milliseconds(250), milliseconds(600),
+                                      milliseconds(400), MostBodyBytes};
+/// Other processes of the fleet only, each with one short question.
+constexpr net::HttpLimits ServeLimits{std::size_t{4} * 1024,
+                                      std::size_t{4} * 1024,
+                                      milliseconds(2'000),
+                                      milliseconds(30'000),
+                                      milliseconds(5'000),
+                                      1'000,
+                                      true};
+
+std::uint64_t numberIn(const std::string &Text) {
+  std::uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+asio::awaitable<Outcome<std::string>>
+fetchBody(net::HttpClient &Http, std::string Holder, std::string Target) {
+  net::HttpRequest Request;
+  Request.m_Target = std::move(Target);
+  auto Answer =
+      co_await Http.call(std::move(Holder), std::move(Request), FetchLimits);
+  if (!Answer)
+    co_return Answer.error();
+  if (Answer->m_Status != StatusOk)
+    co_return Error{ErrorCode::NotFound,
+                    "the process answered " + std::to_string(Answer->m_Status)};
+  co_return std::move(Answer->m_Body);
+}
+
+} // namespace
+
+std::string formatRelayed(const HeldDeclaration &Value) {
+  wire::DeclarationText Out;
+  Out.set_name(Value.m_Object.m_Name);
+  Out.set_version(Value.m_Version);
+  Out.set_revision(Value.m_Object.m_Revision.m_Value);
+  Out.set_deflated(net::deflate(Value.m_Object.m_Json));
+  return Out.SerializeAsString();
+}
+
+Outcome<HeldDeclaration> parseRelayed(const std::string &Body) {
+  wire::DeclarationText From;
+  if (!From.ParseFromString(Body))
+    return Error{ErrorCode::InvalidInput,
+                 "a relayed declaration is no message"};
+  auto Text = net::inflate(From.deflated(), MostTextBytes);
+  if (!Text)
+    return Text.error();
+  HeldDeclaration Out;
+  Out.m_Version = From.version();
+  Out.m_Object.m_Name = From.name();
+  Out.m_Object.m_Revision = {From.revision()};
+  Out.m_Object.m_Json = std::move(*Text);
+  return Out;
+}
+
+std::string packInstances(const InstanceList &List, std::uint64_t Fingerprint) {
+  wire::InstancesNews All;
+  writeWhole(List, Fingerprint, All);
+  return net::deflate(All.SerializeAsString());
+}
+
+std::string formatRelayed(const HeldInstances &Value, std::uint64_t Fingerprint,
+                          const std::string &Packed, TimePoint Now) {
+  wire::InstancesText Out;
+  Out.set_revision(Value.m_Revision.m_Value);
+  Out.set_fingerprint(Fingerprint);
+  Out.set_age_ms(ageMs(Value.m_AsOf, Now));
+  if (Value.m_Returned)
+    Out.set_returned_ms(ageMs(*Value.m_Returned, Now));
+  Out.set_deflated(Packed);
+  return Out.SerializeAsString();
+}
+
+Outcome<HeldInstances> parseRelayedInstances(const std::string &Body,
+                                             const InstanceList &Known,
+                                             TimePoint Asked) {
+  wire::InstancesText From;
+  if (!From.ParseFromString(Body) || From.revision() == 0)
+    return Error{ErrorCode::InvalidInput, "a relayed list is no message"};
+  HeldInstances Out;
+  Out.m_List = Known;
+  Out.m_Revision = {From.revision()};
+  Out.m_AsOf = Asked - milliseconds(From.age_ms());
+  if (From.has_returned_ms())
+    Out.m_Returned = Asked - milliseconds(From.returned_ms());
+  if (!From.deflated().empty()) {
+    const auto Text = net::inflate(From.deflated(), MostTextBytes);
+    if (!Text)
+      return Text.error();
+    wire::InstancesNews All;
+    if (!All.ParseFromString(*Text))
+      return Error{ErrorCode::InvalidInput, "a relayed list cannot be read"};
+    Out.m_List = readWhole(All);
+  }
+  if (fingerprintOf(Out.m_List) != From.fingerprint())
+    return Error{ErrorCode::InvalidInput, "a relayed list is not whole"};
+  return Out;
+}
+
+asio::awaitable<Outcome<HeldDeclaration>>
+fetchDeclaration(net::HttpClient &Http, std::string Holder,
+                 std::uint64_t Version) {
+  const auto Body = co_await fetchBody(
+      Http, std::move(Holder),
+      DeclarationPath + "?version=" + std::to_string(Version));
+  if (!Body)
+    co_return Body.error();
+  auto Got = parseRelayed(*Body);
+  if (Got && Got->m_Version < Version)
+    co_return Error{ErrorCode::InvalidInput, "an older declaration came"};
+  co_return Got;
+}
+
+asio::awaitable<Outcome<HeldInstances>>
+fetchInstances(net::HttpClient &Http, std::string Holder, InstanceList Known) {
+  const TimePoint Asked = daemon::now();
+  const auto Body = co_await fetchBody(
+      Http, std::move(Holder),
+      InstancesPath + "?known=" + std::to_string(fingerprintOf(Known)));
+  if (!Body)
+    co_return Body.error();
+  co_return parseRelayedInstances(*Body, Known, Asked);
+}
+
+StoreRelay::StoreRelay(net::IoThreads &Threads)
+    : m_Server(
+          Threads,
+          [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+            return answer(std::move(Request), Answer);
+          },
+          ServeLimits) {}
+
+Result<void> StoreRelay::listen(const std::string &Address) {
+  BOOST_LEAF_CHECK(m_Server.listen(Address));
+  return {};
+}
+
+void StoreRelay::hold(HeldDeclaration Newest) {
+  m_Declaration = std::move(Newest);
+  m_DeclarationBody.clear();
+}
+
+void StoreRelay::hold(HeldInstances Newest) {
+  const std::uint64_t Fingerprint = fingerprintOf(Newest.m_List);
+  if (Fingerprint != m_Fingerprint)
+    m_PackedInstances.clear();
+  m_Fingerprint = Fingerprint;
+  m_Instances = std::move(Newest);
+}
+
+void StoreRelay::confirmInstances(Revision At, TimePoint AsOf) {
+  m_Instances.m_Revision = At;
+  m_Instances.m_AsOf = AsOf;
+}
+
+/// Null where none so new is held.
+const std::string *
+StoreRelay::declarationBody(const net::HttpRequest &Request) {
+  const std::uint64_t Wanted = numberIn(Request.query("version"));
+  if (m_Declaration.m_Version == 0 || m_Declaration.m_Version < Wanted)
+    return nullptr;
+  if (m_DeclarationBody.empty()) {
+    m_DeclarationBody = formatRelayed(m_Declaration);
+    m_Declaration.m_Object.m_Json.clear();
+  }
+  return &m_DeclarationBody;
+}
+
+std::string StoreRelay::instancesBody(const net::HttpRequest &Request) {
+  if (numberIn(Request.query("known")) == m_Fingerprint)
+    return formatRelayed(m_Instances, m_Fingerprint, "", daemon::now());
+  if (m_PackedInstances.empty())
+    m_PackedInstances = packInstances(m_Instances.m_List, m_Fingerprint);
+  return formatRelayed(m_Instances, m_Fingerprint, m_PackedInstances,
+                       daemon::now());
+}
+
+asio::awaitable<void> StoreRelay::answer(net::HttpRequest Request,
+                                         net::HttpResponder &Answer) {
+  net::HttpResponse Told;
+  Told.m_Status = StatusOk;
+  Told.m_Headers.add("Content-Type", "application/x-protobuf");
+  const bool IsGet = Request.m_Method == "GET";
+  const std::string *Declaration = IsGet && Request.path() == DeclarationPath
+                                       ? declarationBody(Request)
+                                       : nullptr;
+  const bool HasInstances = IsGet && Request.path() == InstancesPath &&
+                            m_Instances.m_Revision.m_Value != 0;
+  if (Declaration)
+    Told.m_Body = *Declaration;
+  else if (HasInstances)
+    Told.m_Body = instancesBody(Request);
+  else
+    Told = net::jsonResponse(StatusNotFound,
+                             R"({"error":"nothing so new is held here"})");
+  co_await Answer.send(std::move(Told));
+}
+
+} // namespace deckpitch::direct
--- a/src/kernel/instance-list.cc
+++ b/src/kernel/instance-list.cc
@@ -63,11 +63,19 @@
   return Out;
 }
 
-void LapsedInstances::storeReturned(TimePoint Now) {
-  m_Returned = Now;
+void LapsedInstances::storeReturned(TimePoint At) {
+  if (At - m_Returned < LapsedReturn)
+    return;
+  m_Returned = At;
   m_IsFirst = true;
 }
 
+std::optional<TimePoint> LapsedInstances::returnedLately(TimePoint Now) const {
+  if (Now - m_Returned >= LapsedReturn)
+    return std::nullopt;
+  return m_Returned;
+}
+
 InstanceList LapsedInstances::complete(InstanceList Read,
                                        const InstanceList &Known,
                                        TimePoint Now) {
--- a/test/entry-peers-test.cc
+++ b/test/entry-peers-test.cc
@@ -44,12 +44,18 @@
         Each->m_Peers.heard(Message, Own.m_Link, m_Now);
   }
 
+  static std::vector<std::string> allOf(direct::DueHellos Due) {
+    Due.m_Telling.insert(Due.m_Telling.end(), Due.m_Plain.begin(),
+                         Due.m_Plain.end());
+    return Due.m_Telling;
+  }
+
   /// False when some entry did not know all others at some moment.
   bool run(Duration Length) {
     bool KnewAll = true;
     for (const TimePoint End = m_Now + Length; m_Now < End; m_Now += 100ms) {
       for (const auto &Each : m_Entries)
-        for (const std::string &To : Each->m_Peers.dueHellos(m_Now))
+        for (const std::string &To : allOf(Each->m_Peers.dueHellos(m_Now)))
           tell(*Each, To);
       for (const auto &Each : m_Entries)
         KnewAll = KnewAll && Each->m_Peers.liveCount(m_Now) == m_Entries.size();
--- a/test/shared-reading-test.cc
+++ b/test/shared-reading-test.cc
@@ -1,6 +1,6 @@
 #include "deckpitch/shared-reading.h"
 
-#include "deckpitch/declaration-belief.h"
+#include "deckpitch/store-belief.h"
 #include "deckpitch/instance-list.h"
 
 #include <gtest/gtest.h>
@@ -80,18 +80,18 @@
   SharedReading Under = readingOf({1, 0});
   Under.confirm(Start);
   EXPECT_EQ(beliefOf(Under, Bound, Start + 100ms),
-            (DeclarationBelief{100ms, false, false}));
+            (StoreBelief{100ms, false, false}));
   EXPECT_EQ(beliefOf(Under, Bound, Start + 2s),
-            (DeclarationBelief{2s, true, false}));
+            (StoreBelief{2s, true, false}));
   Under.confirm(Start + 2s);
   Under.noteBehind(Start + 2'100ms, 0ms);
   EXPECT_EQ(beliefOf(Under, Bound, Start + 2'100ms),
-            (DeclarationBelief{100ms, true, false}));
+            (StoreBelief{100ms, true, false}));
   EXPECT_EQ(beliefOf(Under, Bound, Start + 3'100ms),
-            (DeclarationBelief{1'100ms, true, true}));
+            (StoreBelief{1'100ms, true, true}));
   Under.confirm(Start + 3'200ms);
   EXPECT_EQ(beliefOf(Under, Bound, Start + 3'200ms),
-            (DeclarationBelief{0ms, false, false}));
+            (StoreBelief{0ms, false, false}));
 }
 
 TEST(SharedReading, IsStaleWhenNoTurnBroughtAnything) {
