--- a/include/deckpitch/store-belief.h
+++ b/include/deckpitch/store-belief.h
@@ -43,7 +43,8 @@
 /// Whether a read that now came shows that the store is back after it had been
 /// away for all: it failed here, nothing was heard for so long that somebody
 /// would have read it, and nobody is known to have. Entries that alone had been
-/// turned away kept instances that had left for 2.2 s beyond their time.
+/// turned away kept an instance for 4.2 s after it had left, where 3 s are
+/// allowed.
 inline bool showsReturn(const SharedReading &Reading, bool HasFailedHere,
                         TimePoint Now) {
   return HasFailedHere && Reading.isStale(Now) && !Reading.isBehind();
--- a/test/store-belief-test.cc
+++ b/test/store-belief-test.cc
@@ -51,8 +51,8 @@
   }
 }
 
-/// An instance that had left was kept for 2.2 s beyond its time by entries that
-/// the store had turned away alone, while others read it.
+/// An instance was kept for 4.2 s after it had left, by entries that the store
+/// had turned away alone, while others read it.
 TEST(StoreBelief, OnlyAnOutageForAllShowsAReturn) {
   const TimePoint Late = Start + 1'500ms; // Past the time of all turns.
   SharedReading Heard = readAt(Start);
