--- a/test/shared-reading-test.cc
+++ b/test/shared-reading-test.cc
@@ -1,7 +1,7 @@
 #include "deckpitch/shared-reading.h"
 
-#include "deckpitch/store-belief.h"
 #include "deckpitch/instance-list.h"
+#include "deckpitch/store-belief.h"
 
 #include <gtest/gtest.h>
 
@@ -81,8 +81,7 @@
   Under.confirm(Start);
   EXPECT_EQ(beliefOf(Under, Bound, Start + 100ms),
             (StoreBelief{100ms, false, false}));
-  EXPECT_EQ(beliefOf(Under, Bound, Start + 2s),
-            (StoreBelief{2s, true, false}));
+  EXPECT_EQ(beliefOf(Under, Bound, Start + 2s), (StoreBelief{2s, true, false}));
   Under.confirm(Start + 2s);
   Under.noteBehind(Start + 2'100ms, 0ms);
   EXPECT_EQ(beliefOf(Under, Bound, Start + 2'100ms),
