Hear a process whose clock was set back before its start

Cause: a process takes its incarnation from its machine's wall clock, and LinkOrder took a smaller one for an older life for ever. After a clock was set back, or was ahead at one start and right at the next, all that had known the process left its datagrams until its clock had caught up: other entries took it for gone, and entries kept an agent's last report.

Change: a larger incarnation is a newer life at once, as before. A smaller one, or the one that a smaller one has followed, is taken when it has spoken for LifeProof (2.5 s) by its own monotonic clock (sent_us, which each datagram has) without a word of the known life between. Late words of a dead process, delayed by up to 2 s, span less than that, so they neither replace what the new life has said nor alternate with it. Bounds: a report's span after 2.5 s for agents, 2 s more while late words of the former life still come; the second hello for entries, 3 s apart to one that is silent.

Weighed: - silence of the larger one by the receiver's clock: a receiver that stood still reads late words of a former life after a long silence, and would take them; - a question with a number that only a living process can answer: one way and back in place of 2.5 s, but two more messages, a state for each sender, and repeats when one is lost, for a case that is rare; - a counter kept in the store: a write at each start, which fails while the store is away, and agents keep no object there; - the monotonic clock alone: begins anew with the machine, so it orders no lives across one.

Not covered: a receiver that first hears the new life, smaller, and then late words of the former one, which it never knew, takes the latter first; the new one is then heard after the same time.

--- a/src/direct/state-link.cc
+++ b/src/direct/state-link.cc
@@ -78,4 +78,40 @@
   m_Socket.close(Ignored);
 }
 
+bool LinkOrder::isNewer(const wire::LinkMessage &Message) {
+  const bool IsSameLife = Message.incarnation() == m_Incarnation;
+  if (IsSameLife) {
+    m_Other.reset();
+    if (Message.sequence() <= m_Sequence)
+      return false;
+  } else if (!isNext(Message) && !hasProvedToLive(Message)) {
+    return false;
+  }
+  if (Message.incarnation() < m_Incarnation)
+    m_Former = m_Incarnation;
+  m_Other.reset();
+  m_Incarnation = Message.incarnation();
+  m_Sequence = Message.sequence();
+  return true;
+}
+
+/// Late words of a larger life that was left must not bring it back.
+bool LinkOrder::isNext(const wire::LinkMessage &Message) const {
+  return Message.incarnation() > m_Incarnation &&
+         Message.incarnation() != m_Former;
+}
+
+/// By the sender's clock: what waited here while this process was paused is
+/// read at one moment of the own one.
+bool LinkOrder::hasProvedToLive(const wire::LinkMessage &Message) {
+  if (!m_Other || m_Other->m_Incarnation != Message.incarnation()) {
+    m_Other = Other{Message.incarnation(), Message.sent_us()};
+    return false;
+  }
+  const auto Proof =
+      std::chrono::duration_cast<std::chrono::microseconds>(LifeProof).count();
+  return Message.sent_us() >=
+         m_Other->m_FirstSentUs + static_cast<std::uint64_t>(Proof);
+}
+
 } // namespace deckpitch::direct
--- a/src/direct/state-link.h
+++ b/src/direct/state-link.h
@@ -3,14 +3,17 @@
 #pragma once
 
 #include "deckpitch/error.h"
+#include "deckpitch/time.h"
 #include "proto/link.pb.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace deckpitch::direct {
@@ -45,24 +48,37 @@
   std::uint64_t m_Sequence = 0;
 };
 
-/// Tells late datagrams of one sender from new ones.
+/// For so long, by its own clock, another life of the sender must have spoken
+/// with no word of the known one between. Longer than a full link delays a
+/// datagram: what a dead process sent in its last two seconds may come after
+/// the first word of the next one, and spans less. Shorter than the time
+/// between two hellos to an entry that is not heard, so that the second one
+/// counts.
+inline constexpr Duration LifeProof = std::chrono::milliseconds(2'500);
+
+/// Tells late datagrams of one sender from new ones. Lives are told apart by
+/// their incarnation, which is the time of a clock that may be set back before
+/// a start, or have been wrong before: a larger one is a newer life at once, a
+/// smaller one, or one that another has followed, when it has proved to live.
 class LinkOrder {
 public:
   /// Whether the message is newer than all before it.
-  bool isNewer(const wire::LinkMessage &Message) {
-    const bool IsNewer = Message.incarnation() > m_Incarnation ||
-                         (Message.incarnation() == m_Incarnation &&
-                          Message.sequence() > m_Sequence);
-    if (IsNewer) {
-      m_Incarnation = Message.incarnation();
-      m_Sequence = Message.sequence();
-    }
-    return IsNewer;
-  }
+  bool isNewer(const wire::LinkMessage &Message);
 
 private:
+  /// A life that is not known to be newer than the one in force.
+  struct Other {
+    std::uint64_t m_Incarnation = 0;
+    std::uint64_t m_FirstSentUs = 0; ///< by that life's clock
+  };
+
+  bool isNext(const wire::LinkMessage &Message) const;
+  bool hasProvedToLive(const wire::LinkMessage &Message);
+
   std::uint64_t m_Incarnation = 0;
   std::uint64_t m_Sequence = 0;
+  std::uint64_t m_Former = 0; ///< the last one that a smaller one followed
+  std::optional<Other> m_Other;
 };
 
 } // namespace deckpitch::direct
