Compare late words of a sender's former life with its own quickest

LinkDelay kept one life of a sender and began anew with each message of another one. After a sender's restart behind a link with a queue, late words of the former life come between those of the new one: each change began the count anew, so a message that was 2 s late counted as quick, and the store's news in it as up to 2 s fresher than it was.

Change: the last two lives are kept, each with its own least offset.

Ruled out: dropping what another life than the one in force says. The store's news is ordered by the store's revision and by versions, so only its age was wrong.

--- a/include/deckpitch/link-delay.h
+++ b/include/deckpitch/link-delay.h
@@ -4,13 +4,18 @@
 #include "deckpitch/time.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace deckpitch {
 
 /// Compares each message of one sender with the quickest of the last minutes:
 /// what it took longer, it waited on the way. The quickest one's own time on
-/// the way is not seen; it is some milliseconds.
+/// the way is not seen; it is some milliseconds. What the sender's former life
+/// sent last is compared with its own: it may come between the first words of
+/// the next one.
 class LinkDelay {
 public:
   /// A message of the sender's process with that incarnation, sent at that
@@ -19,28 +24,39 @@
   Duration note(std::uint64_t Incarnation, Duration SentAt,
                 TimePoint Received) {
     const Duration Offset = Received.time_since_epoch() - SentAt;
-    if (Incarnation != m_Incarnation) {
-      m_Incarnation = Incarnation;
-      m_Since = Received;
-      m_Current = m_Former = Offset;
+    Life &Of = lifeOf(Incarnation, Offset, Received);
+    if (Received - Of.m_Since >= Window) {
+      Of.m_Former = Of.m_Current;
+      Of.m_Current = Offset;
+      Of.m_Since = Received;
     }
-    if (Received - m_Since >= Window) {
-      m_Former = m_Current;
-      m_Current = Offset;
-      m_Since = Received;
-    }
-    m_Current = std::min(m_Current, Offset);
-    return Offset - std::min(m_Current, m_Former);
+    Of.m_Current = std::min(Of.m_Current, Offset);
+    return Offset - std::min(Of.m_Current, Of.m_Former);
   }
 
 private:
+  struct Life {
+    std::uint64_t m_Incarnation = 0;
+    TimePoint m_Since{};
+    Duration m_Current{}; ///< least offset of this window
+    Duration m_Former{};  ///< least offset of the one before
+  };
+
+  Life &lifeOf(std::uint64_t Incarnation, Duration Offset, TimePoint Received) {
+    for (Life &Each : m_Lives)
+      if (Each.m_Incarnation == Incarnation)
+        return Each;
+    m_Lives.back() = m_Lives.front();
+    m_Lives.front() = {Incarnation, Received, Offset, Offset};
+    return m_Lives.front();
+  }
+
   /// Two clocks drift apart by less than 0.1 ms/s, so by 12 ms in two windows.
   static constexpr Duration Window = std::chrono::minutes(1);
+  /// No datagram is so late that two starts lie between.
+  static constexpr std::size_t LivesKept = 2;
 
-  std::uint64_t m_Incarnation = 0;
-  TimePoint m_Since{};
-  Duration m_Current{}; ///< least offset of this window
-  Duration m_Former{};  ///< least offset of the one before
+  std::array<Life, LivesKept> m_Lives{}; ///< the one that was met last first
 };
 
 } // namespace deckpitch
--- a/test/link-delay-test.cc
+++ b/test/link-delay-test.cc
@@ -33,6 +33,19 @@
   EXPECT_EQ(lateness(Under, 1s, 13'400ms, 2), 400ms);
 }
 
+/// A sender was started anew behind a link with a queue of 2 s: what its former
+/// life had sent last came after the first words of the new one, and counted as
+/// quick, since each change of life began the count anew. News in it would have
+/// been taken for 2 s fresher than it was.
+TEST(LinkDelay, LateWordsOfTheFormerLifeAreLate) {
+  LinkDelay Under;
+  EXPECT_EQ(lateness(Under, 10s, 10s), 0s);
+  EXPECT_EQ(lateness(Under, 0s, 12s, 2), 0s);
+  EXPECT_EQ(lateness(Under, 11s, 13s), 2s);
+  EXPECT_EQ(lateness(Under, 1'500ms, 13'600ms, 2), 100ms);
+  EXPECT_EQ(lateness(Under, 11'900ms, 13'900ms), 2s);
+}
+
 TEST(LinkDelay, FollowsClocksThatDriftApart) {
   LinkDelay Under;
   // The receiver's clock gains 0.1 ms a second.
