Leave a slow call to its instance where no other can take it

Cause: an idempotent call of a plain service was ended after three objectives so that it could be repeated, before it was known whether another instance could take it. Where none could, it ended with 502, though its instance was at work and seconds were left.

Change: the limit holds only where another instance could take the call when it was sent. Left: one that could then, and refuses when it comes to it.

PlainCall.IsLeftToTheOnlyInstanceThatCanAnswerIt failed before; PlainCall.*, StreamMove.*, DirectEntry.*, AskedAgent.*: 38 of 38.

--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -443,6 +443,15 @@
   co_return How;
 }
 
+/// Whether another instance could take the request: ended without one, a slow
+/// call was answered 502 though its only instance had all but done it.
+bool EntryRequests::hasOther(const Call &Of, const InstanceChoice &Than) {
+  ChoiceQuery Query = Of.m_Query;
+  Query.m_Tried.insert(Than.m_Instance);
+  const InstanceChoice Other = m_Instances.choose(Query, now());
+  return Other.m_Outcome == ChoiceOutcome::Chosen;
+}
+
 /// Sends the request and reads the head of the answer.
 asio::awaitable<EntryRequests::Opened>
 EntryRequests::send(Call &Of, const InstanceChoice &Chosen,
@@ -454,7 +463,9 @@
   Limits.m_FirstByte = Left;
   // A silent stream is moved where another instance can take it; else it may
   // still be answered.
-  if (!Of.isStream() && !IsOnce && Of.m_Runs + 1 < Of.m_Route->m_Attempts)
+  const bool MayRepeat =
+      !Of.isStream() && !IsOnce && Of.m_Runs + 1 < Of.m_Route->m_Attempts;
+  if (MayRepeat && hasOther(Of, Chosen))
     Limits.m_FirstByte =
         std::min(Left, PlainObjectives * Of.m_Route->m_Objective);
   Limits.m_BetweenBytes = Limits.m_FirstByte;
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -96,6 +96,7 @@
     TimePoint m_Sent{};
   };
   asio::awaitable<Ended> attempt(Call &Of, const InstanceChoice &Chosen);
+  bool hasOther(const Call &Of, const InstanceChoice &Than);
   asio::awaitable<Opened> send(Call &Of, const InstanceChoice &Chosen,
                                net::CallCancel &Cancel);
   asio::awaitable<Ended> exchange(Call &Of, const InstanceChoice &Chosen);
