Log what a copy that gains nothing waits for

Change: CopyWaits (3014), once in 2 s without a gain: chunks missing, near and far peers and how many hold the first missing chunk, what is asked of whom and for how long, reads of the origin.

--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -141,6 +141,24 @@
                          const SwarmCounters &) = default;
 };
 
+/// What a copy that gains nothing waits for, as its log tells it.
+struct CopyWait {
+  std::uint32_t m_Missing = 0;
+  std::uint32_t m_Chunk = 0;       ///< the first of them
+  std::uint32_t m_Near = 0;        ///< peers in the same data centre
+  std::uint32_t m_Far = 0;         ///< peers elsewhere
+  std::uint32_t m_NearHolders = 0; ///< of that chunk, as far as is known here
+  std::uint32_t m_FarHolders = 0;
+  std::uint32_t m_Asked = 0;   ///< chunks asked of peers
+  Duration m_AskedFor{};       ///< how long the oldest of these
+  InstanceId m_AskedOf;        ///< and of whom
+  std::uint32_t m_Reading = 0; ///< chunks asked of the origin
+  Duration m_OriginRest{};     ///< until it is asked again
+  Duration m_SinceGain{};      ///< a chunk from anywhere
+
+  friend bool operator==(const CopyWait &, const CopyWait &) = default;
+};
+
 /// One copy's state at one agent: events in, actions out, no clock, no socket.
 ///
 /// A sender with room offers a chunk to the neighbour that misses most
@@ -208,6 +226,8 @@
   LinkVerdict linkVerdict() const;
   std::size_t peerCount() const { return m_Peers.size(); }
   bool setAside(const InstanceId &Id, TimePoint Now) const;
+  /// Without a meaning once the copy is complete.
+  CopyWait waitsFor(TimePoint Now) const;
 
 private:
   struct Transfer {
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -54,9 +54,17 @@
 constexpr std::size_t NearForEachFar = 4;
 /// About one chunk's time over such a link.
 constexpr Duration DeclineRest = milliseconds(20);
+/// A copy that gains nothing for so long says what it waits for, and again
+/// after as long: on sound links all of it takes no more.
+constexpr Duration WaitTold = std::chrono::seconds(2);
 /// What a window of chunks takes at such an origin.
 constexpr Duration OriginStep = milliseconds(800);
 
+std::uint64_t msOf(Duration Value) {
+  const auto Ms = std::chrono::duration_cast<milliseconds>(Value).count();
+  return static_cast<std::uint64_t>(std::max<milliseconds::rep>(Ms, 0));
+}
+
 std::string ipOf(const std::string &Address) {
   return Address.substr(0, Address.rfind(':'));
 }
@@ -263,6 +271,29 @@
   return Out;
 }
 
+/// One line now and then: all that is known of a copy that does not end.
+void WeightsSupply::tellWait(Copy &Of) {
+  const TimePoint Now = now();
+  if (Now - std::max(Of.m_GainedAt, Of.m_ToldAt) < WaitTold)
+    return;
+  Of.m_ToldAt = Now;
+  const CopyWait Wait = Of.m_Copy->swarm().waitsFor(Now);
+  net::log(Event::CopyWaits,
+           {{"weights", Of.m_Copy->manifest().m_Weights.m_Text},
+            {"missing", std::uint64_t{Wait.m_Missing}},
+            {"chunk", std::uint64_t{Wait.m_Chunk}},
+            {"sinceGainMs", msOf(Wait.m_SinceGain)},
+            {"near", std::uint64_t{Wait.m_Near}},
+            {"nearHolders", std::uint64_t{Wait.m_NearHolders}},
+            {"far", std::uint64_t{Wait.m_Far}},
+            {"farHolders", std::uint64_t{Wait.m_FarHolders}},
+            {"asked", std::uint64_t{Wait.m_Asked}},
+            {"askedOf", Wait.m_AskedOf.m_Text},
+            {"askedMs", msOf(Wait.m_AskedFor)},
+            {"originReads", std::uint64_t{Wait.m_Reading}},
+            {"originRestMs", msOf(Wait.m_OriginRest)}});
+}
+
 /// Notes what has come, and says once when all has.
 void WeightsSupply::observe(Copy &Of) {
   if (!Of.m_Copy)
@@ -273,7 +304,9 @@
     Of.m_Held = Swarm.here().count();
     Of.m_GainedAt = now();
   }
-  if (!Swarm.complete() || Of.m_CompleteAt)
+  if (!Swarm.complete())
+    return tellWait(Of);
+  if (Of.m_CompleteAt)
     return;
   Of.m_CompleteAt = now();
   const SwarmCounters &Counts = Swarm.counters();
--- a/src/direct/weights-supply.h
+++ b/src/direct/weights-supply.h
@@ -78,6 +78,7 @@
     std::optional<TimePoint> m_CompleteAt;
     std::uint32_t m_Held = 0; ///< chunks when it was last looked at
     TimePoint m_GainedAt{};   ///< when they last became more
+    TimePoint m_ToldAt{};     ///< when its log last told what it waits for
   };
 
   Result<void> listen();
@@ -88,6 +89,7 @@
   boost::asio::awaitable<void> order(const Copy &Of);
   bool mayStartCopy() const;
   void observe(Copy &Of);
+  void tellWait(Copy &Of);
   void observeLink(const Swarm &Of);
   void retireFormer();
   void tellCopyOfPeers();
--- /dev/null
+++ b/src/kernel/swarm-wait.cc
@@ -0,0 +1,31 @@
+// What a swarm waits for, told to those who read its log.
+#include "deckpitch/swarm.h"
+
+#include <algorithm>
+
+namespace deckpitch {
+
+CopyWait Swarm::waitsFor(TimePoint Now) const {
+  CopyWait Out;
+  Out.m_Missing = m_Here.size() - m_Here.count();
+  while (m_Here.contains(Out.m_Chunk))
+    ++Out.m_Chunk;
+  Out.m_Reading = static_cast<std::uint32_t>(m_Reading.size());
+  Out.m_OriginRest = std::max(m_OriginRestUntil - Now, Duration::zero());
+  Out.m_SinceGain = Now - m_LastGain;
+  for (const auto &[Number, Each] : m_Peers) {
+    const bool IsHolder = Each.m_Has.contains(Out.m_Chunk);
+    ++(Each.m_IsNear ? Out.m_Near : Out.m_Far);
+    (Each.m_IsNear ? Out.m_NearHolders : Out.m_FarHolders) += IsHolder;
+    for (const Transfer &Open : Each.m_Expected) {
+      ++Out.m_Asked;
+      if (Now - Open.m_Asked < Out.m_AskedFor)
+        continue;
+      Out.m_AskedFor = Now - Open.m_Asked;
+      Out.m_AskedOf = Each.m_Id;
+    }
+  }
+  return Out;
+}
+
+} // namespace deckpitch
