Show three states of a copy that nothing ends

Ruled out: peers that are not connected (the dumps show 4 of 4), a step that never returns (it goes on logging), a request without an answer (asked 0), a near peer that refuses (it would count as a holder), an origin at rest (originRestMs 0). Change: three tests, which fail: what came while a called peer answered is never told to it; chunks found staged after a peer called are never told to it; what peers hold and do not give is read from the origin never. A fourth, that peers which give are waited for, passes before and after.

--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -186,8 +186,8 @@
   std::set<InstanceId> importSources() const;
   void setPreference(Preference Value) { m_Options.m_Preference = Value; }
 
-  /// Chunks found here at the start. Already verified.
-  void addStaged(std::uint32_t Chunk, TimePoint Now);
+  /// A chunk found here at the start. Already verified.
+  SwarmActions addStaged(std::uint32_t Chunk, TimePoint Now);
 
   SwarmActions onPeerJoined(PeerNumber Peer, InstanceId Id,
                             DataCentreId DataCentre, ChunkSet Has,
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -68,8 +68,9 @@
   return Found != m_Failures.end() && Now < Found->second.m_Until;
 }
 
-void Swarm::addStaged(std::uint32_t Chunk, TimePoint Now) {
+SwarmActions Swarm::addStaged(std::uint32_t Chunk, TimePoint Now) {
   insertHere(Chunk, Now);
+  return {};
 }
 
 SwarmActions Swarm::onPeerJoined(PeerNumber Number, InstanceId Id,
--- a/test/swarm-test.cc
+++ b/test/swarm-test.cc
@@ -414,4 +414,75 @@
   EXPECT_EQ(Under.linkVerdict(), LinkVerdict::Narrow);
 }
 
+// A process that starts again takes in what its instance has staged, one chunk
+// after the other. Peers that had called meanwhile were never told of these
+// chunks, held it for empty as long as the connection lasted, and declined all
+// that it offered.
+TEST(Swarm, TellsPeersThatCameEarlyOfWhatItFindsStaged) {
+  Swarm Under = makeSwarm(4);
+  EXPECT_THAT(Under.addStaged(0, Start), IsEmpty());
+  join(Under, 1, {});
+  EXPECT_THAT(Under.addStaged(1, Start),
+              Contains(SwarmAction(SendHave{{1}, {0, 1}})));
+  // Found twice, it is told once.
+  EXPECT_THAT(Under.addStaged(1, Start), IsEmpty());
+}
+
+/// Ticks for so long, while all peers stay alive and offer nothing; gives the
+/// origin's chunks to the swarm as they are asked for.
+std::vector<std::uint32_t> readsWithSilentHolders(Swarm &Under,
+                                                  Duration Length) {
+  std::vector<std::uint32_t> Out;
+  for (Duration At{}; At <= Length; At += 100ms) {
+    const TimePoint Now = Start + At;
+    for (PeerNumber Each : {1, 2, 3})
+      Under.onHave(Each, {}, {}, Now);
+    for (const SwarmAction &Each : Under.onTick(Now)) {
+      const auto *Read = std::get_if<ReadOrigin>(&Each);
+      if (!Read)
+        continue;
+      Out.push_back(Read->m_Chunk);
+      Under.onOriginReply(Read->m_Chunk, Swarm::OriginOutcome::Good, Now);
+      Under.onStaged(Read->m_Chunk, true, Now);
+    }
+  }
+  return Out;
+}
+
+// Soak seed 103: an agent held 10 of 12 chunks for more than 60 s, with four
+// peers connected that all had 12. Far peers offered nothing, because a near
+// one had the two; the near one's offers were declined, because it was not
+// known to have them; and the origin was not read, because they were known to
+// be with more than one peer. No clock ended that.
+TEST(Swarm, ReadsFromTheOriginWhatPeersHoldAndDoNotGive) {
+  Swarm Under = makeSwarm(4);
+  Under.setInstances({named("self"), named("peer-1"), named("peer-2")});
+  join(Under, 1, {0, 1}, "multan");
+  join(Under, 2, {0, 1}, "multan");
+  join(Under, 3, {2, 3});
+  for (std::uint32_t Chunk : {2, 3})
+    Under.addStaged(Chunk, Start);
+  EXPECT_THAT(readsWithSilentHolders(Under, 20s),
+              testing::UnorderedElementsAre(0, 1));
+  EXPECT_TRUE(Under.complete());
+}
+
+// The origin's bytes are few: peers that give are waited for, as long as it
+// takes them.
+TEST(Swarm, ReadsNothingThatPeersHoldWhileOneOfThemGives) {
+  Swarm Under = makeSwarm(4);
+  join(Under, 1, {0, 1, 2, 3});
+  join(Under, 2, {0, 1, 2, 3});
+  EXPECT_EQ(Under.onGrant(1, Start).size(), 1U);
+  const auto IsRead = [](const SwarmAction &Each) {
+    return std::holds_alternative<ReadOrigin>(Each);
+  };
+  for (Duration At{}; At <= 60s; At += 100ms) {
+    Under.onHave(2, {}, {}, Start + At);
+    for (std::uint32_t Chunk = 0; Chunk < 4; ++Chunk)
+      Under.onProgress(1, Chunk, Start + At);
+    EXPECT_TRUE(std::ranges::none_of(Under.onTick(Start + At), IsRead));
+  }
+}
+
 } // namespace
--- /dev/null
+++ b/test/weights-copy-test.cc
@@ -0,0 +1,109 @@
+#include "daemon/weights-copy.h"
+
+#include "fake-engine.h"
+#include "fake-origin.h"
+#include "net/address.h"
+#include "port-subjects.h"
+
+using namespace deckpitch;
+using namespace deckpitch::test;
+
+namespace {
+
+using asio::ip::tcp;
+using daemon::WeightsCopy;
+
+constexpr std::uint32_t ChunkBytes = 16;
+constexpr std::uint32_t Chunks = 4;
+const WeightsId Weights{"m@2"};
+
+/// A copy that calls one peer, which is the test.
+class Copying : public testing::Test {
+protected:
+  Copying() {
+    m_Settings.m_Instance.m_Text = "self";
+    m_Settings.m_DataCentre.m_Text = "lahore";
+    auto Origin = std::make_unique<FakeOrigin>();
+    Origin->add(Weights, std::uint64_t{Chunks} * ChunkBytes, ChunkBytes, 1);
+    m_Manifest = *m_Loop.await(Origin->manifest(Weights));
+    m_Context.m_Origin = std::move(Origin);
+    m_Context.m_Uplink =
+        std::make_shared<daemon::Uplink>(m_Loop.io(), m_Context.m_Link.m_Up);
+    m_Context.m_Uplink->start();
+    SwarmOptions Options;
+    Options.m_OriginWindow = Chunks;
+    m_Copy = std::make_shared<WeightsCopy>(m_Context, m_Manifest, Options);
+    m_Copy->setInstances({{"self"}});
+  }
+  ~Copying() override {
+    m_Copy->stop();
+    m_Context.m_Uplink->stop();
+  }
+
+  void callPeer() {
+    m_Copy->setPeers({{{"peer"},
+                       m_Settings.m_DataCentre,
+                       net::formatEndpoint(m_Acceptor.local_endpoint())}});
+    bool IsAccepted = false;
+    m_Acceptor.async_accept(m_Peer, [&](const boost::system::error_code &Ec) {
+      EXPECT_FALSE(Ec);
+      IsAccepted = true;
+    });
+    m_Loop.runUntil([&] { return IsAccepted; });
+  }
+  Outcome<net::BulkMessage> read() {
+    return m_Loop.await(net::readBulk(m_Peer));
+  }
+  void greetBack() {
+    wire::BulkFrame Frame;
+    wire::BulkHello &Hello = *Frame.mutable_hello();
+    Hello.set_instance("peer");
+    Hello.set_data_centre("lahore");
+    Hello.set_weights(Weights.m_Text);
+    Hello.set_whole(std::string(m_Manifest.m_Whole.m_Bytes.begin(),
+                                m_Manifest.m_Whole.m_Bytes.end()));
+    Hello.set_chunks(Chunks);
+    EXPECT_TRUE(m_Loop.await(net::writeBulk(m_Peer, Frame, {})));
+  }
+
+  Loop m_Loop;
+  Settings m_Settings;
+  daemon::TransferContext m_Context{m_Loop.io(),
+                                    m_Settings,
+                                    Incarnation{1},
+                                    std::make_unique<FakeEngine>(1),
+                                    nullptr,
+                                    nullptr,
+                                    daemon::makeShapedLink({}),
+                                    nullptr};
+  Manifest m_Manifest;
+  std::shared_ptr<WeightsCopy> m_Copy;
+  tcp::acceptor m_Acceptor{m_Loop.io(), {asio::ip::address_v4::loopback(), 0}};
+  tcp::socket m_Peer{m_Loop.io()};
+};
+
+// Soak seed 103: an agent held 10 of 12 chunks for more than 60 s, with all
+// peers connected and complete. A caller names what it holds in its hello;
+// what it gained until the answer came was told to those peers that it had
+// then, and never to the one that was answering. That one declined the offers
+// of all these chunks for as long as the connection lasted.
+TEST_F(Copying, TellsAPeerWhatCameWhileItAnswered) {
+  callPeer();
+  const auto First = read();
+  ASSERT_TRUE(First);
+  ChunkSet Told = ChunkSet::fromBytes(Chunks, First->m_Header.hello().here());
+  EXPECT_EQ(Told.count(), 0U);
+  m_Copy->start();
+  m_Loop.runUntil([&] { return m_Copy->swarm().complete(); });
+  greetBack();
+  for (auto Next = read(); Next; Next = read()) {
+    for (std::uint32_t Each : Next->m_Header.have().here())
+      Told.insert(Each);
+    // It offers only what the peer knows that it has.
+    if (Next->m_Header.has_grant())
+      break;
+  }
+  EXPECT_EQ(Told.count(), Chunks);
+}
+
+} // namespace
