Tell a peer what came while it answered the call

Cause: a caller names in its hello what it holds. Until the answer came and its connection counted among the peers, each chunk that it gained was told to the other peers only. The one that was answering never heard of it: it declined each offer of that chunk, far peers offered nothing because a near one had it, and the origin was not read because several peers had it. Change: the caller, too, tells its new peer the difference to its hello.

--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -187,8 +187,9 @@
   net::tuneBulkSocket(Socket);
   auto Connection = std::make_shared<BulkConnection>(std::move(Socket));
   Connection->start();
+  const wire::BulkHello Told = hello();
   wire::BulkFrame Message;
-  *Message.mutable_hello() = hello();
+  *Message.mutable_hello() = Told;
   Connection->send(std::move(Message));
   auto Answer = co_await net::readBulk(Connection->socket());
   const bool Greeted = Answer && Answer->m_Header.has_hello() &&
@@ -199,7 +200,9 @@
     co_return;
   }
   wire::BulkHello Hello = Answer->m_Header.hello();
-  spawn([this, Connection, Hello] { return serve(Connection, Hello); });
+  spawn([this, Connection, Hello, Told] {
+    return serve(Connection, Hello, Told);
+  });
 }
 
 wire::BulkHello WeightsCopy::hello() const {
@@ -234,18 +237,37 @@
     Connection->close();
     co_return;
   }
+  wire::BulkHello Told = hello();
   wire::BulkFrame Message;
-  *Message.mutable_hello() = hello();
+  *Message.mutable_hello() = Told;
   Connection->send(std::move(Message));
-  co_await serve(std::move(Connection), std::move(Hello));
+  co_await serve(std::move(Connection), std::move(Hello), std::move(Told));
+}
+
+/// What came while the other side answered was told to the peers of that time:
+/// one that does not hear of it declines each offer of it, and waits for ever
+/// where this is the only near holder.
+void WeightsCopy::tellSince(const wire::BulkHello &Told, BulkConnection &To) {
+  const std::uint32_t Chunks = m_Manifest.chunkCount();
+  const ChunkSet None(Chunks);
+  wire::BulkFrame Message;
+  m_Swarm.here().forEachNotIn(
+      ChunkSet::fromBytes(Chunks, Told.here()), None,
+      [&](std::uint32_t Chunk) { Message.mutable_have()->add_here(Chunk); });
+  m_Swarm.seen().forEachNotIn(
+      ChunkSet::fromBytes(Chunks, Told.seen()), None,
+      [&](std::uint32_t Chunk) { Message.mutable_have()->add_seen(Chunk); });
+  if (Message.has_have())
+    To.send(std::move(Message));
 }
 
 asio::awaitable<void>
 WeightsCopy::serve(std::shared_ptr<BulkConnection> Connection,
-                   wire::BulkHello Hello) {
+                   wire::BulkHello Hello, wire::BulkHello Told) {
   const PeerNumber Number = m_NextPeer++;
   const std::uint32_t Chunks = m_Manifest.chunkCount();
   m_Peers[Number] = {InstanceId{Hello.instance()}, Connection, {}};
+  tellSince(Told, *Connection);
   Connection->onPieceGone([this] { m_Context.m_Uplink->wake(); });
   perform(m_Swarm.onPeerJoined(
       Number, InstanceId{Hello.instance()}, DataCentreId{Hello.data_centre()},
--- a/src/daemon/weights-copy.h
+++ b/src/daemon/weights-copy.h
@@ -85,8 +85,10 @@
   asio::awaitable<void> tick();
   asio::awaitable<void> connect(PeerAddress To);
   asio::awaitable<void> greet(PeerAddress To);
+  /// Hello: of the peer; Told: what it was told of this copy.
   asio::awaitable<void> serve(std::shared_ptr<BulkConnection> Connection,
-                              wire::BulkHello Hello);
+                              wire::BulkHello Hello, wire::BulkHello Told);
+  void tellSince(const wire::BulkHello &Told, BulkConnection &To);
   asio::awaitable<bool> receive(PeerNumber Number, net::BulkMessage Message);
   asio::awaitable<bool> receivePiece(PeerNumber Number,
                                      net::BulkMessage Message);
