Tell peers that called early of chunks that are found staged

Cause: a copy takes calls from its first moment, and then reads the instance's staging, one chunk after the other. What it found was put among its own without a word to the peers that had called meanwhile. Change: addStaged gives what is to be told, once for each chunk. Figures: Swarm.TellsPeersThatCameEarlyOfWhatItFindsStaged failed before and passes now.

--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -114,7 +114,7 @@
     if (!Stored)
       co_return;
   }
-  m_Swarm.addStaged(Chunk, now());
+  perform(m_Swarm.addStaged(Chunk, now()));
 }
 
 void WeightsCopy::start() {
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -69,8 +69,14 @@
 }
 
 SwarmActions Swarm::addStaged(std::uint32_t Chunk, TimePoint Now) {
+  if (m_Here.contains(Chunk))
+    return {};
   insertHere(Chunk, Now);
-  return {};
+  // Peers that called while staging is read were greeted without it.
+  if (m_Peers.empty())
+    return {};
+  m_Told = Now;
+  return {SendHave{{Chunk}, std::exchange(m_FreshSeen, {})}};
 }
 
 SwarmActions Swarm::onPeerJoined(PeerNumber Number, InstanceId Id,
