Read from the origin what peers hold and do not give

Cause: a chunk that two peers or more were known to hold was never read from the origin while one of them was connected. Whatever kept them from offering it, no clock ended the copy's waiting. Ruled out: that peers which give slowly are passed over: any bytes from any peer start the wait anew (Swarm.ReadsNothingThatPeersHoldWhileOneOfThemGives). Change: when no peer has given a byte for as long as a chunk without any holder is waited for (six steps, and more by rank), what they hold may be read. Figures: Swarm.ReadsFromTheOriginWhatPeersHoldAndDoNotGive read 0 of 2 chunks before and 2 after. Swarm*, Copying*, Staging*, WeightsPlan*, Servable* and the swarm's simulations: 45 passed.

--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -330,6 +330,7 @@
   std::map<std::uint32_t, CorruptRead> m_CorruptReads;
   Duration m_SeenDelay{}; ///< moving mean from due to seen
   TimePoint m_LastGain{};
+  TimePoint m_PeersGaveAt{}; ///< the last bytes from any, or the start
   TimePoint m_AskedPeers{};
   TimePoint m_LonelySince{}; ///< the last time with a peer
   std::uint32_t m_ExtraReads = 0;
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -114,6 +114,8 @@
 void Swarm::openWindow(TimePoint Now) {
   if (m_LastGain == TimePoint{})
     m_LastGain = Now;
+  if (m_PeersGaveAt == TimePoint{})
+    m_PeersGaveAt = Now;
   const std::uint32_t End =
       std::min(m_Here.size(), m_Seen.count() + m_Options.m_OriginWindow);
   for (; m_Opened < End; ++m_Opened)
@@ -151,7 +153,11 @@
   // Without any peer it is of no use that others have it.
   if (m_Peers.empty() && Now - m_LonelySince > 2 * originStep() + Wait)
     return true;
-  if (unheldFor(Chunk, UnheldSteps * m_Options.m_OriginStep + Wait, Now))
+  const Duration Patience = UnheldSteps * m_Options.m_OriginStep + Wait;
+  if (unheldFor(Chunk, Patience, Now))
+    return true;
+  // Each holder may have its reason to offer nothing: that must not last.
+  if (Now - m_PeersGaveAt > Patience)
     return true;
   // Everyone known that had it is gone.
   return m_Copies[Chunk] == 0 && starved(Now) &&
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -386,7 +386,7 @@
     return;
   for (Transfer &Each : From->m_Expected)
     if (Each.m_Chunk == Chunk)
-      Each.m_Progress = Now;
+      Each.m_Progress = m_PeersGaveAt = Now;
 }
 
 SwarmActions Swarm::onArrived(PeerNumber Number, std::uint32_t Chunk,
@@ -418,7 +418,7 @@
   m_Taken.insert(Chunk);
   ++m_Counters.m_FromPeers;
   m_Counters.m_Crossings += !IsNear;
-  m_LastGain = Now;
+  m_LastGain = m_PeersGaveAt = Now;
   return Out;
 }
 
