Show two waits of a copy that have no bound or a far too long one

Cause: a called peer that takes the connection and never answers is waited for without a limit: it keeps a place among the links, and where its id is the higher one its own calls are refused meanwhile. An instance that does not answer is asked for each chunk of its staging, some seconds each, before a copy begins. Change: a test for each.

--- a/test/weights-copy-test.cc
+++ b/test/weights-copy-test.cc
@@ -14,7 +14,7 @@
 using daemon::WeightsCopy;
 
 constexpr std::uint32_t ChunkBytes = 16;
-constexpr std::uint32_t Chunks = 4;
+constexpr std::uint32_t Chunks = 8;
 const WeightsId Weights{"m@2"};
 
 /// A copy that calls one peer, which is the test.
@@ -106,4 +106,45 @@
   EXPECT_EQ(Told.count(), Chunks);
 }
 
+// A peer that takes the call and never answers, as a machine without power or a
+// stopped process does, kept its place among the connections for ever, and its
+// own calls were refused as long as the one to it seemed to be on its way.
+TEST_F(Copying, HangsUpOnAPeerThatDoesNotAnswer) {
+  callPeer();
+  ASSERT_TRUE(read());
+  EXPECT_FALSE(read());
+}
+
+class SilentEngine final : public FakeEngine {
+public:
+  explicit SilentEngine(std::uint32_t &Asked) : FakeEngine(1), m_Asked(Asked) {}
+
+  net::asio::awaitable<Outcome<std::string>> staged(WeightsId,
+                                                    std::uint32_t) override {
+    ++m_Asked;
+    co_return Error{ErrorCode::Timeout, "no answer"};
+  }
+
+private:
+  std::uint32_t &m_Asked;
+};
+
+// Staging is read before a copy begins. An instance that takes connections and
+// does not answer costs some seconds for each chunk, and nothing was copied
+// from anywhere meanwhile.
+TEST_F(Copying, AsksAnInstanceThatDoesNotAnswerForAFewChunksOnly) {
+  std::uint32_t Asked = 0;
+  m_Context.m_Engine = std::make_unique<SilentEngine>(Asked);
+  EngineStatus Staged;
+  Staged.m_Staging.push_back({Weights, {}});
+  for (std::uint32_t I = 0; I < Chunks; ++I)
+    Staged.m_Staging.back().m_Chunks.push_back(I);
+  const auto Run = [&]() -> asio::awaitable<bool> {
+    co_await m_Copy->recover(Staged, {});
+    co_return true;
+  };
+  EXPECT_TRUE(m_Loop.await(Run()));
+  EXPECT_LE(Asked, 3U);
+}
+
 } // namespace
