Bound the waits for a called peer and for an instance's staging

Cause: the connection to a peer and its hello were awaited without a limit, and each chunk of staging was asked for although the instance answered none. Ruled out: a limit shorter than a peer may be silent once it is linked: a hello can queue behind chunks on a narrow link, so both have the same 5 s. Change: a limit on either step of the call; after three questions in a row without an answer the copy begins, and fetches the chunks. Figures: Copying.HangsUpOnAPeerThatDoesNotAnswer did not end before (stopped after 20 s), and ends now; of 8 chunks 8 were asked for before, 3 now.

--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/log.h"
+#include "net/progress-limit.h"
 
 #include <boost/asio.hpp>
 
@@ -18,10 +19,16 @@
 /// More than agents differ in when they hear of a rollout.
 constexpr Duration OriginStep = std::chrono::seconds(2);
 constexpr Duration RetryPeer = std::chrono::seconds(1);
+/// For a connection and, anew, for the hello of the called peer: as long as a
+/// linked one may be silent. One that vanished would keep its place for ever.
+constexpr std::chrono::milliseconds GreetLimit{5'000};
 constexpr Duration StagingRetry = std::chrono::milliseconds(200);
 constexpr std::uint32_t MostPeersFactor = 3; ///< accepted, over those sought
 constexpr std::uint32_t MostExpected = 4;
 constexpr std::uint32_t MostUnstaged = 8;
+/// Chunks of staging that an instance may leave unanswered in a row: each costs
+/// seconds in which nothing is copied, and peers or the origin have them too.
+constexpr std::uint32_t MostUnanswered = 3;
 
 std::span<const std::uint8_t> bytesOf(const std::string &Text) {
   return {reinterpret_cast<const std::uint8_t *>(Text.data()), Text.size()};
@@ -32,6 +39,13 @@
           Value.m_Bytes.size()};
 }
 
+asio::awaitable<bool> reach(tcp::socket &Socket, tcp::endpoint To) {
+  net::ProgressLimit Limit(Socket);
+  Limit.expiresAfter(GreetLimit);
+  auto [Ec] = co_await Socket.async_connect(To, UseAwaitable);
+  co_return !Ec;
+}
+
 std::uint64_t seedOf(const InstanceId &Id) {
   return std::hash<std::string>{}(Id.m_Text);
 }
@@ -105,7 +119,11 @@
 asio::awaitable<void> WeightsCopy::takeStaged(WeightsId From,
                                               std::uint32_t Index,
                                               std::uint32_t Chunk) {
+  if (m_Unanswered >= MostUnanswered)
+    co_return;
   auto Bytes = co_await m_Context.m_Engine->staged(From, Index);
+  const bool IsAnswered = Bytes || Bytes.error().m_Code == ErrorCode::NotFound;
+  m_Unanswered = IsAnswered ? 0 : m_Unanswered + 1;
   if (!Bytes || !matches(Chunk, *Bytes))
     co_return;
   if (From != m_Manifest.m_Weights) {
@@ -181,8 +199,8 @@
   if (!Endpoint)
     co_return;
   tcp::socket Socket(m_Context.m_Io);
-  auto [Ec] = co_await Socket.async_connect(*Endpoint, UseAwaitable);
-  if (Ec || m_Stopped)
+  const bool IsReached = co_await reach(Socket, *Endpoint);
+  if (!IsReached || m_Stopped)
     co_return;
   net::tuneBulkSocket(Socket);
   auto Connection = std::make_shared<BulkConnection>(std::move(Socket));
@@ -191,7 +209,10 @@
   wire::BulkFrame Message;
   *Message.mutable_hello() = Told;
   Connection->send(std::move(Message));
+  net::ProgressLimit Limit(Connection->socket());
+  Limit.expiresAfter(GreetLimit);
   auto Answer = co_await net::readBulk(Connection->socket());
+  Limit.stop();
   const bool Greeted = Answer && Answer->m_Header.has_hello() &&
                        fits(Answer->m_Header.hello()) && !m_Stopped &&
                        !linked(To.m_Id);
--- a/src/daemon/weights-copy.h
+++ b/src/daemon/weights-copy.h
@@ -129,6 +129,7 @@
   std::set<InstanceId> m_Connecting;
   std::map<InstanceId, TimePoint> m_RetryAt;
   PeerNumber m_NextPeer = 1;
+  std::uint32_t m_Unanswered = 0; ///< chunks asked of staging, in a row
   Callback m_AskForPeers;
   Callback m_OnGain;
   bool m_OriginChanged = false;
