--- a/src/daemon/weights-copy.cc
+++ b/src/daemon/weights-copy.cc
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/log.h"
+#include "net/progress-limit.h"
 
 #include <boost/asio.hpp>
 
@@ -18,10 +19,16 @@
 /// More than agents differ in when they hear of a rollout.
 constexpr Duration OriginStep = std::chrono::seconds(2);
 constexpr Duration RetryPeer = std::chrono::seconds(1);
+/// For a connection and, anew, for the hello of the called peer: as long as a
+/// linked one may be silent. One that vanished would keep its place for ever.
+constexpr std::chrono::milliseconds GreetLimit{5'000};
 constexpr Duration StagingRetry = std::chrono::milliseconds(200);
 constexpr std::uint32_t MostPeersFactor = 3; ///< accepted, over those sought
 constexpr std::uint32_t MostExpected = 4;
 constexpr std::uint32_t MostUnstaged = 8;
+/// Chunks of staging that an instance may leave unanswered in a row: each costs
+/// seconds in which nothing is copied, and peers or the origin have them too.
+constexpr std::uint32_t MostUnanswered = 3;
 
 std::span<const std::uint8_t> bytesOf(const std::string &Text) {
   return {reinterpret_cast<const std::uint8_t *>(Text.data()), Text.size()};
@@ -32,6 +39,13 @@
           Value.m_Bytes.size()};
 }
 
+asio::awaitable<bool> reach(tcp::socket &Socket, tcp::endpoint To) {
+  net::ProgressLimit Limit(Socket);
+  Limit.expiresAfter(GreetLimit);
+  auto [Ec] = co_await Socket.async_connect(To, UseAwaitable);
+  co_return !Ec;
+}
+
 std::uint64_t seedOf(const InstanceId &Id) {
   return std::hash<std::string>{}(Id.m_Text);
 }
@@ -105,7 +119,11 @@
 asio::awaitable<void> WeightsCopy::takeStaged(WeightsId From,
                                               std::uint32_t Index,
                                               std::uint32_t Chunk) {
+  if (m_Unanswered >= MostUnanswered)
+    co_return;
   auto Bytes = co_await m_Context.m_Engine->staged(From, Index);
+  const bool IsAnswered = Bytes || Bytes.error().m_Code == ErrorCode::NotFound;
+  m_Unanswered = IsAnswered ? 0 : m_Unanswered + 1;
   if (!Bytes || !matches(Chunk, *Bytes))
     co_return;
   if (From != m_Manifest.m_Weights) {
@@ -114,7 +132,7 @@
     if (!Stored)
       co_return;
   }
-  m_Swarm.addStaged(Chunk, now());
+  perform(m_Swarm.addStaged(Chunk, now()));
 }
 
 void WeightsCopy::start() {
@@ -181,16 +199,20 @@
   if (!Endpoint)
     co_return;
   tcp::socket Socket(m_Context.m_Io);
-  auto [Ec] = co_await Socket.async_connect(*Endpoint, UseAwaitable);
-  if (Ec || m_Stopped)
+  const bool IsReached = co_await reach(Socket, *Endpoint);
+  if (!IsReached || m_Stopped)
     co_return;
   net::tuneBulkSocket(Socket);
   auto Connection = std::make_shared<BulkConnection>(std::move(Socket));
   Connection->start();
+  const wire::BulkHello Told = hello();
   wire::BulkFrame Message;
-  *Message.mutable_hello() = hello();
+  *Message.mutable_hello() = Told;
   Connection->send(std::move(Message));
+  net::ProgressLimit Limit(Connection->socket());
+  Limit.expiresAfter(GreetLimit);
   auto Answer = co_await net::readBulk(Connection->socket());
+  Limit.stop();
   const bool Greeted = Answer && Answer->m_Header.has_hello() &&
                        fits(Answer->m_Header.hello()) && !m_Stopped &&
                        !linked(To.m_Id);
@@ -199,7 +221,9 @@
     co_return;
   }
   wire::BulkHello Hello = Answer->m_Header.hello();
-  spawn([this, Connection, Hello] { return serve(Connection, Hello); });
+  spawn([this, Connection, Hello, Told] {
+    return serve(Connection, Hello, Told);
+  });
 }
 
 wire::BulkHello WeightsCopy::hello() const {
@@ -234,18 +258,37 @@
     Connection->close();
     co_return;
   }
+  wire::BulkHello Told = hello();
   wire::BulkFrame Message;
-  *Message.mutable_hello() = hello();
+  *Message.mutable_hello() = Told;
   Connection->send(std::move(Message));
-  co_await serve(std::move(Connection), std::move(Hello));
+  co_await serve(std::move(Connection), std::move(Hello), std::move(Told));
+}
+
+/// What came while the other side answered was told to the peers of that time:
+/// one that does not hear of it declines each offer of it, and waits for ever
+/// where this is the only near holder.
+void WeightsCopy::tellSince(const wire::BulkHello &Told, BulkConnection &To) {
+  const std::uint32_t Chunks = m_Manifest.chunkCount();
+  const ChunkSet None(Chunks);
+  wire::BulkFrame Message;
+  m_Swarm.here().forEachNotIn(
+      ChunkSet::fromBytes(Chunks, Told.here()), None,
+      [&](std::uint32_t Chunk) { Message.mutable_have()->add_here(Chunk); });
+  m_Swarm.seen().forEachNotIn(
+      ChunkSet::fromBytes(Chunks, Told.seen()), None,
+      [&](std::uint32_t Chunk) { Message.mutable_have()->add_seen(Chunk); });
+  if (Message.has_have())
+    To.send(std::move(Message));
 }
 
 asio::awaitable<void>
 WeightsCopy::serve(std::shared_ptr<BulkConnection> Connection,
-                   wire::BulkHello Hello) {
+                   wire::BulkHello Hello, wire::BulkHello Told) {
   const PeerNumber Number = m_NextPeer++;
   const std::uint32_t Chunks = m_Manifest.chunkCount();
   m_Peers[Number] = {InstanceId{Hello.instance()}, Connection, {}};
+  tellSince(Told, *Connection);
   Connection->onPieceGone([this] { m_Context.m_Uplink->wake(); });
   perform(m_Swarm.onPeerJoined(
       Number, InstanceId{Hello.instance()}, DataCentreId{Hello.data_centre()},
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -68,8 +68,15 @@
   return Found != m_Failures.end() && Now < Found->second.m_Until;
 }
 
-void Swarm::addStaged(std::uint32_t Chunk, TimePoint Now) {
+SwarmActions Swarm::addStaged(std::uint32_t Chunk, TimePoint Now) {
+  if (m_Here.contains(Chunk))
+    return {};
   insertHere(Chunk, Now);
+  // Peers that called while staging is read were greeted without it.
+  if (m_Peers.empty())
+    return {};
+  m_Told = Now;
+  return {SendHave{{Chunk}, std::exchange(m_FreshSeen, {})}};
 }
 
 SwarmActions Swarm::onPeerJoined(PeerNumber Number, InstanceId Id,
@@ -379,7 +386,7 @@
     return;
   for (Transfer &Each : From->m_Expected)
     if (Each.m_Chunk == Chunk)
-      Each.m_Progress = Now;
+      Each.m_Progress = m_PeersGaveAt = Now;
 }
 
 SwarmActions Swarm::onArrived(PeerNumber Number, std::uint32_t Chunk,
@@ -411,7 +418,7 @@
   m_Taken.insert(Chunk);
   ++m_Counters.m_FromPeers;
   m_Counters.m_Crossings += !IsNear;
-  m_LastGain = Now;
+  m_LastGain = m_PeersGaveAt = Now;
   return Out;
 }
 
