--- a/include/deckpitch/shared-reading.h
+++ b/include/deckpitch/shared-reading.h
@@ -86,6 +86,8 @@
     m_ReadAt = m_IsBehind ? std::min(m_ReadAt, Now + Wait) : Now + Wait;
     m_IsBehind = true;
   }
+  /// Another process said at that moment what it knew, no less than this one.
+  void noteTold(TimePoint At) { m_ToldAt = std::max(m_ToldAt, At); }
   /// What the others knew is known here too.
   void noteCaughtUp() { m_IsBehind = false; }
 
@@ -93,6 +95,7 @@
   /// Whether that moment is known from another process only.
   bool isRelayed() const { return m_IsRelayed; }
   bool isBehind() const { return m_IsBehind; }
+  TimePoint toldAt() const { return m_ToldAt; }
   /// How long something newer has been known to exist.
   Duration behindFor(TimePoint Now) const {
     return m_IsBehind ? Now - m_BehindSince : Duration::zero();
@@ -125,6 +128,7 @@
   bool m_IsRelayed = false;
   bool m_IsBehind = false;
   TimePoint m_BehindSince{};
+  TimePoint m_ToldAt{};
   TimePoint m_ReadAt{};
 };
 
--- a/include/deckpitch/store-belief.h
+++ b/include/deckpitch/store-belief.h
@@ -4,6 +4,7 @@
 #include "deckpitch/shared-reading.h"
 
 #include <chrono>
+#include <optional>
 
 namespace deckpitch {
 
@@ -17,6 +18,9 @@
   /// key that is revoked would still be served, or a request be sent to an
   /// instance that is leaving.
   bool m_IsOutdated = false;
+  /// Outdated since the process stood still: whether anything newer exists is
+  /// not known yet.
+  bool m_IsUnsure = false;
 
   friend bool operator==(const StoreBelief &, const StoreBelief &) = default;
 };
@@ -28,12 +32,53 @@
 /// place of 20 ms each, a connection of at most 250 ms, and the way.
 inline constexpr Duration SendSpare = std::chrono::milliseconds(400);
 
+/// Between two turns of a loop that runs: several times what one is late by on
+/// a loaded machine, 0.1 to 0.2 s. With it, what is known is still younger than
+/// the bound where a reader had not died just before.
+inline constexpr Duration LeastStandStill = std::chrono::milliseconds(500);
+/// After a pause: a read of the store that times out takes 1.2 s, and the other
+/// entries have said by then what they know.
+inline constexpr Duration LongestUnsure = std::chrono::milliseconds(1'500);
+
+/// Notices that the whole process stood still: the clock ran on, its loop did
+/// not. It then has heard nothing because it did not listen, which says nothing
+/// of the store.
+class StandStill {
+public:
+  /// At each turn of the loop, and before anything is done by what is known:
+  /// the first to run after a pause may be a request. Gives the length of the
+  /// pause that has just ended.
+  std::optional<Duration> running(TimePoint Now) {
+    const Duration Gap = Now - m_Ran;
+    const bool IsPause = m_Ran != TimePoint{} && Gap >= LeastStandStill;
+    m_Ran = Now;
+    if (!IsPause)
+      return std::nullopt;
+    m_Resumed = Now;
+    return Gap;
+  }
+  /// Whether a pause has ended since then: a time limit that ran meanwhile says
+  /// nothing of whom it was set to.
+  bool hasEndedSince(TimePoint Time) const { return m_Resumed > Time; }
+  /// Whether nothing has been learnt of the subject since a pause ended. After
+  /// some time without an answer the store is away for all.
+  bool isUnsure(const SharedReading &Reading, TimePoint Now) const {
+    return m_Resumed != TimePoint{} && Now - m_Resumed < LongestUnsure &&
+           Reading.asOf() < m_Resumed && Reading.toldAt() < m_Resumed;
+  }
+
+private:
+  TimePoint m_Ran{};
+  TimePoint m_Resumed{};
+};
+
 /// Bound: the time within which a change is to be in force. What is newer was
 /// not yet in the store at asOf(), so that nothing is late before that time and
 /// the bound. Where nobody is known to have anything newer, the store is away,
 /// and what was known last is the best there is.
 inline StoreBelief beliefOf(const SharedReading &Reading, Duration Bound,
-                            TimePoint Now) {
+                            TimePoint Now,
+                            [[maybe_unused]] const StandStill &Still = {}) {
   const Duration Age = Now - Reading.asOf();
   const bool IsDue =
       Age >= Bound - SendSpare || Reading.behindFor(Now) >= Bound / BehindPart;
--- a/test/store-belief-test.cc
+++ b/test/store-belief-test.cc
@@ -64,6 +64,87 @@
   EXPECT_FALSE(showsReturn(Heard, true, Late));
 }
 
+/// A loop that takes its turns each 100 ms, then stands still so long.
+StandStill pausedAt(TimePoint From, Duration Length) {
+  StandStill Out;
+  for (Duration At = -1s; At <= 0ms; At += 100ms)
+    Out.running(From + At);
+  Out.running(From + Length);
+  return Out;
+}
+
+/// Neither a loaded machine nor a start is a pause, and the first thing that
+/// runs after one notices it, whatever it is.
+TEST(StandStill, IsAGapThatNoBusyLoopHas) {
+  StandStill Under;
+  TimePoint Now = Start;
+  EXPECT_FALSE(Under.running(Now));
+  for (const Duration Late : {100ms, 200ms, 300ms, 400ms, 100ms})
+    EXPECT_FALSE(Under.running(Now += Late)) << Late / 1ms;
+  const TimePoint Before = Now;
+  EXPECT_EQ(Under.running(Now += 1'200ms), 1'200ms);
+  EXPECT_FALSE(Under.running(Now += 1ms));
+  EXPECT_TRUE(Under.hasEndedSince(Before));
+  EXPECT_FALSE(Under.hasEndedSince(Now));
+}
+
+/// An entry that stood still for longer than its list may be old sent requests
+/// by it when it ran again, until the first hello: it had heard nothing, and
+/// took that for an outage of the store for all. Instances that had left
+/// meanwhile would have been sent to, and revoked keys been served.
+TEST(StoreBelief, AfterAPauseNothingIsDoneByWhatWasKnownBefore) {
+  for (const Duration Length : {1s, 2s, 3s, 60s}) {
+    const SharedReading Under = readAt(Start);
+    const StandStill Still = pausedAt(Start, Length);
+    for (Duration Late = 0ms; Late < LongestUnsure; Late += 100ms) {
+      const Duration Age = Length + Late;
+      const StoreBelief Belief = beliefOf(Under, Bound, Start + Age, Still);
+      const bool WouldBeLate = Age + SendSpare >= Bound;
+      EXPECT_EQ(Belief.m_IsOutdated, WouldBeLate) << Age / 1ms;
+      EXPECT_EQ(Belief.m_IsUnsure, WouldBeLate) << Age / 1ms;
+      EXPECT_EQ(Belief.m_MayBeOld, Age >= Bound) << Age / 1ms;
+    }
+  }
+}
+
+/// One that hears nobody, or where the store is away for all, serves on.
+TEST(StoreBelief, APausedOneThatLearnsNothingServesOnSoon) {
+  const SharedReading Under = readAt(Start);
+  const StandStill Still = pausedAt(Start, 5s);
+  const auto IsOutdatedAt = [&](Duration Age) {
+    return beliefOf(Under, Bound, Start + Age, Still).m_IsOutdated;
+  };
+  EXPECT_TRUE(IsOutdatedAt(5s + LongestUnsure - 1ms));
+  EXPECT_FALSE(IsOutdatedAt(5s + LongestUnsure));
+}
+
+TEST(StoreBelief, WhatWasLearntAfterAPauseEndsIt) {
+  const StandStill Still = pausedAt(Start, 5s);
+  const TimePoint Now = Start + 5'100ms;
+  SharedReading Read = readAt(Start);
+  Read.confirm(Now - 50ms);
+  EXPECT_FALSE(beliefOf(Read, Bound, Now, Still).m_IsOutdated);
+  // The store is away for all: the others know no more.
+  SharedReading Told = readAt(Start);
+  Told.noteTold(Now - 50ms);
+  EXPECT_FALSE(beliefOf(Told, Bound, Now, Still).m_IsOutdated);
+  // What lay in the socket meanwhile says nothing of now.
+  SharedReading Early = readAt(Start);
+  Early.confirm(Start + 100ms);
+  Early.noteTold(Start + 4s);
+  EXPECT_TRUE(beliefOf(Early, Bound, Now, Still).m_IsOutdated);
+}
+
+/// A loop that is late while the store is away for all.
+TEST(StoreBelief, ALateLoopInAnOutageServesOn) {
+  const SharedReading Under = readAt(Start);
+  StandStill Still;
+  for (TimePoint Now = Start; Now < Start + 20s; Now += 400ms) {
+    EXPECT_FALSE(Still.running(Now));
+    EXPECT_FALSE(beliefOf(Under, Bound, Now, Still).m_IsOutdated);
+  }
+}
+
 TEST(AsOfTold, CountsTheSendersAgeAndTheWay) {
   const ToldReading Own{300ms, 40ms, false, false};
   EXPECT_EQ(asOfTold(Own, Start), Start - 340ms);
