Do nothing past the bound by what was known before a pause

Cause: an entry that stood still (stopped, or its machine was) heard nothing, and took that for an outage of the store for all, in which what was known last serves on. Until the first hello or read it sent requests by a list of any age. A request that lay in its socket may be the first thing to run.

Change: StandStill notices the gap between two turns of the loop (0.5 s and more) at each turn, at each decision and at each word of another entry. After one, beliefOf takes what is older than the bound allows as outdated until the subject was read, or another entry has said what it knows (a word that was sent after the pause, by LinkDelay), for at most 1.5 s: then the store is away for all, as before. Requests get 503 at once with 50 ms as the time to come back. A choice is looked at again after the agent was asked, in which the process may have stood still. Hellos of such an entry say nothing of the store, so that two that were paused together do not prove to each other that nothing is new.

Also: a list whose time limit passed within a pause no longer counts as a failed read, which together with an old list made a return of the store, kept what had left for 1.9 s and told the others so. By reading; only the type's part of it (hasEndedSince) has a test.

Ruled out: that watches count too fresh after a pause. Their age is the time that the whole wait took, less the wait (platform/store.cc); a list counts from its question.

Weighed: refusing after each gap whatever the age (a busy loop would refuse); a timer that ends service (a request may run before it); waiting for a read without an end (a lone entry would serve nothing in an outage); 0.1 to 0.2 s as the least gap (loops are that late on a loaded machine).

Left: a pause while a connection to the instance is being made (250 ms at most) is not seen; requests sent before the pause are as they were.

--- a/include/deckpitch/store-belief.h
+++ b/include/deckpitch/store-belief.h
@@ -77,12 +77,13 @@
 /// the bound. Where nobody is known to have anything newer, the store is away,
 /// and what was known last is the best there is.
 inline StoreBelief beliefOf(const SharedReading &Reading, Duration Bound,
-                            TimePoint Now,
-                            [[maybe_unused]] const StandStill &Still = {}) {
+                            TimePoint Now, const StandStill &Still = {}) {
   const Duration Age = Now - Reading.asOf();
-  const bool IsDue =
-      Age >= Bound - SendSpare || Reading.behindFor(Now) >= Bound / BehindPart;
-  return {Age, Age >= Bound || Reading.isBehind(), Reading.isBehind() && IsDue};
+  const bool IsOld = Age >= Bound - SendSpare;
+  const bool IsDue = IsOld || Reading.behindFor(Now) >= Bound / BehindPart;
+  const bool IsUnsure = IsOld && Still.isUnsure(Reading, Now);
+  return {Age, Age >= Bound || Reading.isBehind(),
+          (Reading.isBehind() && IsDue) || IsUnsure, IsUnsure};
 }
 
 /// Whether a read that now came shows that the store is back after it had been
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -44,8 +44,8 @@
 constexpr double FirstTryReserve = 1;
 /// Until the declaration is read after a start.
 constexpr Duration RetryAfterStart = milliseconds(500);
-/// Another entry is known to have the list that this one lacks: callers are to
-/// ask elsewhere, and this one may have it by then.
+/// Another entry is known to have what this one lacks, or may have: callers are
+/// to ask elsewhere, and this one may have it by then.
 constexpr Duration RetryAfterOutdated = milliseconds(50);
 /// Share of the retries that entries may use together which they do use: the
 /// rest covers entries that just started with a full budget.
@@ -79,6 +79,13 @@
 
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
+InstanceChoice outdatedChoice() {
+  InstanceChoice Out;
+  Out.m_Outcome = ChoiceOutcome::ListOutdated;
+  Out.m_RetryAfter = RetryAfterOutdated;
+  return Out;
+}
+
 net::Counter &answers(const char *Outcome) {
   return net::metrics().counter("deckpitch_requests_total",
                                 {{"outcome", Outcome}});
@@ -146,7 +153,12 @@
   if (Routes.declaration().m_Version == 0)
     co_return co_await refuse(Of, StatusUnavailable, "starting",
                               RetryAfterStart);
-  if (m_Belief().m_IsOutdated)
+  const StoreBelief Belief = m_Belief();
+  if (Belief.m_IsUnsure)
+    co_return co_await refuse(Of, StatusUnavailable,
+                              "stood still, declaration may be old",
+                              RetryAfterOutdated);
+  if (Belief.m_IsOutdated)
     co_return co_await refuse(Of, StatusUnavailable, "declaration is replaced",
                               RetryAfterStart);
   Of.m_Route =
@@ -192,12 +204,8 @@
 /// does not answer is passed over while others do: its link is full, and what
 /// was sent there unasked came after 400 to 800 ms.
 asio::awaitable<InstanceChoice> EntryRequests::choosePlace(ChoiceQuery Query) {
-  if (m_ListBelief().m_IsOutdated) {
-    InstanceChoice Unknown;
-    Unknown.m_Outcome = ChoiceOutcome::ListOutdated;
-    Unknown.m_RetryAfter = RetryAfterOutdated;
-    co_return Unknown;
-  }
+  if (m_ListBelief().m_IsOutdated)
+    co_return outdatedChoice();
   std::optional<InstanceChoice> Unanswered;
   std::optional<InstanceChoice> Refused;
   for (unsigned Asked = 0; Asked < MostAsked; ++Asked) {
@@ -212,6 +220,9 @@
     if (!Place)
       co_return Chosen;
     const auto Reply = co_await m_Ask(Chosen.m_Address, *Place);
+    // This process may have stood still meanwhile.
+    if (m_ListBelief().m_IsOutdated)
+      co_return outdatedChoice();
     if (Reply)
       m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
     if (Reply && Reply->m_IsGranted)
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -303,12 +303,28 @@
   co_return false;
 }
 
-StoreBelief FleetFollower::declarationBelief() const {
-  return beliefOf(m_Declarations.m_Reading, m_Bounds.m_Apply, now());
+StoreBelief FleetFollower::declarationBelief() {
+  noteRunning();
+  return beliefOf(m_Declarations.m_Reading, m_Bounds.m_Apply, now(), m_Still);
 }
 
-StoreBelief FleetFollower::instancesBelief() const {
-  return beliefOf(m_Instances, m_Bounds.m_Drain, now());
+StoreBelief FleetFollower::instancesBelief() {
+  noteRunning();
+  return beliefOf(m_Instances, m_Bounds.m_Drain, now(), m_Still);
+}
+
+void FleetFollower::noteRunning() {
+  const std::optional<Duration> Pause = m_Still.running(now());
+  if (Pause)
+    net::log(Event::ProcessStoodStill,
+             {{"ms",
+               std::uint64_t(
+                   std::chrono::duration_cast<milliseconds>(*Pause).count())}});
+}
+
+bool FleetFollower::hasStoodStillSince(TimePoint Time) {
+  noteRunning();
+  return m_Still.hasEndedSince(Time);
 }
 
 void FleetFollower::applyDeclaration(const net::PlatformObject &Object,
@@ -433,7 +449,10 @@
 bool FleetFollower::takeInstances(const Outcome<net::PlatformList> &List,
                                   TimePoint AsOf) {
   noteStore("list " + m_Kinds.m_Instances, faultOf(List));
-  m_HasListFailed = m_HasListFailed || !List;
+  // A limit that passed while this process stood still shows no outage: what
+  // left meanwhile would be kept as if the store had been away for all.
+  const bool IsOwnPause = m_Bounds.m_KeepsLapsed && hasStoodStillSince(AsOf);
+  m_HasListFailed = m_HasListFailed || (!List && !IsOwnPause);
   if (!List || m_Stopped)
     return false;
   HeardAsOf Heard{AsOf, false, std::nullopt};
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -80,8 +80,9 @@
   asio::awaitable<bool> fetchInstancesFrom(std::string Holder);
 
   bool knowsDeclaration() const { return m_Version != 0; }
-  StoreBelief declarationBelief() const;
-  StoreBelief instancesBelief() const;
+  /// To be asked at each turn of the loop too, so that a pause is noticed.
+  StoreBelief declarationBelief();
+  StoreBelief instancesBelief();
   /// The store was read, whether or not it names any version.
   bool knowsWeights() const {
     return m_WeightVersions.m_Reading.asOf() != TimePoint{};
@@ -140,6 +141,8 @@
   asio::awaitable<void> untilDue(SharedReading &Reading,
                                  asio::steady_timer &Wake);
   asio::awaitable<void> pause(Duration Length);
+  void noteRunning();
+  bool hasStoodStillSince(TimePoint Time);
   void noteTakeOver(const std::string &Kind, const SharedReading &Reading);
   void noteRead(const std::string &Subject, TimePoint Asked, Duration Bound,
                 std::size_t Bytes) const;
@@ -196,6 +199,7 @@
   asio::steady_timer m_InstancesWake;
   LapsedInstances m_Lapsed;
   bool m_HasListFailed = false; ///< since a list came last
+  StandStill m_Still;
   bool m_StoreAway = false;
   bool m_Stopped = false;
   std::minstd_rand m_Random{std::random_device{}()};
--- a/src/direct/fleet-news.cc
+++ b/src/direct/fleet-news.cc
@@ -30,11 +30,12 @@
 
 wire::StoreNews FleetFollower::digest() {
   wire::StoreNews Out;
-  if (knowsDeclaration())
+  // Others would take it for a word from one that has listened.
+  if (knowsDeclaration() && !declarationBelief().m_IsUnsure)
     m_Declarations.m_Tell(Out);
   if (knowsWeights())
     m_WeightVersions.m_Tell(Out);
-  if (!m_KnowsInstances)
+  if (!m_KnowsInstances || instancesBelief().m_IsUnsure)
     return Out;
   wire::InstancesNews &Told = *Out.mutable_instances();
   Told.set_after(m_ReadFingerprint);
@@ -51,6 +52,7 @@
 }
 
 void FleetFollower::hear(const wire::StoreNews &News, const NewsOrigin &From) {
+  noteRunning();
   const TimePoint Now = now();
   if (News.has_declaration())
     hearDeclaration(News.declaration(), From, Now);
@@ -67,6 +69,7 @@
   if (News.version() < m_Version)
     return;
   SharedReading &Reading = m_Declarations.m_Reading;
+  Reading.noteTold(Now - From.m_Late);
   if (News.version() > m_Version) {
     const bool IsBetter = !m_Told || News.version() > m_Told->m_Version ||
                           (From.m_IsNear && !m_Told->m_From.m_IsNear);
@@ -113,6 +116,7 @@
   const Revision At{News.revision()};
   if (At < m_ReadRevision)
     return;
+  m_Instances.noteTold(Now - From.m_Late);
   const ToldReading Told = toldBy(News, From);
   HeardAsOf AsOf{asOfTold(Told, Now), Told.m_IsRelayed, std::nullopt};
   if (News.has_returned_ms())
