Unpack whole texts whose last code is shorter than the library's look-ahead

Cause: Beast's inflate fills nine bits before it looks a code up, also for the code that ends the last block. Where that code and the padding to a byte are shorter and nothing follows, it waits for more, and what it had was refused as cut off. Declarations and lists of instances from other entries were lost that way; a list for as long as it stayed the same, since its packed text is kept.

Change: two bytes follow the stream when it is unpacked. That the stream itself ends within its own bytes is checked with the bits that were read ahead and not used, so that a stream that is cut off is refused as before. What goes over the link is the same; either end may be older.

Ruled out: that the packing is wrong (zlib unpacks what was refused).

With the check of used bytes made to let all pass, Deflate.RefusesEachCutOfTextsOfAnyEnd fails.

--- a/src/net/deflate.cc
+++ b/src/net/deflate.cc
@@ -17,11 +17,24 @@
 constexpr int MemoryLevel = 8;
 /// Text that one round unpacks.
 constexpr std::size_t Step = std::size_t{64} * 1024;
+/// The library looks up each code by nine bits, also a last one that is shorter
+/// and ends the bytes, and would take a whole stream for cut off.
+constexpr std::size_t LookAheadBytes = 2;
+/// Of z_params::data_type: bits that were read ahead and not used.
+constexpr int UnusedBitsMask = 63;
+constexpr std::size_t BitsPerByte = 8;
 
 Error broken(const std::string &Why) {
   return {ErrorCode::InvalidInput, "compressed text: " + Why};
 }
 
+/// Bytes that the stream's codes take: what was read ahead is no part of it.
+std::size_t usedBytes(const zlib::z_params &Ended) {
+  const auto Unused =
+      static_cast<std::size_t>(Ended.data_type & UnusedBitsMask) / BitsPerByte;
+  return Ended.total_in - Unused;
+}
+
 } // namespace
 
 std::string deflate(std::string_view Text) {
@@ -42,9 +55,11 @@
 Outcome<std::string> inflate(std::string_view Bytes, std::size_t MostBytes) {
   zlib::inflate_stream Stream;
   Stream.reset(WindowBits);
+  std::string Padded(Bytes);
+  Padded.append(LookAheadBytes, '\0');
   zlib::z_params Params;
-  Params.next_in = Bytes.data();
-  Params.avail_in = Bytes.size();
+  Params.next_in = Padded.data();
+  Params.avail_in = Padded.size();
   std::string Out;
   while (true) {
     const std::size_t Before = Out.size();
@@ -57,8 +72,11 @@
     Out.resize(Before + Room - Params.avail_out);
     if (Out.size() > MostBytes)
       return broken("more than " + std::to_string(MostBytes) + " bytes");
-    if (Ec == zlib::error::end_of_stream)
+    const bool IsEnd = Ec == zlib::error::end_of_stream;
+    if (IsEnd && usedBytes(Params) <= Bytes.size())
       return Out;
+    if (IsEnd)
+      return broken("cut off");
     if (Ec && Ec != zlib::error::need_buffers)
       return broken(Ec.message());
     if (Params.avail_out != 0)
