Ask all entries in turn that have a newer list of instances

Cause: an entry that is behind remembered one entry that had told of a newer list, the first, and others that said the same replaced it only with a newer revision or from nearer. Where that one had died, or gave nothing or an older list, and the store turned the entry away, it stayed behind and refused all.

Change: Holders remembers all that told, and gives them in turn: near ones first, then the one whose failure is longest ago; two before each try at the store. What ends being behind is the newest that was told of, also where a near one told of less: before, a near one with an older list ended it. An older list that comes is logged as ListNotRelayed.

--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -445,8 +445,7 @@
   if (List->m_Revision < m_ReadRevision)
     return false;
   // What the store does not hold after it was told of does not exist.
-  if (m_ToldInstances && m_ToldInstances->m_ToldAt < AsOf)
-    m_ToldInstances.reset();
+  m_InstanceHolders.forgetToldBefore(AsOf);
   adoptInstances(parseInstances(*List), List->m_Revision, Heard);
   return true;
 }
@@ -475,8 +474,8 @@
 
 void FleetFollower::noteInstancesAsOf(Revision At, const HeardAsOf &AsOf) {
   m_ReadRevision = At;
-  const bool IsBehind =
-      m_ToldInstances && m_ToldInstances->m_Revision > m_ReadRevision;
+  m_InstanceHolders.forgetUpTo(At);
+  const bool IsBehind = !m_InstanceHolders.empty();
   if (IsBehind)
     return;
   if (AsOf.m_AsOf)
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/fleet.h"
+#include "deckpitch/holders.h"
 #include "deckpitch/instance-list.h"
 #include "deckpitch/shared-reading.h"
 #include "deckpitch/store-belief.h"
@@ -96,12 +97,6 @@
     TimePoint m_AsOf{};
     NewsOrigin m_From;
   };
-  /// A list of instances that another entry holds and this one does not.
-  struct ToldInstances {
-    Revision m_Revision{};
-    NewsOrigin m_From;
-    TimePoint m_ToldAt{};
-  };
   /// When the store held what came, if that is certain.
   struct HeardAsOf {
     std::optional<TimePoint> m_AsOf;
@@ -134,6 +129,7 @@
   asio::awaitable<void> pollInstances();
   asio::awaitable<bool> readInstances();
   asio::awaitable<bool> fetchToldInstances();
+  asio::awaitable<bool> askHolder(std::string Link, Revision Has);
   void noteInstancesTold(Revision At, const NewsOrigin &From, TimePoint Now);
   void confirmIfCertain(SharedReading &Reading, const ToldReading &Told,
                         TimePoint Now);
@@ -185,8 +181,8 @@
   InstanceList m_Read;                           ///< as the store held it
   std::uint64_t m_ReadFingerprint = 0;           ///< of that list
   Revision m_ReadRevision{};                     ///< of the store then
-  std::optional<ToldInstances> m_ToldInstances;
-  InstanceList m_Listed; ///< these, and those that lapsed while it was away
+  Holders m_InstanceHolders; ///< of a newer list than this one
+  InstanceList m_Listed;     ///< these, and those that lapsed while it was away
   /// Entries of the list that name no instance, and what is wrong with each.
   std::map<std::string, std::string> m_Unreadable;
   bool m_KnowsInstances = false;
--- a/src/direct/fleet-news.cc
+++ b/src/direct/fleet-news.cc
@@ -21,6 +21,10 @@
 /// entries are sent.
 constexpr Duration ChangeOnItsWay = milliseconds(40);
 
+/// Asked for the list one after the other before the store is: both may be dead
+/// and not answer for 0.25 s each, and half of the bound is to suffice.
+constexpr int HoldersAtOnce = 2;
+
 ToldReading toldBy(const auto &News, const NewsOrigin &From) {
   return {milliseconds(News.age_ms()), From.m_Late, From.m_IsNear,
           News.is_relayed()};
@@ -130,22 +134,39 @@
 /// Near ones are asked first; the change itself may just be on its way.
 void FleetFollower::noteInstancesTold(Revision At, const NewsOrigin &From,
                                       TimePoint Now) {
-  const bool IsBetter = !m_ToldInstances || At > m_ToldInstances->m_Revision ||
-                        (From.m_IsNear && !m_ToldInstances->m_From.m_IsNear);
-  if (IsBetter)
-    m_ToldInstances = {At, From, Now};
+  m_InstanceHolders.note({From.m_Link, At, From.m_IsNear, Now});
   m_Instances.noteBehind(Now, From.m_IsNear
                                   ? ChangeOnItsWay
                                   : ChangeOnItsWay + m_Instances.turnWait());
   m_InstancesWake.cancel();
 }
 
+/// Whoever told of the list may have died since, or give none: where the store
+/// turns this entry away as well, only another one helps.
 asio::awaitable<bool> FleetFollower::fetchToldInstances() {
-  const auto Told = m_ToldInstances;
-  if (!Told || Told->m_Revision < m_ReadRevision)
-    co_return false;
-  const bool Came = co_await fetchInstancesFrom(Told->m_From.m_Link);
-  co_return Came &&m_ReadRevision >= Told->m_Revision;
+  std::string Last;
+  bool Came = false;
+  for (int Asked = 0; Asked < HoldersAtOnce && !Came; ++Asked) {
+    const auto Next = m_InstanceHolders.next();
+    const bool IsOther = Next && Next->m_Link != Last;
+    if (!IsOther)
+      break;
+    Last = Next->m_Link;
+    Came = co_await askHolder(Next->m_Link, Next->m_Has);
+  }
+  co_return Came;
+}
+
+/// Whether what it had told of is known here now.
+asio::awaitable<bool> FleetFollower::askHolder(std::string Link, Revision Has) {
+  const bool Came = co_await fetchInstancesFrom(Link);
+  if (Came && m_ReadRevision >= Has)
+    co_return true;
+  m_InstanceHolders.noteFailure(Link);
+  if (Came)
+    net::log(Event::ListNotRelayed,
+             {{"from", Link}, {"error", "an older list came"}});
+  co_return false;
 }
 
 asio::awaitable<bool> FleetFollower::fetchInstancesFrom(std::string Holder) {
