Let a short pause in an outage of the store for all refuse nothing

Cause: in an outage the age of what is known is past the bound all the time, so each gap of 0.5 s in the loop made an entry refuse for up to 1.5 s, and a lone one on a machine that stands still again and again refused without an end. What the store takes after the start of a pause is due a whole bound later only.

Change: where the store was away for all when the pause began, or another entry said later that it knows no more, what is known counts as of that moment. Pauses in a row without a word between share one time to listen, 1.5 s in all, and the start of the first; one after a word has its own.

One line of WhatWasLearntAfterAPauseEndsIt was wrong: a word that another entry sent 4 s into a pause of 5 s, in an outage, is younger than the bound and is enough. It now stands at 1 s, and the 4 s are asserted the other way.

--- a/include/deckpitch/store-belief.h
+++ b/include/deckpitch/store-belief.h
@@ -3,8 +3,10 @@
 
 #include "deckpitch/shared-reading.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
+#include <utility>
 
 namespace deckpitch {
 
@@ -49,27 +51,51 @@
   /// the first to run after a pause may be a request. Gives the length of the
   /// pause that has just ended.
   std::optional<Duration> running(TimePoint Now) {
-    const Duration Gap = Now - m_Ran;
-    const bool IsPause = m_Ran != TimePoint{} && Gap >= LeastStandStill;
-    m_Ran = Now;
-    if (!IsPause)
+    const TimePoint Before = std::exchange(m_Ran, Now);
+    const Duration Gap = Now - Before;
+    if (Before == TimePoint{} || Gap < LeastStandStill)
       return std::nullopt;
+    // What was not sure before this pause is not sure by it.
+    const bool IsNext = Before < m_UnsureUntil;
+    m_Began = IsNext ? m_Began : Before;
+    m_FirstResumed = IsNext ? m_FirstResumed : Now;
+    m_UnsureUntil = IsNext ? m_UnsureUntil + Gap : Now + LongestUnsure;
     m_Resumed = Now;
     return Gap;
   }
   /// Whether a pause has ended since then: a time limit that ran meanwhile says
   /// nothing of whom it was set to.
   bool hasEndedSince(TimePoint Time) const { return m_Resumed > Time; }
-  /// Whether nothing has been learnt of the subject since a pause ended. After
-  /// some time without an answer the store is away for all.
-  bool isUnsure(const SharedReading &Reading, TimePoint Now) const {
-    return m_Resumed != TimePoint{} && Now - m_Resumed < LongestUnsure &&
-           Reading.asOf() < m_Resumed && Reading.toldAt() < m_Resumed;
+  /// Whether nothing has been learnt of the subject since a pause ended, and
+  /// what is newer may be in force by now. Usable: how old what is known may
+  /// be. After some time without an answer the store is away for all.
+  bool isUnsure(const SharedReading &Reading, Duration Usable,
+                TimePoint Now) const {
+    const TimePoint Learnt = std::max(Reading.asOf(), Reading.toldAt());
+    // Pauses in a row without a word between share one time to listen.
+    const bool HasLearntBetween = Learnt >= m_FirstResumed;
+    const TimePoint Until =
+        HasLearntBetween ? m_Resumed + LongestUnsure : m_UnsureUntil;
+    return Learnt < m_Resumed && Now < Until &&
+           Now - sureAt(Reading, Usable) >= Usable;
   }
 
 private:
+  /// The last moment at which the store held nothing newer, as far as could be
+  /// known. Where it was away for all when the pause began, or another entry
+  /// said later that it knows no more, that moment: a short pause in an outage
+  /// changes nothing.
+  TimePoint sureAt(const SharedReading &Reading, Duration Usable) const {
+    const TimePoint Last = std::max(m_Began, Reading.toldAt());
+    const bool WasAway = Last - Reading.asOf() >= Usable;
+    return WasAway ? Last : Reading.asOf();
+  }
+
   TimePoint m_Ran{};
-  TimePoint m_Resumed{};
+  TimePoint m_Began{};        ///< of the first pause in a row
+  TimePoint m_FirstResumed{}; ///< after that one
+  TimePoint m_Resumed{};      ///< after the last one
+  TimePoint m_UnsureUntil{};  ///< where nothing is learnt
 };
 
 /// Bound: the time within which a change is to be in force. What is newer was
@@ -79,9 +105,10 @@
 inline StoreBelief beliefOf(const SharedReading &Reading, Duration Bound,
                             TimePoint Now, const StandStill &Still = {}) {
   const Duration Age = Now - Reading.asOf();
-  const bool IsOld = Age >= Bound - SendSpare;
+  const Duration Usable = Bound - SendSpare;
+  const bool IsOld = Age >= Usable;
   const bool IsDue = IsOld || Reading.behindFor(Now) >= Bound / BehindPart;
-  const bool IsUnsure = IsOld && Still.isUnsure(Reading, Now);
+  const bool IsUnsure = Still.isUnsure(Reading, Usable, Now);
   return {Age, Age >= Bound || Reading.isBehind(),
           (Reading.isBehind() && IsDue) || IsUnsure, IsUnsure};
 }
--- a/test/store-belief-test.cc
+++ b/test/store-belief-test.cc
@@ -128,11 +128,57 @@
   SharedReading Told = readAt(Start);
   Told.noteTold(Now - 50ms);
   EXPECT_FALSE(beliefOf(Told, Bound, Now, Still).m_IsOutdated);
-  // What lay in the socket meanwhile says nothing of now.
+  // What lay in the socket counts as of when it was sent.
   SharedReading Early = readAt(Start);
   Early.confirm(Start + 100ms);
-  Early.noteTold(Start + 4s);
+  Early.noteTold(Start + 1s);
   EXPECT_TRUE(beliefOf(Early, Bound, Now, Still).m_IsOutdated);
+  // The store was away for all then, and what came since is not due yet.
+  Early.noteTold(Start + 4s);
+  EXPECT_FALSE(beliefOf(Early, Bound, Now, Still).m_IsOutdated);
+}
+
+/// What the store takes after the start of a pause is due a whole bound later:
+/// a loop that stands still for less changes nothing in an outage for all.
+TEST(StoreBelief, AShortPauseInAnOutageServesOn) {
+  const SharedReading Under = readAt(Start);
+  for (const Duration Length : {500ms, 1'000ms, 2'000ms, 2'600ms, 5'000ms}) {
+    const TimePoint Now = Start + 20s + Length;
+    const StandStill Still = pausedAt(Start + 20s, Length);
+    EXPECT_EQ(beliefOf(Under, Bound, Now, Still).m_IsOutdated,
+              Length + SendSpare >= Bound)
+        << Length / 1ms;
+  }
+}
+
+TEST(StoreBelief, APauseAfterAWordHasItsWholeTime) {
+  StandStill Still = pausedAt(Start, 5s);
+  SharedReading Under = readAt(Start);
+  Under.confirm(Start + 5'100ms);
+  const TimePoint Again = Start + 5'400ms;
+  Still.running(Again);
+  Still.running(Again + 5s);
+  const auto IsOutdatedAt = [&](Duration After) {
+    return beliefOf(Under, Bound, Again + After, Still).m_IsOutdated;
+  };
+  EXPECT_TRUE(IsOutdatedAt(5s + LongestUnsure - 1ms));
+  EXPECT_FALSE(IsOutdatedAt(5s + LongestUnsure));
+}
+
+/// A machine on which the loop stands still again and again: what was not sure
+/// before a pause is not sure by it, and listening for LongestUnsure in all
+/// ends that.
+TEST(StoreBelief, PausesInARowNeitherHideNorExtendEachOther) {
+  const SharedReading Under = readAt(Start);
+  StandStill Still = pausedAt(Start, 5s);
+  TimePoint Now = Start + 5s;
+  for (Duration Listened{}; Listened < LongestUnsure; Listened += 100ms) {
+    EXPECT_TRUE(beliefOf(Under, Bound, Now, Still).m_IsOutdated);
+    Still.running(Now += 100ms);
+    Still.running(Now += 600ms);
+  }
+  Still.running(Now += 100ms);
+  EXPECT_FALSE(beliefOf(Under, Bound, Now, Still).m_IsOutdated);
 }
 
 /// A loop that is late while the store is away for all.
