--- a/include/deckpitch/holders.h
+++ b/include/deckpitch/holders.h
@@ -36,7 +36,7 @@
   void noteFailure(const std::string &Link) {
     const auto Found = m_ByLink.find(Link);
     if (Found != m_ByLink.end())
-      Found->second.m_FailedAt = ++m_Failures;
+      Found->second.m_LastFailure = ++m_Failures;
   }
 
   /// One that has not failed, of these a near one, and the newest; else the one
@@ -70,11 +70,11 @@
 private:
   struct Known {
     Holder m_Told;
-    std::uint64_t m_FailedAt = 0; ///< count of failures then; 0: not yet
+    std::uint64_t m_LastFailure = 0; ///< its number among all; 0: none
   };
 
   static auto orderOf(const Known &Of) {
-    return std::tuple(Of.m_FailedAt, !Of.m_Told.m_IsNear,
+    return std::tuple(Of.m_LastFailure, !Of.m_Told.m_IsNear,
                       -static_cast<std::int64_t>(Of.m_Told.m_Has.m_Value));
   }
 
--- a/include/deckpitch/store-belief.h
+++ b/include/deckpitch/store-belief.h
@@ -32,12 +32,13 @@
 /// place of 20 ms each, a connection of at most 250 ms, and the way.
 inline constexpr Duration SendSpare = std::chrono::milliseconds(400);
 
-/// Between two turns of a loop that runs: several times what one is late by on
-/// a loaded machine, 0.1 to 0.2 s. With it, what is known is still younger than
-/// the bound where a reader had not died just before.
+/// Least gap between two turns of the loop that counts as a pause: several
+/// times what a turn is late by on a loaded machine, 0.1 to 0.2 s. A shorter
+/// one leaves what is known younger than the bound, unless a reader died just
+/// before.
 inline constexpr Duration LeastStandStill = std::chrono::milliseconds(500);
-/// After a pause: a read of the store that times out takes 1.2 s, and the other
-/// entries have said by then what they know.
+/// After a pause, until the store counts as away for all: a read of it that
+/// times out takes 1.2 s, and other entries have said by then what they know.
 inline constexpr Duration LongestUnsure = std::chrono::milliseconds(1'500);
 
 /// Notices that the whole process stood still: the clock ran on, its loop did
--- a/src/daemon/pause.h
+++ b/src/daemon/pause.h
@@ -1,4 +1,4 @@
-// A wait that costs no thread.
+// A wait that blocks no thread.
 #pragma once
 
 #include "deckpitch/time.h"
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -458,8 +458,8 @@
   co_return How;
 }
 
-/// Whether another instance could take the request: ended without one, a slow
-/// call was answered 502 though its only instance had all but done it.
+/// Whether another instance could take the request. Where none can, a slow call
+/// that is ended is answered 502, though its only instance may be almost done.
 bool EntryRequests::hasOther(const Call &Of, const InstanceChoice &Than) {
   ChoiceQuery Query = Of.m_Query;
   Query.m_Tried.insert(Than.m_Instance);
--- a/src/direct/fleet-news.cc
+++ b/src/direct/fleet-news.cc
@@ -21,9 +21,9 @@
 /// entries are sent.
 constexpr Duration ChangeOnItsWay = milliseconds(40);
 
-/// Asked for the list one after the other before the store is: both may be dead
-/// and not answer for 0.25 s each, and half of the bound is to suffice.
-constexpr int HoldersAtOnce = 2;
+/// Holders asked one after the other before the store is: each that is dead
+/// costs 0.25 s, and the list is to come within half of the bound.
+constexpr int HoldersBeforeStore = 2;
 
 ToldReading toldBy(const auto &News, const NewsOrigin &From) {
   return {milliseconds(News.age_ms()), From.m_Late, From.m_IsNear,
@@ -150,7 +150,7 @@
 asio::awaitable<bool> FleetFollower::fetchToldInstances() {
   std::string Last;
   bool Came = false;
-  for (int Asked = 0; Asked < HoldersAtOnce && !Came; ++Asked) {
+  for (int Asked = 0; Asked < HoldersBeforeStore && !Came; ++Asked) {
     const auto Next = m_InstanceHolders.next();
     const bool IsOther = Next && Next->m_Link != Last;
     if (!IsOther)
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -54,8 +54,8 @@
 constexpr std::size_t NearForEachFar = 4;
 /// About one chunk's time over such a link.
 constexpr Duration DeclineRest = milliseconds(20);
-/// A copy that gains nothing for so long says what it waits for, and again
-/// after as long: on sound links all of it takes no more.
+/// A copy that has gained nothing for so long logs what it waits for, and again
+/// after as long: over sound links a whole copy takes no longer.
 constexpr Duration WaitTold = std::chrono::seconds(2);
 /// What a window of chunks takes at such an origin.
 constexpr Duration OriginStep = milliseconds(800);
@@ -268,7 +268,7 @@
   return Out;
 }
 
-/// One line now and then: all that is known of a copy that does not end.
+/// Logs what a copy waits for that gains nothing, once in each WaitTold.
 void WeightsSupply::tellWait(Copy &Of) {
   const TimePoint Now = now();
   if (Now - std::max(Of.m_GainedAt, Of.m_ToldAt) < WaitTold)
--- a/src/kernel/place-ledger.cc
+++ b/src/kernel/place-ledger.cc
@@ -33,8 +33,8 @@
   }
   if (m_PassEnd > Now)
     return;
-  // Whoever it was kept for has begun: one without a prompt to read left it
-  // behind, and all that came later was refused.
+  // The pass it was kept for has ended, also where nothing was to be read in it
+  // (no prompt): an old limit would refuse all later requests.
   m_NextBy = TimePoint::max();
   // Passes that only write, or none.
   const bool IsIdle = held() == 0 || WriteTime <= Duration::zero();
