--- a/test/swarm-test.cc
+++ b/test/swarm-test.cc
@@ -449,7 +449,7 @@
   return Out;
 }
 
-// Soak seed 103: an agent held 10 of 12 chunks for more than 60 s, with four
+// An agent held 10 of 12 chunks for more than 60 s, with four
 // peers connected that all had 12. Far peers offered nothing, because a near
 // one had the two; the near one's offers were declined, because it was not
 // known to have them; and the origin was not read, because they were known to
--- a/test/weights-copy-test.cc
+++ b/test/weights-copy-test.cc
@@ -82,7 +82,7 @@
   tcp::socket m_Peer{m_Loop.io()};
 };
 
-// Soak seed 103: an agent held 10 of 12 chunks for more than 60 s, with all
+// An agent held 10 of 12 chunks for more than 60 s, with all
 // peers connected and complete. A caller names what it holds in its hello;
 // what it gained until the answer came was told to those peers that it had
 // then, and never to the one that was answering. That one declined the offers
