--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -32,9 +32,9 @@
 /// for 1.0 s instead of 2.2 s (mean of 20).
 constexpr milliseconds SwapPatience{200};
 
-/// From the send of a stream's rest until the head of the answer, which comes
-/// with the first token. Places are granted for a first token within some
-/// tenths of a second, and the caller gets nothing meanwhile.
+/// From the send of a stream's rest until the head of the answer. Places are
+/// granted for a first token within some tenths of a second, and the caller
+/// gets nothing meanwhile.
 constexpr milliseconds HandoverPatience{600};
 
 /// Before the moment by which a request must have begun: for a look around each
