--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -32,9 +32,9 @@
 /// for 1.0 s instead of 2.2 s (mean of 20).
 constexpr milliseconds SwapPatience{200};
 
-/// From the send of a stream's rest until the first token there. Places are
-/// granted for the first token within the objective, some tenths of a second;
-/// while it is waited for, the caller gets nothing.
+/// From the send of a stream's rest until the head of the answer. Places are
+/// granted for a first token within some tenths of a second, and the caller
+/// gets nothing meanwhile.
 constexpr milliseconds HandoverPatience{600};
 
 /// Before the moment by which a request must have begun: for a look around each
@@ -105,9 +105,12 @@
     Of.m_IsMoving = true;
     Of.abort();
   } else {
+    using End = InstanceTable::End;
+    const bool IsRefused = Begun.m_How == Ended::NotRun;
+    const bool HasFailed = !IsRefused && !Under->m_Cancel.cancelled();
     Of.m_Query.m_Tried.insert(Next.m_Instance);
-    m_Instances.ended(Next.m_Instance, InstanceTable::End::Neutral, false,
-                      now());
+    m_Instances.ended(Next.m_Instance, HasFailed ? End::Failed : End::Neutral,
+                      false, now());
   }
   Of.m_IsPlaceSought = false;
   Of.m_Handover.reset();
@@ -135,12 +138,13 @@
 /// whose caller has all, or has left, ends the next one too.
 asio::awaitable<void> EntryRequests::endHandover(Call &Of, Ended How) {
   // A write that fails shows that the caller left before the connection does.
-  const bool IsNeeded =
-      How != Ended::Delivered && How != Ended::Gone && !Of.m_IsGone;
-  if (Of.m_Handover && !IsNeeded)
+  const auto IsNeeded = [&Of, How] {
+    return How != Ended::Delivered && How != Ended::Gone && !Of.m_IsGone;
+  };
+  if (Of.m_Handover && !IsNeeded())
     Of.m_Handover->m_Cancel.cancel();
   co_await untilDecided(Of);
-  const bool IsDropped = Of.m_NextOpened.m_Body && !IsNeeded;
+  const bool IsDropped = Of.m_NextOpened.m_Body && !IsNeeded();
   if (!IsDropped)
     co_return;
   Of.m_NextOpened = {};
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -340,6 +340,10 @@
     co_return;
   }
   if (Of.m_Answer.started()) {
+    // Kept while the stream was being handed over.
+    const std::string Ready = takeReady(Of);
+    if (!Ready.empty())
+      co_await Of.m_Answer.write(Ready);
     answers("broken").add();
     net::log(Event::StreamBroken, {{"request", Of.m_Terms.m_AttemptId},
                                    {"reason", Of.m_GivenUpFor},
@@ -426,10 +430,8 @@
   if (At->second.empty())
     m_AtInstance.erase(At);
   using End = InstanceTable::End;
-  // One that is left for another has not failed.
-  const bool IsBad =
-      !Of.m_IsMoving && (How == Ended::Unreachable || How == Ended::Lost ||
-                         How == Ended::Broken || How == Ended::Failed);
+  const bool IsBad = How == Ended::Unreachable || How == Ended::Lost ||
+                     How == Ended::Broken || How == Ended::Failed;
   m_Instances.ended(Chosen.m_Instance,
                     How == Ended::Delivered ? End::Good
                     : IsBad                 ? End::Failed
@@ -458,8 +460,8 @@
   co_return How;
 }
 
-/// Whether another instance could take the request: ended without one, a slow
-/// call was answered 502 though its only instance had all but done it.
+/// Whether another instance could take the request. Where none can, a slow call
+/// that is ended is answered 502, though its only instance may be almost done.
 bool EntryRequests::hasOther(const Call &Of, const InstanceChoice &Than) {
   ChoiceQuery Query = Of.m_Query;
   Query.m_Tried.insert(Than.m_Instance);
@@ -600,6 +602,24 @@
   m_Instances.firstToken(Of.m_Query, now() - Of.m_Sent);
 }
 
+/// Whole events that came and that the caller does not have.
+std::string EntryRequests::takeReady(Call &Of) {
+  std::string Ready;
+  while (std::optional<StreamEvent> Next = Of.m_Events.next()) {
+    const bool IsRepeated =
+        Next->m_Id && Of.m_LastEvent && *Next->m_Id <= *Of.m_LastEvent;
+    if (IsRepeated)
+      continue;
+    if (Next->m_Id) {
+      Of.m_LastEvent = Next->m_Id;
+      Of.m_LastEventId = std::to_string(*Next->m_Id);
+    }
+    ++Of.m_EventCount;
+    Ready += Next->m_Bytes;
+  }
+  return Ready;
+}
+
 asio::awaitable<EntryRequests::Ended>
 EntryRequests::passEvents(Call &Of, net::HttpStream &Body) {
   while (true) {
@@ -625,19 +645,7 @@
     // The other instance begins after what the caller has by now.
     if (Of.m_Handover)
       continue;
-    std::string Ready;
-    while (std::optional<StreamEvent> Next = Of.m_Events.next()) {
-      const bool IsRepeated =
-          Next->m_Id && Of.m_LastEvent && *Next->m_Id <= *Of.m_LastEvent;
-      if (IsRepeated)
-        continue;
-      if (Next->m_Id) {
-        Of.m_LastEvent = Next->m_Id;
-        Of.m_LastEventId = std::to_string(*Next->m_Id);
-      }
-      ++Of.m_EventCount;
-      Ready += Next->m_Bytes;
-    }
+    std::string Ready = takeReady(Of);
     if (IsEnd) {
       Ready += Of.m_Events.part();
       Of.m_Events.clear();
