--- a/include/deckpitch/holders.h
+++ b/include/deckpitch/holders.h
@@ -42,11 +42,11 @@
   /// One that has not failed, of these a near one, and the newest; else the one
   /// whose failure is longest ago.
   std::optional<Holder> next() const {
-    const auto Order = [](const auto &One, const auto &Other) {
+    const auto IsEarlier = [](const auto &One, const auto &Other) {
       return orderOf(One.second) < orderOf(Other.second);
     };
     const auto First =
-        std::min_element(m_ByLink.begin(), m_ByLink.end(), Order);
+        std::min_element(m_ByLink.begin(), m_ByLink.end(), IsEarlier);
     if (First == m_ByLink.end())
       return std::nullopt;
     return First->second.m_Told;
@@ -73,9 +73,11 @@
     std::uint64_t m_FailedAt = 0; ///< count of failures then; 0: not yet
   };
 
-  static auto orderOf(const Known &Of) {
-    return std::tuple(Of.m_FailedAt, !Of.m_Told.m_IsNear,
-                      -static_cast<std::int64_t>(Of.m_Told.m_Has.m_Value));
+  /// When it failed, whether it is far, and its revision: the least is asked.
+  using Order = std::tuple<std::uint64_t, bool, std::int64_t>;
+  static Order orderOf(const Known &Of) {
+    return Order(Of.m_FailedAt, !Of.m_Told.m_IsNear,
+                 -static_cast<std::int64_t>(Of.m_Told.m_Has.m_Value));
   }
 
   std::map<std::string, Known> m_ByLink;
