--- a/test/deflate-test.cc
+++ b/test/deflate-test.cc
@@ -42,7 +42,8 @@
 
 /// An entry that the store turned away refused all requests for as long as the
 /// list of instances stayed the same: the only entry that had the list gave it
-/// packed, and it could not be unpacked ("cut off").
+/// packed, and it could not be unpacked. Of a trace, for 60 s:
+///   fetched from 127.0.0.1:18827: "compressed text: cut off"
 /// zlib unpacks the same bytes. The library's inflate looks up each code by
 /// nine bits and takes a stream for cut off whose last code and padding are
 /// shorter: which streams these are depends on the addresses in the list.
--- a/test/place-ledger-test.cc
+++ b/test/place-ledger-test.cc
@@ -144,7 +144,7 @@
 
 /// An instance is ordered to load other weights at a time that its agent knows.
 /// Requests that were granted places just before waited there until the order
-/// came, and were refused.
+/// came, and were refused: 22.022 granted, 22.159 ordered and refused.
 TEST(PlaceLedger, WhatWouldBeginAfterTheInstanceClosesIsNotGranted) {
   PlaceLedger Ledger;
   Ledger.reported(4, Start);
--- a/test/weights-copy-test.cc
+++ b/test/weights-copy-test.cc
@@ -144,6 +144,7 @@
     co_return true;
   };
   EXPECT_TRUE(m_Loop.await(Run()));
+  EXPECT_GE(Asked, 1U);
   EXPECT_LE(Asked, 3U);
 }
 
