Choose relays of a data centre, and spread states through them

Kernel only: no daemon calls it yet. RelayChoice takes two live entries of a data centre by highest random weight; the weight moved out of entry-choice.cc and is what it was. StateSpread holds what an entry knows of all instances and says whom a relay tells what and when. SpreadNetwork runs entries and agents in virtual time with loss, cuts, pauses and deaths.

--- a/src/kernel/entry-choice.cc
+++ b/src/kernel/entry-choice.cc
@@ -1,21 +1,11 @@
 #include "deckpitch/entry-choice.h"
 
-#include <xxhash.h>
+#include "deckpitch/random-weight.h"
 
 #include <algorithm>
-#include <cstdint>
 
 namespace deckpitch {
 
-namespace {
-
-std::uint64_t weightOf(const InstanceId &For, const InstanceId &Entry) {
-  const std::string Text = For.m_Text + '/' + Entry.m_Text;
-  return XXH64(Text.data(), Text.size(), 0);
-}
-
-} // namespace
-
 std::vector<InstanceId> chooseEntries(const InstanceId &For,
                                       const DataCentreId &In,
                                       std::vector<EntryCandidate> Candidates,
@@ -23,7 +13,8 @@
   std::erase_if(Candidates,
                 [&](const EntryCandidate &Each) { return Each.m_Id == For; });
   const auto Heavier = [&](const EntryCandidate &A, const EntryCandidate &B) {
-    return weightOf(For, A.m_Id) > weightOf(For, B.m_Id);
+    return randomWeight(For.m_Text, A.m_Id.m_Text) >
+           randomWeight(For.m_Text, B.m_Id.m_Text);
   };
   std::sort(Candidates.begin(), Candidates.end(), Heavier);
   const auto Near = std::find_if(
--- /dev/null
+++ b/src/kernel/state-batch.cc
@@ -0,0 +1,88 @@
+#include "deckpitch/state-batch.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace deckpitch {
+
+namespace {
+
+/// Bytes of a batch without states: format, data centre's tag and length.
+constexpr std::size_t BatchBytes = 8;
+/// Tags and lengths of a state's fields, its numbers at their usual size:
+/// order 18, counts 8, flags 4, time to other weights 5, version 4, start 7,
+/// age 3, and the state's own tag and length 3.
+constexpr std::size_t StateBytes = 56;
+/// Of weights beside the model's name: tags, length, version, flag.
+constexpr std::size_t WeightsBytes = 12;
+
+/// By so much the moment of a change of weights may be corrected without being
+/// told: less than what an agent takes between two looks.
+constexpr Duration SwapTolerance = std::chrono::milliseconds(50);
+
+bool hasMovedSwap(const DatedReport &Before, const DatedReport &Now) {
+  if (!Before.m_Report.m_SwapIn || !Now.m_Report.m_SwapIn)
+    return Before.m_Report.m_SwapIn != Now.m_Report.m_SwapIn;
+  const TimePoint Former = Before.m_AsOf + *Before.m_Report.m_SwapIn;
+  const TimePoint Latter = Now.m_AsOf + *Now.m_Report.m_SwapIn;
+  return std::max(Former, Latter) - std::min(Former, Latter) > SwapTolerance;
+}
+
+bool isUrgent(const InstanceReport &Before, const InstanceReport &Now) {
+  return Before.m_TakesRequests != Now.m_TakesRequests ||
+         Before.m_Weights != Now.m_Weights ||
+         Before.m_Loading != Now.m_Loading || Before.m_Start != Now.m_Start ||
+         Before.m_SwapIn.has_value() != Now.m_SwapIn.has_value();
+}
+
+} // namespace
+
+std::size_t estimatedBytes(const SpreadState &Of) {
+  std::size_t Bytes = StateBytes + Of.m_Address.size();
+  for (const HeldWeights &Each : Of.m_Report.m_Weights)
+    Bytes += WeightsBytes + Each.m_Model.size();
+  return Bytes;
+}
+
+std::size_t estimatedBytes(const StateBatch &Of) {
+  std::size_t Bytes = BatchBytes + Of.m_Of.m_Text.size();
+  for (const ToldState &Each : Of.m_States)
+    Bytes += estimatedBytes(Each.m_State);
+  return Bytes;
+}
+
+bool isSound(const StateBatch &Told) {
+  const bool Fits =
+      Told.m_States.size() <= 1 || estimatedBytes(Told) <= MostBatchBytes;
+  return Told.m_Format == StateBatchFormat && Fits;
+}
+
+std::vector<StateBatch> inBatches(const DataCentreId &Of,
+                                  std::vector<ToldState> States) {
+  std::vector<StateBatch> Out;
+  std::size_t Bytes = MostBatchBytes;
+  for (ToldState &Each : States) {
+    const std::size_t More = estimatedBytes(Each.m_State);
+    if (Bytes + More > MostBatchBytes) {
+      Out.push_back({StateBatchFormat, Of, {}});
+      Bytes = estimatedBytes(Out.back());
+    }
+    Bytes += More;
+    Out.back().m_States.push_back(std::move(Each));
+  }
+  return Out;
+}
+
+ReportChange changeOf(const DatedReport &Before, const DatedReport &Now) {
+  if (isUrgent(Before.m_Report, Now.m_Report))
+    return ReportChange::Urgent;
+  const auto RestOf = [](const InstanceReport &Of) {
+    return std::tuple(Of.m_Running, Of.m_Waiting, Of.m_HasSoundLink);
+  };
+  const bool IsChanged = RestOf(Before.m_Report) != RestOf(Now.m_Report) ||
+                         hasMovedSwap(Before, Now);
+  return IsChanged ? ReportChange::Plain : ReportChange::None;
+}
+
+} // namespace deckpitch
--- /dev/null
+++ b/src/kernel/state-rounds.cc
@@ -0,0 +1,162 @@
+// The sending half of StateSpread: whom a relay tells, what and when.
+#include "deckpitch/state-spread.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace deckpitch {
+
+namespace {
+
+std::chrono::milliseconds ageOf(const KnownState &Of, TimePoint Now) {
+  return std::chrono::ceil<std::chrono::milliseconds>(Now - Of.m_AsOf);
+}
+
+/// How often an address was due for repeating until then: once in each span,
+/// all addresses spread over it.
+Duration::rep repeatsUntil(const std::string &Address, Duration Shift,
+                           TimePoint Then) {
+  const auto Hash = XXH64(Address.data(), Address.size(), 0);
+  const auto Offset = static_cast<Duration::rep>(
+      Hash % static_cast<std::uint64_t>(RepeatSpan.count()));
+  return (Then.time_since_epoch() + RepeatSpan - Duration(Offset) + Shift) /
+         RepeatSpan;
+}
+
+} // namespace
+
+std::vector<StateSend> StateSpread::due(TimePoint Now) {
+  std::vector<StateSend> Out;
+  std::erase_if(m_Tellers, [&](const auto &Each) {
+    return Now - Each.second.m_Heard >= PathSilence;
+  });
+  for (auto &[Along, Each] : m_Channels) {
+    setTargets(Along, Each, Now);
+    if (!Each.m_Targets.empty())
+      tell(Along, Each, Now, Out);
+  }
+  return Out;
+}
+
+/// One that is new among them has been told nothing yet.
+void StateSpread::setTargets(const Path &Along, Channel &To,
+                             TimePoint Now) const {
+  std::vector<InstanceId> Targets = targetsOf(Along, Now);
+  const bool IsGrown = !std::includes(To.m_Targets.begin(), To.m_Targets.end(),
+                                      Targets.begin(), Targets.end());
+  To.m_Targets = std::move(Targets);
+  if (!IsGrown)
+    return;
+  for (const auto &[Address, Each] : m_Instances)
+    if (Each.m_DataCentre == Along.m_Of)
+      To.m_Behind.insert(Address);
+}
+
+std::vector<InstanceId> StateSpread::targetsOf(const Path &Along,
+                                               TimePoint Now) const {
+  std::vector<InstanceId> Out = Along.m_To == m_Own.m_DataCentre
+                                    ? nearTargets(Along.m_Of)
+                                    : farTargets(Along.m_To, Now);
+  std::sort(Out.begin(), Out.end());
+  Out.erase(std::unique(Out.begin(), Out.end()), Out.end());
+  return Out;
+}
+
+/// Of other data centres the other relays hear by paths of their own. Of the
+/// own one they are told too: it is one receiver more, none across a border,
+/// and a relay that an agent does not reach, or does not know yet, still tells
+/// the others.
+std::vector<InstanceId> StateSpread::nearTargets(const DataCentreId &Of) const {
+  const std::vector<InstanceId> &Relays = relaysOf(m_Own.m_DataCentre);
+  const bool IsOwn = Of == m_Own.m_DataCentre;
+  std::vector<InstanceId> Out;
+  for (const auto &[Id, In] : m_Live) {
+    const bool HasOwnPath =
+        !IsOwn && std::find(Relays.begin(), Relays.end(), Id) != Relays.end();
+    if (In == m_Own.m_DataCentre && Id != m_Own.m_Id && !HasOwnPath)
+      Out.push_back(Id);
+  }
+  return Out;
+}
+
+/// The partner. Also whoever there tells of the instances there: it is a relay
+/// in its own view, which is ahead of the one here. And all relays when the
+/// partner is silent: it may have died, and the path of the other rank may be
+/// broken at its other end. They then answer, so that both directions of a path
+/// are mended a second before the death is known here.
+std::vector<InstanceId> StateSpread::farTargets(const DataCentreId &To,
+                                                TimePoint Now) const {
+  std::vector<InstanceId> Out;
+  const auto Found = m_Partners.find(To);
+  if (Found != m_Partners.end())
+    Out = isSilent(Found->second, Now) ? relaysOf(To) : Found->second.m_Ids;
+  for (const auto &[Id, Each] : m_Tellers)
+    if (Each.m_Of == To)
+      Out.push_back(Id);
+  return Out;
+}
+
+bool StateSpread::isSilent(const Partners &Of, TimePoint Now) const {
+  const auto IsHeard = [&](const InstanceId &Id) {
+    return m_Tellers.contains(Id);
+  };
+  return Now - Of.m_Since >= PathSilence &&
+         !std::all_of(Of.m_Ids.begin(), Of.m_Ids.end(), IsHeard);
+}
+
+/// The relays of a data centre repeat at different times.
+void StateSpread::addRepeats(const Path &Along, Channel &To,
+                             TimePoint Now) const {
+  const auto Rank = static_cast<Duration::rep>(m_Rank.value_or(0));
+  const Duration Shift = RepeatSpan * Rank / RelaysPerDataCentre;
+  for (const auto &[Address, Each] : m_Instances)
+    if (Each.m_DataCentre == Along.m_Of &&
+        repeatsUntil(Address, Shift, To.m_RepeatedTo) !=
+            repeatsUntil(Address, Shift, Now))
+      To.m_Behind.insert(Address);
+  To.m_RepeatedTo = Now;
+}
+
+/// A round of the own states is sent also when it is empty: who hears nothing
+/// knows by it that the relay or the path is gone.
+void StateSpread::tell(const Path &Along, Channel &To, TimePoint Now,
+                       std::vector<StateSend> &Out) const {
+  const bool IsRound = Now >= To.m_NextRound;
+  if (IsRound)
+    addRepeats(Along, To, Now);
+  std::set<std::string> &Addresses = IsRound ? To.m_Behind : To.m_Urgent;
+  std::vector<StateBatch> Batches =
+      inBatches(Along.m_Of, statesFor(Addresses, Now));
+  const bool IsOwn = Along.m_Of == m_Own.m_DataCentre;
+  if (IsRound && IsOwn && Batches.empty())
+    Batches.push_back({StateBatchFormat, Along.m_Of, {}});
+  if (IsRound && !Batches.empty())
+    To.m_NextRound =
+        Now + (Along.m_To == m_Own.m_DataCentre ? NearSpan : FarSpan);
+  for (const std::string &Each : To.m_Urgent)
+    To.m_Behind.erase(Each);
+  To.m_Urgent.clear();
+  if (IsRound)
+    To.m_Behind.clear();
+  for (StateBatch &Each : Batches)
+    Out.push_back({To.m_Targets, std::move(Each)});
+}
+
+std::vector<ToldState>
+StateSpread::statesFor(const std::set<std::string> &Addresses,
+                       TimePoint Now) const {
+  std::vector<ToldState> Out;
+  for (const std::string &Address : Addresses) {
+    const auto Found = m_Instances.find(Address);
+    if (Found == m_Instances.end() || !Found->second.m_Known)
+      continue;
+    const KnownState &Known = *Found->second.m_Known;
+    if (Now - Known.m_AsOf <= LongestUse)
+      Out.push_back({Known.m_Said, ageOf(Known, Now)});
+  }
+  return Out;
+}
+
+} // namespace deckpitch
--- /dev/null
+++ b/support/simulation/spread-network.cc
@@ -0,0 +1,306 @@
+#include "simulation/spread-network.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+#include <tuple>
+#include <utility>
+
+namespace deckpitch::simulation {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How often an entry is asked what is due.
+constexpr Duration TickSpan = milliseconds(10);
+/// Agents: between two looks, and until what has not changed is told again.
+constexpr Duration LookSpan = milliseconds(50);
+constexpr Duration ToldAgainSpan = milliseconds(240);
+/// Hellos to agents, and how long an agent reports after one.
+constexpr Duration HelloSpan = milliseconds(300);
+constexpr Duration ListeningSpan = std::chrono::seconds(1);
+/// Until a death is known in the own data centre and in others: some hellos
+/// that did not come.
+constexpr Duration NearDeathKnown = milliseconds(1'200);
+constexpr Duration FarDeathKnown = std::chrono::seconds(2);
+/// Until one that is back is known to live: the next hello but one.
+constexpr Duration ReturnKnown = milliseconds(600);
+/// Headers of a datagram below what is estimated, the link message's included.
+constexpr std::size_t HeaderBytes = 28 + 24;
+/// A hello to an agent with a few models and sources.
+constexpr std::size_t HelloBytes = 200;
+/// Not in step with anything.
+constexpr Duration SampleSpan = milliseconds(97);
+
+/// Of a count between two looks. So large that counts seldom are what they were
+/// some looks before: that would be no change, and the same knowledge be of any
+/// age.
+constexpr int MostStep = 20;
+
+void count(Traffic &In, std::size_t Bytes) {
+  ++In.m_Datagrams;
+  In.m_Bytes += Bytes;
+}
+
+} // namespace
+
+Duration percentile(std::vector<Duration> Of, double InHundred) {
+  if (Of.empty())
+    return {};
+  const auto Last = static_cast<double>(Of.size() - 1);
+  const auto Nth =
+      Of.begin() + static_cast<std::ptrdiff_t>(Last * InHundred / 100);
+  std::nth_element(Of.begin(), Nth, Of.end());
+  return *Nth;
+}
+
+SpreadNetwork::SpreadNetwork(SpreadOptions Options)
+    : m_Options(Options), m_Random(Options.m_Seed),
+      m_Entries(Options.m_Entries), m_Agents(Options.m_Instances),
+      m_Cuts(Options.m_DataCentres) {
+  std::vector<ListedAddress> Listed;
+  for (std::size_t I = 0; I < m_Agents.size(); ++I) {
+    Agent &Each = m_Agents[I];
+    Each.m_Now.m_Address = "10.0.0." + std::to_string(I) + ":9000";
+    Each.m_Now.m_Order.m_Incarnation.m_Value = 1'000 + I;
+    Each.m_Now.m_Report.m_Weights = {{"model", 1, true}};
+    Each.m_Now.m_Report.m_Start = 1;
+    Each.m_Listeners.resize(m_Entries.size());
+    Listed.push_back({Each.m_Now.m_Address, nameOf(dataCentreOf(I))});
+  }
+  for (std::size_t I = 0; I < m_Entries.size(); ++I) {
+    m_Entries[I].m_Spread = std::make_unique<StateSpread>(candidate(I));
+    m_Entries[I].m_Spread->setInstances(Listed);
+    m_Entries[I].m_Newest.resize(m_Agents.size());
+    refreshView(I);
+  }
+  std::uniform_int_distribution<Duration::rep> Phase(0, LookSpan.count());
+  for (std::size_t I = 0; I < m_Agents.size(); ++I)
+    at(m_Now + Duration(Phase(m_Random)), [this, I] { lookAt(I); });
+  for (std::size_t I = 0; I < m_Entries.size(); ++I)
+    at(m_Now + Duration(Phase(m_Random)), [this, I] { tickEntry(I); });
+  resetCounts();
+}
+
+void SpreadNetwork::resetCounts() {
+  m_Counts = {};
+  m_Counts.m_AgentsSent.resize(m_Agents.size());
+  m_Counts.m_EntriesReceived.resize(m_Entries.size());
+  m_Counts.m_EntriesSent.resize(m_Entries.size());
+}
+
+DataCentreId SpreadNetwork::nameOf(std::size_t DataCentre) const {
+  return {"dc-" + std::to_string(DataCentre)};
+}
+
+EntryCandidate SpreadNetwork::candidate(std::size_t Entry) const {
+  return {{"entry-" + std::to_string(Entry)}, nameOf(dataCentreOf(Entry))};
+}
+
+std::size_t SpreadNetwork::entryOf(const InstanceId &Id) const {
+  return std::stoul(Id.m_Text.substr(Id.m_Text.find('-') + 1));
+}
+
+void SpreadNetwork::at(TimePoint When, Act Do) {
+  m_Events.push({When, m_NextOrder++, std::move(Do)});
+}
+
+void SpreadNetwork::runTo(TimePoint When) {
+  while (!m_Events.empty() && m_Events.top().m_At <= When) {
+    const Event Next = m_Events.top();
+    m_Events.pop();
+    m_Now = Next.m_At;
+    Next.m_Do();
+  }
+  m_Now = When;
+}
+
+void SpreadNetwork::runFor(Duration Length) { runTo(m_Now + Length); }
+
+void SpreadNetwork::runFor(Duration Length, SpreadAges &Into) {
+  const TimePoint End = m_Now + Length;
+  while (m_Now + SampleSpan <= End) {
+    runFor(SampleSpan);
+    sample(Into);
+  }
+  runTo(End);
+}
+
+std::optional<Duration> SpreadNetwork::delay(std::size_t FromCentre,
+                                             std::size_t ToCentre) {
+  const bool IsFar = FromCentre != ToCentre;
+  const auto IsCut = [&](std::size_t Centre) {
+    return m_Cuts[Centre].m_Since && !m_Cuts[Centre].m_Until;
+  };
+  std::bernoulli_distribution IsLost(m_Options.m_LossShare);
+  if (IsLost(m_Random) || (IsFar && (IsCut(FromCentre) || IsCut(ToCentre))))
+    return std::nullopt;
+  return IsFar ? m_Options.m_FarDelay : m_Options.m_NearDelay;
+}
+
+void SpreadNetwork::toEntry(std::size_t To, std::size_t FromCentre,
+                            std::size_t Bytes,
+                            std::function<void(Duration Late)> Read) {
+  const auto Takes = delay(FromCentre, dataCentreOf(To));
+  if (!Takes)
+    return;
+  at(m_Now + *Takes, [this, To, Bytes, Read = std::move(Read)] {
+    Entry &At = m_Entries[To];
+    if (!At.m_Lives)
+      return;
+    count(m_Counts.m_EntriesReceived[To], Bytes);
+    if (At.m_IsPaused)
+      At.m_Waiting.push_back({m_Now, Read});
+    else
+      readAt(To, Read, {});
+  });
+}
+
+void SpreadNetwork::readAt(std::size_t To,
+                           const std::function<void(Duration Late)> &Read,
+                           Duration Late) {
+  Read(Late);
+  noteOrders(m_Entries[To]);
+}
+
+/// The entries' rule that no older state replaces a newer one, seen from
+/// outside. Only one agent in some is looked at after each datagram.
+void SpreadNetwork::noteOrders(Entry &Of) {
+  constexpr std::size_t LookedAt = 4;
+  for (std::size_t I = 0; I < std::min(LookedAt, m_Agents.size()); ++I) {
+    const auto Known = Of.m_Spread->find(m_Agents[I].m_Now.m_Address);
+    if (!Known)
+      continue;
+    m_SteppedBack += Known->m_Said.m_Order < Of.m_Newest[I] ? 1 : 0;
+    Of.m_Newest[I] = Known->m_Said.m_Order;
+  }
+}
+
+void SpreadNetwork::tickEntry(std::size_t Which) {
+  Entry &Each = m_Entries[Which];
+  if (!Each.m_Lives || Each.m_IsPaused)
+    return;
+  const bool Wants = Each.m_Spread->wantsReports(m_Now);
+  if (Wants && (!Each.m_Wanted || m_Now >= Each.m_NextHello))
+    hello(Which);
+  Each.m_Wanted = Wants;
+  for (const StateSend &Send : Each.m_Spread->due(m_Now))
+    sendBatch(Which, Send);
+  at(m_Now + TickSpan, [this, Which] { tickEntry(Which); });
+}
+
+void SpreadNetwork::hello(std::size_t From) {
+  m_Entries[From].m_NextHello = m_Now + HelloSpan;
+  const std::size_t Centre = dataCentreOf(From);
+  for (std::size_t To = Centre; To < m_Agents.size();
+       To += m_Options.m_DataCentres) {
+    count(m_Counts.m_Hellos, HelloBytes + HeaderBytes);
+    if (const auto Takes = delay(Centre, Centre))
+      at(m_Now + *Takes,
+         [this, From, To] { m_Agents[To].m_Listeners[From] = m_Now; });
+  }
+}
+
+void SpreadNetwork::sendBatch(std::size_t From, const StateSend &What) {
+  const auto Batch = std::make_shared<const StateBatch>(What.m_Batch);
+  const std::size_t Bytes = estimatedBytes(*Batch) + HeaderBytes;
+  const InstanceId Sender = candidate(From).m_Id;
+  for (const InstanceId &Id : What.m_To) {
+    const std::size_t To = entryOf(Id);
+    count(m_Counts.m_EntriesSent[From], Bytes);
+    if (dataCentreOf(From) != dataCentreOf(To)) {
+      count(m_Counts.m_AcrossBorders, Bytes);
+      m_Counts.m_StatesAcrossBorders += Batch->m_States.size();
+    }
+    toEntry(To, dataCentreOf(From), Bytes,
+            [this, To, Sender, Batch](Duration Late) {
+              m_Entries[To].m_Spread->hearEntry(Sender, *Batch, m_Now, Late);
+            });
+  }
+}
+
+void SpreadNetwork::step(InstanceReport &Of) {
+  std::bernoulli_distribution Steps(m_Options.m_StepChance);
+  std::uniform_int_distribution<int> By(-MostStep, MostStep);
+  if (!Steps(m_Random))
+    return;
+  for (std::uint32_t *Count : {&Of.m_Running, &Of.m_Waiting})
+    *Count = static_cast<std::uint32_t>(
+        std::abs(static_cast<int>(*Count) + By(m_Random)));
+}
+
+void SpreadNetwork::lookAt(std::size_t Which) {
+  Agent &Each = m_Agents[Which];
+  if (!Each.m_Lives)
+    return;
+  step(Each.m_Now.m_Report);
+  const bool IsChanged = Each.m_Now.m_Report != Each.m_Told;
+  m_Counts.m_Changes += IsChanged ? 1 : 0;
+  if (IsChanged || m_Now - Each.m_ToldAt >= ToldAgainSpan)
+    report(Which);
+  at(m_Now + LookSpan, [this, Which] { lookAt(Which); });
+}
+
+void SpreadNetwork::report(std::size_t From) {
+  Agent &Each = m_Agents[From];
+  Each.m_Told = Each.m_Now.m_Report;
+  Each.m_ToldAt = m_Now;
+  Each.m_Now.m_Order.m_Sequence = Each.m_SaidAt.size();
+  Each.m_SaidAt.push_back(m_Now);
+  const auto Said = std::make_shared<const SpreadState>(Each.m_Now);
+  const std::size_t Bytes = estimatedBytes(*Said) + HeaderBytes;
+  for (std::size_t To = 0; To < m_Entries.size(); ++To) {
+    std::optional<TimePoint> &Heard = Each.m_Listeners[To];
+    if (Heard && m_Now - *Heard > ListeningSpan)
+      Heard.reset();
+    if (!Heard)
+      continue;
+    count(m_Counts.m_AgentsSent[From], Bytes);
+    toEntry(To, dataCentreOf(From), Bytes, [this, To, Said](Duration Late) {
+      m_Entries[To].m_Spread->hearAgent(*Said, m_Now, Late);
+    });
+  }
+}
+
+bool SpreadNetwork::isBelievedAway(const Absence &Of, Duration Noticed) const {
+  if (!Of.m_Since)
+    return false;
+  if (!Of.m_Until)
+    return m_Now - *Of.m_Since >= Noticed;
+  return *Of.m_Until - *Of.m_Since >= Noticed &&
+         m_Now - *Of.m_Until < ReturnKnown;
+}
+
+bool SpreadNetwork::believesAlive(std::size_t Of, std::size_t Other) const {
+  const std::size_t Here = dataCentreOf(Of);
+  const std::size_t There = dataCentreOf(Other);
+  if (Of == Other)
+    return true;
+  const Absence &Process = m_Entries[Other].m_Absence;
+  if (Here == There)
+    return !isBelievedAway(Process, NearDeathKnown);
+  return !isBelievedAway(Process, FarDeathKnown) &&
+         !isBelievedAway(m_Cuts[Here], FarDeathKnown) &&
+         !isBelievedAway(m_Cuts[There], FarDeathKnown);
+}
+
+void SpreadNetwork::refreshView(std::size_t Entry) {
+  if (!m_Entries[Entry].m_Lives || m_Entries[Entry].m_IsPaused)
+    return;
+  std::vector<EntryCandidate> Live;
+  for (std::size_t I = 0; I < m_Entries.size(); ++I)
+    if (believesAlive(Entry, I))
+      Live.push_back(candidate(I));
+  m_Entries[Entry].m_Spread->setEntries(Live, m_Now);
+}
+
+void SpreadNetwork::refreshViewsSoon() {
+  for (const Duration Later : {ReturnKnown, NearDeathKnown, FarDeathKnown})
+    at(m_Now + Later, [this] {
+      for (std::size_t I = 0; I < m_Entries.size(); ++I)
+        refreshView(I);
+    });
+}
+
+} // namespace deckpitch::simulation
--- /dev/null
+++ b/test/state-spread-fixture.h
@@ -0,0 +1,81 @@
+// Two data centres of some entries and instances, for tests of one entry's
+// StateSpread.
+#pragma once
+
+#include "deckpitch/state-spread.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace deckpitch::spread_test {
+
+inline const DataCentreId Here{"here"};
+inline const DataCentreId There{"there"};
+inline const DataCentreId Third{"third"};
+inline const std::string OwnInstance = "10.0.0.1:9000";
+inline const std::string FarInstance = "10.1.0.1:9000";
+inline constexpr TimePoint Start{std::chrono::hours(1)};
+inline constexpr std::size_t EntriesOfEach = 5;
+
+inline std::vector<EntryCandidate>
+entriesOf(const DataCentreId &In, std::size_t Count = EntriesOfEach) {
+  std::vector<EntryCandidate> Out;
+  for (std::size_t I = 0; I < Count; ++I)
+    Out.push_back({{In.m_Text + "-" + std::to_string(I)}, In});
+  return Out;
+}
+
+inline std::vector<EntryCandidate> allEntries() {
+  std::vector<EntryCandidate> Out;
+  for (const DataCentreId &In : {Here, There, Third})
+    for (const EntryCandidate &Each : entriesOf(In))
+      Out.push_back(Each);
+  return Out;
+}
+
+inline std::vector<EntryCandidate>
+without(std::vector<EntryCandidate> Live, const std::vector<InstanceId> &Gone) {
+  for (const InstanceId &Id : Gone)
+    std::erase_if(Live, [&](const auto &Each) { return Each.m_Id == Id; });
+  return Live;
+}
+
+inline InstanceId nearRelay(std::size_t Rank) {
+  return chooseRelays(Here, allEntries()).at(Rank);
+}
+inline InstanceId farRelay(std::size_t Rank) {
+  return chooseRelays(There, allEntries()).at(Rank);
+}
+
+/// Entries of that data centre that are no relays, sorted.
+inline std::vector<InstanceId> plainEntriesOf(const DataCentreId &In) {
+  std::vector<InstanceId> Out;
+  for (const EntryCandidate &Each :
+       without(entriesOf(In), chooseRelays(In, entriesOf(In))))
+    Out.push_back(Each.m_Id);
+  return Out;
+}
+
+inline std::vector<ListedAddress> listed() {
+  return {{OwnInstance, Here}, {FarInstance, There}};
+}
+
+/// An entry here that sees all others live.
+inline StateSpread entry(const InstanceId &Id) {
+  StateSpread Out({Id, Here});
+  Out.setInstances(listed());
+  Out.setEntries(allEntries(), Start);
+  return Out;
+}
+inline StateSpread plainEntry() { return entry(plainEntriesOf(Here).front()); }
+
+inline SpreadState stateOf(const std::string &Address, const ReportOrder &Order,
+                           std::uint32_t Running) {
+  SpreadState Out{Address, Order, {}};
+  Out.m_Report.m_Running = Running;
+  Out.m_Report.m_Weights = {{"model", 1, true}};
+  return Out;
+}
+
+} // namespace deckpitch::spread_test
--- /dev/null
+++ b/test/state-spread-simulation-test.cc
@@ -0,0 +1,389 @@
+// How the states of all instances reach all entries, in virtual time and with
+// faults. Bounds come from what the design promises.
+#include "simulation/spread-network.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iostream>
+
+using namespace deckpitch;
+using namespace deckpitch::simulation;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Ages up to which an entry knows the instances of its own data centre, and
+/// those of others: promised for 99 in 100 looks.
+constexpr Duration NearAim = 150ms;
+constexpr Duration FarAim = 400ms;
+constexpr double Nearly = 99;
+/// Agent to relay, across a border, relay to entry.
+constexpr Duration Ways = 4ms;
+/// Until a closed instance is known to be closed.
+constexpr Duration ClosedAim = 300ms;
+/// Between two looks of an agent at its instance.
+constexpr Duration LookSpan = 50ms;
+/// From a relay's death until its data centre knows it, and until others do.
+constexpr Duration NearDeathKnown = 1'200ms;
+constexpr Duration FarDeathKnown = 2s;
+constexpr Duration HelloSpan = 300ms;
+/// For the first hellos and rounds.
+constexpr Duration Settling = 1s;
+
+/// That of the fleet which the design is written for.
+SpreadOptions large() { return {}; }
+
+SpreadOptions middle() {
+  SpreadOptions Out;
+  Out.m_DataCentres = 5;
+  Out.m_Entries = 50;
+  Out.m_Instances = 70;
+  return Out;
+}
+
+SpreadOptions small() {
+  SpreadOptions Out;
+  Out.m_DataCentres = 3;
+  Out.m_Entries = 18;
+  Out.m_Instances = 24;
+  return Out;
+}
+
+Duration most(const std::vector<Duration> &Of) { return percentile(Of, 100); }
+
+double ms(Duration Value) {
+  return std::chrono::duration<double, std::milli>(Value).count();
+}
+
+void print(const char *What, const SpreadAges &Of) {
+  std::cout << What << ": near 99% " << ms(percentile(Of.m_Near, Nearly))
+            << " ms, most " << ms(most(Of.m_Near)) << " ms; far 99% "
+            << ms(percentile(Of.m_Far, Nearly)) << " ms, most "
+            << ms(most(Of.m_Far)) << " ms\n";
+}
+
+void expectAims(const SpreadAges &Of) {
+  EXPECT_FALSE(Of.m_Near.empty());
+  EXPECT_FALSE(Of.m_Far.empty());
+  EXPECT_LE(percentile(Of.m_Near, Nearly), NearAim);
+  EXPECT_LE(percentile(Of.m_Far, Nearly), FarAim + Ways);
+}
+
+/// Instances that not all living entries know at that age.
+std::vector<std::size_t> notKnownToAll(const SpreadNetwork &In,
+                                       std::size_t Instances,
+                                       Duration NoOlder) {
+  std::vector<std::size_t> Out;
+  for (std::size_t I = 0; I < Instances; ++I)
+    if (In.entriesThatKnow(I, NoOlder) != In.livingEntries())
+      Out.push_back(I);
+  return Out;
+}
+
+using Indices = std::vector<std::size_t>;
+
+TEST(StateSpreadSimulation, AllEntriesKnowAllInstancesInTime) {
+  SpreadNetwork Under(large());
+  Under.runFor(Settling);
+  SpreadAges Ages;
+  Under.runFor(2s, Ages);
+  print("sound", Ages);
+  expectAims(Ages);
+  EXPECT_LE(most(Ages.m_Near), LongestUse);
+  EXPECT_LE(most(Ages.m_Far), LongestUse);
+  EXPECT_LE(Ages.m_MostFlattered, Ways);
+  EXPECT_EQ(notKnownToAll(Under, large().m_Instances, LongestUse), Indices{});
+  EXPECT_EQ(Under.refusedStates(), 0U);
+  EXPECT_EQ(Under.steppedBack(), 0U);
+}
+
+TEST(StateSpreadSimulation, AClosedInstanceIsKnownToAllSoon) {
+  SpreadNetwork Under(large());
+  Under.runFor(Settling);
+  for (std::size_t I = 0; I < large().m_DataCentres; ++I) {
+    Under.closeInstance(I);
+    Under.runFor(ClosedAim);
+    EXPECT_EQ(Under.entriesThatKnowClosed(I), Under.livingEntries()) << I;
+  }
+}
+
+TEST(StateSpreadSimulation, AnAgentSendsATenthOfWhatAllEntriesWouldTake) {
+  // Each 50 ms to the entries of its data centre, each 200 ms to the others.
+  constexpr double Direct = 30 * 20 + 119 * 5;
+  constexpr auto Length = 3s;
+  SpreadNetwork Under(large());
+  Under.runFor(Settling);
+  Under.resetCounts();
+  Under.runFor(Length);
+  std::uint64_t Most = 0;
+  std::uint64_t Least = UINT64_MAX;
+  for (const Traffic &Each : Under.counts().m_AgentsSent) {
+    Most = std::max(Most, Each.m_Datagrams);
+    Least = std::min(Least, Each.m_Datagrams);
+  }
+  const double Seconds = std::chrono::duration<double>(Length).count();
+  const double PerSecond = static_cast<double>(Most) / Seconds;
+  const double Hellos = static_cast<double>(Under.counts().m_Hellos.m_Bytes) /
+                        Seconds / static_cast<double>(large().m_Instances);
+  std::cout << "an agent sends at most " << PerSecond << " datagrams/s, of "
+            << Direct << "; hears " << Hellos << " bytes/s of hellos\n";
+  EXPECT_LE(PerSecond, Direct / 10);
+  EXPECT_GT(Least, 0U);
+}
+
+/// What the entry that receives most has received in a second.
+Traffic mostReceived(const SpreadOptions &Options) {
+  SpreadNetwork Under(Options);
+  Under.runFor(Settling);
+  Under.resetCounts();
+  constexpr std::uint64_t Seconds = 3;
+  Under.runFor(std::chrono::seconds(Seconds));
+  Traffic Most;
+  for (const Traffic &Each : Under.counts().m_EntriesReceived) {
+    Most.m_Datagrams = std::max(Most.m_Datagrams, Each.m_Datagrams / Seconds);
+    Most.m_Bytes = std::max(Most.m_Bytes, Each.m_Bytes / Seconds);
+  }
+  return Most;
+}
+
+double ownEntries(const SpreadOptions &Of) {
+  return static_cast<double>(Of.m_Entries / Of.m_DataCentres);
+}
+
+/// An entry may receive in proportion to the instances, the entries of its own
+/// data centre and the data centres: as much more as there is of what has grown
+/// most.
+double mostGrowth(const SpreadOptions &From, const SpreadOptions &To) {
+  const auto Growth = [](std::size_t Before, std::size_t After) {
+    return static_cast<double>(After) / static_cast<double>(Before);
+  };
+  return std::max({Growth(From.m_Instances, To.m_Instances),
+                   Growth(From.m_DataCentres, To.m_DataCentres),
+                   ownEntries(To) / ownEntries(From)});
+}
+
+double slope(std::uint64_t From, std::uint64_t To, std::size_t More) {
+  return (static_cast<double>(To) - static_cast<double>(From)) /
+         static_cast<double>(More);
+}
+
+void expectGrowth(const char *What, const SpreadOptions &From,
+                  const SpreadOptions &To, double Most) {
+  const Traffic Less = mostReceived(From);
+  const Traffic More = mostReceived(To);
+  const std::size_t Added =
+      To.m_Instances - From.m_Instances + (To.m_Entries - From.m_Entries);
+  const auto Check = [&](const char *Unit, std::uint64_t Before,
+                         std::uint64_t After) {
+    std::cout << What << ": an entry receives at most " << Before << " and "
+              << After << " " << Unit << "/s with " << From.m_Instances
+              << " and " << To.m_Instances << " instances, " << From.m_Entries
+              << " and " << To.m_Entries
+              << " entries: " << slope(Before, After, Added)
+              << " for each more\n";
+    EXPECT_LE(static_cast<double>(After), Most * static_cast<double>(Before))
+        << Unit;
+  };
+  Check("datagrams", Less.m_Datagrams, More.m_Datagrams);
+  Check("bytes", Less.m_Bytes, More.m_Bytes);
+}
+
+TEST(StateSpreadSimulation, AnEntryReceivesInProportionToTheInstances) {
+  const SpreadOptions One = middle();
+  SpreadOptions Other = One;
+  Other.m_Entries *= 2;
+  Other.m_Instances *= 2;
+  expectGrowth("all twice", One, Other, mostGrowth(One, Other));
+  Other.m_DataCentres *= 2;
+  expectGrowth("data centres twice", One, Other, mostGrowth(One, Other));
+}
+
+TEST(StateSpreadSimulation, MoreEntriesAreNoMoreForEachToReceive) {
+  const SpreadOptions One = middle();
+  SpreadOptions Other = One;
+  Other.m_Entries *= 2;
+  expectGrowth("entries twice", One, Other, 1.05); // the walks differ
+}
+
+/// Counts of a run in which few instances change at a time, so that few changes
+/// are told as one.
+SpreadCounts quietRun(std::size_t Entries, Duration Length) {
+  SpreadOptions Options = middle();
+  Options.m_Entries = Entries;
+  Options.m_StepChance = 0.05;
+  SpreadNetwork Under(Options);
+  Under.runFor(2 * Settling);
+  Under.resetCounts();
+  Under.runFor(Length);
+  return Under.counts();
+}
+
+TEST(StateSpreadSimulation, EachChangeCrossesABorderTwice) {
+  constexpr auto Length = 5s;
+  const SpreadCounts Counts = quietRun(middle().m_Entries, Length);
+  const std::uint64_t Others = middle().m_DataCentres - 1;
+  const std::uint64_t Repeats =
+      middle().m_Instances * static_cast<std::uint64_t>(Length / RepeatSpan);
+  const std::uint64_t Most =
+      RelaysPerDataCentre * Others * (Counts.m_Changes + Repeats);
+  std::cout << Counts.m_Changes << " changes: " << Counts.m_StatesAcrossBorders
+            << " states across borders, of " << Most << " with repeats; "
+            << Counts.m_AcrossBorders.m_Bytes << " bytes in "
+            << Counts.m_AcrossBorders.m_Datagrams << " datagrams\n";
+  EXPECT_GT(Counts.m_Changes, 0U);
+  EXPECT_LE(Counts.m_StatesAcrossBorders, Most);
+}
+
+TEST(StateSpreadSimulation, WhatCrossesABorderDoesNotGrowWithTheReceivers) {
+  constexpr auto Length = 5s;
+  const SpreadCounts Few = quietRun(middle().m_Entries, Length);
+  const SpreadCounts Many = quietRun(2 * middle().m_Entries, Length);
+  const auto Less = static_cast<double>(Few.m_AcrossBorders.m_Bytes);
+  const auto More = static_cast<double>(Many.m_AcrossBorders.m_Bytes);
+  std::cout << Less << " and " << More << " bytes with twice the entries\n";
+  EXPECT_LE(More, 1.05 * Less); // the walks differ
+}
+
+TEST(StateSpreadSimulation, LostDatagramsAreMadeUpFor) {
+  SpreadOptions Options = middle();
+  Options.m_LossShare = 0.05;
+  SpreadNetwork Under(Options);
+  Under.runFor(2 * Settling);
+  SpreadAges Ages;
+  Under.runFor(5s, Ages);
+  print("one in twenty lost", Ages);
+  // One round more.
+  EXPECT_LE(percentile(Ages.m_Near, Nearly), NearAim + NearSpan);
+  EXPECT_LE(percentile(Ages.m_Far, Nearly), FarAim + FarSpan + Ways);
+  EXPECT_LE(most(Ages.m_Far), LongestUse);
+  EXPECT_EQ(Under.steppedBack(), 0U);
+  // At the latest with the repeats of both relays.
+  for (std::size_t I = 0; I < Options.m_DataCentres; ++I)
+    Under.closeInstance(I);
+  Under.runFor(ClosedAim + RepeatSpan);
+  for (std::size_t I = 0; I < Options.m_DataCentres; ++I)
+    EXPECT_EQ(Under.entriesThatKnowClosed(I), Under.livingEntries()) << I;
+}
+
+/// While its data centre has no relay that works, an entry hears the agents
+/// itself after a silence, a hello and a look.
+constexpr Duration WithoutRelays = NearAim + RelaySilence + LookSpan;
+
+TEST(StateSpreadSimulation, RelaysKilledOneAfterTheOther) {
+  SpreadNetwork Under(middle());
+  Under.runFor(Settling);
+  SpreadAges Ages;
+  for (int I = 0; I < 6; ++I) {
+    Under.killEntry(Under.relaysIn(0).at(0));
+    Under.runFor(300ms, Ages);
+  }
+  Under.runFor(NearDeathKnown + FarAim, Ages);
+  print("relays killed one after the other", Ages);
+  EXPECT_LE(most(Ages.m_Near), WithoutRelays);
+  EXPECT_LE(most(Ages.m_Far), LongestUse);
+  EXPECT_EQ(notKnownToAll(Under, middle().m_Instances, FarAim + Ways),
+            Indices{});
+  EXPECT_EQ(Under.steppedBack(), 0U);
+}
+
+TEST(StateSpreadSimulation, AllRelaysOfADataCentreKilledAtOnce) {
+  SpreadNetwork Under(middle());
+  Under.runFor(Settling);
+  SpreadAges Ages;
+  for (const std::size_t Each : Under.relaysIn(0))
+    Under.killEntry(Each);
+  Under.runFor(NearDeathKnown + FarSpan + FarAim, Ages);
+  print("all relays of a data centre killed", Ages);
+  EXPECT_LE(most(Ages.m_Near), WithoutRelays);
+  // Others answer the new relays with the next round.
+  EXPECT_LE(most(Ages.m_Far), NearDeathKnown + FarSpan + FarAim + Ways);
+  SpreadAges After;
+  Under.runFor(5s, After);
+  print("after that", After);
+  expectAims(After);
+}
+
+TEST(StateSpreadSimulation, OneRelayAtEachEndKilledAtOnce) {
+  SpreadNetwork Under(middle());
+  Under.runFor(Settling);
+  SpreadAges Ages;
+  const std::size_t One = Under.relaysIn(0).at(0);
+  const std::size_t Other = Under.relaysIn(1).at(1);
+  Under.killEntry(One);
+  Under.killEntry(Other);
+  Under.runFor(4s, Ages);
+  print("one relay at each end killed", Ages);
+  EXPECT_LE(percentile(Ages.m_Near, Nearly), NearAim);
+  // Silence, the round to both, the answer to it.
+  EXPECT_LE(most(Ages.m_Far), PathSilence + 2 * FarSpan + FarAim + Ways);
+}
+
+TEST(StateSpreadSimulation, AWholeDataCentreKilled) {
+  SpreadNetwork Under(middle());
+  Under.runFor(Settling);
+  for (const std::size_t Each : Under.entriesIn(2))
+    Under.killEntry(Each);
+  for (std::size_t I = 2; I < middle().m_Instances; I += middle().m_DataCentres)
+    Under.killAgent(I);
+  SpreadAges Ages;
+  Under.runFor(4s, Ages);
+  print("a whole data centre killed", Ages);
+  expectAims(Ages);
+  EXPECT_EQ(Under.livingEntries(), 40U);
+}
+
+TEST(StateSpreadSimulation, LinksOfARegionCutForAMinute) {
+  SpreadNetwork Under(small());
+  Under.runFor(Settling);
+  Under.cut(0);
+  SpreadAges Ages;
+  Under.runFor(60s, Ages);
+  EXPECT_FALSE(Ages.m_Near.empty());
+  EXPECT_LE(percentile(Ages.m_Near, Nearly), NearAim);
+  EXPECT_LE(most(Ages.m_Near), NearAim + NearSpan);
+  // The two others go on hearing each other: a third of the far pairs.
+  EXPECT_LE(percentile(Ages.m_Far, 33), FarAim + Ways);
+  EXPECT_GE(most(Ages.m_Far), 59s); // nothing passed
+  Under.mend(0);
+  Under.runFor(1'200ms);
+  EXPECT_EQ(notKnownToAll(Under, small().m_Instances, FarAim + Ways),
+            Indices{});
+  EXPECT_EQ(Under.steppedBack(), 0U);
+}
+
+TEST(StateSpreadSimulation, ARelayPausedDoesNotBringBackWhatIsOld) {
+  for (std::uint64_t Seed : {1, 2, 3}) {
+    SCOPED_TRACE(Seed);
+    SpreadOptions Options = middle();
+    Options.m_Seed = Seed;
+    SpreadNetwork Under(Options);
+    Under.runFor(Settling);
+    const std::size_t Relay = Under.relaysIn(0).at(0);
+    Under.pauseEntry(Relay);
+    SpreadAges Ages;
+    Under.runFor(1s);
+    Under.closeInstance(0);
+    Under.runFor(1s);
+    Under.resumeEntry(Relay);
+    for (int I = 0; I < 20; ++I) {
+      EXPECT_EQ(Under.entriesThatKnowClosed(0), Under.livingEntries());
+      Under.runFor(97ms, Ages);
+    }
+    EXPECT_EQ(Under.steppedBack(), 0U);
+    EXPECT_LE(Ages.m_MostFlattered, Ways);
+    expectAims(Ages);
+  }
+}
+
+TEST(StateSpreadSimulation, ARestartedAgentIsBelievedSoon) {
+  SpreadNetwork Under(middle());
+  Under.runFor(Settling);
+  Under.restartAgent(0);
+  // It hears a hello first.
+  Under.runFor(HelloSpan + LookSpan + FarAim + Ways);
+  EXPECT_EQ(Under.entriesThatKnow(0, FarAim + Ways), Under.livingEntries());
+  EXPECT_EQ(Under.steppedBack(), 0U);
+}
+
+} // namespace
