--- a/support/simulation/spread-network.h
+++ b/support/simulation/spread-network.h
@@ -29,6 +29,10 @@
   std::uint64_t m_Seed = 1;
 };
 
+/// Of a datagram, beside what is estimated: of the network and of the link's
+/// message.
+inline constexpr std::size_t HeaderBytes = 28 + 24;
+
 /// Datagrams and their bytes by estimate.
 struct Traffic {
   std::uint64_t m_Datagrams = 0;
@@ -102,7 +106,8 @@
   std::size_t livingEntries() const;
   std::optional<KnownState> knownAt(std::size_t Entry, std::size_t Agent) const;
   std::uint64_t refusedStates() const;
-  /// Times at which an entry replaced a state by an older one.
+  /// Times at which an entry replaced a state of the first agent by an older
+  /// one.
   std::uint64_t steppedBack() const { return m_SteppedBack; }
 
 private:
@@ -133,7 +138,7 @@
     std::vector<Waiting> m_Waiting;
     bool m_Wanted = false; ///< reports, when last asked
     TimePoint m_NextHello{};
-    std::vector<ReportOrder> m_Newest; ///< known of each agent when last read
+    ReportOrder m_Newest; ///< known of the first agent when last read
   };
   struct Agent {
     bool m_Lives = true;
@@ -156,7 +161,7 @@
                std::function<void(Duration Late)> Read);
   void readAt(std::size_t To, const std::function<void(Duration Late)> &Read,
               Duration Late);
-  void noteOrders(Entry &Of);
+  void noteOrder(Entry &Of);
 
   void tickEntry(std::size_t Which);
   void hello(std::size_t From);
