--- a/support/simulation/spread-faults.cc
+++ b/support/simulation/spread-faults.cc
@@ -32,6 +32,17 @@
   refreshViewsSoon();
 }
 
+void SpreadNetwork::startEntry(std::size_t Which) {
+  Entry &Each = m_Entries[Which];
+  const TimePoint Killed = Each.m_Absence.m_Since.value_or(m_Now);
+  Each = {};
+  Each.m_Spread = freshSpread(Which);
+  Each.m_Absence = {Killed, m_Now};
+  refreshView(Which);
+  refreshViewsSoon();
+  tickEntry(Which);
+}
+
 void SpreadNetwork::killAgent(std::size_t Agent) {
   m_Agents[Agent].m_Lives = false;
 }
--- a/support/simulation/spread-network.cc
+++ b/support/simulation/spread-network.cc
@@ -60,7 +60,6 @@
     : m_Options(Options), m_Random(Options.m_Seed),
       m_Entries(Options.m_Entries), m_Agents(Options.m_Instances),
       m_Cuts(Options.m_DataCentres) {
-  std::vector<ListedAddress> Listed;
   for (std::size_t I = 0; I < m_Agents.size(); ++I) {
     Agent &Each = m_Agents[I];
     Each.m_Now.m_Address = "10.0.0." + std::to_string(I) + ":9000";
@@ -68,11 +67,9 @@
     Each.m_Now.m_Report.m_Weights = {{"model", 1, true}};
     Each.m_Now.m_Report.m_Start = 1;
     Each.m_Listeners.resize(m_Entries.size());
-    Listed.push_back({Each.m_Now.m_Address, nameOf(dataCentreOf(I))});
   }
   for (std::size_t I = 0; I < m_Entries.size(); ++I) {
-    m_Entries[I].m_Spread = std::make_unique<StateSpread>(candidate(I));
-    m_Entries[I].m_Spread->setInstances(Listed);
+    m_Entries[I].m_Spread = freshSpread(I);
     refreshView(I);
   }
   std::uniform_int_distribution<Duration::rep> Phase(0, LookSpan.count());
@@ -98,6 +95,16 @@
   return {{"entry-" + std::to_string(Entry)}, nameOf(dataCentreOf(Entry))};
 }
 
+std::unique_ptr<StateSpread>
+SpreadNetwork::freshSpread(std::size_t Entry) const {
+  std::vector<ListedAddress> Listed;
+  for (std::size_t I = 0; I < m_Agents.size(); ++I)
+    Listed.push_back({m_Agents[I].m_Now.m_Address, nameOf(dataCentreOf(I))});
+  auto Out = std::make_unique<StateSpread>(candidate(Entry));
+  Out->setInstances(Listed);
+  return Out;
+}
+
 std::size_t SpreadNetwork::entryOf(const InstanceId &Id) const {
   return std::stoul(Id.m_Text.substr(Id.m_Text.find('-') + 1));
 }
--- a/support/simulation/spread-network.h
+++ b/support/simulation/spread-network.h
@@ -86,6 +86,8 @@
   std::vector<std::size_t> relaysIn(std::size_t DataCentre) const;
 
   void killEntry(std::size_t Entry);
+  /// A killed one, with no memory.
+  void startEntry(std::size_t Entry);
   void killAgent(std::size_t Agent);
   /// It neither reads nor does anything until it is resumed; datagrams wait.
   void pauseEntry(std::size_t Entry);
@@ -150,6 +152,7 @@
   };
 
   DataCentreId nameOf(std::size_t DataCentre) const;
+  std::unique_ptr<StateSpread> freshSpread(std::size_t Entry) const;
   EntryCandidate candidate(std::size_t Entry) const;
   std::size_t entryOf(const InstanceId &Id) const;
 
--- a/test/state-spread-simulation-test.cc
+++ b/test/state-spread-simulation-test.cc
@@ -27,6 +27,8 @@
 /// From a relay's death until its data centre knows it.
 constexpr Duration NearDeathKnown = 1'200ms;
 constexpr Duration HelloSpan = 300ms;
+/// Until others know of one that has come back.
+constexpr Duration ReturnKnown = 600ms;
 /// For the first hellos and rounds.
 constexpr Duration Settling = 1s;
 
@@ -334,6 +336,24 @@
   EXPECT_LE(most(Ages.m_Far), PathSilence + 2 * FarSpan + FarAim + Ways);
 }
 
+TEST(StateSpreadSimulation, RelaysRestartedOneAfterTheOther) {
+  SpreadNetwork Under(middle());
+  Under.runFor(Settling);
+  for (const std::size_t Each : Under.relaysIn(0)) {
+    Under.killEntry(Each);
+    Under.runFor(3s); // others have its duty
+    Under.startEntry(Each);
+    // Until the others know that it lives.
+    Under.runFor(ReturnKnown + FarAim);
+    EXPECT_EQ(notKnownToAll(Under, middle().m_Instances, FarAim + Ways),
+              Indices{});
+    SpreadAges Ages;
+    Under.runFor(2s, Ages);
+    print("a relay restarted", Ages);
+    expectAims(Ages);
+  }
+}
+
 TEST(StateSpreadSimulation, AWholeDataCentreKilled) {
   SpreadNetwork Under(middle());
   Under.runFor(Settling);
