--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -2,10 +2,10 @@
 # Installs every package that building and testing need (Debian 12).
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
+  g++ cmake ninja-build ccache pkg-config clang clang-format clang-tidy curl
   libboost1.81-dev libboost-json1.81-dev libabsl-dev liblog4cxx-dev
   libzmq3-dev cppzmq-dev libprotobuf-dev libssl-dev libxxhash-dev
-  libgtest-dev libgmock-dev libbenchmark-dev python3
+  libgtest-dev libgmock-dev libbenchmark-dev libclang-rt-14-dev python3
 )
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/test/fuzz-corpus-test.cc
@@ -0,0 +1,107 @@
+// What must hold of input from outside, over the written inputs and simple
+// mutations of them. scripts/fuzz.sh looks for more of them.
+#include "fuzz/mutations.h"
+#include "fuzz/targets.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <string>
+
+using namespace deckpitch;
+
+namespace fs = std::filesystem;
+
+namespace {
+
+using Corpus = std::map<std::string, fuzz::Input>; ///< by name of the file
+
+fuzz::Input readFile(const fs::path &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(File), {}};
+}
+
+/// Folder: "corpus", or "finds" for what broke a property once.
+Corpus readCorpus(const std::string &Folder, std::string_view Target) {
+  const fs::path Path =
+      fs::path(DECKPITCH_SOURCE_DIR) / "support/fuzz" / Folder / Target;
+  Corpus Out;
+  if (fs::exists(Path))
+    for (const fs::directory_entry &Each : fs::directory_iterator(Path))
+      Out.emplace(Each.path().filename(), readFile(Each.path()));
+  return Out;
+}
+
+std::string toHex(const fuzz::Input &Of) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Out;
+  for (const std::uint8_t Each : Of) {
+    Out.push_back(Digits[Each >> 4]);
+    Out.push_back(Digits[Each & 15]);
+  }
+  return Out;
+}
+
+/// What does not hold; empty if all does.
+std::string faultOf(const fuzz::Target &Target, const fuzz::Input &Input) {
+  try {
+    Target.m_Run(Input);
+    return "";
+  } catch (const std::exception &Fault) {
+    return Fault.what();
+  }
+}
+
+void expectHolds(const fuzz::Target &Target, const std::string &Name,
+                 const fuzz::Input &Input) {
+  EXPECT_EQ(faultOf(Target, Input), "")
+      << Target.m_Name << " " << Name << ": " << toHex(Input);
+}
+
+class FuzzCorpus : public testing::TestWithParam<fuzz::Target> {};
+
+TEST_P(FuzzCorpus, HoldsForEachFile) {
+  const Corpus Files = readCorpus("corpus", GetParam().m_Name);
+  ASSERT_FALSE(Files.empty());
+  for (const auto &[Name, Input] : Files)
+    expectHolds(GetParam(), Name, Input);
+}
+
+TEST_P(FuzzCorpus, HoldsForSimpleMutations) {
+  constexpr std::uint32_t Seed = 1;
+  const Corpus Files = readCorpus("corpus", GetParam().m_Name);
+  ASSERT_FALSE(Files.empty());
+  fuzz::Mutations Mutations(Seed);
+  const fuzz::Input *Other = &Files.rbegin()->second;
+  for (const auto &[Name, Input] : Files) {
+    for (std::size_t I = 0; I < GetParam().m_Mutations; ++I)
+      expectHolds(GetParam(), Name + " mutated", Mutations.of(Input, *Other));
+    Other = &Input;
+  }
+}
+
+std::string nameOf(const testing::TestParamInfo<fuzz::Target> &Info) {
+  std::string Out(Info.param.m_Name);
+  std::replace(Out.begin(), Out.end(), '-', '_');
+  return Out;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, FuzzCorpus, testing::ValuesIn(fuzz::Targets),
+                         nameOf);
+
+/// Inputs that the fuzzer found to break a property.
+TEST(FuzzFinds, HoldNow) {
+  std::size_t Inputs = 0;
+  for (const fuzz::Target &Target : fuzz::Targets)
+    for (const auto &[Name, Input] : readCorpus("finds", Target.m_Name)) {
+      expectHolds(Target, Name, Input);
+      ++Inputs;
+    }
+  EXPECT_GT(Inputs, 0U);
+}
+
+} // namespace
