--- a/support/fuzz/main.cc
+++ b/support/fuzz/main.cc
@@ -2,6 +2,8 @@
 #include "fuzz/targets.h"
 #include "net/log.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -38,6 +40,8 @@
     printTargets();
     std::exit(EXIT_FAILURE);
   }
+  // It writes a line for each text that is none.
+  google::protobuf::SetLogHandler(nullptr);
   deckpitch::net::setUpLog("fuzz", deckpitch::Severity::Error);
   return 0;
 }
