--- a/test/fuzz-corpus-test.cc
+++ b/test/fuzz-corpus-test.cc
@@ -102,4 +102,15 @@
 INSTANTIATE_TEST_SUITE_P(All, FuzzCorpus, testing::ValuesIn(fuzz::Targets),
                          nameOf);
 
+/// Inputs that broke a property once.
+TEST(FuzzFinds, HoldNow) {
+  std::size_t Inputs = 0;
+  for (const fuzz::Target &Target : fuzz::Targets)
+    for (const auto &[Name, Input] : readInputs("finds", Target.m_Name)) {
+      expectHolds(Target, Name, Input);
+      ++Inputs;
+    }
+  EXPECT_GT(Inputs, 0U);
+}
+
 } // namespace
