--- a/support/fuzz/mutations.h
+++ b/support/fuzz/mutations.h
@@ -70,7 +70,9 @@
   }
 
   void insertByte(Input &Of) {
-    Of.insert(at(Of, below(Of.size())), someByte());
+    // One after the other: compilers differ in the order of arguments.
+    const std::size_t Index = below(Of.size());
+    Of.insert(at(Of, Index), someByte());
   }
 
   void cutOut(Input &Of) {
