--- a/test/fuzz-corpus-test.cc
+++ b/test/fuzz-corpus-test.cc
@@ -12,6 +12,8 @@
 #include <iterator>
 #include <map>
 #include <string>
+#include <string_view>
+#include <vector>
 
 using namespace deckpitch;
 
@@ -80,19 +82,36 @@
     expectHolds(GetParam(), Name, Input);
 }
 
-TEST_P(FuzzCorpus, HoldsForSimpleMutations) {
+void expectMutationsHold(const fuzz::Target &Target) {
   constexpr std::uint32_t Seed = 1;
-  const Corpus Files = readInputs("corpus", GetParam().m_Name);
+  const Corpus Files = readInputs("corpus", Target.m_Name);
   ASSERT_FALSE(Files.empty());
   fuzz::Mutations Mutations(Seed);
   const fuzz::Input *Other = &Files.rbegin()->second;
   for (const auto &[Name, Input] : Files) {
-    for (std::size_t I = 0; I < GetParam().m_Mutations; ++I)
-      expectHolds(GetParam(), Name + " mutated", Mutations.of(Input, *Other));
+    for (std::size_t I = 0; I < Target.m_Mutations; ++I)
+      expectHolds(Target, Name + " mutated", Mutations.of(Input, *Other));
     Other = &Input;
   }
 }
 
+/// Simple mutations of its inputs meet an input that breaks a property today:
+/// they are tried beside the finds, by one test, until that is mended.
+bool hasOpenFind(const fuzz::Target &Target) {
+  return Target.m_Name == std::string_view("instances");
+}
+
+std::vector<fuzz::Target> targetsWithoutOpenFind() {
+  std::vector<fuzz::Target> Out(std::begin(fuzz::Targets),
+                                std::end(fuzz::Targets));
+  std::erase_if(Out, hasOpenFind);
+  return Out;
+}
+
+class FuzzMutations : public testing::TestWithParam<fuzz::Target> {};
+
+TEST_P(FuzzMutations, Hold) { expectMutationsHold(GetParam()); }
+
 std::string nameOf(const testing::TestParamInfo<fuzz::Target> &Info) {
   std::string Out(Info.param.m_Name);
   std::replace(Out.begin(), Out.end(), '-', '_');
@@ -101,15 +120,20 @@
 
 INSTANTIATE_TEST_SUITE_P(All, FuzzCorpus, testing::ValuesIn(fuzz::Targets),
                          nameOf);
+INSTANTIATE_TEST_SUITE_P(All, FuzzMutations,
+                         testing::ValuesIn(targetsWithoutOpenFind()), nameOf);
 
 /// Inputs that broke a property once.
 TEST(FuzzFinds, HoldNow) {
   std::size_t Inputs = 0;
-  for (const fuzz::Target &Target : fuzz::Targets)
+  for (const fuzz::Target &Target : fuzz::Targets) {
     for (const auto &[Name, Input] : readInputs("finds", Target.m_Name)) {
       expectHolds(Target, Name, Input);
       ++Inputs;
     }
+    if (hasOpenFind(Target))
+      expectMutationsHold(Target);
+  }
   EXPECT_GT(Inputs, 0U);
 }
 
