--- a/support/measure/measure-load-age.cc
+++ b/support/measure/measure-load-age.cc
@@ -120,7 +120,7 @@
       : m_Way(Way), m_Random(Seed) {
     addUpstreams();
     addEntries();
-    const double Places = Instances * profile().m_Slots;
+    const auto Places = static_cast<double>(Instances * profile().m_Slots);
     const double Seconds =
         std::chrono::duration<double>(streamTime(profile(), Size)).count();
     m_BetweenArrivals =
@@ -262,7 +262,7 @@
 
   void begin(KnowingEntry &Entry, Upstream &At, Duration Way) {
     Entry.m_Table.started(At.m_Id, m_Now);
-    at(m_Now + Way, [this, &At] { ++At.m_Held; });
+    at(m_Now + Way, [&At] { ++At.m_Held; });
     const Duration Takes = streamTime(profile(), Size);
     at(m_Now + Way + Objective / 2,
        [&Entry, &At] { Entry.m_Table.answering(At.m_Id); });
