Mark a request that comes again in the log, and who ended an attempt

Each attempt's line now has a fingerprint of organisation, host, method, path and body, the same at every entry, and says whether the instance ended the connection or a limit here did (Error::m_IsPeerEnd, from the client). No decision uses it.

--- a/include/deckpitch/error.h
+++ b/include/deckpitch/error.h
@@ -30,6 +30,7 @@
 struct Error {
   ErrorCode m_Code = ErrorCode::InvalidInput;
   std::string m_Message;
+  bool m_IsPeerEnd = false; ///< the other side ended the connection
 
   friend bool operator==(const Error &, const Error &) = default;
 };
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -3,6 +3,7 @@
 
 #include "daemon/clock.h"
 #include "deckpitch/event-stream.h"
+#include "deckpitch/request-fingerprint.h"
 #include "direct/entry-requests.h"
 
 #include <boost/asio/io_context.hpp>
@@ -41,6 +42,7 @@
   CallerTerms m_Terms;
   const ServiceRoute *m_Route = nullptr;
   const OrganisationKeys *m_Organisation = nullptr;
+  RequestFingerprint m_Fingerprint;
   ChoiceQuery m_Query;
   TimePoint m_Start;
   TimePoint m_Deadline;
@@ -69,6 +71,7 @@
   TimePoint m_Sent{};  ///< this attempt
   TimePoint m_Heard{}; ///< when something came last, or the attempt began
   bool m_IsAnswering = false; ///< the first byte of this attempt has come
+  bool m_IsPeerEnd = false;   ///< the instance ended this attempt's connection
   /// Since when the rest of a stream has no instance.
   std::optional<TimePoint> m_SeeksSince;
   const char *m_GivenUpFor = ""; ///< for log lines: how the last try ended
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -189,6 +189,10 @@
   const milliseconds Patience = Of.m_Terms.m_Patience.value_or(DefaultPatience);
   Of.m_Deadline = Of.m_Start + std::min(Patience, Of.m_Route->m_Timeout);
   Of.m_LastEventId = Of.m_Terms.m_LastEventId;
+  Of.m_Fingerprint = fingerprintOf(
+      {Of.m_Organisation ? Of.m_Organisation->m_Organisation.m_Text : "",
+       Of.m_Request.m_Headers.find("Host"), Of.m_Request.m_Method,
+       Of.m_Request.m_Target, Of.m_Request.m_Body});
   budgetOf(*Service).deposit();
   Of.m_Query.m_Reserve = reserveFor(Of);
   co_await tryInstances(Of);
@@ -444,6 +448,8 @@
             {"outcome", wordOf(How)},
             {"status", std::uint64_t{Of.m_Status}},
             {"instance", Chosen.m_Instance.m_Text},
+            {"fingerprint", textOf(Of.m_Fingerprint)},
+            {"closedThere", std::uint64_t{Of.m_IsPeerEnd}},
             {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
             {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
             {"reportAgeMs", msOf(Chosen.m_ReportAge)},
@@ -512,8 +518,10 @@
     Out.m_How = Ended::Unreachable;
     co_return Out;
   }
-  if (!Answer)
+  if (!Answer) {
+    Out.m_IsPeerEnd = Answer.error().m_IsPeerEnd;
     co_return Out;
+  }
   net::HttpStream &Body = **Answer;
   Cancel.onCancel([&Body] { Body.cancel(); });
   m_Instances.heard(Chosen.m_Instance, now());
@@ -554,6 +562,7 @@
     Begun = co_await send(Of, Chosen, Cancel);
     Of.m_Abort = nullptr;
   }
+  Of.m_IsPeerEnd = Begun.m_IsPeerEnd;
   if (!Begun.m_Body)
     co_return Begun.m_How;
   net::HttpStream &Body = *Begun.m_Body;
@@ -581,8 +590,10 @@
   while (true) {
     Body.setBetweenBytes(std::max(Of.timeLeft(), milliseconds(1)));
     auto Piece = co_await Body.read();
-    if (!Piece)
+    if (!Piece) {
+      Of.m_IsPeerEnd = Piece.error().m_IsPeerEnd;
       co_return Ended::Lost;
+    }
     if (Piece->empty())
       break;
     m_Instances.heard(Of.m_Instance, now());
@@ -634,6 +645,8 @@
     // All of it is here, whatever the other instance has begun.
     if (IsEnd)
       Of.m_IsMoving = false;
+    if (!Piece)
+      Of.m_IsPeerEnd = Piece.error().m_IsPeerEnd && !Of.m_IsMoving;
     if (!Piece || Of.m_IsMoving)
       co_return Of.m_Answer.started() ? Ended::Broken : Ended::Lost;
     m_Instances.heard(Of.m_Instance, now());
--- /dev/null
+++ b/src/kernel/request-fingerprint.cc
@@ -0,0 +1,35 @@
+#include "deckpitch/request-fingerprint.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+
+namespace deckpitch {
+
+namespace {
+
+XXH128_hash_t hashOf(std::string_view Text) {
+  return XXH3_128bits(Text.data(), Text.size());
+}
+
+} // namespace
+
+RequestFingerprint fingerprintOf(const RequestParts &Of) {
+  // Each by itself: what one part ends with is not another's beginning.
+  const std::array<XXH128_hash_t, 5> Parts{
+      hashOf(Of.m_Organisation), hashOf(Of.m_Host), hashOf(Of.m_Method),
+      hashOf(Of.m_Target), hashOf(Of.m_Body)};
+  const XXH128_hash_t Whole = XXH3_128bits(Parts.data(), sizeof Parts);
+  return {Whole.high64, Whole.low64};
+}
+
+std::string textOf(const RequestFingerprint &Value) {
+  std::array<char, 33> Text{};
+  std::snprintf(Text.data(), Text.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(Value.m_High),
+                static_cast<unsigned long long>(Value.m_Low));
+  return Text.data();
+}
+
+} // namespace deckpitch
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -77,9 +77,16 @@
   return Error{ErrorCode::Unavailable, Address + ": " + Ec.message()};
 }
 
+bool isPeerEnd(const boost::system::error_code &Ec) {
+  return Ec == asio::error::eof || Ec == asio::error::connection_reset ||
+         Ec == asio::error::broken_pipe || Ec == http::error::end_of_stream ||
+         Ec == http::error::partial_message;
+}
+
 Error unanswered(const std::string &Address,
                  const boost::system::error_code &Ec) {
-  return Error{ErrorCode::Timeout, Address + ": " + Ec.message()};
+  return Error{ErrorCode::Timeout, Address + ": " + Ec.message(),
+               isPeerEnd(Ec)};
 }
 
 } // namespace
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -234,6 +234,7 @@
 struct AnswerCase {
   const char *m_Name;
   std::string m_Sent;
+  bool m_IsPeerEnd = true;
 };
 
 class HttpClientAnswers : public testing::TestWithParam<AnswerCase> {};
@@ -245,6 +246,7 @@
   const auto Answer = callAndWait(Server.address(), {});
   ASSERT_FALSE(Answer);
   EXPECT_EQ(Answer.error().m_Code, ErrorCode::Timeout);
+  EXPECT_EQ(Answer.error().m_IsPeerEnd, GetParam().m_IsPeerEnd);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -256,7 +258,7 @@
                    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"},
         AnswerCase{"ClosedInChunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
                                      "chunked\r\n\r\n2\r\nab\r\n"},
-        AnswerCase{"Garbage", "SSH-2.0-OpenSSH\r\n"}),
+        AnswerCase{"Garbage", "SSH-2.0-OpenSSH\r\n", false}),
     [](const auto &Info) { return std::string(Info.param.m_Name); });
 
 TEST(HttpClientContract, GivesUpWhenAnAnswerStalls) {
@@ -269,6 +271,7 @@
   const auto Answer = callAndWait(Server.address(), {}, Limits);
   ASSERT_FALSE(Answer);
   EXPECT_EQ(Answer.error().m_Code, ErrorCode::Timeout);
+  EXPECT_FALSE(Answer.error().m_IsPeerEnd);
 }
 
 TEST(HttpClientContract, CancelEndsAPendingReadAndTellsTheServer) {
