Pass on what was held back of a stream before a third instance is tried

Callers lost an event that had come: where an instance died during a handover, the next one refused and a third failed before its first event, attempt() cleared what had been kept.

What was kept is still dropped where the next instance has begun: it goes on after what the caller has, and pieces of two runs must not be joined.

--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -344,10 +344,7 @@
     co_return;
   }
   if (Of.m_Answer.started()) {
-    // Kept while the stream was being handed over.
-    const std::string Ready = takeReady(Of);
-    if (!Ready.empty())
-      co_await Of.m_Answer.write(Ready);
+    co_await passReady(Of);
     answers("broken").add();
     net::log(Event::StreamBroken, {{"request", Of.m_Terms.m_AttemptId},
                                    {"reason", Of.m_GivenUpFor},
@@ -415,6 +412,10 @@
   Of.m_Sent = IsBegun ? Of.m_NextOpened.m_Sent : now();
   const std::uint64_t ListAgeMs = msOf(m_ListBelief().m_Age);
   Of.m_Heard = now();
+  // What was kept while the stream was being handed over is the caller's,
+  // unless the next instance has begun after what the caller has.
+  if (!IsBegun && Of.m_Answer.started())
+    co_await passReady(Of);
   Of.m_Events.clear();
   Of.m_SeeksSince.reset();
   if (Of.m_EventCount == 0)
@@ -631,6 +632,14 @@
   return Ready;
 }
 
+/// False where the caller has left.
+asio::awaitable<bool> EntryRequests::passReady(Call &Of) {
+  const std::string Ready = takeReady(Of);
+  if (Ready.empty())
+    co_return true;
+  co_return co_await Of.m_Answer.write(Ready);
+}
+
 asio::awaitable<EntryRequests::Ended>
 EntryRequests::passEvents(Call &Of, net::HttpStream &Body) {
   while (true) {
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -105,6 +105,7 @@
   asio::awaitable<Ended> passEvents(Call &Of, net::HttpStream &Body);
   void noteBegun(Call &Of);
   static std::string takeReady(Call &Of);
+  static asio::awaitable<bool> passReady(Call &Of);
   bool mayGoOn(Call &Of, Ended How);
   bool maySeekFurther(Call &Of) const;
   bool mayMove(const Call &Of) const;
