Refuse a request that has crashed three instances, at every entry

Cause: an entry forgot a request when it was answered, and its attempt ids differ each time, so nothing knew that it had come before; each arrival cost as many instances as its route allows attempts, at any entry. The class: a retry, here or by the caller, that is decided without what earlier attempts did to others.

Now each loss of an instance by the connection's end counts against the request's fingerprint (HarmfulRequests, no I/O). After three different lives without a whole answer between it is refused at once with 503, never sent, and no more repeated or moved, for ten minutes; a fourth loss within the hour renews that. Losses go round with hellos as a set that only grows, so a lost datagram, the order and ages do not matter; who finds the third tells its group at once. Whoever merely was at such an instance is answered elsewhere and cleared, at all entries.

503 and not 4xx: it is true that it did not run, and one refused wrongly may come back. Ruled out: counting limits here as losses (an overload would refuse whoever tries three times); the answer's time as what clears (going round, ages grow, and with them a clearance would end refusals; a test holds that).

--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -50,7 +50,8 @@
 /// One that cannot move is left where it is: silence alone ends no answer.
 bool EntryRequests::mayMove(const Call &Of) const {
   return Of.isStream() && Of.isRepeatable() && !Of.m_IsMoving &&
-         !Of.m_Handover && !Of.m_IsGone && Of.m_Abort && Of.hasAttemptsLeft();
+         !Of.m_Handover && !Of.m_IsGone && Of.m_Abort && Of.hasAttemptsLeft() &&
+         !m_Harmful.isRefused(Of.m_Fingerprint);
 }
 
 /// Ends the attempt that is under way once the request has a place elsewhere.
@@ -109,6 +110,8 @@
     const bool IsRefused = Begun.m_How == Ended::NotRun;
     const bool HasFailed = !IsRefused && !Under->m_Cancel.cancelled();
     Of.m_Query.m_Tried.insert(Next.m_Instance);
+    if (Begun.m_IsPeerEnd)
+      m_Harmful.lost(Of.m_Fingerprint, Next.m_Instance, Of.m_Terms.m_AttemptId);
     m_Instances.ended(Next.m_Instance, HasFailed ? End::Failed : End::Neutral,
                       false, now());
   }
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -101,10 +101,10 @@
 
 EntryRequests::EntryRequests(asio::io_context &Io, net::HttpClient &Http,
                              const FleetAdapter &Adapter,
-                             InstanceTable &Instances, RetryShare Retries,
-                             AskPlace Ask)
+                             InstanceTable &Instances, HarmfulWatch &Harmful,
+                             RetryShare Retries, AskPlace Ask)
     : m_Io(Io), m_Http(Http), m_Adapter(Adapter), m_Instances(Instances),
-      m_Retries(Retries), m_Ask(std::move(Ask)) {}
+      m_Harmful(Harmful), m_Retries(Retries), m_Ask(std::move(Ask)) {}
 
 void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
   m_Routes = std::make_shared<const RouteIndex>(Declaration);
@@ -177,6 +177,13 @@
   const bool NeedsKey = Routes.hasOrganisations() && !Of.m_Route->m_IsOpen;
   if (NeedsKey && !Of.m_Organisation)
     co_return co_await deny(Of, StatusUnauthorized, "unknown key");
+  Of.m_Fingerprint = fingerprintOf(
+      {Of.m_Organisation ? Of.m_Organisation->m_Organisation.m_Text : "",
+       Of.m_Request.m_Headers.find("Host"), Of.m_Request.m_Method,
+       Of.m_Request.m_Target, Of.m_Request.m_Body});
+  if (const auto RefusedFor = m_Harmful.refusedFor(Of.m_Fingerprint))
+    co_return co_await refuse(Of, StatusUnavailable, "crashes its instances",
+                              *RefusedFor);
   const ServiceId *Service = chooseService(*Of.m_Route, m_Random());
   if (!Service)
     co_return co_await refuse(Of, StatusUnavailable, "route without service",
@@ -189,10 +196,6 @@
   const milliseconds Patience = Of.m_Terms.m_Patience.value_or(DefaultPatience);
   Of.m_Deadline = Of.m_Start + std::min(Patience, Of.m_Route->m_Timeout);
   Of.m_LastEventId = Of.m_Terms.m_LastEventId;
-  Of.m_Fingerprint = fingerprintOf(
-      {Of.m_Organisation ? Of.m_Organisation->m_Organisation.m_Text : "",
-       Of.m_Request.m_Headers.find("Host"), Of.m_Request.m_Method,
-       Of.m_Request.m_Target, Of.m_Request.m_Body});
   budgetOf(*Service).deposit();
   Of.m_Query.m_Reserve = reserveFor(Of);
   co_await tryInstances(Of);
@@ -332,7 +335,7 @@
   if (How == Ended::Unreachable)
     return ++Of.m_Unreachable < MostUnreachable;
   const bool MayRun = How == Ended::NotRun || Of.isRepeatable();
-  if (!MayRun || !Of.hasAttemptsLeft())
+  if (!MayRun || !Of.hasAttemptsLeft() || m_Harmful.isRefused(Of.m_Fingerprint))
     return false;
   return budgetOf(Of.m_Query.m_Service).withdraw();
 }
@@ -409,6 +412,7 @@
   const bool IsBegun = Of.m_NextOpened.m_Body != nullptr;
   Of.m_Instance = Chosen.m_Instance;
   Of.m_IsAnswering = false;
+  Of.m_IsPeerEnd = false;
   Of.m_Sent = IsBegun ? Of.m_NextOpened.m_Sent : now();
   const std::uint64_t ListAgeMs = msOf(m_ListBelief().m_Age);
   Of.m_Heard = now();
@@ -434,6 +438,10 @@
   At->second.erase(&Of);
   if (At->second.empty())
     m_AtInstance.erase(At);
+  if (Of.m_IsPeerEnd)
+    m_Harmful.lost(Of.m_Fingerprint, Chosen.m_Instance, Of.m_Terms.m_AttemptId);
+  if (How == Ended::Delivered || How == Ended::Failed)
+    m_Harmful.answered(Of.m_Fingerprint);
   using End = InstanceTable::End;
   const bool IsBad = How == Ended::Unreachable || How == Ended::Lost ||
                      How == Ended::Broken || How == Ended::Failed;
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -9,6 +9,7 @@
 #include "deckpitch/size-shares.h"
 #include "deckpitch/store-belief.h"
 #include "direct/adapter.h"
+#include "direct/harmful-watch.h"
 #include "net/http.h"
 
 #include <functional>
@@ -44,7 +45,7 @@
 
   EntryRequests(asio::io_context &Io, net::HttpClient &Http,
                 const FleetAdapter &Adapter, InstanceTable &Instances,
-                RetryShare Retries, AskPlace Ask);
+                HarmfulWatch &Harmful, RetryShare Retries, AskPlace Ask);
 
   void setDeclaration(const FleetDeclaration &Declaration);
   void setEntries(std::size_t Count) { m_Entries = Count; }
@@ -132,6 +133,7 @@
   net::HttpClient &m_Http;
   const FleetAdapter &m_Adapter;
   InstanceTable &m_Instances;
+  HarmfulWatch &m_Harmful;
   RetryShare m_Retries;
   AskPlace m_Ask;
   std::shared_ptr<const RouteIndex> m_Routes =
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -5,6 +5,7 @@
 #include "direct/entry-peers.h"
 #include "direct/entry-requests.h"
 #include "direct/fleet-follower.h"
+#include "direct/harmful-watch.h"
 #include "direct/place-client.h"
 #include "direct/role.h"
 #include "direct/store-news.h"
@@ -92,6 +93,8 @@
   asio::awaitable<std::optional<PlaceReply>> askPlace(std::string Address,
                                                       PlaceQuery Query);
   std::string agentOf(const std::string &InstanceAddress) const;
+  wire::LinkMessage ownHello() const;
+  void tellFoundHarmful(TimePoint Now);
   void sendHellos(TimePoint Now);
   void noteReadiness();
   void noteListBelief();
@@ -111,6 +114,7 @@
   net::HttpClient m_Http;
   std::unique_ptr<net::Platform> m_Store;
   InstanceTable m_Instances;
+  HarmfulWatch m_Harmful;
   EntryRequests m_Requests;
   EntryPeers m_Peers;
   StateLink m_Link;
@@ -136,7 +140,7 @@
       m_Adapter(*fleetAdapter()), m_Store(net::Adapters<net::Platform>::make(
                                       m_Http, Context.m_Settings.m_Store)),
       m_Instances(Context.m_Settings.m_DataCentre),
-      m_Requests(m_Io, m_Http, m_Adapter, m_Instances,
+      m_Requests(m_Io, m_Http, m_Adapter, m_Instances, m_Harmful,
                  {Context.m_Settings.m_Bounds.m_RetryShare,
                   Context.m_Settings.m_Bounds.m_RetrySlack},
                  [this](std::string Address, PlaceQuery Query) {
@@ -308,6 +312,8 @@
   if (Message.has_hello())
     m_Peers.heard(Message, From, Now);
   const NewsOrigin Origin{From, m_Peers.isNear(From), Late};
+  if (Message.has_hello())
+    m_Harmful.hear(Message.hello(), From);
   if (Message.has_hello() && Message.hello().has_known())
     m_Follower.hear(Message.hello().known(), Origin);
   if (!Message.has_news())
@@ -349,7 +355,7 @@
   m_Instances.report(State.address(), reportOf(State), now());
 }
 
-void Entry::sendHellos(TimePoint Now) {
+wire::LinkMessage Entry::ownHello() const {
   wire::LinkMessage Message;
   wire::EntryHello &Hello = *Message.mutable_hello();
   const EntryAddress &Own = m_Peers.own();
@@ -357,14 +363,34 @@
   Hello.set_data_centre(Own.m_DataCentre.m_Text);
   Hello.set_callers(Own.m_Callers);
   Hello.set_takes_callers(isReady());
+  return Message;
+}
+
+/// A request that was just found to be harmful is told of before hellos are
+/// due; hellos tell it again, and beyond the group.
+void Entry::tellFoundHarmful(TimePoint Now) {
+  if (!m_Harmful.takeFound())
+    return;
+  wire::LinkMessage Message = ownHello();
+  m_Harmful.tell(*Message.mutable_hello());
+  for (const std::string &To : m_Peers.group(Now, NewsReach::All))
+    m_Link.send(To, Message);
+}
+
+void Entry::sendHellos(TimePoint Now) {
+  wire::LinkMessage Message = ownHello();
+  wire::EntryHello &Hello = *Message.mutable_hello();
   const DueHellos Due = m_Peers.dueHellos(Now);
   for (const std::string &To : Due.m_Plain)
     m_Link.send(To, Message);
-  if (!Due.m_Telling.empty())
+  if (!Due.m_Telling.empty()) {
     *Hello.mutable_known() = m_Follower.digest();
+    m_Harmful.tell(Hello);
+  }
   for (const std::string &To : Due.m_Telling)
     m_Link.send(To, Message);
   Hello.clear_known();
+  Hello.clear_suspects();
   if (Now < m_NextSubscribe)
     return;
   m_NextSubscribe = Now + SubscribeSpan;
@@ -382,7 +408,9 @@
   asio::steady_timer Timer(m_Io);
   while (!m_Stopped) {
     const TimePoint Now = now();
+    tellFoundHarmful(Now);
     sendHellos(Now);
+    m_Harmful.tidy();
     const std::size_t Entries = m_Peers.liveCount(Now);
     m_Instances.setEntries(Entries);
     m_Requests.setEntries(Entries);
@@ -476,6 +504,7 @@
           {"entries", m_Peers.liveCount(now())},
           {"instances", m_Instances.size()},
           {"inFlight", m_Instances.inFlight()},
+          {"refusedAsHarmful", m_Harmful.refusedCount()},
           {"openRequests", m_Callers.openRequests()},
           {"storeCalls", m_Store->calls()}};
 }
--- /dev/null
+++ b/src/direct/harmful-watch.cc
@@ -0,0 +1,110 @@
+#include "direct/harmful-watch.h"
+
+#include "daemon/clock.h"
+#include "direct/store-news.h"
+#include "net/log.h"
+
+#include <utility>
+
+namespace deckpitch::direct {
+
+using daemon::now;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// In one hello, which has to stay below the 8 KB of a datagram beside what it
+/// says of the store: each takes up to 140 bytes.
+constexpr std::size_t MostTold = 24;
+constexpr const char *FoundHere = "here";
+
+void write(const SuspectRequest &From, TimePoint Now,
+           wire::SuspectRequestState &To) {
+  To.set_high(From.m_Request.m_High);
+  To.set_low(From.m_Request.m_Low);
+  for (const InstanceLoss &Each : From.m_Losses) {
+    wire::InstanceLossState &Loss = *To.add_losses();
+    Loss.set_instance(Each.m_Instance);
+    Loss.set_age_ms(ageMs(Each.m_At, Now));
+    Loss.set_is_cleared(Each.m_IsCleared);
+  }
+}
+
+SuspectRequest read(const wire::SuspectRequestState &From, TimePoint Now) {
+  SuspectRequest Out{{From.high(), From.low()}, {}};
+  for (const wire::InstanceLossState &Each : From.losses())
+    Out.m_Losses.push_back({Each.instance(), Now - milliseconds(Each.age_ms()),
+                            Each.is_cleared()});
+  return Out;
+}
+
+} // namespace
+
+void HarmfulWatch::noteRefused(const RequestFingerprint &Request,
+                               const std::string &From) {
+  m_Refused.insert(Request);
+  net::log(Event::RequestHarmful,
+           {{"fingerprint", textOf(Request)},
+            {"losses", std::uint64_t{m_Known.lossesOf(Request)}},
+            {"from", From}});
+}
+
+void HarmfulWatch::lost(const RequestFingerprint &Request, const InstanceId &At,
+                        const std::string &AttemptId) {
+  const bool IsRefusedNow = m_Known.lost(Request, At, now());
+  net::log(Event::InstanceLostUnder,
+           {{"request", AttemptId},
+            {"fingerprint", textOf(Request)},
+            {"instance", At.m_Text},
+            {"losses", std::uint64_t{m_Known.lossesOf(Request)}}});
+  if (!IsRefusedNow)
+    return;
+  m_IsFound = true;
+  noteRefused(Request, FoundHere);
+}
+
+void HarmfulWatch::answered(const RequestFingerprint &Request) {
+  m_Known.answered(Request, now());
+}
+
+std::optional<Duration>
+HarmfulWatch::refusedFor(const RequestFingerprint &Request) const {
+  const TimePoint Now = now();
+  const auto Until = m_Known.refusedUntil(Request, Now);
+  if (!Until)
+    return std::nullopt;
+  return *Until - Now;
+}
+
+void HarmfulWatch::hear(const wire::EntryHello &Told, const std::string &From) {
+  const TimePoint Now = now();
+  for (const wire::SuspectRequestState &Each : Told.suspects()) {
+    const SuspectRequest Suspect = read(Each, Now);
+    if (!m_Known.hear(Suspect, Now))
+      continue;
+    // Only here what several have seen is put together.
+    HarmfulRequests Alone;
+    m_IsFound = m_IsFound || !Alone.hear(Suspect, Now);
+    noteRefused(Suspect.m_Request, From);
+  }
+}
+
+void HarmfulWatch::tell(wire::EntryHello &To) const {
+  const TimePoint Now = now();
+  for (const SuspectRequest &Each : m_Known.toTell(MostTold, Now))
+    write(Each, Now, *To.add_suspects());
+}
+
+bool HarmfulWatch::takeFound() { return std::exchange(m_IsFound, false); }
+
+void HarmfulWatch::tidy() {
+  m_Known.forgetOld(now());
+  std::erase_if(m_Refused, [this](const RequestFingerprint &Each) {
+    if (isRefused(Each))
+      return false;
+    net::log(Event::RequestNoLongerRefused, {{"fingerprint", textOf(Each)}});
+    return true;
+  });
+}
+
+} // namespace deckpitch::direct
--- /dev/null
+++ b/src/kernel/harmful-requests.cc
@@ -0,0 +1,173 @@
+#include "deckpitch/harmful-requests.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace deckpitch {
+
+namespace {
+
+/// Losses are counted together over this span.
+constexpr Duration LossMemory = std::chrono::hours(1);
+/// For how long a change is told again and again: several messages between two
+/// processes.
+constexpr Duration TellSpan = std::chrono::seconds(5);
+/// Of one request, cleared ones included.
+constexpr std::size_t MostLosses = 6;
+static_assert(MostLosses > HarmfulRequests::LossesToRefuse);
+/// Each takes some 200 bytes. A crash leaves some dozens.
+constexpr std::size_t MostSuspects = 2'048;
+/// Dropped together where there are too many, so that a flood costs little.
+constexpr std::size_t DroppedAtOnce = MostSuspects / 4;
+
+std::uint64_t hashOf(const InstanceId &Id) {
+  return XXH3_64bits(Id.m_Text.data(), Id.m_Text.size());
+}
+
+/// What is kept, and told, before others.
+template <typename Suspect> auto rankOf(const Suspect &Of) {
+  return std::pair(Of.count(), Of.m_Changed);
+}
+
+} // namespace
+
+std::size_t HarmfulRequests::Suspect::count() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_Losses.begin(), m_Losses.end(),
+      [](const InstanceLoss &Each) { return !Each.m_IsCleared; }));
+}
+
+std::optional<TimePoint>
+HarmfulRequests::Suspect::refusedUntil(TimePoint Now) const {
+  if (count() < LossesToRefuse)
+    return std::nullopt;
+  TimePoint Last{};
+  for (const InstanceLoss &Each : m_Losses)
+    if (!Each.m_IsCleared)
+      Last = std::max(Last, Each.m_At);
+  if (Now - Last >= RefusalSpan)
+    return std::nullopt;
+  return Last + RefusalSpan;
+}
+
+/// Whether that is news. One that is told again is not newer, though its age
+/// has grown by what each message took.
+bool HarmfulRequests::Suspect::add(const InstanceLoss &Told) {
+  const auto Known = std::find_if(m_Losses.begin(), m_Losses.end(),
+                                  [&](const InstanceLoss &Each) {
+                                    return Each.m_Instance == Told.m_Instance;
+                                  });
+  if (Known != m_Losses.end()) {
+    const bool IsNews = Told.m_IsCleared && !Known->m_IsCleared;
+    Known->m_IsCleared = Known->m_IsCleared || Told.m_IsCleared;
+    return IsNews;
+  }
+  m_Losses.push_back(Told);
+  if (m_Losses.size() <= MostLosses)
+    return true;
+  const auto Least =
+      std::min_element(m_Losses.begin(), m_Losses.end(),
+                       [](const InstanceLoss &One, const InstanceLoss &Other) {
+                         return std::pair(!One.m_IsCleared, One.m_At) <
+                                std::pair(!Other.m_IsCleared, Other.m_At);
+                       });
+  const bool IsNews = Least->m_Instance != Told.m_Instance;
+  m_Losses.erase(Least);
+  return IsNews;
+}
+
+bool HarmfulRequests::Suspect::clear() {
+  const bool IsNews = count() > 0;
+  for (InstanceLoss &Each : m_Losses)
+    Each.m_IsCleared = true;
+  return IsNews;
+}
+
+bool HarmfulRequests::Suspect::isWorthTelling(TimePoint Now) const {
+  return Now - m_Changed < TellSpan || refusedUntil(Now);
+}
+
+std::optional<TimePoint>
+HarmfulRequests::refusedUntil(const RequestFingerprint &Request,
+                              TimePoint Now) const {
+  const auto Found = m_Suspects.find(Request);
+  if (Found == m_Suspects.end())
+    return std::nullopt;
+  return Found->second.refusedUntil(Now);
+}
+
+std::size_t HarmfulRequests::lossesOf(const RequestFingerprint &Request) const {
+  const auto Found = m_Suspects.find(Request);
+  return Found == m_Suspects.end() ? 0 : Found->second.count();
+}
+
+/// Those that were lost least often, and longest ago, make room.
+void HarmfulRequests::makeRoom(TimePoint Now) {
+  forgetOld(Now);
+  if (m_Suspects.size() < MostSuspects)
+    return;
+  using Entry = decltype(m_Suspects)::iterator;
+  std::vector<Entry> All;
+  for (Entry It = m_Suspects.begin(); It != m_Suspects.end(); ++It)
+    All.push_back(It);
+  const auto End = All.begin() + static_cast<long>(DroppedAtOnce);
+  std::nth_element(All.begin(), End, All.end(),
+                   [](const Entry &One, const Entry &Other) {
+                     return rankOf(One->second) < rankOf(Other->second);
+                   });
+  std::for_each(All.begin(), End,
+                [this](const Entry &Each) { m_Suspects.erase(Each); });
+}
+
+bool HarmfulRequests::lost(const RequestFingerprint &Request,
+                           const InstanceId &At, TimePoint Now) {
+  return hear({Request, {{hashOf(At), Now, false}}}, Now);
+}
+
+void HarmfulRequests::answered(const RequestFingerprint &Request,
+                               TimePoint Now) {
+  const auto Found = m_Suspects.find(Request);
+  if (Found != m_Suspects.end() && Found->second.clear())
+    Found->second.m_Changed = Now;
+}
+
+bool HarmfulRequests::hear(const SuspectRequest &Told, TimePoint Now) {
+  if (m_Suspects.size() >= MostSuspects && !m_Suspects.contains(Told.m_Request))
+    makeRoom(Now);
+  Suspect &Known = m_Suspects[Told.m_Request];
+  const bool WasRefused = Known.refusedUntil(Now).has_value();
+  for (const InstanceLoss &Each : Told.m_Losses)
+    if (Now - Each.m_At < LossMemory && Known.add(Each))
+      Known.m_Changed = Now;
+  return !WasRefused && Known.refusedUntil(Now);
+}
+
+std::vector<SuspectRequest> HarmfulRequests::toTell(std::size_t Most,
+                                                    TimePoint Now) const {
+  std::vector<const std::pair<const RequestFingerprint, Suspect> *> Due;
+  for (const auto &Each : m_Suspects)
+    if (Each.second.isWorthTelling(Now))
+      Due.push_back(&Each);
+  const std::size_t Count = std::min(Most, Due.size());
+  std::partial_sort(Due.begin(), Due.begin() + static_cast<long>(Count),
+                    Due.end(), [](const auto *One, const auto *Other) {
+                      return rankOf(One->second) > rankOf(Other->second);
+                    });
+  std::vector<SuspectRequest> Out;
+  for (std::size_t I = 0; I < Count; ++I)
+    Out.push_back({Due[I]->first, Due[I]->second.m_Losses});
+  return Out;
+}
+
+void HarmfulRequests::forgetOld(TimePoint Now) {
+  for (auto &[Request, Each] : m_Suspects)
+    std::erase_if(Each.m_Losses, [Now](const InstanceLoss &Loss) {
+      return Now - Loss.m_At >= LossMemory;
+    });
+  std::erase_if(m_Suspects,
+                [](const auto &Each) { return Each.second.m_Losses.empty(); });
+}
+
+} // namespace deckpitch
--- /dev/null
+++ b/test/harmful-requests-test.cc
@@ -0,0 +1,144 @@
+#include "deckpitch/harmful-requests.h"
+
+#include <gtest/gtest.h>
+
+using namespace deckpitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1h};
+constexpr std::size_t Many = 100;
+
+RequestParts partsOf(std::string_view Body) {
+  return {"shops", "h.example", "POST", "/stream/1", Body};
+}
+
+const RequestFingerprint Harmful = fingerprintOf(partsOf("crashes"));
+const RequestFingerprint Harmless = fingerprintOf(partsOf("is only there"));
+
+InstanceId instance(int Number) { return {"i-" + std::to_string(Number)}; }
+
+/// The request is lost at so many instances, a second apart.
+void lose(HarmfulRequests &At, const RequestFingerprint &Request, int Count,
+          TimePoint From = Start) {
+  for (int I = 0; I < Count; ++I)
+    At.lost(Request, instance(I), From + I * 1s);
+}
+
+TEST(HarmfulRequests, RefusesWhatCrashedThreeInstances) {
+  HarmfulRequests All;
+  EXPECT_FALSE(All.lost(Harmful, instance(1), Start));
+  EXPECT_FALSE(All.lost(Harmful, instance(2), Start + 1s));
+  EXPECT_FALSE(All.refusedUntil(Harmful, Start + 1s));
+  EXPECT_TRUE(All.lost(Harmful, instance(3), Start + 2s));
+  EXPECT_EQ(All.refusedUntil(Harmful, Start + 2s),
+            Start + 2s + HarmfulRequests::RefusalSpan);
+  EXPECT_FALSE(All.refusedUntil(Harmless, Start + 2s));
+}
+
+/// An instance that is merely bad ends many requests, and one many times.
+TEST(HarmfulRequests, CountsEachInstanceOnce) {
+  HarmfulRequests All;
+  for (int I = 0; I < 10; ++I)
+    All.lost(Harmless, instance(1), Start + I * 1s);
+  EXPECT_EQ(All.lossesOf(Harmless), 1U);
+}
+
+TEST(HarmfulRequests, ForgivesWhatWasAnsweredWhole) {
+  HarmfulRequests All;
+  lose(All, Harmless, 2);
+  All.answered(Harmless, Start + 3s);
+  EXPECT_EQ(All.lossesOf(Harmless), 0U);
+  EXPECT_FALSE(All.lost(Harmless, instance(8), Start + 4s));
+  EXPECT_FALSE(All.lost(Harmless, instance(9), Start + 5s));
+  EXPECT_FALSE(All.refusedUntil(Harmless, Start + 5s));
+}
+
+TEST(HarmfulRequests, TriesARefusedOneAgainAfterAWhile) {
+  HarmfulRequests All;
+  lose(All, Harmful, 3);
+  const TimePoint Later = Start + 2s + HarmfulRequests::RefusalSpan;
+  EXPECT_TRUE(All.refusedUntil(Harmful, Later - 1ns));
+  EXPECT_FALSE(All.refusedUntil(Harmful, Later));
+  EXPECT_TRUE(All.lost(Harmful, instance(7), Later));
+  EXPECT_TRUE(All.refusedUntil(Harmful, Later));
+}
+
+/// Each attempt came to another entry, and none of them saw three.
+TEST(HarmfulRequests, PutsTogetherWhatSeveralSaw) {
+  HarmfulRequests One;
+  HarmfulRequests Other;
+  lose(One, Harmful, 2);
+  Other.lost(Harmful, instance(5), Start + 1s);
+  const auto Told = One.toTell(Many, Start + 2s);
+  ASSERT_EQ(Told.size(), 1U);
+  EXPECT_TRUE(Other.hear(Told[0], Start + 2s));
+  EXPECT_FALSE(Other.hear(Told[0], Start + 2s));
+  EXPECT_TRUE(Other.refusedUntil(Harmful, Start + 2s));
+  EXPECT_EQ(Other.lossesOf(Harmful), 3U);
+}
+
+/// Ages grow by what each message takes: knowledge that goes round must not
+/// become newer by itself, and neither renew a refusal nor end one.
+TEST(HarmfulRequests, IsNotChangedByWhatGoesRound) {
+  HarmfulRequests One;
+  HarmfulRequests Other;
+  lose(One, Harmful, 1);
+  One.answered(Harmful, Start + 1s);
+  for (int I = 5; I < 8; ++I)
+    One.lost(Harmful, instance(I), Start + 2s);
+  const auto Until = One.refusedUntil(Harmful, Start + 2s);
+  ASSERT_TRUE(Until);
+  TimePoint Now = Start + 2s;
+  for (int I = 0; I < 1'000; ++I, Now += 300ms)
+    for (auto [From, To] : {std::pair(&One, &Other), std::pair(&Other, &One)})
+      for (SuspectRequest Told : From->toTell(Many, Now)) {
+        for (InstanceLoss &Each : Told.m_Losses)
+          Each.m_At += 50ms;
+        To->hear(Told, Now);
+      }
+  EXPECT_EQ(One.refusedUntil(Harmful, Now), Until);
+  EXPECT_EQ(Other.lossesOf(Harmful), 3U);
+}
+
+/// A clearance reaches who knows of the losses only, and who hears of them
+/// later.
+TEST(HarmfulRequests, PassesAClearanceOn) {
+  HarmfulRequests One;
+  HarmfulRequests Other;
+  lose(One, Harmless, 2);
+  Other.hear(One.toTell(Many, Start + 2s)[0], Start + 2s);
+  const auto Before = Other.toTell(Many, Start + 2s);
+  One.answered(Harmless, Start + 3s);
+  Other.hear(One.toTell(Many, Start + 3s)[0], Start + 3s);
+  EXPECT_EQ(Other.lossesOf(Harmless), 0U);
+  One.hear(Before[0], Start + 4s);
+  EXPECT_EQ(One.lossesOf(Harmless), 0U);
+}
+
+TEST(HarmfulRequests, TellsOfChangesForAWhileAndOfRefusedOnesAlways) {
+  HarmfulRequests All;
+  lose(All, Harmful, 3);
+  All.lost(Harmless, instance(1), Start + 2s);
+  EXPECT_EQ(All.toTell(Many, Start + 3s).size(), 2U);
+  const auto Later = All.toTell(Many, Start + 60s);
+  ASSERT_EQ(Later.size(), 1U);
+  EXPECT_EQ(Later[0].m_Request, Harmful);
+  ASSERT_EQ(All.toTell(1, Start + 3s).size(), 1U);
+  EXPECT_EQ(All.toTell(1, Start + 3s)[0].m_Request, Harmful);
+}
+
+TEST(HarmfulRequests, IsBoundedAndKeepsWhatIsRefused) {
+  HarmfulRequests All;
+  lose(All, Harmful, 3);
+  for (int I = 0; I < 10'000; ++I)
+    All.lost(fingerprintOf(partsOf(std::to_string(I))), instance(1),
+             Start + 3s + I * 1ms);
+  EXPECT_LE(All.size(), 2'048U);
+  EXPECT_TRUE(All.refusedUntil(Harmful, Start + 20s));
+  All.forgetOld(Start + 2h);
+  EXPECT_EQ(All.size(), 0U);
+}
+
+} // namespace
