--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -52,6 +52,17 @@
   Foreign        ///< the answer belongs to another request
 };
 
+/// What an instance says of itself in an answer, whatever becomes of the
+/// request.
+struct InstanceNotice {
+  bool m_IsLeaving = false;
+  /// It wants nothing from this process for so long; zero: it does not say so.
+  Duration m_Rest{};
+
+  friend bool operator==(const InstanceNotice &,
+                         const InstanceNotice &) = default;
+};
+
 struct DirectoryQuery {
   DataCentreId m_DataCentre; ///< the caller's; may be unknown
 
@@ -81,6 +92,9 @@
   virtual AnswerMeaning meaningOf(unsigned Status,
                                   const net::HttpHeaders &Headers,
                                   std::string_view AttemptId) const = 0;
+  /// Not to be asked where the answer is another instance's, or foreign.
+  virtual InstanceNotice noticeOf(unsigned Status,
+                                  const net::HttpHeaders &Headers) const = 0;
   /// The headers of an instance's answer that are meant for the caller.
   virtual net::HttpHeaders toCaller(const net::HttpHeaders &Headers) const = 0;
   /// An answer of the entry's own. RetryAfter zero: none is named.
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -72,6 +72,7 @@
   TimePoint m_Heard{}; ///< when something came last, or the attempt began
   bool m_IsAnswering = false; ///< the first byte of this attempt has come
   bool m_IsPeerEnd = false;   ///< the instance ended this attempt's connection
+  InstanceNotice m_Notice;    ///< in the head of this attempt's answer
   /// Since when the rest of a stream has no instance.
   std::optional<TimePoint> m_SeeksSince;
   const char *m_GivenUpFor = ""; ///< for log lines: how the last try ended
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -413,6 +413,7 @@
   Of.m_Instance = Chosen.m_Instance;
   Of.m_IsAnswering = false;
   Of.m_IsPeerEnd = false;
+  Of.m_Notice = {};
   Of.m_Sent = IsBegun ? Of.m_NextOpened.m_Sent : now();
   const std::uint64_t ListAgeMs = msOf(m_ListBelief().m_Age);
   Of.m_Heard = now();
@@ -459,6 +460,8 @@
             {"instance", Chosen.m_Instance.m_Text},
             {"fingerprint", textOf(Of.m_Fingerprint)},
             {"closedThere", std::uint64_t{Of.m_IsPeerEnd}},
+            {"saysLeaving", std::uint64_t{Of.m_Notice.m_IsLeaving}},
+            {"restMs", msOf(Of.m_Notice.m_Rest)},
             {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
             {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
             {"reportAgeMs", msOf(Chosen.m_ReportAge)},
@@ -544,6 +547,8 @@
     Cancel.onCancel(nullptr);
     co_return Out;
   }
+  if (Meaning != AnswerMeaning::WrongInstance)
+    Out.m_Notice = m_Adapter.noticeOf(Body.status(), Body.headers());
   if (Meaning == AnswerMeaning::WrongInstance ||
       Meaning == AnswerMeaning::NotRun) {
     --Of.m_Runs;
@@ -572,6 +577,7 @@
     Of.m_Abort = nullptr;
   }
   Of.m_IsPeerEnd = Begun.m_IsPeerEnd;
+  Of.m_Notice = Begun.m_Notice;
   if (!Begun.m_Body)
     co_return Begun.m_How;
   net::HttpStream &Body = *Begun.m_Body;
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -95,6 +95,7 @@
     std::unique_ptr<net::HttpStream> m_Body; ///< null where none is passed on
     Ended m_How = Ended::Lost;               ///< without a body
     bool m_IsPeerEnd = false; ///< the instance ended the connection
+    InstanceNotice m_Notice;
     TimePoint m_Sent{};
   };
   asio::awaitable<Ended> attempt(Call &Of, const InstanceChoice &Chosen);
