Send nothing more to an instance whose answer says that it leaves

The store was away for all, so no list could say it.

Cause: entries believed the list and the agents' reports only; what an instance says of itself in its answers was read by nobody. The class: a belief that rests on one way of hearing, where a nearer one was at hand.

Now the head of each answer counts, also of one that refuses, and stays for that life of the instance whatever a list says later, which may be older; of a 421 it does not, since another instance has the address. Streams there go on.

Not told to other entries: each hears it with its own next answer.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -118,6 +118,9 @@
   /// Instances that have been taking no requests for so long, since they are
   /// loading other weights.
   std::vector<InstanceId> swappingFor(Duration Length, TimePoint Now) const;
+  /// This life of it says itself that it leaves: for good, whatever a list says
+  /// later, which may be older. True where that is news.
+  bool leaving(const InstanceId &Id);
   /// The address now belongs to another life: not to be used any more.
   void replaced(const InstanceId &Id);
   /// Instances with requests under way whose address another life has by now:
@@ -140,6 +143,7 @@
     FleetInstance m_Listed;
     bool m_IsListed = true; ///< false: kept only until its requests end
     bool m_IsReplaced = false;
+    bool m_SaysItLeaves = false; ///< itself, beside what the list says
     std::uint32_t m_Own = 0;
     std::uint32_t m_Unanswered = 0; ///< of these, without a first byte
     std::uint32_t m_Others = 0;     ///< at the time of the report
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -487,6 +487,16 @@
   return Other.m_Outcome == ChoiceOutcome::Chosen;
 }
 
+/// An instance knows best what becomes of it, and its answers come also where
+/// neither the store nor its agent can be heard.
+void EntryRequests::heed(const InstanceNotice &Notice, const InstanceId &From,
+                         const Call &In) {
+  if (Notice.m_IsLeaving && m_Instances.leaving(From))
+    net::log(Event::InstanceLeaving, {{"instance", From.m_Text},
+                                      {"source", "answer"},
+                                      {"request", In.m_Terms.m_AttemptId}});
+}
+
 /// Sends the request and reads the head of the answer.
 asio::awaitable<EntryRequests::Opened>
 EntryRequests::send(Call &Of, const InstanceChoice &Chosen,
@@ -547,8 +557,10 @@
     Cancel.onCancel(nullptr);
     co_return Out;
   }
-  if (Meaning != AnswerMeaning::WrongInstance)
+  if (Meaning != AnswerMeaning::WrongInstance) {
     Out.m_Notice = m_Adapter.noticeOf(Body.status(), Body.headers());
+    heed(Out.m_Notice, Chosen.m_Instance, Of);
+  }
   if (Meaning == AnswerMeaning::WrongInstance ||
       Meaning == AnswerMeaning::NotRun) {
     --Of.m_Runs;
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -100,6 +100,8 @@
   };
   asio::awaitable<Ended> attempt(Call &Of, const InstanceChoice &Chosen);
   bool hasOther(const Call &Of, const InstanceChoice &Than);
+  void heed(const InstanceNotice &Notice, const InstanceId &From,
+            const Call &In);
   asio::awaitable<Opened> send(Call &Of, const InstanceChoice &Chosen,
                                net::CallCancel &Cancel);
   asio::awaitable<Ended> exchange(Call &Of, const InstanceChoice &Chosen);
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -192,7 +192,8 @@
 
 bool InstanceTable::isUsable(const InstanceId &Id, const Instance &Each,
                              const ChoiceQuery &Query) const {
-  return Each.m_IsListed && !Each.m_IsReplaced && !Each.m_Listed.m_IsLeaving &&
+  const bool IsLeaving = Each.m_Listed.m_IsLeaving || Each.m_SaysItLeaves;
+  return Each.m_IsListed && !Each.m_IsReplaced && !IsLeaving &&
          Each.m_Listed.m_Service == Query.m_Service &&
          !Query.m_Tried.contains(Id) && !Query.m_Full.contains(Id);
 }
@@ -322,6 +323,16 @@
     Found->second.m_Heard = Now;
 }
 
+bool InstanceTable::leaving(const InstanceId &Id) {
+  const auto Found = m_Instances.find(Id);
+  if (Found == m_Instances.end())
+    return false;
+  Instance &Known = Found->second;
+  const bool IsNews = !Known.m_SaysItLeaves && !Known.m_Listed.m_IsLeaving;
+  Known.m_SaysItLeaves = true;
+  return IsNews;
+}
+
 void InstanceTable::replaced(const InstanceId &Id) {
   const auto Found = m_Instances.find(Id);
   if (Found != m_Instances.end())
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -53,6 +53,17 @@
   ChoiceQuery m_Query;
 };
 
+/// The list that is read next may be older than the instance's own word.
+TEST_F(Instances, OneThatSaysItLeavesGetsNothingWhateverTheListSays) {
+  list({listed("i")});
+  EXPECT_TRUE(m_Table.leaving({"i"}));
+  EXPECT_FALSE(m_Table.leaving({"i"}));
+  EXPECT_EQ(outcome(), ChoiceOutcome::NoInstance);
+  list({listed("i")});
+  EXPECT_EQ(outcome(), ChoiceOutcome::NoInstance);
+  EXPECT_FALSE(m_Table.leaving({"unknown"}));
+}
+
 TEST_F(Instances, ALeavingOneGetsNothing) {
   FleetInstance Leaving = listed("i");
   Leaving.m_IsLeaving = true;
