Leave an instance alone for as long as it asks

Now it gets nothing from this entry until its rest is over; where all of a service rest, callers are refused at once, and told when the first one is back, also those whose own attempts were refused just now. A shorter rest does not shorten a longer one.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -59,6 +59,7 @@
   NoInstance,  ///< none is listed, or all were tried
   NoWeights,   ///< none serves the declared weights yet
   Full,        ///< none could start the request in time
+  Resting,     ///< all that could take it want nothing for a while
   ListOutdated ///< who still takes requests is not known here, but elsewhere
 };
 
@@ -121,6 +122,9 @@
   /// This life of it says itself that it leaves: for good, whatever a list says
   /// later, which may be older. True where that is news.
   bool leaving(const InstanceId &Id);
+  /// It wants nothing from this process until then. True where it was not
+  /// resting before.
+  bool rest(const InstanceId &Id, TimePoint Until, TimePoint Now);
   /// The address now belongs to another life: not to be used any more.
   void replaced(const InstanceId &Id);
   /// Instances with requests under way whose address another life has by now:
@@ -144,6 +148,7 @@
     bool m_IsListed = true; ///< false: kept only until its requests end
     bool m_IsReplaced = false;
     bool m_SaysItLeaves = false; ///< itself, beside what the list says
+    TimePoint m_RestsUntil{};
     std::uint32_t m_Own = 0;
     std::uint32_t m_Unanswered = 0; ///< of these, without a first byte
     std::uint32_t m_Others = 0;     ///< at the time of the report
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -55,6 +55,8 @@
 /// Another entry is known to have what this one lacks, or may have: callers are
 /// to ask elsewhere, and this one may have it by then.
 constexpr Duration RetryAfterOutdated = milliseconds(50);
+/// Instances refused the request just now.
+constexpr Duration LeastRetryAfterNotRun = milliseconds(60);
 /// Share of the retries that entries may use together which they do use: the
 /// rest covers entries that just started with a full budget.
 constexpr double UsedShareOfRetries = 0.7;
@@ -79,6 +81,8 @@
     return "no weights";
   case ChoiceOutcome::Full:
     return "full";
+  case ChoiceOutcome::Resting:
+    return "all rest";
   case ChoiceOutcome::ListOutdated:
     return "list of instances is outdated";
   }
@@ -370,14 +374,24 @@
     co_return;
   }
   if (Of.m_Runs == 0)
-    co_return co_await refuse(
-        Of, StatusUnavailable, "not run",
-        std::max<Duration>(Of.m_RetryAfter, milliseconds(60)));
+    co_return co_await refuse(Of, StatusUnavailable, "not run",
+                              retryAfterNotRun(Of));
   const bool IsLate = Of.timeLeft() < LeastTimeLeft;
   co_await refuse(Of, IsLate ? StatusGatewayTimeout : StatusBadGateway,
                   "unknown whether it ran", {});
 }
 
+/// When an instance may take a request that none has run, those that were tried
+/// among them.
+Duration EntryRequests::retryAfterNotRun(const Call &Of) {
+  ChoiceQuery Query = Of.m_Query;
+  Query.m_Tried.clear();
+  const InstanceChoice Next = m_Instances.choose(Query, now());
+  if (Next.m_Outcome == ChoiceOutcome::Resting)
+    return Next.m_RetryAfter;
+  return std::max(Of.m_RetryAfter, LeastRetryAfterNotRun);
+}
+
 asio::awaitable<void> EntryRequests::refuse(Call &Of, unsigned Status,
                                             std::string Reason,
                                             Duration RetryAfter) {
@@ -495,6 +509,11 @@
     net::log(Event::InstanceLeaving, {{"instance", From.m_Text},
                                       {"source", "answer"},
                                       {"request", In.m_Terms.m_AttemptId}});
+  const bool Rests = Notice.m_Rest > Duration::zero();
+  if (Rests && m_Instances.rest(From, now() + Notice.m_Rest, now()))
+    net::log(Event::InstanceResting, {{"instance", From.m_Text},
+                                      {"restMs", msOf(Notice.m_Rest)},
+                                      {"request", In.m_Terms.m_AttemptId}});
 }
 
 /// Sends the request and reads the head of the answer.
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -126,6 +126,7 @@
   ChoiceQuery queryForRest(const Call &Of) const;
   template <typename Condition>
   void moveFrom(const InstanceId &Id, const char *Reason, Condition &&Holds);
+  Duration retryAfterNotRun(const Call &Of);
   asio::awaitable<void> giveUp(Call &Of, Ended How);
   asio::awaitable<void> refuse(Call &Of, unsigned Status, std::string Reason,
                                Duration RetryAfter);
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -210,6 +210,7 @@
   InstanceChoice Best;
   std::vector<std::map<InstanceId, Instance>::iterator> Usable;
   bool LacksWeights = false;
+  std::optional<TimePoint> FirstRested;
   for (auto It = m_Instances.begin(); It != m_Instances.end(); ++It) {
     const Instance &Each = It->second;
     if (!isUsable(It->first, Each, Query))
@@ -217,7 +218,10 @@
     const bool Serves = Query.m_Model.empty() ||
                         (Each.m_TakesRequests && serves(Each, Query, Now));
     LacksWeights = LacksWeights || !Serves;
-    if (Serves)
+    if (Serves && Each.m_RestsUntil > Now)
+      FirstRested =
+          std::min(FirstRested.value_or(Each.m_RestsUntil), Each.m_RestsUntil);
+    else if (Serves)
       Usable.push_back(It);
   }
   // Ejected ones only where there is no other: a broken instance may still
@@ -243,6 +247,11 @@
       });
   if (Lasting != Usable.begin())
     Usable.erase(Lasting, Usable.end());
+  if (Usable.empty() && FirstRested) {
+    Best.m_Outcome = ChoiceOutcome::Resting;
+    Best.m_RetryAfter = *FirstRested - Now;
+    return Best;
+  }
   if (Usable.empty()) {
     Best.m_Outcome =
         LacksWeights ? ChoiceOutcome::NoWeights : ChoiceOutcome::NoInstance;
@@ -333,6 +342,16 @@
   return IsNews;
 }
 
+bool InstanceTable::rest(const InstanceId &Id, TimePoint Until, TimePoint Now) {
+  const auto Found = m_Instances.find(Id);
+  if (Found == m_Instances.end())
+    return false;
+  TimePoint &RestsUntil = Found->second.m_RestsUntil;
+  const bool IsNews = RestsUntil <= Now;
+  RestsUntil = std::max(RestsUntil, Until);
+  return IsNews;
+}
+
 void InstanceTable::replaced(const InstanceId &Id) {
   const auto Found = m_Instances.find(Id);
   if (Found != m_Instances.end())
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -64,6 +64,19 @@
   EXPECT_FALSE(m_Table.leaving({"unknown"}));
 }
 
+TEST_F(Instances, OneThatRestsGetsNothingUntilItsRestIsOver) {
+  list({listed("i"), listed("j")});
+  EXPECT_TRUE(m_Table.rest({"i"}, Start + 3s, Start));
+  EXPECT_FALSE(m_Table.rest({"i"}, Start + 1s, Start)); // Not shortened.
+  EXPECT_EQ(chosen(Start + 2'999ms), "j");
+  EXPECT_TRUE(m_Table.rest({"j"}, Start + 5s, Start + 1s));
+  const InstanceChoice None = m_Table.choose(m_Query, Start + 1s);
+  EXPECT_EQ(None.m_Outcome, ChoiceOutcome::Resting);
+  EXPECT_EQ(None.m_RetryAfter, 2s);
+  EXPECT_EQ(chosen(Start + 3s), "i");
+  EXPECT_TRUE(m_Table.rest({"i"}, Start + 4s, Start + 3s));
+}
+
 TEST_F(Instances, ALeavingOneGetsNothing) {
   FleetInstance Leaving = listed("i");
   Leaving.m_IsLeaving = true;
