Count the time for which a machine was suspended

An entry that was suspended for 2.5 s sent a request by its list of before to an instance that had left, since all it knew seemed fresh and no pause was noticed; a lease would have seemed held, and its own messages 2.5 s late to others for good.

Cause: daemon::now(), idle connections, the store's watches and the drain limit read std::chrono::steady_clock. All read BootClock (CLOCK_BOOTTIME) now. Asio's timers take spans only; two places gave them points in time. A limit of a connection still ends later by the length of a suspension: open.

--- a/src/daemon/claim-service.cc
+++ b/src/daemon/claim-service.cc
@@ -26,12 +26,6 @@
   return LoggedBatch{Position->m_Number, Object.m_Revision, *Batch};
 }
 
-asio::steady_timer::time_point timerPoint(TimePoint At) {
-  return asio::steady_timer::time_point(
-      std::chrono::duration_cast<asio::steady_timer::duration>(
-          At.time_since_epoch()));
-}
-
 } // namespace
 
 ClaimService::Shard::Shard(std::uint32_t Number, const std::string &Owner,
@@ -78,7 +72,7 @@
   const ClaimWaiterId Id = m_NextWaiter++;
   auto Self = std::make_shared<Waiter>(m_Process.m_Threads.control());
   Self->m_Settled = {Id, ClaimSettled::Verdict::Refused, Wanted};
-  Self->m_Timer.expires_at(timerPoint(GiveUpAt));
+  Self->m_Timer.expires_after(GiveUpAt - now());
   m_Waiters.emplace(Id, Self);
   Of.m_Log.submit(Id, std::move(Wanted), GiveUpAt, now());
   deliver(Of);
@@ -122,9 +116,10 @@
     const ClaimAction Action = Of.m_Log.next(now());
     deliver(Of);
     if (const auto *Idle = std::get_if<IdleLog>(&Action)) {
-      Of.m_Wake.expires_at(Idle->m_Until
-                               ? timerPoint(*Idle->m_Until)
-                               : asio::steady_timer::time_point::max());
+      if (Idle->m_Until)
+        Of.m_Wake.expires_after(*Idle->m_Until - now());
+      else
+        Of.m_Wake.expires_at(asio::steady_timer::time_point::max());
       co_await Of.m_Wake.async_wait(UseAwaitable);
     } else if (const auto *List = std::get_if<ListLog>(&Action)) {
       co_await perform(Of, *List);
--- a/src/daemon/clock.h
+++ b/src/daemon/clock.h
@@ -2,15 +2,14 @@
 #pragma once
 
 #include "deckpitch/time.h"
-
-#include <chrono>
+#include "net/boot-clock.h"
 
 namespace deckpitch::daemon {
 
-/// The machine's monotonic clock as the decisions' time.
+/// The machine's monotonic clock as the decisions' time. Timers of Asio take
+/// spans only: their clock leaves suspensions out.
 inline TimePoint now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  return TimePoint(net::BootClock::now().time_since_epoch());
 }
 
 } // namespace deckpitch::daemon
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -1,3 +1,4 @@
+#include "daemon/clock.h"
 #include "daemon/module.h"
 #include "net/log.h"
 #include "net/metrics.h"
@@ -206,8 +207,7 @@
     net::log(Event::ProcessDraining, {{"source", Source}});
     for (NamedModule &Each : m_Modules)
       Each.m_Module->beginDrain();
-    m_DrainEnd =
-        std::chrono::steady_clock::now() + m_Process.m_Settings.m_DrainLimit;
+    m_DrainEnd = now() + m_Process.m_Settings.m_DrainLimit;
     pollDrain();
   }
 
@@ -215,7 +215,7 @@
     bool Drained = true;
     for (const NamedModule &Each : m_Modules)
       Drained = Drained && Each.m_Module->drained();
-    if (Drained || std::chrono::steady_clock::now() >= m_DrainEnd)
+    if (Drained || now() >= m_DrainEnd)
       return finish();
     m_DrainTimer.expires_after(DrainPoll);
     m_DrainTimer.async_wait([this](const boost::system::error_code &Ec) {
@@ -305,7 +305,7 @@
   std::unique_ptr<net::HttpServer> m_Requests;
   std::unique_ptr<net::HttpServer> m_Operator;
   std::unique_ptr<net::ControlBus> m_Bus;
-  std::chrono::steady_clock::time_point m_DrainEnd;
+  TimePoint m_DrainEnd;
   asio::steady_timer m_DrainTimer{m_Threads.control()};
   std::promise<void> m_Done;
   bool m_Finished = false;
--- a/src/net/control-bus.cc
+++ b/src/net/control-bus.cc
@@ -1,4 +1,5 @@
 #include "net/control-bus.h"
+#include "net/boot-clock.h"
 
 #include <zmq.hpp>
 
@@ -26,7 +27,7 @@
 
 struct Peer {
   zmq::socket_t m_Socket;
-  std::chrono::steady_clock::time_point m_Used;
+  BootClock::time_point m_Used;
 };
 
 } // namespace
@@ -88,7 +89,7 @@
       Found =
           m_Peers.emplace(Message.m_Address, Peer{std::move(Socket), {}}).first;
     }
-    Found->second.m_Used = std::chrono::steady_clock::now();
+    Found->second.m_Used = BootClock::now();
     if (Found->second.m_Socket.send(zmq::buffer(Message.m_Bytes),
                                     zmq::send_flags::dontwait))
       m_Sent += Message.m_Bytes.size();
@@ -111,7 +112,7 @@
   }
 
   void dropIdlePeers() {
-    const auto Now = std::chrono::steady_clock::now();
+    const auto Now = BootClock::now();
     std::erase_if(m_Peers, [&](const auto &Each) {
       return Now - Each.second.m_Used > IdlePeerLifetime;
     });
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -1,4 +1,5 @@
 #include "net/address.h"
+#include "net/boot-clock.h"
 #include "net/dead-peer.h"
 #include "net/http.h"
 #include "net/progress-limit.h"
@@ -32,13 +33,13 @@
   ProgressLimit m_Limit{m_Socket};
   beast::flat_buffer m_Buffer;
   std::size_t m_ReadBytes = LeastReadBytes; ///< grows with what comes at once
-  std::chrono::steady_clock::time_point m_IdleSince;
+  BootClock::time_point m_IdleSince;
   std::optional<std::chrono::milliseconds> m_ServerKeeps; ///< idle, it says
 
   /// False when the server closed the connection or sent something unasked,
   /// or may be about to close it.
   bool usable(std::chrono::milliseconds MostIdle) {
-    const auto Idle = std::chrono::steady_clock::now() - m_IdleSince;
+    const auto Idle = BootClock::now() - m_IdleSince;
     const bool IsOld =
         Idle > MostIdle || (m_ServerKeeps && Idle > *m_ServerKeeps / 2);
     if (IsOld || m_Buffer.size() != 0)
@@ -107,7 +108,7 @@
 
   void giveBack(const PoolKey &Key, std::unique_ptr<Connection> Returned) {
     Returned->m_Limit.stop();
-    Returned->m_IdleSince = std::chrono::steady_clock::now();
+    Returned->m_IdleSince = BootClock::now();
     std::lock_guard Lock(m_Mutex);
     auto &Idle = m_Idle[Key];
     if (Idle.size() < MaxIdlePerAddress)
