Keep refused requests in the store, for when all entries start again

Sought elsewhere after the incident: what entries knew of a request that crashes instances went with them where all were killed at once, and it crashed three more before it was known again. Where an entry finds one it now stands in that entry's object in the store, which each entry reads at its start anyway: no call more while there is none, two where one is found. At a start an entry takes over what its own object says before it writes it anew.

An object that cannot be read is logged, where it was passed over silently.

--- a/src/direct/entry-peers.cc
+++ b/src/direct/entry-peers.cc
@@ -1,10 +1,7 @@
 #include "direct/entry-peers.h"
 
-#include "deckpitch/json-reader.h"
 #include "net/log.h"
 
-#include <boost/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -33,27 +30,6 @@
 
 } // namespace
 
-std::string formatEntry(const EntryAddress &Value) {
-  return boost::json::serialize(
-      boost::json::object{{"dataCentre", Value.m_DataCentre.m_Text},
-                          {"link", Value.m_Link},
-                          {"callers", Value.m_Callers}});
-}
-
-Result<EntryAddress> parseEntry(std::string_view Name, std::string_view Json) {
-  BOOST_LEAF_AUTO(Value, parseJson(Json));
-  Problems Found;
-  EntryAddress Out;
-  Out.m_Id.m_Text = std::string(Name);
-  JsonObjectReader Reader(Value, "", Found, UnknownKeys::Ignore);
-  Reader.required("dataCentre", Out.m_DataCentre.m_Text);
-  Reader.required("link", Out.m_Link);
-  Reader.required("callers", Out.m_Callers);
-  if (!Found.m_List.empty())
-    return failWith(std::move(Found));
-  return Out;
-}
-
 void EntryPeers::learn(const EntryAddress &Listed) {
   if (Listed.m_Id == m_Own.m_Id)
     return;
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -27,10 +27,6 @@
   friend bool operator==(const EntryAddress &, const EntryAddress &) = default;
 };
 
-/// The value of an entry's object in the store, and back. Errors: InvalidInput.
-std::string formatEntry(const EntryAddress &Value);
-Result<EntryAddress> parseEntry(std::string_view Name, std::string_view Json);
-
 /// Addresses of entries to which hellos are due.
 struct DueHellos {
   /// That are to say what is known of the store too: to all of the own data
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -3,6 +3,7 @@
 #include "deckpitch/link-delay.h"
 #include "direct/adapter.h"
 #include "direct/entry-peers.h"
+#include "direct/entry-record.h"
 #include "direct/entry-requests.h"
 #include "direct/fleet-follower.h"
 #include "direct/harmful-watch.h"
@@ -35,6 +36,8 @@
 constexpr Duration SubscribeSpan = milliseconds(1'000);
 /// Between two reads of the other entries; hellos tell the rest.
 constexpr Duration EntriesSpan = std::chrono::seconds(20);
+/// After a call to the store that failed.
+constexpr Duration RegisterRetrySpan = milliseconds(500);
 /// Callers keep an answer of the directory about that long; until then they
 /// may still come to an entry that leaves.
 constexpr milliseconds AcceptAfterStop{2'500};
@@ -85,6 +88,8 @@
                                         net::HttpResponder &Answer);
   asio::awaitable<void> tick();
   asio::awaitable<void> registerSelf();
+  std::string ownRecord() const;
+  void learn(const net::PlatformObject &Record);
   asio::awaitable<bool> writeSelf();
   asio::awaitable<void> waitUntilDrained(std::function<void()> OnDone);
   void onLink(const wire::LinkMessage &Message, const std::string &From);
@@ -129,6 +134,8 @@
   std::map<std::string, LinkOrder> m_StateOrder; ///< by instance address
   std::map<std::string, Sender> m_Senders;       ///< by link address
   TimePoint m_NextSubscribe{};
+  asio::steady_timer m_RegisterWake;
+  bool m_IsWritten = false; ///< the store has what it is to keep of this entry
   bool m_Leaving = false;
   bool m_WasReady = false;
   bool m_WasOutdated = false; ///< the list of instances
@@ -169,7 +176,8 @@
           [this](net::HttpRequest Request, net::HttpResponder &Answer) {
             return answerDirectory(std::move(Request), Answer);
           },
-          SmallLimits) {
+          SmallLimits),
+      m_RegisterWake(m_Io) {
   m_Requests.setBeliefs([this] { return m_Follower.declarationBelief(); },
                         [this] { return m_Follower.instancesBelief(); });
   m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
@@ -371,6 +379,8 @@
 void Entry::tellFoundHarmful(TimePoint Now) {
   if (!m_Harmful.takeFound())
     return;
+  m_IsWritten = false;
+  m_RegisterWake.cancel();
   wire::LinkMessage Message = ownHello();
   m_Harmful.tell(*Message.mutable_hello());
   for (const std::string &To : m_Peers.group(Now, NewsReach::All))
@@ -424,11 +434,26 @@
   }
 }
 
-/// True when the store holds this entry's address.
+std::string Entry::ownRecord() const {
+  return formatEntry({m_Peers.own(), m_Harmful.toStore()});
+}
+
+void Entry::learn(const net::PlatformObject &Record) {
+  const auto Known =
+      outcomeOf([&] { return parseEntry(Record.m_Name, Record.m_Json); });
+  if (!Known) {
+    net::log(Event::EntryUnreadable,
+             {{"entry", Record.m_Name}, {"error", Known.error().m_Message}});
+    return;
+  }
+  m_Peers.learn(Known->m_Address);
+  m_Harmful.hear(Known->m_Refused, Record.m_Name);
+}
+
+/// True when the store holds what it is to keep of this entry.
 asio::awaitable<bool> Entry::writeSelf() {
-  const std::string Json = formatEntry(m_Peers.own());
   const std::string &Name = m_Peers.own().m_Id.m_Text;
-  const auto Created = co_await m_Store->create(EntryKind, Name, Json);
+  const auto Created = co_await m_Store->create(EntryKind, Name, ownRecord());
   if (Created)
     co_return true;
   if (Created.error().m_Code != ErrorCode::Conflict)
@@ -436,6 +461,9 @@
   auto Stored = co_await m_Store->get(EntryKind, Name);
   if (!Stored)
     co_return false;
+  // Of before this start: not to be overwritten by what is known now alone.
+  learn(*Stored);
+  const std::string Json = ownRecord();
   if (Stored->m_Json == Json)
     co_return true;
   Stored->m_Json = Json;
@@ -443,21 +471,23 @@
 }
 
 asio::awaitable<void> Entry::registerSelf() {
-  asio::steady_timer Timer(m_Io);
-  bool IsWritten = false;
+  TimePoint NextList{};
   while (!m_Stopped) {
-    if (!IsWritten)
-      IsWritten = co_await writeSelf();
-    const auto List = co_await m_Store->list(EntryKind);
-    if (List)
-      for (const net::PlatformObject &Each : List->m_Items) {
-        const auto Known =
-            outcomeOf([&] { return parseEntry(Each.m_Name, Each.m_Json); });
-        if (Known)
-          m_Peers.learn(*Known);
-      }
-    Timer.expires_after(IsWritten && List ? EntriesSpan : TickSpan * 5);
-    co_await Timer.async_wait(UseAwaitable);
+    if (!m_IsWritten) {
+      m_IsWritten = true; // Unless there is more to write meanwhile.
+      const bool IsDone = co_await writeSelf();
+      m_IsWritten = m_IsWritten && IsDone;
+    }
+    if (now() >= NextList) {
+      const auto List = co_await m_Store->list(EntryKind);
+      if (List)
+        std::for_each(List->m_Items.begin(), List->m_Items.end(),
+                      [this](const net::PlatformObject &Each) { learn(Each); });
+      NextList = now() + (List ? EntriesSpan : RegisterRetrySpan);
+    }
+    m_RegisterWake.expires_after(m_IsWritten ? NextList - now()
+                                             : RegisterRetrySpan);
+    co_await m_RegisterWake.async_wait(UseAwaitable);
   }
 }
 
@@ -490,6 +520,7 @@
 
 void Entry::stop() {
   m_Stopped = true;
+  m_RegisterWake.cancel();
   m_Follower.stop();
   m_Link.stop();
   m_Relay.stop();
--- a/src/direct/harmful-watch.cc
+++ b/src/direct/harmful-watch.cc
@@ -4,6 +4,7 @@
 #include "direct/store-news.h"
 #include "net/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace deckpitch::direct {
@@ -16,6 +17,8 @@
 /// In one hello, which has to stay below the 8 KB of a datagram beside what it
 /// says of the store: each takes up to 140 bytes.
 constexpr std::size_t MostTold = 24;
+/// In one object of the store: each takes some 150 bytes.
+constexpr std::size_t MostStored = 64;
 constexpr const char *FoundHere = "here";
 
 void write(const SuspectRequest &From, TimePoint Now,
@@ -78,17 +81,55 @@
 
 void HarmfulWatch::hear(const wire::EntryHello &Told, const std::string &From) {
   const TimePoint Now = now();
-  for (const wire::SuspectRequestState &Each : Told.suspects()) {
-    const SuspectRequest Suspect = read(Each, Now);
-    if (!m_Known.hear(Suspect, Now))
+  for (const wire::SuspectRequestState &Each : Told.suspects())
+    hear(read(Each, Now), From);
+}
+
+void HarmfulWatch::hear(const SuspectRequest &Told, const std::string &From) {
+  const TimePoint Now = now();
+  if (!m_Known.hear(Told, Now))
+    return;
+  // Only here what several have seen is put together.
+  HarmfulRequests Alone;
+  m_IsFound = m_IsFound || !Alone.hear(Told, Now);
+  noteRefused(Told.m_Request, From);
+}
+
+void HarmfulWatch::hear(const std::vector<RefusedRequest> &Stored,
+                        const std::string &From) {
+  const std::uint64_t UnixNow = daemon::unixMs();
+  for (const RefusedRequest &Each : Stored) {
+    // The clock may have been set back since.
+    const std::uint64_t AgeMs = UnixNow - std::min(Each.m_LostMs, UnixNow);
+    if (milliseconds(AgeMs) >= HarmfulRequests::RefusalSpan)
       continue;
-    // Only here what several have seen is put together.
-    HarmfulRequests Alone;
-    m_IsFound = m_IsFound || !Alone.hear(Suspect, Now);
-    noteRefused(Suspect.m_Request, From);
+    SuspectRequest Told{Each.m_Request, {}};
+    for (const std::uint64_t Instance : Each.m_Instances)
+      Told.m_Losses.push_back(
+          {Instance, now() - milliseconds(AgeMs), /*m_IsCleared=*/false});
+    hear(Told, From);
   }
 }
 
+std::vector<RefusedRequest> HarmfulWatch::toStore() const {
+  const TimePoint Now = now();
+  const std::uint64_t UnixNow = daemon::unixMs();
+  std::vector<RefusedRequest> Out;
+  for (const SuspectRequest &Each : m_Known.toTell(MostStored, Now)) {
+    if (!m_Known.refusedUntil(Each.m_Request, Now))
+      continue;
+    RefusedRequest Stored{Each.m_Request, {}, 0};
+    for (const InstanceLoss &Loss : Each.m_Losses)
+      if (!Loss.m_IsCleared) {
+        Stored.m_Instances.push_back(Loss.m_Instance);
+        Stored.m_LostMs =
+            std::max(Stored.m_LostMs, UnixNow - ageMs(Loss.m_At, Now));
+      }
+    Out.push_back(std::move(Stored));
+  }
+  return Out;
+}
+
 void HarmfulWatch::tell(wire::EntryHello &To) const {
   const TimePoint Now = now();
   for (const SuspectRequest &Each : m_Known.toTell(MostTold, Now))
--- a/src/direct/harmful-watch.h
+++ b/src/direct/harmful-watch.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "deckpitch/harmful-requests.h"
+#include "direct/entry-record.h"
 #include "proto/link.pb.h"
 
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace deckpitch::direct {
 
@@ -25,6 +27,11 @@
 
   void hear(const wire::EntryHello &Told, const std::string &From);
   void tell(wire::EntryHello &To) const;
+  /// What an entry's object in the store says, which may be this one's own of
+  /// before its start.
+  void hear(const std::vector<RefusedRequest> &Stored, const std::string &From);
+  /// What the store is to keep.
+  std::vector<RefusedRequest> toStore() const;
   /// True once after a request was found here to be harmful: others are to be
   /// told without delay.
   bool takeFound();
@@ -33,6 +40,7 @@
   std::size_t refusedCount() const { return m_Refused.size(); }
 
 private:
+  void hear(const SuspectRequest &Told, const std::string &From);
   void noteRefused(const RequestFingerprint &Request, const std::string &From);
 
   HarmfulRequests m_Known;
