--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -107,7 +107,10 @@
   /// The first byte of a request's answer came: its prompt has been read.
   void answering(const InstanceId &Id);
   enum class End { Good, Failed, Neutral };
-  void ended(const InstanceId &Id, End How, bool WasAnswering, TimePoint Now);
+  /// For how long the instance is kept out of the choice from now on, where
+  /// this failure is the cause.
+  std::optional<Duration> ended(const InstanceId &Id, End How,
+                                bool WasAnswering, TimePoint Now);
   /// Something came from it.
   void heard(const InstanceId &Id, TimePoint Now);
   /// The version of a model that an instance serves; 0 when it serves none.
--- a/include/deckpitch/upstream-choice.h
+++ b/include/deckpitch/upstream-choice.h
@@ -31,7 +31,8 @@
 /// while, longer each time.
 class Ejection {
 public:
-  void failed(TimePoint Now);
+  /// True where this one has it ejected.
+  bool failed(TimePoint Now);
   void succeeded();
   TimePoint until() const { return m_Until; }
 
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -204,13 +204,13 @@
       To.m_Address, std::move(Request), Limits, &m_Opening);
   if (!Opened) {
     if (!m_Gone)
-      Counters->failed();
+      Counters->failed(To.m_Instance);
     co_return attemptEndOf(Opened.error());
   }
   net::HttpStream &Stream = **Opened;
   const AttemptEnd Told = attemptEndOf(Stream.headers(), m_Call.m_Id);
   if (Told == AttemptEnd::Lost)
-    Counters->failed();
+    Counters->failed(To.m_Instance);
   if (Told != AttemptEnd::Whole)
     co_return Told;
   Counters->answered(now() - SentAt);
@@ -226,7 +226,7 @@
   const AttemptEnd End = co_await readStream(Stream, std::move(Bound));
   m_Open = nullptr;
   if (End == AttemptEnd::Lost && !m_Gone)
-    Counters->failed();
+    Counters->failed(To.m_Instance);
   co_return End;
 }
 
--- a/src/daemon/entry-routes.cc
+++ b/src/daemon/entry-routes.cc
@@ -1,5 +1,6 @@
 #include "daemon/entry-routes.h"
 #include "daemon/call-headers.h"
+#include "net/log.h"
 
 #include <xxhash.h>
 
@@ -74,6 +75,11 @@
   return false;
 }
 
+std::uint64_t wholeMs(Duration Length) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Length).count());
+}
+
 } // namespace
 
 void UpstreamCounters::answered(Duration Latency) {
@@ -83,10 +89,13 @@
   m_Limit.store(m_Learned.limit(), std::memory_order_relaxed);
 }
 
-void UpstreamCounters::failed() {
+void UpstreamCounters::failed(const InstanceId &Of) {
   std::lock_guard Lock(m_Mutex);
   m_Learned.overloaded(now());
-  m_Ejection.failed(now());
+  if (m_Ejection.failed(now()))
+    net::log(Event::InstanceEjected,
+             {{"instance", Of.m_Text},
+              {"forMs", wholeMs(m_Ejection.until() - now())}});
   m_Limit.store(m_Learned.limit(), std::memory_order_relaxed);
   m_EjectedUntil.store(m_Ejection.until().time_since_epoch().count(),
                        std::memory_order_relaxed);
--- a/src/daemon/entry-routes.h
+++ b/src/daemon/entry-routes.h
@@ -31,7 +31,7 @@
 public:
   /// An attempt got its first byte after that long.
   void answered(Duration Latency);
-  void failed();
+  void failed(const InstanceId &Of);
   double limit() const { return m_Limit.load(std::memory_order_relaxed); }
   bool ejected(TimePoint Now) const {
     return Now.time_since_epoch().count() <
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -117,12 +117,12 @@
   auto Got = co_await m_Context.m_Process.m_Http.call(
       To.m_Address, std::move(Request), Limits);
   if (!Got) {
-    Counters->failed();
+    Counters->failed(To.m_Instance);
     co_return attemptEndOf(Got.error());
   }
   const AttemptEnd End = attemptEndOf(Got->m_Headers, m_Call.m_Id);
   if (End == AttemptEnd::Lost)
-    Counters->failed();
+    Counters->failed(To.m_Instance);
   if (End == AttemptEnd::Whole) {
     Counters->answered(now() - SentAt);
     m_Response.m_Status = Got->m_Status;
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -5,6 +5,7 @@
 #include "deckpitch/event-stream.h"
 #include "deckpitch/request-fingerprint.h"
 #include "direct/entry-requests.h"
+#include "net/metrics.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +26,13 @@
 /// arrival more, paid from the budget of retries.
 inline constexpr std::uint32_t MostRefusals = 4;
 
+/// Another entry is known to have what this one lacks, or may have: callers are
+/// to ask elsewhere, and this one may have it by then.
+inline constexpr Duration RetryAfterOutdated = std::chrono::milliseconds(50);
+
+/// Answers to callers by what came of their requests.
+net::Counter &answers(const char *Outcome);
+
 inline bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
 /// For log lines: whole milliseconds, 0 for what is past.
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -112,8 +112,7 @@
     Of.m_Query.m_Tried.insert(Next.m_Instance);
     if (Begun.m_IsPeerEnd)
       m_Harmful.lost(Of.m_Fingerprint, Next.m_Instance, Of.m_Terms.m_AttemptId);
-    m_Instances.ended(Next.m_Instance, HasFailed ? End::Failed : End::Neutral,
-                      false, now());
+    noteEnd(Next.m_Instance, HasFailed ? End::Failed : End::Neutral, false);
   }
   Of.m_IsPlaceSought = false;
   Of.m_Handover.reset();
@@ -151,8 +150,7 @@
   if (!IsDropped)
     co_return;
   Of.m_NextOpened = {};
-  m_Instances.ended(Of.m_Next.m_Instance, InstanceTable::End::Neutral, false,
-                    now());
+  noteEnd(Of.m_Next.m_Instance, InstanceTable::End::Neutral, false);
 }
 
 void EntryRequests::logMove(Event What, const Call &Of,
--- /dev/null
+++ b/src/direct/entry-places.cc
@@ -0,0 +1,84 @@
+// The choice of an instance for a request, by what is known here and by what
+// the agent beside it says.
+#include "direct/entry-call.h"
+
+#include <optional>
+#include <utility>
+
+namespace deckpitch::direct {
+
+using daemon::now;
+
+namespace {
+
+/// Agents that are asked for a place before a request is refused.
+constexpr unsigned MostAsked = 3;
+InstanceChoice outdatedChoice() {
+  InstanceChoice Out;
+  Out.m_Outcome = ChoiceOutcome::ListOutdated;
+  Out.m_RetryAfter = RetryAfterOutdated;
+  return Out;
+}
+
+} // namespace
+
+/// Chooses by what is known here, and has the choice confirmed by the agent
+/// beside the instance, which knows what all entries send. One whose agent
+/// does not answer is passed over while others do: its link is full, and what
+/// was sent there unasked came after 400 to 800 ms.
+asio::awaitable<InstanceChoice> EntryRequests::choosePlace(ChoiceQuery Query) {
+  if (m_ListBelief().m_IsOutdated)
+    co_return outdatedChoice();
+  std::optional<InstanceChoice> Unanswered;
+  std::optional<InstanceChoice> Refused;
+  for (unsigned Asked = 0; Asked < MostAsked; ++Asked) {
+    InstanceChoice Chosen = m_Instances.choose(Query, now());
+    if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
+      // Those that were asked are not looked at again.
+      if (!Refused)
+        Refused = std::move(Chosen);
+      break;
+    }
+    const auto Place = m_Instances.placeQuery(Chosen.m_Instance, Query, now());
+    if (!Place)
+      co_return Chosen;
+    const auto Reply = co_await m_Ask(Chosen.m_Address, *Place);
+    // This process may have stood still meanwhile.
+    if (m_ListBelief().m_IsOutdated)
+      co_return outdatedChoice();
+    if (Reply)
+      m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
+    if (Reply && Reply->m_IsGranted)
+      co_return Chosen;
+    Query.m_Full.insert(Chosen.m_Instance);
+    if (!Reply) {
+      m_Instances.unanswered(Chosen.m_Instance, now());
+      if (!Unanswered && Chosen.m_Load < Chosen.m_Limit - Query.m_AskedBeyond)
+        Unanswered = std::move(Chosen);
+      continue;
+    }
+    Chosen.m_Outcome = ChoiceOutcome::Full;
+    Refused = std::move(Chosen);
+  }
+  if (Unanswered)
+    co_return *std::move(Unanswered);
+  if (Refused)
+    co_return *std::move(Refused);
+  // No agent answered, and all are believed full.
+  Query.m_Full.clear();
+  Query.m_AskedBeyond = 0;
+  co_return m_Instances.choose(Query, now());
+}
+
+/// A stream of which the caller has a part goes on with the same weights where
+/// anybody still serves them.
+asio::awaitable<InstanceChoice> EntryRequests::choosePlaceFor(Call &Of) {
+  if (Of.m_EventCount > 0 && Of.m_Version != 0) {
+    InstanceChoice Same = co_await choosePlace(queryForRest(Of));
+    if (Same.m_Outcome == ChoiceOutcome::Chosen)
+      co_return Same;
+  }
+  co_return co_await choosePlace(Of.m_Query);
+}
+
+} // namespace deckpitch::direct
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -309,21 +309,23 @@
     Found->second.m_Unanswered -= std::min(Found->second.m_Unanswered, 1U);
 }
 
-void InstanceTable::ended(const InstanceId &Id, End How, bool WasAnswering,
-                          TimePoint Now) {
+std::optional<Duration> InstanceTable::ended(const InstanceId &Id, End How,
+                                             bool WasAnswering, TimePoint Now) {
   const auto Found = m_Instances.find(Id);
   if (Found == m_Instances.end())
-    return;
+    return std::nullopt;
   Instance &Known = Found->second;
   Known.m_Own -= std::min(Known.m_Own, 1U);
   if (!WasAnswering)
     Known.m_Unanswered -= std::min(Known.m_Unanswered, 1U);
   if (How == End::Good)
     Known.m_Ejection.succeeded();
-  if (How == End::Failed)
-    Known.m_Ejection.failed(Now);
+  std::optional<Duration> EjectedFor;
+  if (How == End::Failed && Known.m_Ejection.failed(Now))
+    EjectedFor = Known.m_Ejection.until() - Now;
   if (!Known.m_IsListed && Known.m_Own == 0)
     m_Instances.erase(Found);
+  return EjectedFor;
 }
 
 void InstanceTable::heard(const InstanceId &Id, TimePoint Now) {
--- a/src/kernel/upstream-choice.cc
+++ b/src/kernel/upstream-choice.cc
@@ -12,12 +12,13 @@
 
 } // namespace
 
-void Ejection::failed(TimePoint Now) {
+bool Ejection::failed(TimePoint Now) {
   if (++m_Failures < FailuresToEject)
-    return;
+    return false;
   m_Failures = 0;
   m_Until = Now + FirstEjection * (1U << std::min(m_Times, MostDoublings));
   ++m_Times;
+  return true;
 }
 
 void Ejection::succeeded() {
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -64,6 +64,19 @@
   EXPECT_FALSE(m_Table.leaving({"unknown"}));
 }
 
+/// Nobody could see in the log why an instance got nothing.
+TEST_F(Instances, TellsWhenAFailureHasOneEjected) {
+  list({listed("i")});
+  const auto Fail = [this] {
+    m_Table.started({"i"}, Start);
+    return m_Table.ended({"i"}, InstanceTable::End::Failed, false, Start);
+  };
+  for (int I = 0; I < 4; ++I)
+    EXPECT_FALSE(Fail());
+  EXPECT_EQ(Fail(), Duration(2s));
+  EXPECT_FALSE(Fail());
+}
+
 TEST_F(Instances, OneThatRestsGetsNothingUntilItsRestIsOver) {
   list({listed("i"), listed("j")});
   EXPECT_TRUE(m_Table.rest({"i"}, Start + 3s, Start));
