--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,7 +15,7 @@
 build() { # folder, further options of cmake
   local folder=$1
   shift
-  cmake -S . -B "$folder" -G Ninja "$@" >"$folder.log" 2>&1 || {
+  cmake -S . -B "$folder" -G Ninja -DDECKPITCH_WARNINGS_ARE_ERRORS=ON "$@" >"$folder.log" 2>&1 || {
     cat "$folder.log"
     return 1
   }
