Count only losses of instances that came one after the other

Found by reading, while harmful requests were put into the soak: many callers send one request (same path, organisation and body), so it is under way at several instances at any time. Where three lose their power at once it had lost three, with no answer between, and all its callers would have been refused for ten minutes.

A loss now has the span from the request's sending to the connection's end, and the count is the most that do not overlap: a request that crashes its instances goes on to crash after each loss, which costs it a third of a second a round; losses at one moment count once. Ages on the link are in microseconds, since the order decides.

HarmfulRequests.CountsWhatWasLostAtOnceOnce is new: three losses before, now one.

--- a/include/deckpitch/harmful-requests.h
+++ b/include/deckpitch/harmful-requests.h
@@ -17,7 +17,8 @@
 /// The life of an instance that ended the connection while it had the request.
 struct InstanceLoss {
   std::uint64_t m_Instance = 0; ///< hash of the instance's id
-  TimePoint m_At{};
+  TimePoint m_Sent{};           ///< when the request was sent there
+  TimePoint m_At{};             ///< when the connection ended
   /// An instance has answered the request whole since: it counts no more.
   bool m_IsCleared = false;
 
@@ -33,9 +34,12 @@
                          const SuspectRequest &) = default;
 };
 
-/// Counts for each request the instances that were lost under it since one
-/// answered it whole. All that an instance had when it crashed is suspect;
-/// what only was there is answered elsewhere soon. Knowledge of several
+/// Counts for each request the instances that were lost under it, one after the
+/// other, since one answered it whole. All that an instance had when it crashed
+/// is suspect; what only was there is answered elsewhere soon. Where many are
+/// lost at once, as with their power, requests that many callers send are at
+/// several of them: only what was sent after the loss before it counts beside
+/// it. Knowledge of several
 /// processes is put together in any order, and as often as it is told: it rests
 /// on no comparison of their times.
 class HarmfulRequests {
@@ -47,7 +51,7 @@
 
   /// True where the request is refused from now on and was not before.
   bool lost(const RequestFingerprint &Request, const InstanceId &At,
-            TimePoint Now);
+            TimePoint Sent, TimePoint Now);
   void answered(const RequestFingerprint &Request, TimePoint Now);
   /// What another process knows. True as for lost().
   bool hear(const SuspectRequest &Told, TimePoint Now);
@@ -55,6 +59,7 @@
   /// Until when the request is refused; nothing where it is not.
   std::optional<TimePoint> refusedUntil(const RequestFingerprint &Request,
                                         TimePoint Now) const;
+  /// Losses one after the other.
   std::size_t lossesOf(const RequestFingerprint &Request) const;
 
   /// What other processes are to be told now: what has changed lately, so that
@@ -73,6 +78,7 @@
     std::size_t count() const;
     std::optional<TimePoint> refusedUntil(TimePoint Now) const;
     bool add(const InstanceLoss &Told);
+    void dropLeast();
     bool clear();
     bool isWorthTelling(TimePoint Now) const;
   };
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -65,7 +65,8 @@
   if (At->second.empty())
     m_AtInstance.erase(At);
   if (Of.m_IsPeerEnd)
-    m_Harmful.lost(Of.m_Fingerprint, Chosen.m_Instance, Of.m_Terms.m_AttemptId);
+    m_Harmful.lost(Of.m_Fingerprint, Chosen.m_Instance, Of.m_Sent,
+                   Of.m_Terms.m_AttemptId);
   if (How == Ended::Delivered || How == Ended::Failed)
     m_Harmful.answered(Of.m_Fingerprint);
   using End = InstanceTable::End;
--- a/src/direct/harmful-watch.cc
+++ b/src/direct/harmful-watch.cc
@@ -15,12 +15,26 @@
 namespace {
 
 /// In one hello, which has to stay below the 8 KB of a datagram beside what it
-/// says of the store: each takes up to 140 bytes.
+/// says of the store: each takes up to 220 bytes.
 constexpr std::size_t MostTold = 24;
 /// In one object of the store: each takes some 150 bytes.
 constexpr std::size_t MostStored = 64;
 constexpr const char *FoundHere = "here";
 
+std::uint64_t microsOf(Duration Length) {
+  const auto Count =
+      std::chrono::duration_cast<std::chrono::microseconds>(Length).count();
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(Count, 0));
+}
+
+/// What is older than any loss that counts is told as just that old, also where
+/// a number that cannot be came over the link.
+Duration fromMicros(std::uint64_t Count) {
+  constexpr std::chrono::microseconds Most = std::chrono::hours(24);
+  return std::chrono::microseconds(
+      std::min<std::uint64_t>(Count, Most.count()));
+}
+
 void write(const SuspectRequest &From, TimePoint Now,
            wire::SuspectRequestState &To) {
   To.set_high(From.m_Request.m_High);
@@ -28,16 +42,19 @@
   for (const InstanceLoss &Each : From.m_Losses) {
     wire::InstanceLossState &Loss = *To.add_losses();
     Loss.set_instance(Each.m_Instance);
-    Loss.set_age_ms(ageMs(Each.m_At, Now));
+    Loss.set_age_us(microsOf(Now - Each.m_At));
     Loss.set_is_cleared(Each.m_IsCleared);
+    Loss.set_lasted_us(microsOf(Each.m_At - Each.m_Sent));
   }
 }
 
 SuspectRequest read(const wire::SuspectRequestState &From, TimePoint Now) {
   SuspectRequest Out{{From.high(), From.low()}, {}};
-  for (const wire::InstanceLossState &Each : From.losses())
-    Out.m_Losses.push_back({Each.instance(), Now - milliseconds(Each.age_ms()),
-                            Each.is_cleared()});
+  for (const wire::InstanceLossState &Each : From.losses()) {
+    const TimePoint At = Now - fromMicros(Each.age_us());
+    const TimePoint Sent = At - fromMicros(Each.lasted_us());
+    Out.m_Losses.push_back({Each.instance(), Sent, At, Each.is_cleared()});
+  }
   return Out;
 }
 
@@ -53,8 +70,8 @@
 }
 
 void HarmfulWatch::lost(const RequestFingerprint &Request, const InstanceId &At,
-                        const std::string &AttemptId) {
-  const bool IsRefusedNow = m_Known.lost(Request, At, now());
+                        TimePoint Sent, const std::string &AttemptId) {
+  const bool IsRefusedNow = m_Known.lost(Request, At, Sent, now());
   net::log(Event::InstanceLostUnder,
            {{"request", AttemptId},
             {"fingerprint", textOf(Request)},
@@ -104,9 +121,11 @@
     if (milliseconds(AgeMs) >= HarmfulRequests::RefusalSpan)
       continue;
     SuspectRequest Told{Each.m_Request, {}};
-    for (const std::uint64_t Instance : Each.m_Instances)
-      Told.m_Losses.push_back(
-          {Instance, now() - milliseconds(AgeMs), /*m_IsCleared=*/false});
+    TimePoint At = now() - milliseconds(AgeMs);
+    for (const std::uint64_t Instance : Each.m_Instances) {
+      Told.m_Losses.push_back({Instance, At, At, /*m_IsCleared=*/false});
+      At -= milliseconds(1); // They were one after the other.
+    }
     hear(Told, From);
   }
 }
--- a/src/direct/harmful-watch.h
+++ b/src/direct/harmful-watch.h
@@ -17,7 +17,7 @@
 class HarmfulWatch {
 public:
   void lost(const RequestFingerprint &Request, const InstanceId &At,
-            const std::string &AttemptId);
+            TimePoint Sent, const std::string &AttemptId);
   void answered(const RequestFingerprint &Request);
   bool isRefused(const RequestFingerprint &Request) const {
     return refusedFor(Request).has_value();
--- a/src/kernel/harmful-requests.cc
+++ b/src/kernel/harmful-requests.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace deckpitch {
@@ -15,7 +16,7 @@
 /// processes.
 constexpr Duration TellSpan = std::chrono::seconds(5);
 /// Of one request, cleared ones included.
-constexpr std::size_t MostLosses = 6;
+constexpr std::size_t MostLosses = 8;
 static_assert(MostLosses > HarmfulRequests::LossesToRefuse);
 /// Each takes some 200 bytes. A crash leaves some dozens.
 constexpr std::size_t MostSuspects = 2'048;
@@ -33,10 +34,24 @@
 
 } // namespace
 
+/// The most that do not overlap: the one that ended first, then the one that
+/// ended first of those sent after it, and so on.
 std::size_t HarmfulRequests::Suspect::count() const {
-  return static_cast<std::size_t>(std::count_if(
-      m_Losses.begin(), m_Losses.end(),
-      [](const InstanceLoss &Each) { return !Each.m_IsCleared; }));
+  std::vector<const InstanceLoss *> ByEnd;
+  for (const InstanceLoss &Each : m_Losses)
+    if (!Each.m_IsCleared)
+      ByEnd.push_back(&Each);
+  std::sort(ByEnd.begin(), ByEnd.end(), [](const auto *One, const auto *Other) {
+    return One->m_At < Other->m_At;
+  });
+  std::size_t Count = 0;
+  TimePoint Last = TimePoint::min();
+  for (const InstanceLoss *Each : ByEnd)
+    if (Each->m_Sent > Last) {
+      ++Count;
+      Last = Each->m_At;
+    }
+  return Count;
 }
 
 std::optional<TimePoint>
@@ -55,27 +70,32 @@
 /// Whether that is news. One that is told again is not newer, though its age
 /// has grown by what each message took.
 bool HarmfulRequests::Suspect::add(const InstanceLoss &Told) {
+  const std::size_t Before = count();
   const auto Known = std::find_if(m_Losses.begin(), m_Losses.end(),
                                   [&](const InstanceLoss &Each) {
                                     return Each.m_Instance == Told.m_Instance;
                                   });
-  if (Known != m_Losses.end()) {
-    const bool IsNews = Told.m_IsCleared && !Known->m_IsCleared;
+  if (Known == m_Losses.end())
+    m_Losses.push_back(Told);
+  else
     Known->m_IsCleared = Known->m_IsCleared || Told.m_IsCleared;
-    return IsNews;
-  }
-  m_Losses.push_back(Told);
-  if (m_Losses.size() <= MostLosses)
-    return true;
-  const auto Least =
+  if (m_Losses.size() > MostLosses)
+    dropLeast();
+  return count() != Before;
+}
+
+/// A cleared one; else one that adds nothing to the count, the oldest of them.
+void HarmfulRequests::Suspect::dropLeast() {
+  const auto Rank = [this](const InstanceLoss &Of) {
+    Suspect Without = *this;
+    std::erase(Without.m_Losses, Of);
+    return std::tuple(!Of.m_IsCleared, Without.count() < count(), Of.m_At);
+  };
+  m_Losses.erase(
       std::min_element(m_Losses.begin(), m_Losses.end(),
-                       [](const InstanceLoss &One, const InstanceLoss &Other) {
-                         return std::pair(!One.m_IsCleared, One.m_At) <
-                                std::pair(!Other.m_IsCleared, Other.m_At);
-                       });
-  const bool IsNews = Least->m_Instance != Told.m_Instance;
-  m_Losses.erase(Least);
-  return IsNews;
+                       [&](const InstanceLoss &One, const InstanceLoss &Other) {
+                         return Rank(One) < Rank(Other);
+                       }));
 }
 
 bool HarmfulRequests::Suspect::clear() {
@@ -122,8 +142,9 @@
 }
 
 bool HarmfulRequests::lost(const RequestFingerprint &Request,
-                           const InstanceId &At, TimePoint Now) {
-  return hear({Request, {{hashOf(At), Now, false}}}, Now);
+                           const InstanceId &At, TimePoint Sent,
+                           TimePoint Now) {
+  return hear({Request, {{hashOf(At), Sent, Now, false}}}, Now);
 }
 
 void HarmfulRequests::answered(const RequestFingerprint &Request,
--- a/test/harmful-requests-test.cc
+++ b/test/harmful-requests-test.cc
@@ -19,19 +19,25 @@
 
 InstanceId instance(int Number) { return {"i-" + std::to_string(Number)}; }
 
+/// Each is sent half a second before its instance is lost.
+bool lose(HarmfulRequests &At, const RequestFingerprint &Request,
+          const InstanceId &Instance, TimePoint Now) {
+  return At.lost(Request, Instance, Now - 500ms, Now);
+}
+
 /// The request is lost at so many instances, a second apart.
 void lose(HarmfulRequests &At, const RequestFingerprint &Request, int Count,
           TimePoint From = Start) {
   for (int I = 0; I < Count; ++I)
-    At.lost(Request, instance(I), From + I * 1s);
+    lose(At, Request, instance(I), From + I * 1s);
 }
 
 TEST(HarmfulRequests, RefusesWhatCrashedThreeInstances) {
   HarmfulRequests All;
-  EXPECT_FALSE(All.lost(Harmful, instance(1), Start));
-  EXPECT_FALSE(All.lost(Harmful, instance(2), Start + 1s));
+  EXPECT_FALSE(lose(All, Harmful, instance(1), Start));
+  EXPECT_FALSE(lose(All, Harmful, instance(2), Start + 1s));
   EXPECT_FALSE(All.refusedUntil(Harmful, Start + 1s));
-  EXPECT_TRUE(All.lost(Harmful, instance(3), Start + 2s));
+  EXPECT_TRUE(lose(All, Harmful, instance(3), Start + 2s));
   EXPECT_EQ(All.refusedUntil(Harmful, Start + 2s),
             Start + 2s + HarmfulRequests::RefusalSpan);
   EXPECT_FALSE(All.refusedUntil(Harmless, Start + 2s));
@@ -41,7 +47,7 @@
 TEST(HarmfulRequests, CountsEachInstanceOnce) {
   HarmfulRequests All;
   for (int I = 0; I < 10; ++I)
-    All.lost(Harmless, instance(1), Start + I * 1s);
+    lose(All, Harmless, instance(1), Start + I * 1s);
   EXPECT_EQ(All.lossesOf(Harmless), 1U);
 }
 
@@ -50,8 +56,8 @@
   lose(All, Harmless, 2);
   All.answered(Harmless, Start + 3s);
   EXPECT_EQ(All.lossesOf(Harmless), 0U);
-  EXPECT_FALSE(All.lost(Harmless, instance(8), Start + 4s));
-  EXPECT_FALSE(All.lost(Harmless, instance(9), Start + 5s));
+  EXPECT_FALSE(lose(All, Harmless, instance(8), Start + 4s));
+  EXPECT_FALSE(lose(All, Harmless, instance(9), Start + 5s));
   EXPECT_FALSE(All.refusedUntil(Harmless, Start + 5s));
 }
 
@@ -61,16 +67,32 @@
   const TimePoint Later = Start + 2s + HarmfulRequests::RefusalSpan;
   EXPECT_TRUE(All.refusedUntil(Harmful, Later - 1ns));
   EXPECT_FALSE(All.refusedUntil(Harmful, Later));
-  EXPECT_TRUE(All.lost(Harmful, instance(7), Later));
+  EXPECT_TRUE(lose(All, Harmful, instance(7), Later));
   EXPECT_TRUE(All.refusedUntil(Harmful, Later));
 }
 
+/// Three instances lost their power at once, and a request that many callers
+/// send was at each of them.
+TEST(HarmfulRequests, CountsWhatWasLostAtOnceOnce) {
+  HarmfulRequests All;
+  for (int I = 0; I < 20; ++I)
+    EXPECT_FALSE(
+        All.lost(Harmless, instance(I), Start - I * 10ms, Start + I * 1ms));
+  EXPECT_EQ(All.lossesOf(Harmless), 1U);
+  // Nor does what was lost at once push out what was lost before.
+  EXPECT_FALSE(lose(All, Harmless, instance(20), Start + 1s));
+  for (int I = 30; I < 50; ++I)
+    All.lost(Harmless, instance(I), Start + 900ms, Start + 1s + I * 1ms);
+  EXPECT_EQ(All.lossesOf(Harmless), 2U);
+  EXPECT_TRUE(lose(All, Harmless, instance(21), Start + 2s));
+}
+
 /// Each attempt came to another entry, and none of them saw three.
 TEST(HarmfulRequests, PutsTogetherWhatSeveralSaw) {
   HarmfulRequests One;
   HarmfulRequests Other;
   lose(One, Harmful, 2);
-  Other.lost(Harmful, instance(5), Start + 1s);
+  lose(Other, Harmful, instance(5), Start + 2s);
   const auto Told = One.toTell(Many, Start + 2s);
   ASSERT_EQ(Told.size(), 1U);
   EXPECT_TRUE(Other.hear(Told[0], Start + 2s));
@@ -87,15 +109,17 @@
   lose(One, Harmful, 1);
   One.answered(Harmful, Start + 1s);
   for (int I = 5; I < 8; ++I)
-    One.lost(Harmful, instance(I), Start + 2s);
-  const auto Until = One.refusedUntil(Harmful, Start + 2s);
+    lose(One, Harmful, instance(I), Start + I * 1s);
+  const auto Until = One.refusedUntil(Harmful, Start + 7s);
   ASSERT_TRUE(Until);
-  TimePoint Now = Start + 2s;
+  TimePoint Now = Start + 7s;
   for (int I = 0; I < 1'000; ++I, Now += 300ms)
     for (auto [From, To] : {std::pair(&One, &Other), std::pair(&Other, &One)})
       for (SuspectRequest Told : From->toTell(Many, Now)) {
-        for (InstanceLoss &Each : Told.m_Losses)
+        for (InstanceLoss &Each : Told.m_Losses) {
+          Each.m_Sent += 50ms;
           Each.m_At += 50ms;
+        }
         To->hear(Told, Now);
       }
   EXPECT_EQ(One.refusedUntil(Harmful, Now), Until);
@@ -120,7 +144,7 @@
 TEST(HarmfulRequests, TellsOfChangesForAWhileAndOfRefusedOnesAlways) {
   HarmfulRequests All;
   lose(All, Harmful, 3);
-  All.lost(Harmless, instance(1), Start + 2s);
+  lose(All, Harmless, instance(1), Start + 2s);
   EXPECT_EQ(All.toTell(Many, Start + 3s).size(), 2U);
   const auto Later = All.toTell(Many, Start + 60s);
   ASSERT_EQ(Later.size(), 1U);
@@ -133,8 +157,8 @@
   HarmfulRequests All;
   lose(All, Harmful, 3);
   for (int I = 0; I < 10'000; ++I)
-    All.lost(fingerprintOf(partsOf(std::to_string(I))), instance(1),
-             Start + 3s + I * 1ms);
+    lose(All, fingerprintOf(partsOf(std::to_string(I))), instance(1),
+         Start + 3s + I * 1ms);
   EXPECT_LE(All.size(), 2'048U);
   EXPECT_TRUE(All.refusedUntil(Harmful, Start + 20s));
   All.forgetOld(Start + 2h);
