Count a loss only where the instance lived when the request came to it

A loss now counts where something came from the instance after the request was sent there: an engine's head, which it sends as it begins, or the bytes of any other request. Plain services say nothing before their answer; there it counts unless the instance was lost before and nothing came since. A refusal, which may be wrong, lasts two minutes and two more for each further loss, where it was ten.

Instances.OnlyWhatWasSentToALivingOneMayHaveCrashedIt is new.

The soak's stand-ins crash, rest and say that they leave; HEED and HARMFUL are its new checks, `--sabotage deaf` shows that HEED can fail. The faults that a seed draws are as before: what is new draws from a source of its own.

--- a/include/deckpitch/harmful-requests.h
+++ b/include/deckpitch/harmful-requests.h
@@ -46,8 +46,10 @@
 public:
   /// Instances that a request may crash before it is refused.
   static constexpr std::size_t LossesToRefuse = 3;
-  /// For how long it is refused after the last of them.
-  static constexpr Duration RefusalSpan = std::chrono::minutes(10);
+  /// For how long it is refused after the last of them, and as long again for
+  /// each further one: it may be refused wrongly, and each try of one that is
+  /// harmful costs an instance.
+  static constexpr Duration RefusalSpan = std::chrono::minutes(2);
 
   /// True where the request is refused from now on and was not before.
   bool lost(const RequestFingerprint &Request, const InstanceId &At,
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -128,6 +128,11 @@
   /// It wants nothing from this process until then. True where it was not
   /// resting before.
   bool rest(const InstanceId &Id, TimePoint Until, TimePoint Now);
+  /// An instance ended the connection of a request that was sent to it then.
+  /// True where it lived after that, as far as is known: the request may be why
+  /// it ended, if it did. Something in between may take a connection for an
+  /// instance that is gone.
+  bool lost(const InstanceId &Id, TimePoint Sent, TimePoint Now);
   /// The address now belongs to another life: not to be used any more.
   void replaced(const InstanceId &Id);
   /// Instances with requests under way whose address another life has by now:
@@ -164,7 +169,9 @@
     std::vector<HeldWeights> m_Weights;
     Ejection m_Ejection;
     TimePoint m_Heard{};
-    TimePoint m_AskAgain{}; ///< its agent did not answer before
+    TimePoint m_LastByte{};            ///< that came from it
+    std::optional<TimePoint> m_LostAt; ///< since then it seems to be gone
+    TimePoint m_AskAgain{};            ///< its agent did not answer before
   };
 
   bool isUsable(const InstanceId &Id, const Instance &Each,
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -65,8 +65,7 @@
   if (At->second.empty())
     m_AtInstance.erase(At);
   if (Of.m_IsPeerEnd)
-    m_Harmful.lost(Of.m_Fingerprint, Chosen.m_Instance, Of.m_Sent,
-                   Of.m_Terms.m_AttemptId);
+    noteLost(Of, Chosen.m_Instance, Of.m_Sent);
   if (How == Ended::Delivered || How == Ended::Failed)
     m_Harmful.answered(Of.m_Fingerprint);
   using End = InstanceTable::End;
@@ -265,6 +264,12 @@
   co_return Sent ? Ended::Delivered : Ended::Gone;
 }
 
+void EntryRequests::noteLost(const Call &Of, const InstanceId &At,
+                             TimePoint Sent) {
+  if (m_Instances.lost(At, Sent, now()))
+    m_Harmful.lost(Of.m_Fingerprint, At, Sent, Of.m_Terms.m_AttemptId);
+}
+
 void EntryRequests::noteEnd(const InstanceId &At, InstanceTable::End How,
                             bool WasAnswering) {
   if (const auto For = m_Instances.ended(At, How, WasAnswering, now()))
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -111,8 +111,7 @@
     const bool HasFailed = !IsRefused && !Under->m_Cancel.cancelled();
     Of.m_Query.m_Tried.insert(Next.m_Instance);
     if (Begun.m_IsPeerEnd)
-      m_Harmful.lost(Of.m_Fingerprint, Next.m_Instance, Begun.m_Sent,
-                     Of.m_Terms.m_AttemptId);
+      noteLost(Of, Next.m_Instance, Begun.m_Sent);
     noteEnd(Next.m_Instance, HasFailed ? End::Failed : End::Neutral, false);
   }
   Of.m_IsPlaceSought = false;
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -108,6 +108,7 @@
   asio::awaitable<Ended> readWhole(Call &Of, net::HttpStream &Body);
   asio::awaitable<Ended> passEvents(Call &Of, net::HttpStream &Body);
   void noteBegun(Call &Of);
+  void noteLost(const Call &Of, const InstanceId &At, TimePoint Sent);
   void noteEnd(const InstanceId &At, InstanceTable::End How, bool WasAnswering);
   static std::string takeReady(Call &Of);
   static asio::awaitable<bool> passReady(Call &Of);
--- a/src/direct/harmful-watch.cc
+++ b/src/direct/harmful-watch.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t MostTold = 24;
 /// In one object of the store: each takes some 150 bytes.
 constexpr std::size_t MostStored = 64;
+/// What is older counts no more; also where the time of day was wrong.
+constexpr std::uint64_t MostAgeMs =
+    std::chrono::milliseconds(std::chrono::hours(1)).count();
 constexpr const char *FoundHere = "here";
 
 std::uint64_t microsOf(Duration Length) {
@@ -118,7 +121,7 @@
   for (const RefusedRequest &Each : Stored) {
     // The clock may have been set back since.
     const std::uint64_t AgeMs = UnixNow - std::min(Each.m_LostMs, UnixNow);
-    if (milliseconds(AgeMs) >= HarmfulRequests::RefusalSpan)
+    if (AgeMs >= MostAgeMs)
       continue;
     SuspectRequest Told{Each.m_Request, {}};
     TimePoint At = now() - milliseconds(AgeMs);
--- a/src/kernel/harmful-requests.cc
+++ b/src/kernel/harmful-requests.cc
@@ -56,15 +56,18 @@
 
 std::optional<TimePoint>
 HarmfulRequests::Suspect::refusedUntil(TimePoint Now) const {
-  if (count() < LossesToRefuse)
+  const std::size_t Count = count();
+  if (Count < LossesToRefuse)
     return std::nullopt;
   TimePoint Last{};
   for (const InstanceLoss &Each : m_Losses)
     if (!Each.m_IsCleared)
       Last = std::max(Last, Each.m_At);
-  if (Now - Last >= RefusalSpan)
+  const TimePoint Until =
+      Last + RefusalSpan * static_cast<int>(Count - LossesToRefuse + 1);
+  if (Until <= Now)
     return std::nullopt;
-  return Last + RefusalSpan;
+  return Until;
 }
 
 /// Whether that is news. One that is told again is not newer, though its age
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -330,8 +330,28 @@
 
 void InstanceTable::heard(const InstanceId &Id, TimePoint Now) {
   const auto Found = m_Instances.find(Id);
-  if (Found != m_Instances.end())
-    Found->second.m_Heard = Now;
+  if (Found == m_Instances.end())
+    return;
+  Found->second.m_Heard = Now;
+  Found->second.m_LastByte = Now;
+}
+
+bool InstanceTable::lost(const InstanceId &Id, TimePoint Sent, TimePoint Now) {
+  const auto Found = m_Instances.find(Id);
+  if (Found == m_Instances.end())
+    return false;
+  Instance &Known = Found->second;
+  if (Known.m_LastByte >= Sent) {
+    Known.m_LostAt = Now;
+    return true;
+  }
+  // An engine answers with a head before it begins; a plain service says
+  // nothing before its whole answer.
+  const bool WasGone = Known.m_LostAt && *Known.m_LostAt <= Sent &&
+                       Known.m_LastByte <= *Known.m_LostAt;
+  if (!WasGone)
+    Known.m_LostAt = Now;
+  return !WasGone && !engineOf(Known.m_Listed.m_Service);
 }
 
 bool InstanceTable::leaving(const InstanceId &Id) {
--- a/support/soak/faults.py
+++ b/support/soak/faults.py
@@ -45,10 +45,11 @@
 
 
 async def restart_instance(system, instance):
-    await instance.server.close()
-    instance.staged.clear()
-    await instance.start(0, APP)
-    system.list_instance(instance)
+    async with instance.lock:
+        await instance.server.close()
+        instance.staged.clear()
+        await instance.start(0, APP)
+        system.list_instance(instance)
 
 
 async def declare(system):
@@ -90,12 +91,31 @@
 
 
 async def crash_instance(system):
-    instance = system.random.choice(system.instances)
+    await crash(system, system.random.choice(system.instances), system.random)
+
+
+async def crash(system, instance, random):
     gone = instance.id
     await instance.server.close()
-    await asyncio.sleep(system.random.uniform(0.2, 2.0))
+    await asyncio.sleep(random.uniform(0.2, 2.0))
     system.store.remove("servers", gone)
-    await restart_instance(system, instance)
+    if instance.id == gone:  # No other fault has brought it back meanwhile.
+        await restart_instance(system, instance)
+
+
+async def rest_instance(system):
+    """Turns all away, and asks each entry for rest."""
+    instance = system.side_random.choice(system.instances)
+    instance.rests = True
+    await asyncio.sleep(system.side_random.uniform(0.5, 4.0))
+    instance.rests = False
+
+
+async def rest_now_and_then(system):
+    """Beside the faults that the seed draws, which stay the same."""
+    while True:
+        await asyncio.sleep(system.side_random.uniform(1.0, 4.0))
+        await play_one(system, rest_instance)
 
 
 async def hang_instance(system):
@@ -132,6 +152,7 @@
     proxies = system.random.choice([system.store_proxies, system.instance_proxies])
     names = system.random.sample(sorted(proxies), 1 + len(proxies) // 4)
     mode = system.random.choice(["refuse", "hold", "silent", "one_way", "slow", "reset"])
+    system.record.heed.all_disturbed()
     for name in names:
         if mode == "reset":
             proxies[name].reset_all()
@@ -140,6 +161,7 @@
     await asyncio.sleep(system.random.uniform(0.3, 4.0))
     for name in names:
         proxies[name].mode = "good"
+    system.record.heed.all_disturbed()
 
 
 PLANNED = [stop_entry, stop_agent, drain_instance, declare, name_weights]
@@ -153,6 +175,7 @@
         await play_one(system, system.random.choice(PLANNED))
     system.record.is_planned_only = False
     running = set()
+    resting = asyncio.create_task(rest_now_and_then(system))
     for _ in range(options.faults):
         fault = system.random.choice(FAULTS)
         running.add(asyncio.create_task(play_one(system, fault)))
@@ -161,6 +184,9 @@
             _, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
     if running:
         await asyncio.gather(*running)
+    resting.cancel()
+    for instance in system.instances:
+        instance.rests = False
 
 
 async def play_one(system, fault):
--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -26,6 +26,9 @@
 CALLERS, READY, DIRECTORY, OPERATOR, LINK, APP, STORE = 8005, 8002, 8009, 7701, 7700, 8100, 7900
 DRAIN_S, GRACE_S = 2.0, 8.0
 DRAIN_SLACK_S = 1.5  # for a busy machine
+CONTACT_S = 3.0  # until what one entry knows is known to all
+REST_BEGINS_S = 1.5  # after the answer that asks for it, on a busy machine
+HARMFUL_SHARE = 0.02  # of the callers' requests, once any fault may come
 SETTLE_S = 60.0  # only a run that fails waits so long
 MOST_MEMORY_MB = 128
 KEY = "k1"
@@ -42,6 +45,7 @@
         self.is_planned_only = True
         self.is_timed = True
         self.sabotage = sabotage
+        self.heed = Heed(self.violate)
 
     def violate(self, what):
         self.violations.append(what)
@@ -93,11 +97,81 @@
             self.violate(f"MIXED {attempt} ({kind}): {answer.body[:80]!r}")
 
 
+class Heed:
+    """What instances tell entries, by answers and by crashing, and what these
+    send on nevertheless. An entry that was ended, stopped or cut off since then
+    is excused."""
+
+    def __init__(self, violate):
+        self.is_timed = True
+        self._violate = violate
+        self._entries = {}  # by attempt: the entry that it was sent to
+        self._disturbed = {}  # by entry: when last
+        self._all_disturbed = 0.0
+        self._left = {}  # by instance and entry: the first answer that said so
+        self._rests = {}  # by instance and entry: [asked at, arrivals since]
+        self._crashes = {}  # by harmful request: when
+        self._late = Counter()  # by harmful request: long after its third crash
+
+    def sent(self, attempt, entry):
+        self._entries[attempt] = entry
+
+    def disturbed(self, entry):
+        self._disturbed[entry] = time.monotonic()
+
+    def all_disturbed(self):
+        self._all_disturbed = time.monotonic()
+
+    def _is_calm(self, entry, since):
+        last = max(self._disturbed.get(entry, 0.0), self._all_disturbed)
+        return entry is not None and self.is_timed and last < since
+
+    def said_leaving(self, attempt, instance):
+        self._left.setdefault((instance.id, self._entries.get(attempt)), time.monotonic())
+
+    def asked_for_rest(self, attempt, instance):
+        key = instance.id, self._entries.get(attempt)
+        asked = self._rests.get(key)
+        if asked is None or time.monotonic() > asked[0] + standins.REST_S:
+            self._rests[key] = [time.monotonic(), 0]
+
+    def crashed(self, request):
+        self._crashes.setdefault(self._name_of(request), []).append(time.monotonic())
+
+    @staticmethod
+    def _name_of(request):
+        return request.path.split("~")[0]
+
+    def reached(self, attempt, request, instance):
+        now, entry = time.monotonic(), self._entries.get(attempt)
+        said = self._left.get((instance.id, entry))
+        if said and now - said > DRAIN_S + DRAIN_SLACK_S and self._is_calm(entry, said):
+            self._violate(f"HEED {attempt} reaches {instance.id}, which told {entry} that it leaves")
+        rest = self._rests.get((instance.id, entry))
+        if rest and REST_BEGINS_S < now - rest[0] < standins.REST_S:
+            rest[1] += 1
+            if rest[1] > 2 and self._is_calm(entry, rest[0]):
+                self._violate(f"HEED {attempt} reaches {instance.id}, which told {entry} to wait")
+        if request.body == standins.HARMFUL_BODY:
+            self._harmful_reached(attempt, request, entry, now)
+
+    def _harmful_reached(self, attempt, request, entry, now):
+        name = self._name_of(request)
+        crashes = self._crashes.get(name, [])
+        since = now - CONTACT_S - DRAIN_SLACK_S
+        if len(crashes) < 3 or crashes[2] > since or not self._is_calm(entry, since):
+            return
+        self._late[name] += 1
+        if self._late[name] > 3:
+            self._violate(f"HARMFUL {attempt} ({name}) after {len(crashes)} crashes")
+
+
 class Daemon:
     """One deckpitchd, started and ended by its own process id only."""
 
-    def __init__(self, program, folder, name, settings):
+    def __init__(self, program, folder, name, settings, on_disturbed=lambda: None):
         self.name = name
+        self._on_disturbed = on_disturbed
         self.lock = asyncio.Lock()  # held by the fault that stops and starts it
         self._program = program
         self._path = folder / f"{name}.json"
@@ -106,10 +180,12 @@
         self._process = None
 
     async def start(self):
+        self._on_disturbed()
         self._process = await asyncio.create_subprocess_exec(
             self._program, f"--settings={self._path}", stdout=self._log, stderr=self._log)
 
     def signal(self, number):
+        self._on_disturbed()
         if self._process and self._process.returncode is None:
             self._process.send_signal(number)
 
@@ -139,13 +215,16 @@
 
     def __init__(self, options, folder):
         self.random = random.Random(options.seed)
+        # For what happens beside the faults that the seed draws.
+        self.side_random = random.Random(f"beside {options.seed}")
         self.record = Record(options.sabotage)
-        self.record.is_timed = not options.untimed
+        self.record.is_timed = self.record.heed.is_timed = not options.untimed
         self.store = standins.Store()
         self.origin = standins.Origin()
         self.entries, self.agents, self.instances = [], [], []
         self.store_proxies, self.instance_proxies = {}, {}
         self.version, self.weights = 0, 1
+        self._crashes = set()  # tasks of instances that come back
         self._program = options.program
         self._folder = folder
         self._counts = options.entries, options.instances
@@ -172,6 +251,7 @@
         instance = standins.Instance(number, self.record)
         self.instances.append(instance)
         instance.on_change = self.list_instance
+        instance.on_crash = self.crash
         await instance.start(1, APP)
         await self._proxy(number, instance.host, APP, instance.own_host, APP, self.instance_proxies)
         self.list_instance(instance)
@@ -190,7 +270,8 @@
         settings["listen"] = {"callers": f"{host}:{CALLERS}", "ready": f"{host}:{READY}",
                               "directory": f"{host}:{DIRECTORY}", "operator": f"{host}:{OPERATOR}",
                               "link": f"{host}:{LINK}"}
-        self.entries.append(Daemon(self._program, self._folder, name, settings))
+        self.entries.append(Daemon(self._program, self._folder, name, settings,
+                                   lambda: self.record.heed.disturbed(host)))
 
     def _settings(self, role, name, number, store):
         return {"mode": "direct", "role": role, "instance": name, "dataCentre": self.zone(number),
@@ -222,11 +303,22 @@
                 "timeoutMs": 8000, "sloMs": 2000, "attempts": 2, "resumable": True,
                 "service": "pool"}
 
-    async def request(self, host, kind, attempt):
+    def crash(self, instance):
+        """A request has crashed it: all that it had ends, and it comes back."""
+        import faults  # Needs this module's constants.
+        self._crashes.add(asyncio.create_task(faults.crash(self, instance, self.side_random)))
+
+    async def request(self, host, kind, attempt, harmful=None):
         headers = {"Attempt-Id": attempt, "Deadline-Ms": "6000", "Authorization": f"Token {KEY}"}
         if kind == "stream":
             headers |= {"Model": standins.MODEL, "Token-Counts": "10,12"}
-        return await call(host, CALLERS, "POST", f"/{kind}/x", headers, b"asked", 12.0)
+        self.record.heed.sent(attempt, host)
+        path, body = f"/{kind}/x", b"asked"
+        if harmful is not None:
+            path, body = f"/{kind}/harmful-{harmful}", standins.HARMFUL_BODY
+            if self.record.sabotage == "deaf":  # Looks like another one each time.
+                path += f"~{attempt}"
+        return await call(host, CALLERS, "POST", path, headers, body, 12.0)
 
     async def is_ready(self, number):
         answer = await call(addresses.entry(number), READY, "GET", "/v1/ready", limit=2.0)
@@ -257,7 +349,9 @@
         kind = choose.choices(["stream", "once", "often"], [3, 1, 1])[0]
         count += 1
         attempt = f"c{number}-{count}"
-        answer = await system.request(choose.choice(addresses), kind, attempt)
+        is_harmful = not system.record.is_planned_only and choose.random() < HARMFUL_SHARE
+        kind, harmful = ("stream", choose.randrange(2)) if is_harmful else (kind, None)
+        answer = await system.request(choose.choice(addresses), kind, attempt, harmful)
         system.record.answered(kind, attempt, answer)
         if answer is None:
             addresses = []
@@ -298,7 +392,7 @@
                         help="part of the loopback addresses; default: one that is free")
     parser.add_argument("--untimed", action="store_true",
                         help="leaves out the checks that a very busy machine could fail")
-    parser.add_argument("--sabotage", choices=["twice", "mixed", "truth", "spoilt"],
+    parser.add_argument("--sabotage", choices=["twice", "mixed", "truth", "spoilt", "deaf"],
                         help="shows that a check can fail")
     parser.add_argument("--keep", help="folder for the logs of the processes")
     return parser.parse_args()
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -64,6 +64,24 @@
   EXPECT_FALSE(m_Table.leaving({"unknown"}));
 }
 
+/// Connections to one that was gone were taken by something in between and
+/// ended at once, and whatever was sent there seemed to have crashed it.
+TEST_F(Instances, OnlyWhatWasSentToALivingOneMayHaveCrashedIt) {
+  FleetInstance Plain = listed("plain");
+  Plain.m_Service = {"desk"};
+  list({listed("i"), Plain});
+  EXPECT_FALSE(m_Table.lost({"i"}, Start, Start + 1ms));
+  m_Table.heard({"i"}, Start + 5ms);
+  EXPECT_TRUE(m_Table.lost({"i"}, Start + 2ms, Start + 9ms));
+  EXPECT_FALSE(m_Table.lost({"i"}, Start + 10ms, Start + 11ms));
+  // A plain service says nothing before its answer.
+  EXPECT_TRUE(m_Table.lost({"plain"}, Start, Start + 20ms));
+  EXPECT_TRUE(m_Table.lost({"plain"}, Start + 10ms, Start + 20ms));
+  EXPECT_FALSE(m_Table.lost({"plain"}, Start + 21ms, Start + 22ms));
+  m_Table.heard({"plain"}, Start + 30ms);
+  EXPECT_TRUE(m_Table.lost({"plain"}, Start + 40ms, Start + 50ms));
+}
+
 /// Nobody could see in the log why an instance got nothing.
 TEST_F(Instances, TellsWhenAFailureHasOneEjected) {
   list({listed("i")});
