Do not suspect a request that was answered lately

An entry remembers for 30 to 60 s which requests an instance answered whole, at most 8,192, and clears any loss that it hears of one of these; others hear that with the next hello. A harmful request is never answered, so it is found as before.

--- a/include/deckpitch/harmful-requests.h
+++ b/include/deckpitch/harmful-requests.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace deckpitch {
@@ -39,9 +40,9 @@
 /// is suspect; what only was there is answered elsewhere soon. Where many are
 /// lost at once, as with their power, requests that many callers send are at
 /// several of them: only what was sent after the loss before it counts beside
-/// it. Knowledge of several
-/// processes is put together in any order, and as often as it is told: it rests
-/// on no comparison of their times.
+/// it. What was answered here a short while ago crashes no instance. Knowledge
+/// of several processes is put together in any order, and as often as it is
+/// told: it rests on no comparison of their times.
 class HarmfulRequests {
 public:
   /// Instances that a request may crash before it is refused.
@@ -87,7 +88,14 @@
 
   void makeRoom(TimePoint Now);
 
+  bool wasAnsweredLately(const RequestFingerprint &Request,
+                         TimePoint Now) const;
+
   std::map<RequestFingerprint, Suspect> m_Suspects;
+  /// Answered whole since the moment, and in the span before it.
+  std::set<RequestFingerprint> m_Answered;
+  std::set<RequestFingerprint> m_AnsweredBefore;
+  TimePoint m_AnsweredSince{};
 };
 
 } // namespace deckpitch
--- a/src/kernel/harmful-requests.cc
+++ b/src/kernel/harmful-requests.cc
@@ -20,6 +20,9 @@
 static_assert(MostLosses > HarmfulRequests::LossesToRefuse);
 /// Each takes some 200 bytes. A crash leaves some dozens.
 constexpr std::size_t MostSuspects = 2'048;
+/// Answers are remembered for one to two of these.
+constexpr Duration AnsweredSpan = std::chrono::seconds(30);
+constexpr std::size_t MostAnswered = 4'096;
 /// Dropped together where there are too many, so that a flood costs little.
 constexpr std::size_t DroppedAtOnce = MostSuspects / 4;
 
@@ -152,11 +155,24 @@
 
 void HarmfulRequests::answered(const RequestFingerprint &Request,
                                TimePoint Now) {
+  if (Now - m_AnsweredSince >= AnsweredSpan ||
+      m_Answered.size() >= MostAnswered) {
+    m_AnsweredBefore = std::exchange(m_Answered, {});
+    m_AnsweredSince = Now;
+  }
+  m_Answered.insert(Request);
   const auto Found = m_Suspects.find(Request);
   if (Found != m_Suspects.end() && Found->second.clear())
     Found->second.m_Changed = Now;
 }
 
+bool HarmfulRequests::wasAnsweredLately(const RequestFingerprint &Request,
+                                        TimePoint Now) const {
+  const Duration Age = Now - m_AnsweredSince;
+  return (Age < 2 * AnsweredSpan && m_Answered.contains(Request)) ||
+         (Age < AnsweredSpan && m_AnsweredBefore.contains(Request));
+}
+
 bool HarmfulRequests::hear(const SuspectRequest &Told, TimePoint Now) {
   if (m_Suspects.size() >= MostSuspects && !m_Suspects.contains(Told.m_Request))
     makeRoom(Now);
@@ -165,6 +181,8 @@
   for (const InstanceLoss &Each : Told.m_Losses)
     if (Now - Each.m_At < LossMemory && Known.add(Each))
       Known.m_Changed = Now;
+  if (wasAnsweredLately(Told.m_Request, Now) && Known.clear())
+    Known.m_Changed = Now;
   return !WasRefused && Known.refusedUntil(Now);
 }
 
