--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -32,6 +32,7 @@
 SETTLE_S = 60.0  # only a run that fails waits so long
 MOST_MEMORY_MB = 128
 KEY = "k1"
+HELD_PORT = 7899  # bound by a run for as long as it has its addresses
 
 
 class Record:
@@ -398,24 +399,29 @@
     return parser.parse_args()
 
 
-def free_net():
-    """The first net on which no other run's store listens."""
-    for addresses.base in range(0, 100, 10):
-        with socket.socket() as probe:
-            if probe.connect_ex((addresses.store(), STORE)) != 0:
-                return addresses.base
+def take_net(wanted):
+    """The wanted net, or the first that no other run has: it has it as long as
+    the socket that this gives is open."""
+    for addresses.base in range(0, 100, 10) if wanted is None else [wanted]:
+        held = socket.socket()
+        try:
+            held.bind((addresses.store(), HELD_PORT))
+            return held
+        except OSError:
+            held.close()
     sys.exit("no loopback addresses are free")
 
 
 def main():
     options = parse_options()
-    addresses.base = options.net if options.net is not None else free_net()
+    net = take_net(options.net)
     folder = Path(options.keep or tempfile.mkdtemp(prefix="deckpitch-soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     print(f"seed {options.seed}, logs in {folder}", flush=True)
     # Told to stop, it ends what it started as after a whole run.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = asyncio.run(main_run(options, folder))
+    net.close()
     print("outcomes:", dict(sorted(record.outcomes.items())))
     print(f"seed {options.seed}: {len(record.violations)} violations, "
           f"{sum(record.outcomes.values())} requests")
