Count a lost request whatever the kind of its service, where its instance lived

Cause: InstanceTable::lost took silence to mean that nothing had begun wherever the service has engines, since an engine gives a stream's head before it begins. A call that is answered whole has no head. The class: what is concluded about a request from the kind of its service, or from silence.

Change: silence tells nothing by itself. What tells whether the instance lived is a byte that came from it since the sending, or its agent's report of shortly before it; plain services have no agents and count as before. The rule against connections that something takes for an instance that is gone stays, with the agent's report as a further sign of life. A request under which an instance was lost goes where no other such request of this entry is, where another instance serves: which of the two crashes them shows only where they run apart.

The four partitions of InstanceTable::choose are one function now.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -44,6 +44,8 @@
   std::chrono::milliseconds m_Objective{1'000};
   std::set<InstanceId> m_Tried;
   std::set<InstanceId> m_Full; ///< whose agents were asked already
+  /// Taken only where no other serves.
+  std::set<InstanceId> m_Avoided;
   /// Places of an engine that are to stay free for others.
   double m_Reserve = 0;
   StreamSize m_Size; ///< of a request for a model
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -63,6 +63,7 @@
     co_return;
   ChoiceQuery Query = queryForRest(*Asking->second);
   Query.m_Tried.insert(From);
+  Query.m_Avoided = placesOfOtherSuspects(*Asking->second);
   // It was admitted already: others are not to be preferred to it.
   Query.m_Reserve = 0;
   const InstanceChoice Chosen = co_await choosePlace(std::move(Query));
--- a/src/direct/entry-places.cc
+++ b/src/direct/entry-places.cc
@@ -2,6 +2,7 @@
 // the agent beside it says.
 #include "direct/entry-call.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -70,9 +71,24 @@
   co_return m_Instances.choose(Query, now());
 }
 
+/// Which of two requests crashes instances shows only where they run apart.
+std::set<InstanceId>
+EntryRequests::placesOfOtherSuspects(const Call &Than) const {
+  std::set<InstanceId> Out;
+  if (!m_Harmful.isSuspect(Than.m_Fingerprint))
+    return Out;
+  for (const auto &[Id, Calls] : m_AtInstance)
+    if (std::any_of(Calls.begin(), Calls.end(), [&](const Call *Each) {
+          return Each != &Than && m_Harmful.isSuspect(Each->m_Fingerprint);
+        }))
+      Out.insert(Id);
+  return Out;
+}
+
 /// A stream of which the caller has a part goes on with the same weights where
 /// anybody still serves them.
 asio::awaitable<InstanceChoice> EntryRequests::choosePlaceFor(Call &Of) {
+  Of.m_Query.m_Avoided = placesOfOtherSuspects(Of);
   if (Of.m_EventCount > 0 && Of.m_Version != 0) {
     InstanceChoice Same = co_await choosePlace(queryForRest(Of));
     if (Same.m_Outcome == ChoiceOutcome::Chosen)
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -90,6 +90,7 @@
   asio::awaitable<void> tryInstances(Call &Of);
   asio::awaitable<InstanceChoice> choosePlace(ChoiceQuery Query);
   asio::awaitable<InstanceChoice> choosePlaceFor(Call &Of);
+  std::set<InstanceId> placesOfOtherSuspects(const Call &Than) const;
   /// What came of sending a request to an instance.
   struct Opened {
     std::unique_ptr<net::HttpStream> m_Body; ///< null where none is passed on
--- a/src/direct/harmful-watch.h
+++ b/src/direct/harmful-watch.h
@@ -22,6 +22,10 @@
   bool isRefused(const RequestFingerprint &Request) const {
     return refusedFor(Request).has_value();
   }
+  /// Whether an instance was lost under the request since it was answered.
+  bool isSuspect(const RequestFingerprint &Request) const {
+    return m_Known.lossesOf(Request) > 0;
+  }
   /// How much longer the request is refused; nothing where it is not.
   std::optional<Duration> refusedFor(const RequestFingerprint &Request) const;
 
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -41,6 +41,14 @@
 /// four seconds over links of some Mbit/s.
 constexpr Duration RetryAfterNothing = std::chrono::milliseconds(2'000);
 
+/// Leaves those for which the condition holds, or all where it holds for none.
+template <typename T, typename Condition>
+void keepAny(std::vector<T> &Of, Condition &&Holds) {
+  const auto End = std::partition(Of.begin(), Of.end(), Holds);
+  if (End != Of.begin())
+    Of.erase(End, Of.end());
+}
+
 } // namespace
 
 void InstanceTable::setServices(
@@ -226,27 +234,19 @@
   }
   // Ejected ones only where there is no other: a broken instance may still
   // serve some, an absent one none.
-  const auto Healthy =
-      std::partition(Usable.begin(), Usable.end(), [Now](const auto &Each) {
-        return Each->second.m_Ejection.until() <= Now;
-      });
-  if (Healthy != Usable.begin())
-    Usable.erase(Healthy, Usable.end());
+  keepAny(Usable, [Now](const auto &Each) {
+    return Each->second.m_Ejection.until() <= Now;
+  });
   // Nor ones whose agents have just not answered.
-  const auto Answering =
-      std::partition(Usable.begin(), Usable.end(), [Now](const auto &Each) {
-        return Now >= Each->second.m_AskAgain;
-      });
-  if (Answering != Usable.begin())
-    Usable.erase(Answering, Usable.end());
-  // Nor ones that load other weights before the request would end, unless no
-  // other serves.
-  const auto Lasting =
-      std::partition(Usable.begin(), Usable.end(), [&](const auto &Each) {
-        return endsBeforeSwap(Each->second, Query, Now);
-      });
-  if (Lasting != Usable.begin())
-    Usable.erase(Lasting, Usable.end());
+  keepAny(Usable,
+          [Now](const auto &Each) { return Now >= Each->second.m_AskAgain; });
+  // Nor ones that load other weights before the request would end.
+  keepAny(Usable, [&](const auto &Each) {
+    return endsBeforeSwap(Each->second, Query, Now);
+  });
+  keepAny(Usable, [&](const auto &Each) {
+    return !Query.m_Avoided.contains(Each->first);
+  });
   if (Usable.empty() && FirstRested) {
     Best.m_Outcome = ChoiceOutcome::Resting;
     Best.m_RetryAfter = *FirstRested - Now;
@@ -345,13 +345,17 @@
     Known.m_LostAt = Now;
     return true;
   }
-  // An engine answers with a head before it begins; a plain service says
-  // nothing before its whole answer.
-  const bool WasGone = Known.m_LostAt && *Known.m_LostAt <= Sent &&
-                       Known.m_LastByte <= *Known.m_LostAt;
-  if (!WasGone)
-    Known.m_LostAt = Now;
-  return !WasGone && !engineOf(Known.m_Listed.m_Service);
+  const TimePoint LastSign =
+      std::max(Known.m_LastByte, Known.m_Reported.value_or(TimePoint{}));
+  const bool WasGone =
+      Known.m_LostAt && *Known.m_LostAt <= Sent && LastSign <= *Known.m_LostAt;
+  if (WasGone)
+    return false;
+  Known.m_LostAt = Now;
+  // Silence does not tell whether it had begun. Only engines have agents.
+  const bool IsVouchedFor =
+      Known.m_Reported && Sent - *Known.m_Reported < ReportLifetime;
+  return IsVouchedFor || !engineOf(Known.m_Listed.m_Service);
 }
 
 bool InstanceTable::leaving(const InstanceId &Id) {
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -82,6 +82,29 @@
   EXPECT_TRUE(m_Table.lost({"plain"}, Start + 40ms, Start + 50ms));
 }
 
+/// A call that is answered whole crashed one instance after the other, and
+/// counted nowhere: its silence was taken to mean that it had not begun.
+TEST_F(Instances, SilenceDoesNotTellThatARequestHadNotBegun) {
+  const FleetInstance One = listed("i");
+  list({One});
+  EXPECT_FALSE(m_Table.lost({"i"}, Start, Start + 1ms));
+  m_Table.report(One.m_Address, {}, Start + 10ms);
+  EXPECT_TRUE(m_Table.lost({"i"}, Start + 20ms, Start + 90ms));
+  // It is gone by now, whatever takes connections in its place.
+  EXPECT_FALSE(m_Table.lost({"i"}, Start + 100ms, Start + 101ms));
+  m_Table.heard({"i"}, Start + 200ms);
+  EXPECT_FALSE(m_Table.lost({"i"}, Start + 2s, Start + 2'001ms));
+}
+
+TEST_F(Instances, OneThatIsAvoidedIsTakenOnlyWhereNoOtherServes) {
+  list({listed("i"), listed("j")});
+  m_Query.m_Avoided = {{"i"}};
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(chosen(), "j");
+  m_Query.m_Tried = {{"j"}};
+  EXPECT_EQ(chosen(), "i");
+}
+
 /// Nobody could see in the log why an instance got nothing.
 TEST_F(Instances, TellsWhenAFailureHasOneEjected) {
   list({listed("i")});
