Send to no instance that is only listed until its agent has confirmed it

What callers saw: after a loss of power of all machines the store still lists former lives for some seconds.

Cause: a place in the list was taken for proof that the instance lives, and an instance without a report was sent to unasked. Where the agent told of another life, the next list brought the former one's weights back.

Change: an instance of a service with agents is confirmed by a report of the listed life, or by an answer of its own; until then its agent is asked first, and where it does not answer, or knows another life, nothing is sent there. After 4.5 s in the list its place is proof, whatever the agent says. What its agent contradicts stays without weights until list and report are of one life. Who is refused for that is told to come back after 2 s, when the list names the lives that are there. No budget has to be kept across a restart for this: nothing is sent.

Ruled out: a budget of retries kept in the store, which would be read while the store is busiest; vouching by heartbeats of the list, which takes two lists.

One assertion of Instances.AnAgentThatDoesNotAnswerIsPassedOverForAWhile said that an instance of which only the list speaks is not asked; it now says that it is, and no more once the list is proof.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -62,6 +62,7 @@
   NoWeights,   ///< none serves the declared weights yet
   Full,        ///< none could start the request in time
   Resting,     ///< all that could take it want nothing for a while
+  Unconfirmed, ///< nobody says that those listed still live
   ListOutdated ///< who still takes requests is not known here, but elsewhere
 };
 
@@ -91,7 +92,13 @@
   /// Until all instances are to serve a version, from its declaration on.
   void setVersionBound(Duration Bound) { m_VersionBound = Bound; }
 
-  void report(const std::string &Address, InstanceReport Report, TimePoint Now);
+  /// False where the report is of another life than the listed one: the listed
+  /// one gets nothing until the report or the list is of the same life.
+  bool report(const std::string &Address, InstanceReport Report, TimePoint Now);
+  /// Whether an instance may be sent to though its agent does not answer: it is
+  /// known to have lived since it was listed here, or its place in the list is
+  /// proof by now.
+  bool isConfirmed(const InstanceId &Id, TimePoint Now) const;
 
   InstanceChoice choose(const ChoiceQuery &Query, TimePoint Now);
 
@@ -155,7 +162,10 @@
 private:
   struct Instance {
     FleetInstance m_Listed;
-    bool m_IsListed = true; ///< false: kept only until its requests end
+    bool m_IsListed = true;        ///< false: kept only until its requests end
+    TimePoint m_ListedAt{};        ///< when it was first listed here
+    bool m_IsConfirmed = false;    ///< by its agent, or an answer of its own
+    bool m_IsContradicted = false; ///< its agent knows another life
     bool m_IsReplaced = false;
     bool m_SaysItLeaves = false; ///< itself, beside what the list says
     TimePoint m_RestsUntil{};
@@ -185,6 +195,7 @@
                       TimePoint Now) const;
   Duration beginsWithin(const Instance &Each, TimePoint Now) const;
   const EngineProfile *engineOf(const ServiceId &Service) const;
+  bool lives(const Instance &Each, TimePoint Now) const;
   bool isAsked(const Instance &Each, TimePoint Now) const;
   double loadOf(const Instance &Each, TimePoint Now) const;
   double limitOf(const Instance &Each, const ChoiceQuery &Query) const;
--- a/src/direct/entry-places.cc
+++ b/src/direct/entry-places.cc
@@ -14,6 +14,9 @@
 
 /// Agents that are asked for a place before a request is refused.
 constexpr unsigned MostAsked = 3;
+/// Instances that have just started are listed anew and have weights by then.
+constexpr Duration RetryAfterUnconfirmed = std::chrono::milliseconds(2'000);
+
 InstanceChoice outdatedChoice() {
   InstanceChoice Out;
   Out.m_Outcome = ChoiceOutcome::ListOutdated;
@@ -47,18 +50,23 @@
     // This process may have stood still meanwhile.
     if (m_ListBelief().m_IsOutdated)
       co_return outdatedChoice();
-    if (Reply)
-      m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
-    if (Reply && Reply->m_IsGranted)
+    const bool IsListedLife =
+        Reply && m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
+    if (IsListedLife && Reply->m_IsGranted)
       co_return Chosen;
     Query.m_Full.insert(Chosen.m_Instance);
-    if (!Reply) {
+    if (!Reply)
       m_Instances.unanswered(Chosen.m_Instance, now());
+    const bool MayLive = m_Instances.isConfirmed(Chosen.m_Instance, now());
+    if (!Reply && MayLive) {
       if (!Unanswered && Chosen.m_Load < Chosen.m_Limit - Query.m_AskedBeyond)
         Unanswered = std::move(Chosen);
       continue;
     }
-    Chosen.m_Outcome = ChoiceOutcome::Full;
+    Chosen.m_Outcome =
+        IsListedLife ? ChoiceOutcome::Full : ChoiceOutcome::Unconfirmed;
+    if (!IsListedLife)
+      Chosen.m_RetryAfter = RetryAfterUnconfirmed;
     Refused = std::move(Chosen);
   }
   if (Unanswered)
@@ -68,7 +76,12 @@
   // No agent answered, and all are believed full.
   Query.m_Full.clear();
   Query.m_AskedBeyond = 0;
-  co_return m_Instances.choose(Query, now());
+  InstanceChoice Last = m_Instances.choose(Query, now());
+  const bool IsUnconfirmed = Last.m_Outcome == ChoiceOutcome::Chosen &&
+                             !m_Instances.isConfirmed(Last.m_Instance, now());
+  if (IsUnconfirmed)
+    Last.m_Outcome = ChoiceOutcome::Unconfirmed;
+  co_return Last;
 }
 
 /// Which of two requests crashes instances shows only where they run apart.
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -65,6 +65,8 @@
     return "full";
   case ChoiceOutcome::Resting:
     return "all rest";
+  case ChoiceOutcome::Unconfirmed:
+    return "nobody confirms that instances live";
   case ChoiceOutcome::ListOutdated:
     return "list of instances is outdated";
   }
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -37,6 +37,10 @@
 /// later leaves too little of an objective of 300 ms. With 60 to 90 ms, 1,707
 /// of 2,291 callers served when they came back were past 290 ms.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(25);
+/// For how long an instance of which nothing is known but its place in the list
+/// may be gone: the platform lists one for three of its signs of life, each 1.2
+/// s apart, and the list is read each 0.75 s.
+constexpr Duration UnconfirmedSpan = std::chrono::milliseconds(4'500);
 /// Until weights arrive or instances come back: a copy of some MB takes two to
 /// four seconds over links of some Mbit/s.
 constexpr Duration RetryAfterNothing = std::chrono::milliseconds(2'000);
@@ -66,11 +70,13 @@
   for (const FleetInstance &Each : Listed) {
     const auto [At, IsNew] = m_Instances.try_emplace(Each.m_Id);
     Instance &Known = At->second;
-    if (IsNew)
+    if (IsNew) {
       Known.m_Heard = Now;
+      Known.m_ListedAt = Now;
+    }
     const bool HasFreshReport =
         Known.m_Reported && Now - *Known.m_Reported < ReportLifetime;
-    if (!HasFreshReport)
+    if (!HasFreshReport && !Known.m_IsContradicted)
       Known.m_Weights = Each.m_Weights;
     Known.m_Listed = Each;
     Known.m_IsListed = true;
@@ -87,21 +93,24 @@
     m_Wanted[Each.m_Model].add(Each.m_Version, Now);
 }
 
-void InstanceTable::report(const std::string &Address, InstanceReport Report,
+bool InstanceTable::report(const std::string &Address, InstanceReport Report,
                            TimePoint Now) {
   const auto Id = m_ByAddress.find(Address);
   if (Id == m_ByAddress.end())
-    return;
+    return false;
   Instance &Known = m_Instances.at(Id->second);
   // The list and the report come by different ways, either may be older. What
   // the newer life holds shows when both speak of it.
   const bool IsOtherLife = Report.m_Start != 0 && Known.m_Listed.m_Start != 0 &&
                            Report.m_Start != Known.m_Listed.m_Start;
+  Known.m_IsContradicted = IsOtherLife;
   if (IsOtherLife) {
     Known.m_Weights.clear();
     Known.m_Reported.reset();
-    return;
+    return false;
   }
+  Known.m_IsConfirmed =
+      Known.m_IsConfirmed || Report.m_Start == Known.m_Listed.m_Start;
   const std::uint32_t All = Report.m_Running + Report.m_Waiting;
   Known.m_Others = All - std::min(All, Known.m_Own);
   Known.m_Reported = Now;
@@ -114,6 +123,7 @@
     Known.m_SwapAt = Now + *Report.m_SwapIn;
   Known.m_HasSoundLink = Report.m_HasSoundLink;
   Known.m_Weights = std::move(Report.m_Weights);
+  return true;
 }
 
 /// Until a request that is sent now begins there.
@@ -334,6 +344,7 @@
     return;
   Found->second.m_Heard = Now;
   Found->second.m_LastByte = Now;
+  Found->second.m_IsConfirmed = true;
 }
 
 bool InstanceTable::lost(const InstanceId &Id, TimePoint Sent, TimePoint Now) {
@@ -404,9 +415,21 @@
   return 0;
 }
 
+bool InstanceTable::isConfirmed(const InstanceId &Id, TimePoint Now) const {
+  const auto Found = m_Instances.find(Id);
+  return Found != m_Instances.end() && lives(Found->second, Now);
+}
+
+/// As far as is known; see isConfirmed().
+bool InstanceTable::lives(const Instance &Each, TimePoint Now) const {
+  return Each.m_IsConfirmed || !engineOf(Each.m_Listed.m_Service) ||
+         Now - Each.m_ListedAt >= UnconfirmedSpan;
+}
+
 bool InstanceTable::isAsked(const Instance &Each, TimePoint Now) const {
-  return engineOf(Each.m_Listed.m_Service) && Each.m_Reported &&
-         Now - *Each.m_Reported < ReportLifetime;
+  const bool IsFresh =
+      Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
+  return engineOf(Each.m_Listed.m_Service) && (IsFresh || !lives(Each, Now));
 }
 
 std::optional<PlaceQuery> InstanceTable::placeQuery(const InstanceId &Id,
