Pace the reading of an origin by its declared link

Cause: 32 chunks were read at once, whatever the origin's link, and the next instance in a chunk's order began after 0.8 s.

Ruled out: the lists of instances (read each second by copying agents; one every 20 s changed nothing here before), a slow instance holding up all others (no copy went without a gain for 2 s).

Change: the declaration tells the origin's link; entries pass it on to agents. A window holds what the link carries in 0.6 s, moves on at the link's pace even where news of what has come is late, and the next reader waits for twice a window. Without a declared rate all is as before.

SwarmSimulation.ReadsNoChunkTwiceFromANarrowOrigin (76 instances, three data centres) fails with the constants that stood: 1.60 copies, last after 4.23 s; now 1.00 and 3.11 s.

--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -67,7 +67,8 @@
   ServiceId m_Id;
   std::uint32_t m_MaxConnections = 0; ///< of one instance, from all callers
   std::optional<EngineProfile> m_Engine;
-  std::string m_Origin; ///< address; set for an origin of weights only
+  std::string m_Origin;    ///< address; set for an origin of weights only
+  double m_OriginMbps = 0; ///< of the origin's link; 0: not told
 
   friend bool operator==(const ServiceDeclaration &,
                          const ServiceDeclaration &) = default;
@@ -108,7 +109,8 @@
 struct WeightsSource {
   ServiceId m_Service;
   std::string m_Model;
-  std::string m_Origin; ///< address
+  std::string m_Origin;    ///< address
+  double m_OriginMbps = 0; ///< of the origin's link; 0: not told
 
   friend bool operator==(const WeightsSource &,
                          const WeightsSource &) = default;
--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -26,6 +26,9 @@
   std::uint32_t m_Unstaged = 8;     ///< chunks in memory, not yet staged
   std::uint32_t m_OriginReads = 2;  ///< by this instance at once
   std::uint32_t m_OriginWindow = 6; ///< by the whole pool at once
+  /// What the origin's link takes for a chunk: the window moves on by as much,
+  /// though no news of what has come be heard. Zero: not known.
+  Duration m_OriginPace{};
   Preference m_Preference = Preference::OriginBytes;
   double m_HedgeShare = 0.05; ///< of the chunks may be asked for twice
   double m_ExtraCopies = 3.0; ///< that a pool preferring time may read
@@ -60,6 +63,23 @@
   friend bool operator==(const SwarmOptions &, const SwarmOptions &) = default;
 };
 
+/// How a pool shares the reading of an origin.
+struct OriginPacing {
+  std::uint32_t m_Window = 1; ///< chunks read by the whole pool at once
+  Duration m_Step{};  ///< until the next in a chunk's order reads it as well
+  Duration m_Chunk{}; ///< that the origin's link takes for one; 0: not known
+
+  friend bool operator==(const OriginPacing &, const OriginPacing &) = default;
+};
+
+/// The load pattern it answers: all instances of a pool begin to copy a version
+/// in one moment, and the origin's link carries a few chunks in the time in
+/// which they hear of each other's. Chunks that are read at once come late
+/// together; where that takes longer than the next reader waits, it reads them
+/// again, which makes all of them later still. Mbps: of the origin's link; 0:
+/// not known.
+OriginPacing originPacing(double Mbps, std::uint32_t ChunkBytes);
+
 /// Whether chunks queue on the way to an instance, and requests behind them.
 enum class LinkVerdict {
   Unknown, ///< too few chunks have come to tell
@@ -288,6 +308,7 @@
   bool rests(std::uint32_t Chunk, TimePoint Now) const;
   void restChunk(std::uint32_t Chunk, TimePoint Now);
   bool starved(TimePoint Now) const;
+  std::uint32_t goneFromOrigin(TimePoint Now) const;
   void openWindow(TimePoint Now);
   Duration originStep() const;
   bool stalled(const Peer &Each, TimePoint Now) const;
@@ -330,6 +351,7 @@
   std::map<std::uint32_t, CorruptRead> m_CorruptReads;
   Duration m_SeenDelay{}; ///< moving mean from due to seen
   TimePoint m_LastGain{};
+  TimePoint m_BeganAt{};     ///< to look at what the origin is asked for
   TimePoint m_PeersGaveAt{}; ///< the last bytes from any, or the start
   TimePoint m_AskedPeers{};
   TimePoint m_LonelySince{}; ///< the last time with a peer
--- a/src/direct/store-news.cc
+++ b/src/direct/store-news.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace deckpitch::direct {
 
@@ -21,10 +22,13 @@
   To.set_service(From.m_Service.m_Text);
   To.set_model(From.m_Model);
   To.set_origin(From.m_Origin);
+  To.set_origin_mbps(From.m_OriginMbps);
 }
 
 WeightsSource read(const wire::WeightsSourceState &From) {
-  return {{From.service()}, From.model(), From.origin()};
+  const double Told = From.origin_mbps();
+  const double OriginMbps = std::isfinite(Told) ? std::max(Told, 0.0) : 0;
+  return {{From.service()}, From.model(), From.origin(), OriginMbps};
 }
 
 void write(const HeldWeights &From, wire::HeldWeightsState &To) {
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -34,9 +34,6 @@
 constexpr std::uint64_t FirstVersion = 1; ///< when none is declared
 /// A digest that fits nothing any peer or the origin sends is wrong itself.
 constexpr std::uint64_t CorruptToReread = 6;
-/// Chunks that the whole pool reads from the origin at once: enough to keep a
-/// link of some Mbit/s busy while it is told which of them have come.
-constexpr std::uint32_t OriginWindow = 32;
 /// A chunk has several holders within a third of that on sound links.
 constexpr Duration SoleHolderWait = milliseconds(700);
 /// Twice what chunks take on sound links with this many under way. A link of
@@ -57,8 +54,6 @@
 /// A copy that has gained nothing for so long logs what it waits for, and again
 /// after as long: over sound links a whole copy takes no longer.
 constexpr Duration WaitTold = std::chrono::seconds(2);
-/// What a window of chunks takes at such an origin.
-constexpr Duration OriginStep = milliseconds(800);
 
 std::uint64_t msOf(Duration Value) {
   const auto Ms = std::chrono::duration_cast<milliseconds>(Value).count();
@@ -70,10 +65,12 @@
 }
 
 SwarmOptions swarmOptions(const WeightsSettings &Settings,
-                          std::uint32_t ChunkBytes) {
+                          std::uint32_t ChunkBytes, double OriginMbps) {
   SwarmOptions Out = daemon::swarmOptionsFor(Settings, ChunkBytes);
-  Out.m_OriginWindow = OriginWindow;
-  Out.m_OriginStep = OriginStep;
+  const OriginPacing Pacing = originPacing(OriginMbps, ChunkBytes);
+  Out.m_OriginWindow = Pacing.m_Window;
+  Out.m_OriginStep = Pacing.m_Step;
+  Out.m_OriginPace = Pacing.m_Chunk;
   Out.m_SoleHolderWait = SoleHolderWait;
   Out.m_ChunkPatience = ChunkPatience;
   Out.m_Uploads = Uploads;
@@ -398,8 +395,8 @@
   else
     m_Staging->writeBehind(Weights);
   m_Staging->keepOnly(std::move(Kept));
-  const SwarmOptions Options =
-      swarmOptions(m_Options.m_Copy.m_Weights, Read->m_ChunkBytes);
+  const SwarmOptions Options = swarmOptions(
+      m_Options.m_Copy.m_Weights, Read->m_ChunkBytes, m_Source.m_OriginMbps);
   m_Current = {};
   m_Current.m_Weights = Wanted;
   m_Current.m_Copy =
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -16,6 +16,18 @@
 constexpr int UnheldSteps = 6;       ///< until a chunk nobody known has is read
 constexpr std::size_t MostImporters = 4; ///< of one chunk in a data centre
 constexpr int MaxSteps = 4; ///< delays of faults must not stretch the waits
+/// Of the origin's link that a window fills: longer than it takes until a pool
+/// has heard which chunks have come.
+constexpr double WindowMs = 600;
+/// Twice what a window takes, for one that is read over a narrow link.
+constexpr Duration WindowStep = std::chrono::milliseconds(1'200);
+/// Enough to keep a link of some Mbit/s busy, where its rate is not known.
+constexpr std::uint32_t MostWindow = 32;
+constexpr std::uint32_t LeastWindow = 4;
+/// Over a link that is declared to be next to nothing.
+constexpr double LongestChunkMs = 60'000;
+/// What that many chunks take over 15 Mbit/s.
+constexpr Duration UnknownStep = std::chrono::milliseconds(800);
 
 std::uint64_t hashOf(const InstanceId &Id) {
   return XXH3_64bits(Id.m_Text.data(), Id.m_Text.size());
@@ -47,6 +59,20 @@
 
 } // namespace
 
+OriginPacing originPacing(double Mbps, std::uint32_t ChunkBytes) {
+  const bool IsKnown = Mbps > 0 && ChunkBytes > 0;
+  if (!IsKnown)
+    return {MostWindow, UnknownStep, Duration::zero()};
+  constexpr double BytesPerMsOfMbps = 1'000.0 / 8;
+  const double ChunkMs = ChunkBytes / (Mbps * BytesPerMsOfMbps);
+  const double Window =
+      std::clamp<double>(WindowMs / ChunkMs, LeastWindow, MostWindow);
+  const std::chrono::duration<double, std::milli> Chunk(
+      std::min(ChunkMs, LongestChunkMs));
+  return {static_cast<std::uint32_t>(Window), WindowStep,
+          std::chrono::ceil<Duration>(Chunk)};
+}
+
 void Swarm::setInstances(const std::vector<InstanceId> &Instances) {
   std::vector<std::uint64_t> Others;
   for (const InstanceId &Each : Instances)
@@ -111,13 +137,25 @@
   return !complete() && m_Taken.count() == 0 && Now - m_LastGain > originStep();
 }
 
+/// Chunks that have left the origin, as far as is known or reckoned.
+std::uint32_t Swarm::goneFromOrigin(TimePoint Now) const {
+  const std::uint32_t Seen = m_Seen.count();
+  if (m_Options.m_OriginPace <= Duration::zero())
+    return Seen;
+  const auto Reckoned = static_cast<std::uint32_t>(std::min<Duration::rep>(
+      (Now - m_BeganAt) / m_Options.m_OriginPace, m_Here.size()));
+  return std::max(Seen, Reckoned);
+}
+
 void Swarm::openWindow(TimePoint Now) {
   if (m_LastGain == TimePoint{})
     m_LastGain = Now;
   if (m_PeersGaveAt == TimePoint{})
     m_PeersGaveAt = Now;
+  if (m_BeganAt == TimePoint{})
+    m_BeganAt = Now;
   const std::uint32_t End =
-      std::min(m_Here.size(), m_Seen.count() + m_Options.m_OriginWindow);
+      std::min(m_Here.size(), goneFromOrigin(Now) + m_Options.m_OriginWindow);
   for (; m_Opened < End; ++m_Opened)
     m_Open[m_Opened] = Now;
 }
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -21,7 +21,8 @@
   Declared.m_Services = {serviceOf("pool", "m"), serviceOf("plain", "")};
   EXPECT_TRUE(sourcesOf(Declared).empty()); // No origin yet.
   Declared.m_Services.push_back(serviceOf("origin", "", "10.0.0.1:80"));
-  const std::vector<WeightsSource> Expected{{{"pool"}, "m", "10.0.0.1:80"}};
+  Declared.m_Services.back().m_OriginMbps = 9;
+  const std::vector<WeightsSource> Expected{{{"pool"}, "m", "10.0.0.1:80", 9}};
   EXPECT_EQ(sourcesOf(Declared), Expected);
 }
 
--- a/test/swarm-simulation-test.cc
+++ b/test/swarm-simulation-test.cc
@@ -152,6 +152,49 @@
   }
 }
 
+/// Chunks that were read at once over a narrow link took longer than the next
+/// reader waited: 1.6 to 2.8 copies left the origin, and the last instance had
+/// one after 4.2 s.
+TEST(SwarmSimulation, ReadsNoChunkTwiceFromANarrowOrigin) {
+  constexpr double OriginMbps = 9;
+  constexpr double LinkMbps = 9.4;
+  constexpr std::uint32_t ChunkBytes = 49'152;
+  constexpr double ChunkMs = ChunkBytes * 8 / LinkMbps / 1'000;
+  SimulationOptions Options;
+  Options.m_Agents = 76;
+  Options.m_Chunks = 48;
+  Options.m_DataCentres = 3;
+  Options.m_OriginRate = OriginMbps / LinkMbps;
+  Options.m_ChunkTime = std::chrono::round<Duration>(
+      std::chrono::duration<double>(ChunkMs / 1e3));
+  Options.m_Delay = 2ms;
+  const OriginPacing Pacing = originPacing(OriginMbps, ChunkBytes);
+  Options.m_Swarm.m_OriginWindow = Pacing.m_Window;
+  Options.m_Swarm.m_OriginStep = Pacing.m_Step;
+  Options.m_Swarm.m_OriginPace = Pacing.m_Chunk;
+  for (std::uint64_t Seed : {1, 2}) {
+    Options.m_Seed = Seed;
+    const SimulationResult Result = SwarmSimulation(Options).run();
+    EXPECT_LE(Result.m_OriginCopies, 1.05);
+    EXPECT_LE(Result.m_Slots * ChunkMs, 3'200);
+  }
+}
+
+TEST(OriginPacing, FollowsTheOriginsLink) {
+  EXPECT_EQ(originPacing(9, 49'152).m_Window, 13U);
+  EXPECT_EQ(std::chrono::round<std::chrono::milliseconds>(
+                originPacing(9, 49'152).m_Chunk),
+            44ms);
+  EXPECT_EQ(originPacing(1e-300, 49'152).m_Chunk, 1min);
+  EXPECT_EQ(originPacing(15, 49'152).m_Window, 22U);
+  EXPECT_EQ(originPacing(0.1, 49'152).m_Window, 4U);
+  EXPECT_EQ(originPacing(1e9, 49'152).m_Window, 32U);
+  const OriginPacing Unknown{32, 800ms, 0ms};
+  EXPECT_EQ(originPacing(0, 49'152), Unknown);
+  EXPECT_EQ(originPacing(9, 0), Unknown);
+  EXPECT_EQ(originPacing(-1, 49'152), Unknown);
+}
+
 SimulationResult baseline(Scheme By, bool Shared, std::uint32_t Count) {
   SimulationOptions Options = options();
   Options.m_Agents = Count;
