Take no list of instances that is larger than any pool's

A relayed list of 18 KB took 259 MiB before it was refused: its text of 4 MiB may hold two million entries of two bytes, each of which takes over a hundred in memory.

--- a/src/direct/store-relay.cc
+++ b/src/direct/store-relay.cc
@@ -21,6 +21,9 @@
 /// Of a text: the store's own limit is 1 MiB a value. A list of 1,000 instances
 /// takes 0.2 MB.
 constexpr std::size_t MostTextBytes = std::size_t{4} * 1024 * 1024;
+/// Of a list of 2,500 instances. Shorter entries take a hundred times their
+/// text in memory.
+constexpr std::size_t MostListBytes = std::size_t{512} * 1024;
 /// Of an answer: packed texts are smaller than the text.
 constexpr std::size_t MostBodyBytes = std::size_t{5} * 1024 * 1024;
 /// The holder packs 1 MB in some 100 ms of a quarter of a core, once. An entry
@@ -118,7 +121,7 @@
   if (From.has_returned_ms())
     Out.m_Returned = Asked - milliseconds(From.returned_ms());
   if (!From.deflated().empty()) {
-    const auto Text = net::inflate(From.deflated(), MostTextBytes);
+    const auto Text = net::inflate(From.deflated(), MostListBytes);
     if (!Text)
       return Text.error();
     wire::InstancesNews All;
