--- a/src/kernel/instance-list.cc
+++ b/src/kernel/instance-list.cc
@@ -9,15 +9,17 @@
 
 namespace {
 
-/// Ends each field, so that two fields never read like two others.
-constexpr char FieldEnd = '\0';
+/// After the length of each field, so that two fields never read like two
+/// others, whatever is in them.
+constexpr char LengthEnd = ':';
 /// The platform's word: those that live are back within two seconds. Lists come
 /// each half second, so that the last look is a little before.
 constexpr Duration LapsedReturn = std::chrono::milliseconds(1'900);
 
 void add(std::string &Text, const std::string &Field) {
+  Text += std::to_string(Field.size());
+  Text += LengthEnd;
   Text += Field;
-  Text += FieldEnd;
 }
 
 void add(std::string &Text, std::uint64_t Field) {
