Bound times and numbers that come from outside before reckoning with them

Times of datagrams and declared terms beyond the clock's end overflowed: a timeout of 2^64 ms was negative, an engine of endless steps had no number of places, a question for a place of centuries was granted in the past, a life that had proved to live wrapped around. Cause of all: a number was turned into the clock's unit before it was looked at.

--- a/include/deckpitch/link-delay.h
+++ b/include/deckpitch/link-delay.h
@@ -21,8 +21,10 @@
   /// A message of the sender's process with that incarnation, sent at that
   /// moment of its own monotonic clock. Gives how much later than the quickest
   /// one it came.
-  Duration note(std::uint64_t Incarnation, Duration SentAt,
-                TimePoint Received) {
+  template <typename Length>
+  Duration note(std::uint64_t Incarnation, Length Sent, TimePoint Received) {
+    const Duration SentAt =
+        std::clamp<Length>(Sent, Length::zero(), LongestRun);
     const Duration Offset = Received.time_since_epoch() - SentAt;
     Life &Of = lifeOf(Incarnation, Offset, Received);
     if (Received - Of.m_Since >= Window) {
@@ -53,6 +55,8 @@
 
   /// Two clocks drift apart by less than 0.1 ms/s, so by 12 ms in two windows.
   static constexpr Duration Window = std::chrono::minutes(1);
+  /// No machine runs for longer: what is told beyond it is wrong.
+  static constexpr auto LongestRun = std::chrono::hours(24 * 365 * 10);
   /// No datagram is so late that two starts lie between.
   static constexpr std::size_t LivesKept = 2;
 
--- a/src/direct/place-client.cc
+++ b/src/direct/place-client.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -16,6 +17,11 @@
 /// noticeable part of no objective.
 constexpr std::chrono::milliseconds AnswerLimit{20};
 
+/// No engine takes so long, nor has so many places: sums of more would pass the
+/// end of the clock.
+constexpr microseconds MostAsked = std::chrono::hours(1);
+constexpr std::uint32_t MostSlots = 100'000;
+
 std::uint64_t usOf(Duration Value) {
   const auto Us = std::chrono::duration_cast<microseconds>(Value).count();
   return Us < 0 ? 0 : static_cast<std::uint64_t>(Us);
@@ -34,9 +40,9 @@
 
 PlaceQuery read(const wire::PlaceQuery &From) {
   const auto Time = [](std::uint64_t Us) {
-    return microseconds(static_cast<microseconds::rep>(Us));
+    return microseconds(std::min<std::uint64_t>(Us, MostAsked.count()));
   };
-  return {From.slots(),
+  return {std::min(From.slots(), MostSlots),
           From.reserve(),
           Time(From.between_ends_us()),
           Time(From.read_us()),
--- a/src/direct/state-link.cc
+++ b/src/direct/state-link.cc
@@ -110,8 +110,9 @@
   }
   const auto Proof =
       std::chrono::duration_cast<std::chrono::microseconds>(LifeProof).count();
-  return Message.sent_us() >=
-         m_Other->m_FirstSentUs + static_cast<std::uint64_t>(Proof);
+  const std::uint64_t First = m_Other->m_FirstSentUs;
+  return Message.sent_us() >= First &&
+         Message.sent_us() - First >= static_cast<std::uint64_t>(Proof);
 }
 
 } // namespace deckpitch::direct
--- a/src/kernel/engine-model.cc
+++ b/src/kernel/engine-model.cc
@@ -10,8 +10,12 @@
 /// Of an objective where no agent is asked; see PlannedShare.
 constexpr double PlannedPart = 0.85;
 
+/// Of a profile whose numbers are its operator's.
+constexpr double LongestMs = 24 * 3'600 * 1e3;
+
 Duration fromMs(double Ms) {
-  return Duration(static_cast<Duration::rep>(Ms * 1e6));
+  return Duration(
+      static_cast<Duration::rep>(std::clamp(Ms, 0.0, LongestMs) * 1e6));
 }
 
 double slotsOf(const EngineProfile &Profile) {
@@ -51,8 +55,8 @@
   const double FirstMs = 1.5 * Steps * StepMs + ReadMs;
   const double SpareMs =
       PlannedPart * static_cast<double>(Objective.count()) - FirstMs;
-  const double Queued =
-      std::clamp(SpareMs / BetweenMs, 0.0, MostQueuedShare * Slots);
+  const double Queued = std::clamp(SpareMs / std::max(BetweenMs, 0.001), 0.0,
+                                   MostQueuedShare * Slots);
   return {Slots + std::floor(Queued), fromMs(BetweenMs)};
 }
 
