--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -4,7 +4,6 @@
 #include "deckpitch/back-off.h"
 #include "direct/store-news.h"
 #include "net/log.h"
-#include "net/metrics.h"
 
 #include <boost/asio.hpp>
 
@@ -57,10 +56,6 @@
   return {Every, TakeOver, TurnStep, LastTurn, TakeOver + StaleMargin};
 }
 
-template <typename T> std::optional<Error> faultOf(const Outcome<T> &Got) {
-  return Got ? std::nullopt : std::optional(Got.error());
-}
-
 std::uint32_t ageMs(TimePoint Since) { return direct::ageMs(Since, now()); }
 
 std::size_t bytesOf(const net::PlatformList &Of) {
@@ -253,7 +248,7 @@
 bool FleetFollower::takeRead(Followed &Of,
                              const Outcome<net::PlatformList> &Read,
                              TimePoint Asked, const std::string &Call) {
-  noteStore(Call + Of.m_Kind, faultOf(Read));
+  noteStore(Call + Of.m_Kind, detail::faultOf(Read));
   noteRead(Of.m_Kind, Asked, m_Bounds.m_Apply, Read ? bytesOf(*Read) : 0);
   if (!Read)
     return false;
@@ -381,203 +376,10 @@
   m_Calls.m_OnWeights(All);
 }
 
-asio::awaitable<void> FleetFollower::pollInstances() {
-  unsigned Failures = 0;
-  while (!m_Stopped) {
-    co_await untilDue(m_Instances, m_InstancesWake);
-    if (m_Stopped)
-      break;
-    const NewsReach Reach =
-        m_Instances.isBehind() ? NewsReach::Near : NewsReach::All;
-    const InstanceList Before = m_Read;
-    const bool Came = co_await readInstances();
-    Failures = Came ? 0 : Failures + 1;
-    if (!Came)
-      co_await pause(retryAfter(Failures));
-    else
-      tellInstances(changeBetween(Before, m_Read), Reach);
-  }
-}
-
-/// From another entry where one is known to have a newer one, else from the
-/// store, which may turn this entry away while it serves the other.
-asio::awaitable<bool> FleetFollower::readInstances() {
-  // Awaited for one by one: within "&&" or a condition that returns, g++ 12
-  // resumes the awaiting coroutine at a wrong place.
-  bool Came = false;
-  if (m_Instances.isBehind())
-    Came = co_await fetchToldInstances();
-  if (Came)
-    co_return true;
-  noteTakeOver(m_Kinds.m_Instances, m_Instances);
-  Came = co_await listInstances();
-  co_return Came;
-}
-
-void FleetFollower::tellInstances(const InstanceListChange &Change,
-                                  NewsReach Reach) {
-  const auto Fill = [&](wire::StoreNews &News) {
-    wire::InstancesNews &Told = *News.mutable_instances();
-    write(Change, Told);
-    Told.set_revision(m_ReadRevision.m_Value);
-    Told.set_age_ms(ageMs(m_Instances));
-    Told.set_is_relayed(m_Instances.isRelayed());
-    if (const auto Returned = m_Lapsed.returnedLately(now()))
-      Told.set_returned_ms(ageMs(*Returned));
-  };
-  tell(Fill, Reach);
-}
-
 asio::awaitable<bool> FleetFollower::readDeclarations() {
   // The versions first: who knows a model without them takes the first one.
   co_return co_await listOnce(m_WeightVersions) &&
       co_await listOnce(m_Declarations);
 }
 
-asio::awaitable<bool> FleetFollower::listInstances() {
-  const TimePoint Asked = now();
-  const auto List = co_await m_Store.list(m_Kinds.m_Instances);
-  noteRead(m_Kinds.m_Instances, Asked, m_Bounds.m_Drain, 0);
-  co_return takeInstances(List, Asked);
-}
-
-asio::awaitable<bool> FleetFollower::listOldInstances() {
-  const TimePoint Asked = now();
-  co_return takeInstances(co_await m_Store.listOld(m_Kinds.m_Instances), Asked);
-}
-
-bool FleetFollower::takeInstances(const Outcome<net::PlatformList> &List,
-                                  TimePoint AsOf) {
-  noteStore("list " + m_Kinds.m_Instances, faultOf(List));
-  // A limit that passed while this process stood still shows no outage: what
-  // left meanwhile would be kept as if the store had been away for all.
-  const bool IsOwnPause = m_Bounds.m_KeepsLapsed && hasStoodStillSince(AsOf);
-  m_HasListFailed = m_HasListFailed || (!List && !IsOwnPause);
-  if (!List || m_Stopped)
-    return false;
-  HeardAsOf Heard{AsOf, false, std::nullopt};
-  if (m_Bounds.m_KeepsLapsed &&
-      showsReturn(m_Instances, m_HasListFailed, now()))
-    Heard.m_Returned = now();
-  m_HasListFailed = false;
-  // Something newer was heard of while this one was on its way.
-  if (List->m_Revision < m_ReadRevision)
-    return false;
-  // What the store does not hold after it was told of does not exist.
-  m_InstanceHolders.forgetToldBefore(AsOf);
-  adoptInstances(parseInstances(*List), List->m_Revision, Heard);
-  return true;
-}
-
-/// A list that is older than the known one is left: it may name those that have
-/// left since.
-void FleetFollower::adoptInstances(InstanceList Listed, Revision At,
-                                   const HeardAsOf &AsOf) {
-  if (At < m_ReadRevision)
-    return;
-  noteInstancesAsOf(At, AsOf);
-  if (m_Bounds.m_KeepsLapsed && AsOf.m_Returned)
-    m_Lapsed.storeReturned(*AsOf.m_Returned);
-  applyInstances(std::move(Listed));
-}
-
-/// The known list is still the newest.
-void FleetFollower::keepInstances(Revision At, const HeardAsOf &AsOf) {
-  noteInstancesAsOf(At, AsOf);
-  // Those that have lapsed count as listed for a while only.
-  if (m_Listed.size() != m_Read.size())
-    applyInstances(m_Read);
-  if (m_Relay)
-    m_Relay->confirmInstances(m_ReadRevision, m_Instances.asOf());
-}
-
-void FleetFollower::noteInstancesAsOf(Revision At, const HeardAsOf &AsOf) {
-  m_ReadRevision = At;
-  m_InstanceHolders.forgetUpTo(At);
-  const bool IsBehind = !m_InstanceHolders.empty();
-  if (IsBehind)
-    return;
-  if (AsOf.m_AsOf)
-    m_Instances.confirm(*AsOf.m_AsOf, AsOf.m_IsRelayed);
-  m_Instances.noteCaughtUp();
-}
-
-/// An entry that cannot be read names no instance; the others hold.
-InstanceList FleetFollower::parseInstances(const net::PlatformList &List) {
-  InstanceList Out;
-  std::map<std::string, std::string> Unreadable;
-  for (const net::PlatformObject &Each : List.m_Items) {
-    const auto Parsed = outcomeOf(
-        [&] { return m_Adapter.parseInstance(Each.m_Name, Each.m_Json); });
-    if (Parsed)
-      Out.emplace(Parsed->m_Id, *Parsed);
-    else
-      Unreadable.emplace(Each.m_Name, Parsed.error().m_Message);
-  }
-  noteUnreadable(std::move(Unreadable));
-  return Out;
-}
-
-/// Says each change once and not at each read.
-void FleetFollower::noteUnreadable(
-    std::map<std::string, std::string> Unreadable) {
-  for (const auto &[Name, Fault] : Unreadable) {
-    const auto Known = m_Unreadable.find(Name);
-    if (Known == m_Unreadable.end() || Known->second != Fault)
-      net::log(Event::InstanceUnreadable, {{"name", Name}, {"error", Fault}});
-  }
-  for (const auto &[Name, Fault] : m_Unreadable)
-    if (!Unreadable.contains(Name))
-      net::log(Event::InstanceReadable, {{"name", Name}});
-  m_Unreadable = std::move(Unreadable);
-  net::metrics()
-      .gauge("deckpitch_unreadable_instances")
-      .set(static_cast<std::int64_t>(m_Unreadable.size()));
-}
-
-void FleetFollower::applyInstances(InstanceList Read) {
-  if (m_Relay)
-    m_Relay->hold(HeldInstances{Read, m_ReadRevision, m_Instances.asOf(),
-                                m_Lapsed.returnedLately(now())});
-  m_Read = std::move(Read);
-  m_ReadFingerprint = fingerprintOf(m_Read);
-  InstanceList Listed = m_Lapsed.complete(m_Read, m_Listed, now());
-  if (m_KnowsInstances && Listed == m_Listed)
-    return;
-  logChanges(Listed);
-  m_Listed = std::move(Listed);
-  m_KnowsInstances = true;
-  std::vector<FleetInstance> All;
-  for (const auto &[Id, Each] : m_Listed)
-    All.push_back(Each);
-  m_Calls.m_OnInstances(All);
-}
-
-/// Tells what is to be believed from now on and was not before.
-void FleetFollower::logChanges(const InstanceList &Now) {
-  const auto Log = [](Event What, const FleetInstance &Each) {
-    net::log(What, {{"instance", Each.m_Id.m_Text},
-                    {"address", Each.m_Address},
-                    {"service", Each.m_Service.m_Text},
-                    {"dataCentre", Each.m_DataCentre.m_Text}});
-  };
-  for (const auto &[Id, Each] : m_Listed) {
-    const bool IsKept = Now.contains(Id) && !m_Read.contains(Id);
-    if (!Now.contains(Id))
-      Log(Event::InstanceGone, Each);
-    else if (IsKept)
-      Log(Event::InstanceLapsed, Each);
-  }
-  for (const auto &[Id, Each] : Now) {
-    const auto Known = m_Listed.find(Id);
-    const bool IsNew = Known == m_Listed.end();
-    const bool StartsToLeave =
-        Each.m_IsLeaving && (IsNew || !Known->second.m_IsLeaving);
-    if (StartsToLeave)
-      Log(Event::InstanceLeaving, Each);
-    else if (IsNew)
-      Log(Event::InstanceListed, Each);
-  }
-}
-
 } // namespace deckpitch::direct
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -28,6 +28,15 @@
 
 namespace asio = boost::asio;
 
+namespace detail {
+
+/// Why a call failed; nothing where it did not.
+template <typename T> std::optional<Error> faultOf(const Outcome<T> &Got) {
+  return Got ? std::nullopt : std::optional(Got.error());
+}
+
+} // namespace detail
+
 /// How soon what the store says is to be known. Each call to it costs.
 struct FollowerBounds {
   Duration m_Apply = std::chrono::seconds(2); ///< a declaration
