Pass over an instance that fails what all entries send

Cause: an instance that fails at once looks idle and draws requests, and it is ejected by an entry that has seen five failures in a row there: with 41 entries each sees one request of an instance in five seconds.

Ruled out: counts told with hellos between entries, which are 0.4 s old with 41 entries and 1.5 s with 149, and grow with the entries; the agent's own look at the instance, whose report is good.

Change: an entry tells the agent of an instance of each request that failed there, by its answer or a connection that the instance ended (one datagram). The agent knows how many were granted a place there (FailureWatch): from three failures in 1.5 s on, and three in ten of what was granted, it tells all entries that the instance fails, for 2 s, twice as long each time it goes on, 16 s at most. Entries pass it over while others serve, but only up to a quarter of those that could take the request: where more fail, the others could not take their load. Plain services have no agents and stay as they are (left).

--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -83,9 +83,10 @@
 EntryRequests::EntryRequests(asio::io_context &Io, net::HttpClient &Http,
                              const FleetAdapter &Adapter,
                              InstanceTable &Instances, HarmfulWatch &Harmful,
-                             RetryShare Retries, AskPlace Ask)
+                             RetryShare Retries, AskPlace Ask, TellFailure Tell)
     : m_Io(Io), m_Http(Http), m_Adapter(Adapter), m_Instances(Instances),
-      m_Harmful(Harmful), m_Retries(Retries), m_Ask(std::move(Ask)) {}
+      m_Harmful(Harmful), m_Retries(Retries), m_Ask(std::move(Ask)),
+      m_TellFailure(std::move(Tell)) {}
 
 void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
   m_Routes = std::make_shared<const RouteIndex>(Declaration);
