--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -32,7 +32,6 @@
   std::uint64_t m_Loading = 0;
   /// Of the life that it is about, as in FleetInstance; 0: not told.
   std::uint64_t m_Start = 0;
-  bool m_IsFailing = false; ///< see FailureWatch
 
   friend bool operator==(const InstanceReport &,
                          const InstanceReport &) = default;
@@ -114,8 +113,6 @@
   void firstToken(const ChoiceQuery &Query, Duration After);
   /// Its agent did not answer such a question.
   void unanswered(const InstanceId &Id, TimePoint Now);
-  /// Whether an agent stands beside the instances of the service.
-  bool hasAgents(const ServiceId &Service) const { return engineOf(Service); }
   /// The first byte of a request's answer came: its prompt has been read.
   void answering(const InstanceId &Id);
   enum class End { Good, Failed, Neutral };
@@ -180,7 +177,6 @@
     std::uint64_t m_Loading = 0;
     TimePoint m_ClosedAt{}; ///< since it takes no requests
     bool m_HasSoundLink = false;
-    bool m_IsFailing = false;
     std::optional<TimePoint> m_SwapAt; ///< when it loads other weights
     std::vector<HeldWeights> m_Weights;
     Ejection m_Ejection;
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -1,7 +1,6 @@
 // The agent of a fleet, beside one instance: brings it the declared weights
 // and tells the entries what it does.
 #include "daemon/clock.h"
-#include "deckpitch/failure-watch.h"
 #include "deckpitch/place-ledger.h"
 #include "direct/adapter.h"
 #include "direct/fleet-follower.h"
@@ -119,7 +118,6 @@
   /// When the instance is to refuse what has not begun, as far as is known.
   TimePoint closes() const;
   void answerPlace(const wire::PlaceQuery &Query, const std::string &From);
-  void onFailure(const wire::AttemptFailure &Failure);
   void tellEntries(TimePoint Now);
   void onDeclaration(const FleetDeclaration &Declaration);
   void setSource(const WeightsSource &Source);
@@ -138,7 +136,6 @@
   InstanceReport m_Report;
   bool m_HasReport = false;
   PlaceLedger m_Places;
-  FailureWatch m_Failures;
   wire::InstanceState m_Told;                ///< last, to any entry
   std::map<std::string, Listener> m_Entries; ///< by link address
   std::minstd_rand m_Random{std::random_device{}()};
@@ -264,31 +261,15 @@
   wire::LinkMessage Message;
   wire::PlaceAnswer &Answer = *Message.mutable_place_answer();
   Answer.set_id(Query.id());
-  const bool IsGranted = m_HasReport && takesRequests() &&
-                         m_Places.grant(read(Query), now(), closes());
-  if (IsGranted)
-    m_Failures.granted(now());
-  Answer.set_is_granted(IsGranted);
+  Answer.set_is_granted(m_HasReport && takesRequests() &&
+                        m_Places.grant(read(Query), now(), closes()));
   *Answer.mutable_state() = state();
   m_Link.send(From, std::move(Message));
 }
 
-void Agent::onFailure(const wire::AttemptFailure &Failure) {
-  if (Failure.start_ms() != m_Report.m_Start)
-    return;
-  const auto For = m_Failures.failed(now());
-  if (!For)
-    return;
-  net::log(Event::InstanceFailing, {{"address", m_InstanceAddress},
-                                    {"forMs", std::uint64_t{msOf(*For)}}});
-  tellEntries(now());
-}
-
 void Agent::onLink(const wire::LinkMessage &Message, const std::string &From) {
   if (Message.has_place_query())
     answerPlace(Message.place_query(), From);
-  if (Message.has_attempt_failure())
-    onFailure(Message.attempt_failure());
   if (!Message.has_hello())
     return;
   const TimePoint Now = now();
@@ -314,8 +295,6 @@
     net::log(Event::InstanceRestarted, {{"address", m_InstanceAddress},
                                         {"startMs", Read->m_Start},
                                         {"formerStartMs", m_Report.m_Start}});
-  if (Read->m_Start != m_Report.m_Start)
-    m_Failures = {};
   if (Read->m_Weights != m_Report.m_Weights)
     for (const HeldWeights &Each : Read->m_Weights)
       net::log(Event::WeightsActivated,
@@ -351,7 +330,6 @@
                   m_Report.m_Running);
   Out.set_takes_requests(takesRequests());
   Out.set_has_sound_link(m_Weights.hasSoundLink());
-  Out.set_is_failing(m_Failures.isFailing(now()));
   if (const auto SwapIn = m_Weights.swapIn(m_Report, now()))
     Out.set_swap_in_ms(msOf(*SwapIn));
   for (const HeldWeights &Each : m_Report.m_Weights)
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -68,7 +68,6 @@
     noteLost(Of, Chosen.m_Instance, Of.m_Sent);
   if (How == Ended::Delivered || How == Ended::Failed)
     m_Harmful.answered(Of.m_Fingerprint);
-  noteFailure(Of, How);
   using End = InstanceTable::End;
   const bool IsBad = How == Ended::Unreachable || How == Ended::Lost ||
                      How == Ended::Broken || How == Ended::Failed;
@@ -271,16 +270,6 @@
     m_Harmful.lost(Of.m_Fingerprint, At, Sent, Of.m_Terms.m_AttemptId);
 }
 
-/// What a limit here ended says nothing of the instance.
-void EntryRequests::noteFailure(const Call &Of, Ended How) {
-  const bool IsBrokenOff = How == Ended::Lost || How == Ended::Broken;
-  if (How != Ended::Failed && !(IsBrokenOff && Of.m_IsPeerEnd))
-    return;
-  const FleetInstance *At = m_Instances.find(Of.m_Instance);
-  if (At && m_Instances.hasAgents(At->m_Service))
-    m_TellFailure(*At);
-}
-
 void EntryRequests::noteEnd(const InstanceId &At, InstanceTable::End How,
                             bool WasAnswering) {
   if (const auto For = m_Instances.ended(At, How, WasAnswering, now()))
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -83,10 +83,9 @@
 EntryRequests::EntryRequests(asio::io_context &Io, net::HttpClient &Http,
                              const FleetAdapter &Adapter,
                              InstanceTable &Instances, HarmfulWatch &Harmful,
-                             RetryShare Retries, AskPlace Ask, TellFailure Tell)
+                             RetryShare Retries, AskPlace Ask)
     : m_Io(Io), m_Http(Http), m_Adapter(Adapter), m_Instances(Instances),
-      m_Harmful(Harmful), m_Retries(Retries), m_Ask(std::move(Ask)),
-      m_TellFailure(std::move(Tell)) {}
+      m_Harmful(Harmful), m_Retries(Retries), m_Ask(std::move(Ask)) {}
 
 void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
   m_Routes = std::make_shared<const RouteIndex>(Declaration);
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -43,13 +43,9 @@
   using AskPlace = std::function<asio::awaitable<std::optional<PlaceReply>>(
       std::string InstanceAddress, PlaceQuery Query)>;
 
-  /// Tells the agent of an instance that a request failed there.
-  using TellFailure = std::function<void(const FleetInstance &)>;
-
   EntryRequests(asio::io_context &Io, net::HttpClient &Http,
                 const FleetAdapter &Adapter, InstanceTable &Instances,
-                HarmfulWatch &Harmful, RetryShare Retries, AskPlace Ask,
-                TellFailure Tell);
+                HarmfulWatch &Harmful, RetryShare Retries, AskPlace Ask);
 
   void setDeclaration(const FleetDeclaration &Declaration);
   void setEntries(std::size_t Count) { m_Entries = Count; }
@@ -114,7 +110,6 @@
   asio::awaitable<Ended> passEvents(Call &Of, net::HttpStream &Body);
   void noteBegun(Call &Of);
   void noteLost(const Call &Of, const InstanceId &At, TimePoint Sent);
-  void noteFailure(const Call &Of, Ended How);
   void noteEnd(const InstanceId &At, InstanceTable::End How, bool WasAnswering);
   static std::string takeReady(Call &Of);
   static asio::awaitable<bool> passReady(Call &Of);
@@ -148,7 +143,6 @@
   HarmfulWatch &m_Harmful;
   RetryShare m_Retries;
   AskPlace m_Ask;
-  TellFailure m_TellFailure;
   std::shared_ptr<const RouteIndex> m_Routes =
       std::make_shared<const RouteIndex>();
   std::function<StoreBelief()> m_Belief = [] { return StoreBelief{}; };
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -63,7 +63,6 @@
   Report.m_Waiting = State.waiting();
   Report.m_TakesRequests = State.takes_requests();
   Report.m_HasSoundLink = State.has_sound_link();
-  Report.m_IsFailing = State.is_failing();
   if (State.has_swap_in_ms())
     Report.m_SwapIn = milliseconds(State.swap_in_ms());
   for (const wire::HeldWeightsState &Each : State.weights())
@@ -98,7 +97,6 @@
   void onState(const wire::InstanceState &State);
   asio::awaitable<std::optional<PlaceReply>> askPlace(std::string Address,
                                                       PlaceQuery Query);
-  void tellFailure(const FleetInstance &Instance);
   std::string agentOf(const std::string &InstanceAddress) const;
   wire::LinkMessage ownHello() const;
   void tellFoundHarmful(TimePoint Now);
@@ -149,14 +147,12 @@
       m_Adapter(*fleetAdapter()), m_Store(net::Adapters<net::Platform>::make(
                                       m_Http, Context.m_Settings.m_Store)),
       m_Instances(Context.m_Settings.m_DataCentre),
-      m_Requests(
-          m_Io, m_Http, m_Adapter, m_Instances, m_Harmful,
-          {Context.m_Settings.m_Bounds.m_RetryShare,
-           Context.m_Settings.m_Bounds.m_RetrySlack},
-          [this](std::string Address, PlaceQuery Query) {
-            return askPlace(std::move(Address), Query);
-          },
-          [this](const FleetInstance &Instance) { tellFailure(Instance); }),
+      m_Requests(m_Io, m_Http, m_Adapter, m_Instances, m_Harmful,
+                 {Context.m_Settings.m_Bounds.m_RetryShare,
+                  Context.m_Settings.m_Bounds.m_RetrySlack},
+                 [this](std::string Address, PlaceQuery Query) {
+                   return askPlace(std::move(Address), Query);
+                 }),
       m_Peers(ownAddress(Context.m_Settings)),
       m_Link(m_Io, Context.m_Incarnation), m_Relay(Context.m_Threads),
       m_Places(m_Io, m_Link), m_Follower(m_Io, m_Http, *m_Store, m_Adapter,
@@ -363,14 +359,6 @@
   co_return PlaceReply{Answer->is_granted(), reportOf(Answer->state())};
 }
 
-/// Each entry sees too few of an instance's requests to tell that it fails
-/// many.
-void Entry::tellFailure(const FleetInstance &Instance) {
-  wire::LinkMessage Message;
-  Message.mutable_attempt_failure()->set_start_ms(Instance.m_Start);
-  m_Link.send(agentOf(Instance.m_Address), std::move(Message));
-}
-
 void Entry::onState(const wire::InstanceState &State) {
   m_Instances.report(State.address(), reportOf(State), now());
 }
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -37,8 +37,6 @@
 /// later leaves too little of an objective of 300 ms. With 60 to 90 ms, 1,707
 /// of 2,291 callers served when they came back were past 290 ms.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(25);
-/// Of the instances, for failing: about the spare room of a pool.
-constexpr double MostPassedOver = 0.25;
 /// For how long an instance of which nothing is known but its place in the list
 /// may be gone: the platform lists one for three of its signs of life, each 1.2
 /// s apart, and the list is read each 0.75 s.
@@ -124,7 +122,6 @@
   if (Report.m_SwapIn)
     Known.m_SwapAt = Now + *Report.m_SwapIn;
   Known.m_HasSoundLink = Report.m_HasSoundLink;
-  Known.m_IsFailing = Report.m_IsFailing;
   Known.m_Weights = std::move(Report.m_Weights);
   return true;
 }
@@ -250,14 +247,6 @@
   keepAny(Usable, [Now](const auto &Each) {
     return Each->second.m_Ejection.until() <= Now;
   });
-  // Nor ones that fail much of what all entries send; where many do, the rest
-  // could not take their load.
-  const auto Failing =
-      std::count_if(Usable.begin(), Usable.end(),
-                    [](const auto &Each) { return Each->second.m_IsFailing; });
-  if (static_cast<double>(Failing) <=
-      MostPassedOver * static_cast<double>(Usable.size()))
-    keepAny(Usable, [](const auto &Each) { return !Each->second.m_IsFailing; });
   // Nor ones whose agents have just not answered.
   keepAny(Usable,
           [Now](const auto &Each) { return Now >= Each->second.m_AskAgain; });
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -438,33 +438,6 @@
   EXPECT_LT(Planned(), 200ms);
 }
 
-/// The requests of all entries went to one that failed them quickly.
-TEST_F(Instances, FailingOnesArePassedOverUnlessTooManyFail) {
-  std::vector<FleetInstance> All;
-  for (int I = 0; I < 4; ++I)
-    All.push_back(listed("i" + std::to_string(I)));
-  list(All);
-  const auto Report = [&](int Which, bool IsFailing) {
-    InstanceReport Told{0, 0, true, true, All[Which].m_Weights};
-    Told.m_IsFailing = IsFailing;
-    m_Table.report(All[Which].m_Address, Told, Start);
-  };
-  const auto TimesChosen = [&] {
-    int Out = 0;
-    for (int I = 0; I < 100; ++I)
-      Out += chosen() == "i0";
-    return Out;
-  };
-  for (int I = 0; I < 4; ++I)
-    Report(I, I == 0);
-  EXPECT_EQ(TimesChosen(), 0);
-  Report(1, true);
-  EXPECT_GT(TimesChosen(), 0);
-  Report(1, false);
-  Report(0, false);
-  EXPECT_GT(TimesChosen(), 0);
-}
-
 TEST_F(Instances, AnAgentThatDoesNotAnswerIsPassedOverForAWhile) {
   const FleetInstance Mute = listed("mute");
   const FleetInstance Heard = listed("heard");
