Wait for a second reader as long as a window takes at any origin

Found on reading the change: where few large chunks fill the origin's link for long, the window is four chunks and takes longer than 1.2 s, and each chunk would be read twice again. A refusal for want of anybody who confirms an instance tells 2 s on both ways now. OriginPacing.FollowsTheOriginsLink asserts the first (over 31 s at 0.1 Mbit/s).

--- a/src/direct/entry-places.cc
+++ b/src/direct/entry-places.cc
@@ -17,6 +17,12 @@
 /// Instances that have just started are listed anew and have weights by then.
 constexpr Duration RetryAfterUnconfirmed = std::chrono::milliseconds(2'000);
 
+InstanceChoice unconfirmed(InstanceChoice Of) {
+  Of.m_Outcome = ChoiceOutcome::Unconfirmed;
+  Of.m_RetryAfter = RetryAfterUnconfirmed;
+  return Of;
+}
+
 InstanceChoice outdatedChoice() {
   InstanceChoice Out;
   Out.m_Outcome = ChoiceOutcome::ListOutdated;
@@ -63,10 +69,11 @@
         Unanswered = std::move(Chosen);
       continue;
     }
-    Chosen.m_Outcome =
-        IsListedLife ? ChoiceOutcome::Full : ChoiceOutcome::Unconfirmed;
-    if (!IsListedLife)
-      Chosen.m_RetryAfter = RetryAfterUnconfirmed;
+    if (!IsListedLife) {
+      Refused = unconfirmed(std::move(Chosen));
+      continue;
+    }
+    Chosen.m_Outcome = ChoiceOutcome::Full;
     Refused = std::move(Chosen);
   }
   if (Unanswered)
@@ -80,7 +87,7 @@
   const bool IsUnconfirmed = Last.m_Outcome == ChoiceOutcome::Chosen &&
                              !m_Instances.isConfirmed(Last.m_Instance, now());
   if (IsUnconfirmed)
-    Last.m_Outcome = ChoiceOutcome::Unconfirmed;
+    co_return unconfirmed(std::move(Last));
   co_return Last;
 }
 
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -19,8 +19,10 @@
 /// Of the origin's link that a window fills: longer than it takes until a pool
 /// has heard which chunks have come.
 constexpr double WindowMs = 600;
-/// Twice what a window takes, for one that is read over a narrow link.
-constexpr Duration WindowStep = std::chrono::milliseconds(1'200);
+/// Of the time that a window takes at the origin: more for a chunk that is read
+/// over a narrow link.
+constexpr double StepWindows = 2;
+constexpr double LeastStepMs = 1'200;
 /// Enough to keep a link of some Mbit/s busy, where its rate is not known.
 constexpr std::uint32_t MostWindow = 32;
 constexpr std::uint32_t LeastWindow = 4;
@@ -64,13 +66,16 @@
   if (!IsKnown)
     return {MostWindow, UnknownStep, Duration::zero()};
   constexpr double BytesPerMsOfMbps = 1'000.0 / 8;
-  const double ChunkMs = ChunkBytes / (Mbps * BytesPerMsOfMbps);
+  const double ChunkMs =
+      std::min(ChunkBytes / (Mbps * BytesPerMsOfMbps), LongestChunkMs);
   const double Window =
       std::clamp<double>(WindowMs / ChunkMs, LeastWindow, MostWindow);
-  const std::chrono::duration<double, std::milli> Chunk(
-      std::min(ChunkMs, LongestChunkMs));
-  return {static_cast<std::uint32_t>(Window), WindowStep,
-          std::chrono::ceil<Duration>(Chunk)};
+  const auto Length = [](double Ms) {
+    return std::chrono::ceil<Duration>(
+        std::chrono::duration<double, std::milli>(Ms));
+  };
+  const double StepMs = std::max(LeastStepMs, StepWindows * Window * ChunkMs);
+  return {static_cast<std::uint32_t>(Window), Length(StepMs), Length(ChunkMs)};
 }
 
 void Swarm::setInstances(const std::vector<InstanceId> &Instances) {
--- a/test/swarm-simulation-test.cc
+++ b/test/swarm-simulation-test.cc
@@ -187,7 +187,10 @@
             44ms);
   EXPECT_EQ(originPacing(1e-300, 49'152).m_Chunk, 1min);
   EXPECT_EQ(originPacing(15, 49'152).m_Window, 22U);
+  EXPECT_EQ(originPacing(9, 49'152).m_Step, 1'200ms);
   EXPECT_EQ(originPacing(0.1, 49'152).m_Window, 4U);
+  // Four of 4 s each at once.
+  EXPECT_GT(originPacing(0.1, 49'152).m_Step, 31s);
   EXPECT_EQ(originPacing(1e9, 49'152).m_Window, 32U);
   const OriginPacing Unknown{32, 800ms, 0ms};
   EXPECT_EQ(originPacing(0, 49'152), Unknown);
