Log each decision on a retry with what it rests on

A retry beyond the first send is paid from a budget that an entry makes at the first request of a service. No line told how large it was, how old, or by how many entries the slack had been divided, so a budget made anew at each start and one divided by too few could not be told apart. No logic is changed.

--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -74,7 +74,7 @@
   Of.m_IsPlaceSought = false;
   const bool IsPossible = Chosen.m_Outcome == ChoiceOutcome::Chosen &&
                           Of.m_Instance == From && mayMove(Of);
-  if (!IsPossible || !budgetOf(Of.m_Query.m_Service).withdraw())
+  if (!IsPossible || !takeRetry(Of))
     co_return;
   co_await handOver(Of, Chosen, Reason);
 }
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -91,16 +91,32 @@
   m_Routes = std::make_shared<const RouteIndex>(Declaration);
 }
 
-RetryBudget &EntryRequests::budgetOf(const ServiceId &Service) {
-  auto &Budget = m_Budgets[Service];
-  if (!Budget) {
+EntryRequests::Budget &EntryRequests::budgetOf(const ServiceId &Service) {
+  auto &Found = m_Budgets[Service];
+  if (!Found) {
+    const std::size_t Entries = std::max(m_Entries, LeastEntries);
     const double Slack = UsedShareOfRetries * m_Retries.m_Slack /
-                         static_cast<double>(std::max(m_Entries, LeastEntries));
-    Budget = std::make_unique<RetryBudget>(
-        UsedShareOfRetries * m_Retries.m_Share,
-        std::max(1U, static_cast<std::uint32_t>(Slack)));
+                         static_cast<double>(Entries);
+    Found.reset(
+        new Budget{RetryBudget(UsedShareOfRetries * m_Retries.m_Share,
+                               std::max(1U, static_cast<std::uint32_t>(Slack))),
+                   Entries, now()});
   }
-  return *Budget;
+  return *Found;
+}
+
+bool EntryRequests::takeRetry(const Call &Of) {
+  Budget &From = budgetOf(Of.m_Query.m_Service);
+  const std::uint32_t Left = From.m_Retries.left();
+  const bool IsGranted = From.m_Retries.withdraw();
+  net::log(Event::RetryDecided,
+           {{"request", Of.m_Terms.m_AttemptId},
+            {"service", Of.m_Query.m_Service.m_Text},
+            {"granted", std::uint64_t{IsGranted}},
+            {"left", std::uint64_t{Left}},
+            {"entries", static_cast<std::uint64_t>(From.m_Entries)},
+            {"ageMs", msOf(now() - From.m_Since)}});
+  return IsGranted;
 }
 
 /// Places of an engine that the request leaves to others.
@@ -177,7 +193,7 @@
   const milliseconds Patience = Of.m_Terms.m_Patience.value_or(DefaultPatience);
   Of.m_Deadline = Of.m_Start + std::min(Patience, Of.m_Route->m_Timeout);
   Of.m_LastEventId = Of.m_Terms.m_LastEventId;
-  budgetOf(*Service).deposit();
+  budgetOf(*Service).m_Retries.deposit();
   Of.m_Query.m_Reserve = reserveFor(Of);
   co_await tryInstances(Of);
 }
@@ -259,7 +275,7 @@
   const bool MayRun = How == Ended::NotRun || Of.isRepeatable();
   if (!MayRun || !Of.hasAttemptsLeft() || m_Harmful.isRefused(Of.m_Fingerprint))
     return false;
-  return budgetOf(Of.m_Query.m_Service).withdraw();
+  return takeRetry(Of);
 }
 
 /// The final answer where no instance gave a whole one.
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -133,7 +133,15 @@
   asio::awaitable<void> giveUp(Call &Of, Ended How);
   asio::awaitable<void> refuse(Call &Of, unsigned Status, std::string Reason,
                                Duration RetryAfter);
-  RetryBudget &budgetOf(const ServiceId &Service);
+  /// Of one service at this entry.
+  struct Budget {
+    RetryBudget m_Retries;
+    std::size_t m_Entries; ///< by which the slack of all was divided
+    TimePoint m_Since;
+  };
+  Budget &budgetOf(const ServiceId &Service);
+  /// Takes one more send of the request out of its service's budget.
+  bool takeRetry(const Call &Of);
   double reserveFor(const Call &Of);
 
   asio::io_context &m_Io;
@@ -147,7 +155,7 @@
       std::make_shared<const RouteIndex>();
   std::function<StoreBelief()> m_Belief = [] { return StoreBelief{}; };
   std::function<StoreBelief()> m_ListBelief = [] { return StoreBelief{}; };
-  std::map<ServiceId, std::unique_ptr<RetryBudget>> m_Budgets;
+  std::map<ServiceId, std::unique_ptr<Budget>> m_Budgets;
   /// What is known of one route's requests, by the route's name.
   struct RouteLoad {
     SizeShares m_Sizes;
