Keep one function for milliseconds in log lines

The same conversion stood in the entries' requests and in the supply of weights; it moves beside Duration, for a third user. No behaviour is changed.

--- a/include/deckpitch/time.h
+++ b/include/deckpitch/time.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace deckpitch {
 
@@ -18,4 +19,11 @@
 using Duration = Clock::duration;
 using TimePoint = Clock::time_point;
 
+/// For log lines: whole milliseconds, 0 for what is past.
+inline std::uint64_t msOf(Duration Value) {
+  const auto Count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+  return Count < 0 ? 0 : static_cast<std::uint64_t>(Count);
+}
+
 } // namespace deckpitch
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -35,13 +35,6 @@
 
 inline bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
-/// For log lines: whole milliseconds, 0 for what is past.
-inline std::uint64_t msOf(Duration Value) {
-  const auto Count =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
-  return Count < 0 ? 0 : static_cast<std::uint64_t>(Count);
-}
-
 /// One request while it is served.
 struct EntryRequests::Call {
   net::HttpRequest m_Request;
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -55,11 +55,6 @@
 /// after as long: over sound links a whole copy takes no longer.
 constexpr Duration WaitTold = std::chrono::seconds(2);
 
-std::uint64_t msOf(Duration Value) {
-  const auto Ms = std::chrono::duration_cast<milliseconds>(Value).count();
-  return static_cast<std::uint64_t>(std::max<milliseconds::rep>(Ms, 0));
-}
-
 std::string ipOf(const std::string &Address) {
   return Address.substr(0, Address.rfind(':'));
 }
