Bound retries by what was sent in the window, whatever starts or is cut off

Callers of a service met instances that were buried under repeats: more arrivals beyond the first of their request within ten seconds than the bound allows.

Cause: a bound that is meant for all entries together in any window was kept as a level for each entry, full at each start and divided by the entries heard at the first request, four where fewer are heard. The class: a limit of all, worked out once from what one process believes in that moment, and given anew to each life.

Ruled out: sends that nothing pays for. An attempt that is not paid for ended before its connection was made (HttpClient answers Unavailable only then), and each move of a stream is paid for before it is sent.

Now RetryWindow counts requests and retries of the last window. An entry uses its share of its own requests there, which a restart loses but cannot double, and an equal part of the slack, by the most entries that it knew of in that window, heard or not; none while the list has not been read, and none while the process is younger than a window, since what its former life used is not known. So lives in series use the slack once, entries that start together do not each take themselves for one of few, and those that are left take over nothing that was spent in the same window. The part that is used stays 0.7 of the bound. What it costs: after a start only the share of requests pays for retries, for one window. Requests that a retry is decided for are logged with all of that.

--- a/include/deckpitch/direct-settings.h
+++ b/include/deckpitch/direct-settings.h
@@ -4,6 +4,7 @@
 #include "deckpitch/error.h"
 #include "deckpitch/id.h"
 #include "deckpitch/membership.h"
+#include "deckpitch/retry-window.h"
 
 #include <chrono>
 #include <cstdint>
@@ -30,8 +31,7 @@
   std::chrono::milliseconds m_Apply{2'000}; ///< until a declaration is in force
   std::chrono::milliseconds m_Grace{8'000}; ///< from the stop signal to a kill
   std::chrono::milliseconds m_Version{8'000}; ///< until all serve new weights
-  double m_RetryShare = 0.2;        ///< retries over requests, of all entries
-  std::uint32_t m_RetrySlack = 100; ///< retries beside these, of all entries
+  RetryShare m_Retries;
   std::chrono::milliseconds m_AddressLifetime{2'000}; ///< of an address answer
 
   friend bool operator==(const DirectBounds &, const DirectBounds &) = default;
--- a/include/deckpitch/retry.h
+++ b/include/deckpitch/retry.h
@@ -58,8 +58,6 @@
   void deposit();
   /// Takes one retry out; false when there is none.
   bool withdraw();
-  /// Whole retries that are left.
-  std::uint32_t left() const;
   /// Less than half is left: many attempts are being lost.
   bool strained() const;
 
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -54,6 +54,9 @@
 
   /// Entries that take callers, this one included if it does.
   std::size_t liveCount(TimePoint Now) const;
+  /// Entries that were ever listed or heard, this one included: who is cut off
+  /// still takes callers.
+  std::size_t knownCount() const { return 1 + m_Peers.size(); }
   /// Where to tell what this entry has read from the store: to all that share
   /// a reader, or to those of them in its own data centre.
   std::vector<std::string> group(TimePoint Now, NewsReach Reach) const;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -41,10 +41,8 @@
 /// Instances refused the request just now.
 constexpr Duration LeastRetryAfterNotRun = milliseconds(60);
 /// Share of the retries that entries may use together which they do use: the
-/// rest covers entries that just started with a full budget.
+/// rest covers requests that reached no entry, and entries not yet known of.
 constexpr double UsedShareOfRetries = 0.7;
-/// Entries assumed when fewer are known, as after a start.
-constexpr std::size_t LeastEntries = 4;
 
 constexpr unsigned StatusUnauthorized = 401;
 constexpr unsigned StatusNotFound = 404;
@@ -85,37 +83,43 @@
                              InstanceTable &Instances, HarmfulWatch &Harmful,
                              RetryShare Retries, AskPlace Ask)
     : m_Io(Io), m_Http(Http), m_Adapter(Adapter), m_Instances(Instances),
-      m_Harmful(Harmful), m_Retries(Retries), m_Ask(std::move(Ask)) {}
+      m_Harmful(Harmful), m_Retries{UsedShareOfRetries * Retries.m_Share,
+                                    UsedShareOfRetries * Retries.m_Slack,
+                                    Retries.m_Window},
+      m_Start(now()), m_Ask(std::move(Ask)) {}
 
 void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
   m_Routes = std::make_shared<const RouteIndex>(Declaration);
 }
 
-EntryRequests::Budget &EntryRequests::budgetOf(const ServiceId &Service) {
-  auto &Found = m_Budgets[Service];
-  if (!Found) {
-    const std::size_t Entries = std::max(m_Entries, LeastEntries);
-    const double Slack = UsedShareOfRetries * m_Retries.m_Slack /
-                         static_cast<double>(Entries);
-    Found.reset(
-        new Budget{RetryBudget(UsedShareOfRetries * m_Retries.m_Share,
-                               std::max(1U, static_cast<std::uint32_t>(Slack))),
-                   Entries, now()});
-  }
-  return *Found;
+void EntryRequests::setEntries(std::size_t Count, TimePoint Now) {
+  m_Entries = Count;
+  for (auto &[Service, Each] : m_RetryWindows)
+    Each.setEntries(Count, Now);
+}
+
+RetryWindow &EntryRequests::retriesOf(const ServiceId &Service) {
+  const auto [At, IsNew] =
+      m_RetryWindows.try_emplace(Service, RetryWindow(m_Retries, m_Start));
+  if (IsNew)
+    At->second.setEntries(m_Entries, now());
+  return At->second;
 }
 
 bool EntryRequests::takeRetry(const Call &Of) {
-  Budget &From = budgetOf(Of.m_Query.m_Service);
-  const std::uint32_t Left = From.m_Retries.left();
-  const bool IsGranted = From.m_Retries.withdraw();
+  const TimePoint Now = now();
+  RetryWindow &Own = retriesOf(Of.m_Query.m_Service);
+  const RetryUse Before = Own.use(Now);
+  const bool IsGranted = Own.tryRetry(Now);
   net::log(Event::RetryDecided,
            {{"request", Of.m_Terms.m_AttemptId},
             {"service", Of.m_Query.m_Service.m_Text},
             {"granted", std::uint64_t{IsGranted}},
-            {"left", std::uint64_t{Left}},
-            {"entries", static_cast<std::uint64_t>(From.m_Entries)},
-            {"ageMs", msOf(now() - From.m_Since)}});
+            {"requests", Before.m_Requests},
+            {"retries", Before.m_Retries},
+            {"allowed", static_cast<std::uint64_t>(Before.m_Allowed)},
+            {"entries", std::uint64_t{Before.m_Entries}},
+            {"ageMs", msOf(Before.m_Age)}});
   return IsGranted;
 }
 
@@ -193,7 +197,7 @@
   const milliseconds Patience = Of.m_Terms.m_Patience.value_or(DefaultPatience);
   Of.m_Deadline = Of.m_Start + std::min(Patience, Of.m_Route->m_Timeout);
   Of.m_LastEventId = Of.m_Terms.m_LastEventId;
-  budgetOf(*Service).m_Retries.deposit();
+  retriesOf(*Service).arrived(now());
   Of.m_Query.m_Reserve = reserveFor(Of);
   co_await tryInstances(Of);
 }
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -4,7 +4,7 @@
 
 #include "deckpitch/event.h"
 #include "deckpitch/instance-table.h"
-#include "deckpitch/retry.h"
+#include "deckpitch/retry-window.h"
 #include "deckpitch/route-index.h"
 #include "deckpitch/size-shares.h"
 #include "deckpitch/store-belief.h"
@@ -24,12 +24,6 @@
 
 namespace asio = boost::asio;
 
-/// What the retries of one entry may add up to.
-struct RetryShare {
-  double m_Share = 0.2;        ///< of the requests, of all entries together
-  std::uint32_t m_Slack = 100; ///< beside them, of all entries together
-};
-
 /// What the agent beside an instance says when it is asked for a place.
 struct PlaceReply {
   bool m_IsGranted = false;
@@ -48,7 +42,8 @@
                 HarmfulWatch &Harmful, RetryShare Retries, AskPlace Ask);
 
   void setDeclaration(const FleetDeclaration &Declaration);
-  void setEntries(std::size_t Count) { m_Entries = Count; }
+  /// All that there are, whether they are heard or not; 0: not known.
+  void setEntries(std::size_t Count, TimePoint Now);
   /// How far the declaration and the list of instances may be relied on; see
   /// FleetFollower.
   void setBeliefs(std::function<StoreBelief()> Declaration,
@@ -133,14 +128,8 @@
   asio::awaitable<void> giveUp(Call &Of, Ended How);
   asio::awaitable<void> refuse(Call &Of, unsigned Status, std::string Reason,
                                Duration RetryAfter);
-  /// Of one service at this entry.
-  struct Budget {
-    RetryBudget m_Retries;
-    std::size_t m_Entries; ///< by which the slack of all was divided
-    TimePoint m_Since;
-  };
-  Budget &budgetOf(const ServiceId &Service);
-  /// Takes one more send of the request out of its service's budget.
+  RetryWindow &retriesOf(const ServiceId &Service);
+  /// Counts one more send of the request; false where it is not allowed.
   bool takeRetry(const Call &Of);
   double reserveFor(const Call &Of);
 
@@ -149,13 +138,14 @@
   const FleetAdapter &m_Adapter;
   InstanceTable &m_Instances;
   HarmfulWatch &m_Harmful;
-  RetryShare m_Retries;
+  const RetryShare m_Retries;
+  const TimePoint m_Start;
   AskPlace m_Ask;
   std::shared_ptr<const RouteIndex> m_Routes =
       std::make_shared<const RouteIndex>();
   std::function<StoreBelief()> m_Belief = [] { return StoreBelief{}; };
   std::function<StoreBelief()> m_ListBelief = [] { return StoreBelief{}; };
-  std::map<ServiceId, std::unique_ptr<Budget>> m_Budgets;
+  std::map<ServiceId, RetryWindow> m_RetryWindows;
   /// What is known of one route's requests, by the route's name.
   struct RouteLoad {
     SizeShares m_Sizes;
@@ -168,7 +158,7 @@
   /// Calls under way at each instance.
   std::map<InstanceId, std::set<Call *>> m_AtInstance;
   std::set<InstanceId> m_Silent; ///< already said to be
-  std::size_t m_Entries = 1;
+  std::size_t m_Entries = 0;
   std::size_t m_Open = 0;
   std::mt19937_64 m_Random{std::random_device{}()};
 };
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -137,6 +137,7 @@
   asio::steady_timer m_RegisterWake;
   bool m_IsWritten = false; ///< the store has what it is to keep of this entry
   bool m_Leaving = false;
+  bool m_HasEntries = false; ///< all that the store lists
   bool m_WasReady = false;
   bool m_WasOutdated = false; ///< the list of instances
   bool m_Stopped = false;
@@ -148,8 +149,7 @@
                                       m_Http, Context.m_Settings.m_Store)),
       m_Instances(Context.m_Settings.m_DataCentre),
       m_Requests(m_Io, m_Http, m_Adapter, m_Instances, m_Harmful,
-                 {Context.m_Settings.m_Bounds.m_RetryShare,
-                  Context.m_Settings.m_Bounds.m_RetrySlack},
+                 Context.m_Settings.m_Bounds.m_Retries,
                  [this](std::string Address, PlaceQuery Query) {
                    return askPlace(std::move(Address), Query);
                  }),
@@ -421,9 +421,8 @@
     tellFoundHarmful(Now);
     sendHellos(Now);
     m_Harmful.tidy();
-    const std::size_t Entries = m_Peers.liveCount(Now);
-    m_Instances.setEntries(Entries);
-    m_Requests.setEntries(Entries);
+    m_Instances.setEntries(m_Peers.liveCount(Now));
+    m_Requests.setEntries(m_HasEntries ? m_Peers.knownCount() : 0, Now);
     m_Follower.setTurn(m_Peers.ownTurn(Now));
     noteListBelief();
     m_Requests.checkSilence(Now);
@@ -480,6 +479,7 @@
     }
     if (now() >= NextList) {
       const auto List = co_await m_Store->list(EntryKind);
+      m_HasEntries = m_HasEntries || List.has_value();
       if (List)
         std::for_each(List->m_Items.begin(), List->m_Items.end(),
                       [this](const net::PlatformObject &Each) { learn(Each); });
--- a/src/kernel/direct-settings.cc
+++ b/src/kernel/direct-settings.cc
@@ -33,8 +33,10 @@
   Reader.optional("applyMs", Out.m_Apply, milliseconds(1), Hour);
   Reader.optional("graceMs", Out.m_Grace, milliseconds(1), Hour);
   Reader.optional("versionMs", Out.m_Version, milliseconds(1), Hour);
-  Reader.optional("retryShare", Out.m_RetryShare, 0.0, 1.0);
-  Reader.optional("retrySlack", Out.m_RetrySlack, 0, 1'000'000);
+  RetryShare &Retries = Out.m_Retries;
+  Reader.optional("retryShare", Retries.m_Share, 0.0, 1.0);
+  Reader.optional("retrySlack", Retries.m_Slack, 0, 1'000'000);
+  Reader.optional("retryWindowMs", Retries.m_Window, milliseconds(1), Hour);
   Reader.optional("addressLifetimeMs", Out.m_AddressLifetime, milliseconds(100),
                   Hour);
 }
--- a/src/kernel/retry.cc
+++ b/src/kernel/retry.cc
@@ -56,11 +56,6 @@
   return false;
 }
 
-std::uint32_t RetryBudget::left() const {
-  return static_cast<std::uint32_t>(m_Level.load(std::memory_order_relaxed) /
-                                    Unit);
-}
-
 bool RetryBudget::strained() const {
   return m_Level.load(std::memory_order_relaxed) < m_Most / 2;
 }
--- a/support/fuzz/settings-target.cc
+++ b/support/fuzz/settings-target.cc
@@ -28,7 +28,8 @@
   require(!IsAgent || !Got->m_Upstream.empty(), "an agent has an upstream");
   require(IsAgent || !Got->m_Listen.m_Callers.empty(),
           "an entry listens for callers");
-  require(Got->m_Bounds.m_RetryShare >= 0 && Got->m_Bounds.m_RetryShare <= 1,
+  require(Got->m_Bounds.m_Retries.m_Share >= 0 &&
+              Got->m_Bounds.m_Retries.m_Share <= 1,
           "a share is one");
   require(Got->m_LinkMbps >= 0, "a rate is none below zero");
 }
--- a/test/direct-settings-test.cc
+++ b/test/direct-settings-test.cc
@@ -16,7 +16,7 @@
   "mode": "direct", "role": "entry", "instance": "e1", "dataCentre": "a",
   "listen": {"callers": "127.0.0.1:0", "link": "127.0.0.1:0"},
   "store": "objects://127.0.0.1:1",
-  "bounds": {"retryShare": 0.25, "drainMs": 1500},
+  "bounds": {"retryShare": 0.25, "retryWindowMs": 5000, "drainMs": 1500},
 })";
 
 std::string faultsOf(const std::string &Text) {
@@ -29,7 +29,8 @@
   const auto Parsed = outcomeOf([] { return parseDirectSettings(EntryText); });
   ASSERT_TRUE(Parsed) << Parsed.error().m_Message;
   EXPECT_EQ(Parsed->m_Role, Role::Entry);
-  EXPECT_EQ(Parsed->m_Bounds.m_RetryShare, 0.25);
+  EXPECT_EQ(Parsed->m_Bounds.m_Retries.m_Share, 0.25);
+  EXPECT_EQ(Parsed->m_Bounds.m_Retries.m_Window, std::chrono::seconds(5));
   EXPECT_EQ(Parsed->m_Bounds.m_Drain, 1'500ms);
   EXPECT_EQ(Parsed->m_Bounds.m_Version, 8'000ms);
 }
