Rely on no chunk in staging that was only written

A wrong chunk was written again just before the order, and the answer of that write was taken as proof.

Now a look is right only where all chunks were read and none had to be written: one that wrote is followed by another, three at most. It costs one more look (some 0.1 s) where staging had gone bad. SeesThatAChunkWasNotStoredThoughTheWriteWasAnswered expects the chunk there; before, repair() ended with that write.

--- a/src/direct/staging-cache.cc
+++ b/src/direct/staging-cache.cc
@@ -22,9 +22,9 @@
 /// From the first look at a chunk to the order: half of the time for which the
 /// platform excuses a chunk that has turned bad.
 constexpr Duration LookLifetime = std::chrono::milliseconds(1'500);
-/// Looks before the order is left to a later step: a machine that is so slow
-/// has other work to do.
-constexpr int MostLooks = 2;
+/// Looks before the order is left to a later step: one that writes again, one
+/// that sees what became of it, and one in case the machine was slow.
+constexpr int MostLooks = 3;
 /// A call that had no answer may still be carried out for so long after it was
 /// given up: its bytes may wait behind others, or the instance stand still.
 constexpr Duration UnansweredLifetime = std::chrono::seconds(3);
@@ -150,18 +150,23 @@
   while (m_Writers > 0)
     co_await daemon::pauseFor(WriteWait);
   Duration Took{};
+  std::uint32_t Rewritten = 0;
   for (int Look = 0; Look < MostLooks && !mayChange(Wanted); ++Look) {
     const TimePoint Begin = m_Now();
-    const bool IsRight = co_await repairEach(Wanted);
-    if (!IsRight)
+    const std::optional<std::uint32_t> Wrong = co_await rewriteWrong(Wanted);
+    if (!Wrong)
       co_return StagedState::Lost;
     Took = m_Now() - Begin;
-    if (Took <= LookLifetime)
+    Rewritten = *Wrong;
+    // Only what was read proves what lies there: a write may be answered and
+    // not be stored.
+    if (Rewritten == 0 && Took <= LookLifetime)
       co_return StagedState::Right;
   }
   net::log(Event::StagingUnsure,
            {{"weights", Wanted.m_Weights.m_Text},
             {"tookMs", msOf(Took)},
+            {"rewritten", std::uint64_t{Rewritten}},
             {"unansweredWrites", std::uint64_t{m_UnansweredWrites.size()}},
             {"heldFor", isHeldForOther(Wanted.m_Weights) ? m_Ordered.m_Text
                                                          : std::string()}});
@@ -193,24 +198,27 @@
   return Weights != m_Ordered && m_Now() < m_OrderedUntil;
 }
 
-asio::awaitable<bool> StagingCache::repairEach(const Manifest &Wanted) {
+asio::awaitable<std::optional<std::uint32_t>>
+StagingCache::rewriteWrong(const Manifest &Wanted) {
+  std::uint32_t Rewritten = 0;
   for (std::uint32_t Index = 0; Index < Wanted.chunkCount(); ++Index) {
     const Digest &Right = Wanted.m_Chunks[Index];
     const auto Staged = co_await m_Behind.staged(Wanted.m_Weights, Index);
     if (!Staged && Staged.error().m_Code != ErrorCode::NotFound)
-      co_return false;
+      co_return std::nullopt;
     if (Staged && matches(Right, *Staged))
       continue;
     net::log(Event::StagedChunkSpoilt, {{"weights", Wanted.m_Weights.m_Text},
                                         {"chunk", std::uint64_t{Index}}});
     const std::string *Kept = find(Wanted.m_Weights, Index);
     if (!Kept || !matches(Right, *Kept))
-      co_return false;
+      co_return std::nullopt;
     const auto Stored = co_await m_Behind.stage(Wanted.m_Weights, Index, *Kept);
     if (!Stored)
-      co_return false;
+      co_return std::nullopt;
+    ++Rewritten;
   }
-  co_return true;
+  co_return Rewritten;
 }
 
 } // namespace deckpitch::direct
--- a/src/direct/staging-cache.h
+++ b/src/direct/staging-cache.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -68,7 +69,9 @@
     TimePoint m_Until; ///< then it is stored, or never is
   };
 
-  net::asio::awaitable<bool> repairEach(const Manifest &Wanted);
+  /// Chunks that were wrong and are written again; nothing where one is lost.
+  net::asio::awaitable<std::optional<std::uint32_t>>
+  rewriteWrong(const Manifest &Wanted);
   bool mayChange(const Manifest &Wanted);
   bool isHeldForOther(const WeightsId &Weights) const;
   net::asio::awaitable<void> write();
--- a/test/staging-cache-test.cc
+++ b/test/staging-cache-test.cc
@@ -37,12 +37,15 @@
   stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) override {
     if (m_LosesAnswers)
       co_return Error{ErrorCode::Timeout, "no answer"};
+    if (m_DropsOnce.exchange(false))
+      co_return true;
     co_return co_await FakeEngine::stage(Weights, Index, std::move(Bytes));
   }
 
   TimePoint m_Now{1h};
   Duration m_ReadTime{};
   std::atomic<bool> m_SpoilsOnce{false}; ///< the first chunk, after a look
+  std::atomic<bool> m_DropsOnce{false};  ///< a write, and says it is stored
   bool m_LosesAnswers = false;
 };
 
@@ -158,6 +161,17 @@
   EXPECT_TRUE(repair());
 }
 
+// A write that was answered and not stored passed for a repair.
+TEST_F(Staging, SeesThatAChunkWasNotStoredThoughTheWriteWasAnswered) {
+  stage(0, "one");
+  stage(1, "two");
+  ASSERT_TRUE(repair());
+  spoil(0);
+  m_Engine.m_DropsOnce = true;
+  EXPECT_TRUE(repair());
+  EXPECT_EQ(behind(0), "one");
+}
+
 // A chunk of the version before was stored after the look at its place.
 TEST_F(Staging, IsUnsureWhileAWriteOfOtherChunksMayStillBeStored) {
   m_Engine.m_LosesAnswers = true;
