--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -36,6 +36,8 @@
 constexpr Duration SubscribeSpan = milliseconds(1'000);
 /// Between two reads of the other entries; hellos tell the rest.
 constexpr Duration EntriesSpan = std::chrono::seconds(20);
+/// Entries assumed until the store has listed them, where fewer are heard.
+constexpr std::size_t EntriesBeforeList = 64;
 /// After a call to the store that failed.
 constexpr Duration RegisterRetrySpan = milliseconds(500);
 /// Callers keep an answer of the directory about that long; until then they
@@ -88,6 +90,7 @@
                                         net::HttpResponder &Answer);
   asio::awaitable<void> tick();
   asio::awaitable<void> registerSelf();
+  std::size_t entriesThatRetry() const;
   std::string ownRecord() const;
   void learn(const net::PlatformObject &Record);
   asio::awaitable<bool> writeSelf();
@@ -422,7 +425,7 @@
     sendHellos(Now);
     m_Harmful.tidy();
     m_Instances.setEntries(m_Peers.liveCount(Now));
-    m_Requests.setEntries(m_HasEntries ? m_Peers.knownCount() : 0, Now);
+    m_Requests.setEntries(entriesThatRetry(), Now);
     m_Follower.setTurn(m_Peers.ownTurn(Now));
     noteListBelief();
     m_Requests.checkSilence(Now);
@@ -433,6 +436,12 @@
   }
 }
 
+/// Those that share what all entries may retry.
+std::size_t Entry::entriesThatRetry() const {
+  const std::size_t Known = m_Peers.knownCount();
+  return m_HasEntries ? Known : std::max(Known, EntriesBeforeList);
+}
+
 std::string Entry::ownRecord() const {
   return formatEntry({m_Peers.own(), m_Harmful.toStore()});
 }
