Log what instances announce as their rate limit and who granted each request

Callers saw nothing of it; the operators saw instances get more than they had announced. No line told that an instance had named a limit, what an entry believed then, or who had allowed a request, so the hypotheses of the incident could not be told apart.

The platform's adapter reads the header into a number or, if it is none, into a text that is logged at most once a second and otherwise ignored. An entry keeps what the newest answer of an incarnation says (ObservedRateLimit): an answer to a request sent earlier changes nothing, and one without a limit ends it only if its request was sent after the limit was known. Each ended attempt says which limit was known and which process granted it. Choice and admission are as before.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -6,6 +6,7 @@
 #include "deckpitch/engine-model.h"
 #include "deckpitch/fleet.h"
 #include "deckpitch/planned-share.h"
+#include "deckpitch/rate-limit.h"
 #include "deckpitch/time.h"
 #include "deckpitch/upstream-choice.h"
 
@@ -70,6 +71,12 @@
   ListOutdated ///< other processes have a newer instance list
 };
 
+/// The process that granted a request its slot.
+enum class SlotGrantor {
+  None, ///< sent without a question
+  Agent ///< the one beside the instance
+};
+
 struct InstanceChoice {
   ChoiceOutcome m_Outcome = ChoiceOutcome::NoInstance;
   InstanceId m_Instance;
@@ -79,6 +86,9 @@
   /// Age of the report that m_Load is based on; 0 without a report.
   Duration m_ReportAge{};
   Duration m_RetryAfter{};
+  /// The instance's rate limit, as known here; nothing: none.
+  std::optional<double> m_RateLimit;
+  SlotGrantor m_GrantedBy = SlotGrantor::None;
 };
 
 /// The instances that an entry can send to. Uses no clock and no socket. The
@@ -148,6 +158,9 @@
   /// Sends nothing to the instance until then, as it has asked for a back-off.
   /// Returns true if it was not backing off before.
   bool backOff(const InstanceId &Id, TimePoint Until, TimePoint Now);
+  /// Records what an answer of the instance says about its rate limit. Returns
+  /// true if the limit is another one than before.
+  bool rateObserved(const InstanceId &Id, const RateObservation &Answer);
   /// Records that an instance closed the connection of a request that was sent
   /// to it at that time. Returns true if the instance was alive after that, as
   /// far as is known: the request may have crashed it. An intermediary may
@@ -185,6 +198,7 @@
     /// Announced by itself, whatever the list says.
     bool m_HasAnnouncedLeaving = false;
     TimePoint m_BackOffUntil{};
+    ObservedRateLimit m_RateLimit;
     std::uint32_t m_Own = 0;
     std::uint32_t m_Unanswered = 0; ///< own requests without a first byte
     std::uint32_t m_Others = 0; ///< requests of other entries when it reported
--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -59,6 +59,12 @@
   bool m_IsLeaving = false;
   /// How long this process is to send it nothing; zero: no such demand.
   Duration m_BackOff{};
+  /// Requests per second that it accepts from all entries together; nothing: it
+  /// names no limit.
+  std::optional<double> m_RateLimit;
+  /// What it names as its limit if that is not a number; it then says nothing
+  /// about a limit.
+  std::string m_UnreadableRateLimit;
 
   friend bool operator==(const InstanceNotice &,
                          const InstanceNotice &) = default;
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -1,5 +1,6 @@
 // One attempt at a request: sends it to an instance and forwards the answer.
 #include "direct/entry-call.h"
+#include "direct/rate-limit-log.h"
 #include "net/log.h"
 #include "net/metrics.h"
 
@@ -28,6 +29,8 @@
 /// service without streams is repeated at another instance.
 constexpr int RepeatAfterObjectives = 3;
 constexpr unsigned StatusServerError = 500;
+/// Least time between two log lines about rate limits that are not numbers.
+constexpr Duration UnreadableLogInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -87,6 +90,8 @@
             {"closedThere", std::uint64_t{Of.m_IsPeerEnd}},
             {"saysLeaving", std::uint64_t{Of.m_Notice.m_IsLeaving}},
             {"restMs", msOf(Of.m_Notice.m_BackOff)},
+            {"rateLimit", rateText(Chosen.m_RateLimit)},
+            {"grantedBy", grantorName(Chosen.m_GrantedBy)},
             {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
             {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
             {"reportAgeMs", msOf(Chosen.m_ReportAge)},
@@ -115,7 +120,8 @@
 /// Applies what an instance reports about itself in an answer. Answers arrive
 /// even if neither the store nor the instance's agent can be reached.
 void EntryRequests::applyNotice(const InstanceNotice &Notice,
-                                const InstanceId &From, const Call &In) {
+                                const InstanceId &From, const Call &In,
+                                TimePoint Sent) {
   if (Notice.m_IsLeaving && m_Instances.leaving(From))
     net::log(Event::InstanceLeaving, {{"instance", From.m_Text},
                                       {"source", "answer"},
@@ -125,6 +131,28 @@
     net::log(Event::InstanceBackingOff, {{"instance", From.m_Text},
                                          {"restMs", msOf(Notice.m_BackOff)},
                                          {"request", In.m_Terms.m_AttemptId}});
+  noteRateLimit(Notice, From, In, Sent);
+}
+
+/// Records what an answer to a request sent at that time says about the
+/// instance's rate limit.
+void EntryRequests::noteRateLimit(const InstanceNotice &Notice,
+                                  const InstanceId &From, const Call &In,
+                                  TimePoint Sent) {
+  const TimePoint Now = now();
+  if (!Notice.m_UnreadableRateLimit.empty()) {
+    if (Now < m_NextUnreadableLog)
+      return;
+    m_NextUnreadableLog = Now + UnreadableLogInterval;
+    net::log(Event::RateLimitUnreadable,
+             {{"instance", From.m_Text},
+              {"value", Notice.m_UnreadableRateLimit},
+              {"request", In.m_Terms.m_AttemptId}});
+    return;
+  }
+  if (m_Instances.rateObserved(From, {Notice.m_RateLimit, Sent, Now}))
+    logRateLimit(From, Notice.m_RateLimit, "answer", Now - Sent,
+                 In.m_Terms.m_AttemptId);
 }
 
 /// Sends the request to an instance and reads the head of the answer.
@@ -189,7 +217,7 @@
   }
   if (Meaning != AnswerMeaning::WrongInstance) {
     Out.m_Notice = m_Adapter.noticeOf(Body.status(), Body.headers());
-    applyNotice(Out.m_Notice, Chosen.m_Instance, Of);
+    applyNotice(Out.m_Notice, Chosen.m_Instance, Of, Out.m_Sent);
   }
   if (Meaning == AnswerMeaning::WrongInstance ||
       Meaning == AnswerMeaning::NotRun) {
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -102,7 +102,9 @@
                                           const InstanceChoice &Chosen);
   bool hasAlternative(const Call &Of, const InstanceChoice &Than);
   void applyNotice(const InstanceNotice &Notice, const InstanceId &From,
-                   const Call &In);
+                   const Call &In, TimePoint Sent);
+  void noteRateLimit(const InstanceNotice &Notice, const InstanceId &From,
+                     const Call &In, TimePoint Sent);
   asio::awaitable<SendResult> send(Call &Of, const InstanceChoice &Chosen,
                                    net::CallCancel &Cancel);
   asio::awaitable<AttemptOutcome> exchange(Call &Of,
@@ -171,6 +173,7 @@
   /// Requests in progress at each instance.
   std::map<InstanceId, std::set<Call *>> m_AtInstance;
   std::set<InstanceId> m_Silent; ///< already logged as silent
+  TimePoint m_NextUnreadableLog{};
   std::size_t m_Entries = 0;
   std::size_t m_Open = 0;
   std::mt19937_64 m_Random{std::random_device{}()};
--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -59,8 +59,10 @@
       co_return outdatedChoice();
     const bool IsListedLife =
         Reply && m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
-    if (IsListedLife && Reply->m_IsGranted)
+    if (IsListedLife && Reply->m_IsGranted) {
+      Chosen.m_GrantedBy = SlotGrantor::Agent;
       co_return Chosen;
+    }
     Query.m_Full.insert(Chosen.m_Instance);
     if (!Reply)
       m_Instances.unanswered(Chosen.m_Instance, now());
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -302,6 +302,7 @@
                    (needsAgentQuery(Each, Now) ? Query.m_AskedBeyond : 0);
   }
   Best.m_Address = Chosen->m_Listed.m_Address;
+  Best.m_RateLimit = Chosen->m_RateLimit.perSecond();
   if (Chosen->m_Reported)
     Best.m_ReportAge = Now - *Chosen->m_Reported;
   Best.m_Outcome =
@@ -404,6 +405,12 @@
   return IsChange;
 }
 
+bool InstanceTable::rateObserved(const InstanceId &Id,
+                                 const RateObservation &Answer) {
+  const auto Found = m_Instances.find(Id);
+  return Found != m_Instances.end() && Found->second.m_RateLimit.note(Answer);
+}
+
 void InstanceTable::replaced(const InstanceId &Id) {
   const auto Found = m_Instances.find(Id);
   if (Found != m_Instances.end())
