Keep an instance's rate limit over all entries together

Operators saw instances get several times the requests a second that they had announced: 24 and 26 in four seconds where 22 and 11 are allowed.

Cause: no process used the announcement. Choice knew slots and loads only, and an agent granted slots by its engine's passes. The class: a bound on a sum over all entries that no process keeps (hypothesis 1). Hypothesis 2, each entry keeping it alone, is refuted by reading and by the even spread over all seven entries; 3, some path that does not ask, was not the cause but would have become it: a query that is not answered, or an agent that does not report, led to a send without a grant.

Now one process counts for each limited instance. The agent beside it does, as it grants the slots already, so the sum is exact and no entry needs to know the others; entries carry the newest observation of the limit in each slot query, and agents spread it with their reports. Where no agent reports, the live entry that ranks first by rendezvous hashing grants requests of all entries in the same way. A limited instance is never sent to without a grant. A bucket starts empty and saves one second's requests and one more, so that two processes that take turns stay within the bound.

For choice a request counts more at a limited instance, as much as the limit is below the engine's own rate; one whose next grant is still to come is passed over without a question; Retry-After is the mean time between two requests that all candidates together accept; a request that may run once goes there last. A request comes every four seconds at least, so that an answer can end the limit.

--- /dev/null
+++ b/include/deckpitch/instance-grants.h
@@ -0,0 +1,48 @@
+// Admission of all entries' requests to one instance, decided beside it: by its
+// slots, and by its rate limit if it has one.
+#pragma once
+
+#include "deckpitch/id.h"
+#include "deckpitch/rate-limit.h"
+#include "deckpitch/slot-ledger.h"
+#include "deckpitch/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace deckpitch {
+
+/// Grants the slots of the instance at one address. Another incarnation there
+/// does not have the rate limit of the former one.
+class InstanceGrants {
+public:
+  explicit InstanceGrants(TimePoint Now) : m_Rate(Now) {}
+
+  /// Records the number of requests that the instance reports.
+  void reported(std::uint32_t Held, TimePoint Now) {
+    m_Slots.reported(Held, Now);
+  }
+  /// Records what an entry knows of an incarnation's rate limit. Returns true
+  /// if the limit is another one than before.
+  bool noteRateLimit(const InstanceId &Incarnation,
+                     const RateObservation &Newest, TimePoint Now);
+  /// Returns whether the request may be sent, and counts it if so; see
+  /// SlotLedger::grant().
+  bool grant(const PlaceQuery &Query, const InstanceId &Incarnation,
+             TimePoint Now, TimePoint Closes = TimePoint::max());
+  /// Returns what entries are to know of the rate limit; nothing: the instance
+  /// never named one.
+  std::optional<RateLimitReport> rateLimit(TimePoint Now);
+  /// Requests per second; nothing: no limit.
+  std::optional<double> perSecond() const { return m_Limit.perSecond(); }
+  /// Returns the number of requests at the instance or granted a slot.
+  std::uint32_t held() const { return m_Slots.held(); }
+
+private:
+  SlotLedger m_Slots;
+  InstanceId m_Limited; ///< the incarnation that m_Limit is about
+  ObservedRateLimit m_Limit;
+  RequestRateBucket m_Rate;
+};
+
+} // namespace deckpitch
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -34,6 +34,8 @@
   std::uint64_t m_Loading = 0;
   /// Incarnation of the instance, as in FleetInstance; 0: not reported.
   std::uint64_t m_Start = 0;
+  /// Nothing: the instance never named a rate limit.
+  std::optional<RateLimitReport> m_RateLimit;
 
   friend bool operator==(const InstanceReport &,
                          const InstanceReport &) = default;
@@ -59,6 +61,9 @@
   /// Version of the weights that the instance must serve; 0: any that may still
   /// serve.
   std::uint64_t m_Version = 0;
+  /// The request may run once only: instances that limit their requests, which
+  /// are in difficulties, are its last choice.
+  bool m_AvoidsLimited = false;
 };
 
 enum class ChoiceOutcome {
@@ -67,14 +72,39 @@
   NoWeights,   ///< no instance serves the declared weights yet
   Full,        ///< no instance could start the request in time
   BackingOff,  ///< all that could take it have asked for a back-off
+  RateLimited, ///< all that could take it are at their rate limits
   Unconfirmed, ///< no listed instance is confirmed to be alive
   ListOutdated ///< other processes have a newer instance list
 };
 
 /// The process that granted a request its slot.
 enum class SlotGrantor {
-  None, ///< sent without a question
-  Agent ///< the one beside the instance
+  None,  ///< sent without a question
+  Agent, ///< the one beside the instance
+  Entry  ///< the one that counts requests to an instance without an agent
+};
+
+/// The question whether a request may be sent to an instance.
+struct SlotQuestion {
+  InstanceId m_Instance;
+  std::string m_Address;
+  PlaceQuery m_Place; ///< for an agent
+  /// Nothing: the instance never named a rate limit.
+  std::optional<RateObservation> m_RateLimit;
+  SlotGrantor m_Grantor = SlotGrantor::Agent;
+
+  friend bool operator==(const SlotQuestion &, const SlotQuestion &) = default;
+};
+
+/// An instance that limits the rate of its requests, as known here.
+struct LimitedInstance {
+  InstanceId m_Id;
+  std::optional<double> m_PerSecond; ///< nothing: the limit has ended
+  Duration m_Age{};    ///< since the request was sent whose answer said so
+  Duration m_NextIn{}; ///< until a request can be granted, at least
+
+  friend bool operator==(const LimitedInstance &,
+                         const LimitedInstance &) = default;
 };
 
 struct InstanceChoice {
@@ -121,11 +151,12 @@
   InstanceChoice choose(const ChoiceQuery &Query, TimePoint Now);
 
   void started(const InstanceId &Id, TimePoint Now);
-  /// Returns the question for the instance's agent before the request is sent,
-  /// or nothing if the agent does not report or no question is needed.
-  std::optional<PlaceQuery> placeQuery(const InstanceId &Id,
-                                       const ChoiceQuery &Query,
-                                       TimePoint Now) const;
+  /// Returns the question to be asked before the request is sent: for the
+  /// instance's agent if that reports, else for the entry that counts requests
+  /// to the instance if it limits them. Nothing if no question is needed.
+  std::optional<SlotQuestion> slotQuestion(const InstanceId &Id,
+                                           const ChoiceQuery &Query,
+                                           TimePoint Now) const;
   /// Records the time from sending a request for a model to its first token.
   void firstToken(const ChoiceQuery &Query, Duration After);
   /// Records that the instance's agent did not answer a question for a slot.
@@ -161,6 +192,21 @@
   /// Records what an answer of the instance says about its rate limit. Returns
   /// true if the limit is another one than before.
   bool rateObserved(const InstanceId &Id, const RateObservation &Answer);
+  /// Takes what another process reports about an instance's rate limit.
+  void rateReported(const RateLimitReport &Report, TimePoint Now);
+  /// Returns the newest observation of the instance's rate limit; nothing if it
+  /// never named one.
+  std::optional<RateObservation> rateLimitOf(const InstanceId &Id) const;
+  /// Returns the limits that reports have changed since the last call.
+  std::vector<LimitedInstance> takeReportedLimits();
+  /// Returns the instances that limit their requests.
+  std::vector<LimitedInstance> limitedInstances(TimePoint Now) const;
+  /// Whether the instance limits its requests.
+  bool isRateLimited(const InstanceId &Id) const;
+  /// Whether the instance limits its requests and none can be granted now.
+  bool isAtRateLimit(const InstanceId &Id, TimePoint Now) const;
+  /// Whether the instance's own agent reports to this entry.
+  bool hasFreshReport(const InstanceId &Id, TimePoint Now) const;
   /// Records that an instance closed the connection of a request that was sent
   /// to it at that time. Returns true if the instance was alive after that, as
   /// far as is known: the request may have crashed it. An intermediary may
@@ -199,6 +245,8 @@
     bool m_HasAnnouncedLeaving = false;
     TimePoint m_BackOffUntil{};
     ObservedRateLimit m_RateLimit;
+    /// Until then whoever counts its requests grants none.
+    TimePoint m_NextGrant{};
     std::uint32_t m_Own = 0;
     std::uint32_t m_Unanswered = 0; ///< own requests without a first byte
     std::uint32_t m_Others = 0; ///< requests of other entries when it reported
@@ -217,9 +265,29 @@
     TimePoint m_AskAgain{};
   };
 
+  using InstanceIterator = std::map<InstanceId, Instance>::iterator;
+  /// The instances that could take a request.
+  struct Candidates {
+    std::vector<InstanceIterator> m_Usable; ///< now
+    /// Those that are at their rate limits, and when the first is not.
+    std::vector<InstanceIterator> m_AtLimit;
+    std::optional<TimePoint> m_FirstGrant;
+    std::optional<TimePoint> m_FirstBackOffEnd;
+    bool m_LacksWeights = false;
+  };
+
   bool isUsable(const InstanceId &Id, const Instance &Each,
                 const ChoiceQuery &Query) const;
-  double scoreOf(const Instance &Each, TimePoint Now);
+  Candidates candidatesFor(const ChoiceQuery &Query, TimePoint Now);
+  void preferBest(std::vector<InstanceIterator> &Usable,
+                  const ChoiceQuery &Query, TimePoint Now) const;
+  Duration retryAfter(const Candidates &All, const ChoiceQuery &Query) const;
+  InstanceChoice noneUsable(const Candidates &All, const ChoiceQuery &Query,
+                            TimePoint Now) const;
+  double completionsPerSecond(const Instance &Each,
+                              const ChoiceQuery &Query) const;
+  double loadFactor(const Instance &Each, const ChoiceQuery &Query) const;
+  double scoreOf(const Instance &Each, const ChoiceQuery &Query, TimePoint Now);
   bool serves(const Instance &Each, const ChoiceQuery &Query,
               TimePoint Now) const;
   bool endsBeforeSwap(const Instance &Each, const ChoiceQuery &Query,
@@ -230,6 +298,8 @@
   bool needsAgentQuery(const Instance &Each, TimePoint Now) const;
   double loadOf(const Instance &Each, TimePoint Now) const;
   double limitOf(const Instance &Each, const ChoiceQuery &Query) const;
+  static bool isFresh(const Instance &Each, TimePoint Now);
+  static bool awaitsGrant(const Instance &Each, TimePoint Now);
 
   DataCentreId m_Own;
   std::size_t m_Entries = 1;
@@ -239,6 +309,7 @@
   std::map<ServiceId, ServiceDeclaration> m_Services;
   std::map<ServiceId, PlannedShare> m_PlannedShares;
   std::map<std::string, DeclaredHistory> m_Wanted; ///< by model
+  std::vector<LimitedInstance> m_ReportedLimits;
   std::minstd_rand m_Random{std::random_device{}()};
 };
 
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -1,9 +1,10 @@
 // The agent of one instance: supplies it with the declared weights and reports
 // its state to the entries.
 #include "daemon/clock.h"
-#include "deckpitch/slot-ledger.h"
+#include "deckpitch/instance-grants.h"
 #include "direct/adapter.h"
 #include "direct/fleet-follower.h"
+#include "direct/rate-limit-log.h"
 #include "direct/role.h"
 #include "direct/slot-client.h"
 #include "direct/state-link.h"
@@ -113,7 +114,7 @@
   asio::awaitable<bool> listPeers();
   std::optional<std::string> someLocalEntry();
   void onLink(const wire::LinkMessage &Message, const std::string &From);
-  wire::InstanceState state() const;
+  wire::InstanceState state();
   bool takesRequests() const {
     return m_Report.m_TakesRequests && !m_Weights.isLoadPending();
   }
@@ -121,6 +122,7 @@
   /// load new weights; the maximum if that is not known.
   TimePoint closesAt() const;
   void answerPlace(const wire::PlaceQuery &Query, const std::string &From);
+  void noteRateLimit(const wire::RateLimitState &Known, TimePoint Now);
   void sendState(TimePoint Now);
   void onDeclaration(const FleetDeclaration &Declaration);
   void setSource(const WeightsSource &Source);
@@ -138,8 +140,9 @@
 
   InstanceReport m_Report;
   bool m_HasReport = false;
-  SlotLedger m_Places;
-  wire::InstanceState m_LastSent; ///< the state last sent to any entry
+  InstanceGrants m_Grants{now()};
+  /// The state last sent to any entry, without times.
+  wire::InstanceState m_LastSent;
   std::map<std::string, Subscriber> m_Entries; ///< by link address
   std::minstd_rand m_Random{std::random_device{}()};
 
@@ -260,13 +263,28 @@
   return TimeUntilSwap ? now() + *TimeUntilSwap : TimePoint::max();
 }
 
+/// Records what an entry knows of the instance's rate limit.
+void Agent::noteRateLimit(const wire::RateLimitState &Known, TimePoint Now) {
+  const auto Limit = read(Known, Now);
+  if (!Limit)
+    return;
+  const RateObservation &Newest = Limit->m_Newest;
+  if (m_Grants.noteRateLimit(Limit->m_Instance, Newest, Now))
+    logRateLimit(Limit->m_Instance, Newest.m_PerSecond, "entry",
+                 Now - Newest.m_Sent, "");
+}
+
 void Agent::answerPlace(const wire::PlaceQuery &Query,
                         const std::string &From) {
+  const TimePoint Now = now();
+  if (Query.has_rate_limit())
+    noteRateLimit(Query.rate_limit(), Now);
   wire::LinkMessage Message;
   wire::PlaceAnswer &Answer = *Message.mutable_place_answer();
   Answer.set_id(Query.id());
-  Answer.set_is_granted(m_HasReport && takesRequests() &&
-                        m_Places.grant(read(Query), now(), closesAt()));
+  Answer.set_is_granted(
+      m_HasReport && takesRequests() &&
+      m_Grants.grant(read(Query), {Query.instance()}, Now, closesAt()));
   *Answer.mutable_state() = state();
   m_Link.send(From, std::move(Message));
 }
@@ -306,7 +324,7 @@
                 {"version", Each.m_Version},
                 {"complete", std::uint64_t{Each.m_IsComplete}}});
   m_Report = *Read;
-  m_Places.reported(Read->m_Running + Read->m_Waiting, now());
+  m_Grants.reported(Read->m_Running + Read->m_Waiting, now());
 }
 
 asio::awaitable<void> Agent::reportLoop() {
@@ -323,14 +341,14 @@
   }
 }
 
-wire::InstanceState Agent::state() const {
+wire::InstanceState Agent::state() {
   wire::InstanceState Out;
   Out.set_address(m_InstanceAddress);
   Out.set_start_ms(m_Report.m_Start);
   Out.set_loading(m_Weights.pendingVersion());
   Out.set_running(m_Report.m_Running);
   // Including requests that were granted a slot and have not arrived yet.
-  Out.set_waiting(std::max(m_Places.held(), m_Report.m_Running) -
+  Out.set_waiting(std::max(m_Grants.held(), m_Report.m_Running) -
                   m_Report.m_Running);
   Out.set_takes_requests(takesRequests());
   Out.set_has_sound_link(m_Weights.hasSoundLink());
@@ -338,9 +356,22 @@
     Out.set_swap_in_ms(msOf(*TimeUntilSwap));
   for (const HeldWeights &Each : m_Report.m_Weights)
     write(Each, *Out.add_weights());
+  const TimePoint Now = now();
+  if (const auto Limit = m_Grants.rateLimit(Now))
+    write(*Limit, Now, *Out.mutable_rate_limit());
   return Out;
 }
 
+/// The state without what changes by itself as time passes.
+wire::InstanceState withoutTimes(wire::InstanceState State) {
+  if (!State.has_rate_limit())
+    return State;
+  State.mutable_rate_limit()->clear_sent_age_us();
+  State.mutable_rate_limit()->clear_answered_age_us();
+  State.mutable_rate_limit()->clear_next_in_us();
+  return State;
+}
+
 /// Whether the change affects which requests entries may send here, rather than
 /// only the counts of requests.
 bool isUrgent(const wire::InstanceState &Now,
@@ -357,10 +388,11 @@
 void Agent::sendState(TimePoint Now) {
   wire::LinkMessage Message;
   *Message.mutable_state() = state();
+  const wire::InstanceState Compared = withoutTimes(Message.state());
   const bool IsChanged =
-      Message.state().SerializeAsString() != m_LastSent.SerializeAsString();
-  const bool IsUrgent = isUrgent(Message.state(), m_LastSent);
-  m_LastSent = Message.state();
+      Compared.SerializeAsString() != m_LastSent.SerializeAsString();
+  const bool IsUrgent = isUrgent(Compared, m_LastSent);
+  m_LastSent = Compared;
   for (auto &[To, Each] : m_Entries) {
     Each.m_IsBehind = Each.m_IsBehind || IsChanged;
     const Duration Since = Now - Each.m_SentAt;
@@ -389,6 +421,7 @@
 boost::json::object Agent::dump() const {
   return {{"instance", m_InstanceAddress},
           {"entries", m_Entries.size()},
+          {"rateLimit", rateText(m_Grants.perSecond())},
           {"storeCalls", m_Store->calls()},
           {"weights", m_Weights.dump()}};
 }
--- a/src/direct/entry-peers.cc
+++ b/src/direct/entry-peers.cc
@@ -1,5 +1,6 @@
 #include "direct/entry-peers.h"
 
+#include "deckpitch/random-weight.h"
 #include "net/log.h"
 
 #include <algorithm>
@@ -162,4 +163,22 @@
   return Local.size() >= SufficientLocalEntries ? Local : All;
 }
 
+const EntryAddress &EntryPeers::responsibleFor(const std::string &Duty,
+                                               bool IncludeOwn,
+                                               TimePoint Now) const {
+  const EntryAddress *Best = &m_Own;
+  std::uint64_t BestWeight =
+      IncludeOwn ? randomWeight(Duty, m_Own.m_Id.m_Text) : 0;
+  for (const auto &[Id, Each] : m_Peers) {
+    if (!isLive(Each, Now) || !Each.m_TakesCallers)
+      continue;
+    const std::uint64_t Weight = randomWeight(Duty, Id.m_Text);
+    if (Weight <= BestWeight)
+      continue;
+    Best = &Each.m_Address;
+    BestWeight = Weight;
+  }
+  return *Best;
+}
+
 } // namespace deckpitch::direct
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -71,6 +71,10 @@
   /// enough of them, else all.
   std::vector<std::string> addressesFor(const DataCentreId &Caller,
                                         bool IncludeOwn, TimePoint Now) const;
+  /// The entry that all entries which know the same live ones choose for the
+  /// duty; this one if there is no other.
+  const EntryAddress &responsibleFor(const std::string &Duty, bool IncludeOwn,
+                                     TimePoint Now) const;
   const EntryAddress &own() const { return m_Own; }
 
 private:
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -65,6 +65,8 @@
     return "full";
   case ChoiceOutcome::BackingOff:
     return "all rest";
+  case ChoiceOutcome::RateLimited:
+    return "all at their rate limits";
   case ChoiceOutcome::Unconfirmed:
     return "nobody confirms that instances live";
   case ChoiceOutcome::ListOutdated:
@@ -198,6 +200,7 @@
   Of.m_Query.m_Model = Of.m_Terms.m_Model;
   Of.m_Query.m_Objective = Of.m_Route->m_Objective;
   Of.m_Query.m_AskedBeyond = AskedBeyond;
+  Of.m_Query.m_AvoidsLimited = !Of.isRepeatable();
   Of.m_Query.m_Size = {Of.m_Terms.m_PromptTokens, Of.m_Terms.m_LikelyTokens};
   const milliseconds CallerTimeout =
       Of.m_Terms.m_CallerTimeout.value_or(DefaultCallerTimeout);
@@ -332,7 +335,8 @@
   ChoiceQuery Query = Of.m_Query;
   Query.m_Tried.clear();
   const InstanceChoice Next = m_Instances.choose(Query, now());
-  if (Next.m_Outcome == ChoiceOutcome::BackingOff)
+  if (Next.m_Outcome == ChoiceOutcome::BackingOff ||
+      Next.m_Outcome == ChoiceOutcome::RateLimited)
     return Next.m_RetryAfter;
   return std::max(Of.m_RetryAfter, MinRetryAfterNotRun);
 }
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -24,18 +24,19 @@
 
 namespace asio = boost::asio;
 
-/// Answer of an instance's agent to a request for a slot.
+/// Answer to a question for a slot.
 struct SlotReply {
   bool m_IsGranted = false;
-  InstanceReport m_Report;
+  std::optional<InstanceReport> m_Report;     ///< from an agent
+  std::optional<RateLimitReport> m_RateLimit; ///< from an entry
 };
 
 /// Serves the callers' requests. All calls must be on one event loop.
 class EntryRequests {
 public:
-  /// Asks an instance's agent for a slot; nullopt if no answer came in time.
+  /// Asks the question of its grantor; nullopt if no answer came in time.
   using AskSlot = std::function<asio::awaitable<std::optional<SlotReply>>(
-      std::string InstanceAddress, PlaceQuery Query)>;
+      SlotQuestion Question)>;
 
   EntryRequests(asio::io_context &Io, net::HttpClient &Http,
                 const FleetAdapter &Adapter, InstanceTable &Instances,
@@ -88,6 +89,7 @@
                                       std::string Reason);
   asio::awaitable<void> tryInstances(Call &Of);
   asio::awaitable<InstanceChoice> chooseInstance(ChoiceQuery Query);
+  bool applyReply(const SlotQuestion &Question, const SlotReply &Reply);
   asio::awaitable<InstanceChoice> chooseInstanceFor(Call &Of);
   std::set<InstanceId> instancesOfOtherSuspects(const Call &Than) const;
   /// Result of sending a request to an instance.
--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -17,10 +17,10 @@
 /// Instances that have just restarted are listed and hold weights by then.
 constexpr Duration RetryAfterUnconfirmed = std::chrono::milliseconds(2'000);
 
-InstanceChoice unconfirmed(InstanceChoice Of) {
-  Of.m_Outcome = ChoiceOutcome::Unconfirmed;
-  Of.m_RetryAfter = RetryAfterUnconfirmed;
-  return Of;
+InstanceChoice unconfirmed(InstanceChoice Choice) {
+  Choice.m_Outcome = ChoiceOutcome::Unconfirmed;
+  Choice.m_RetryAfter = RetryAfterUnconfirmed;
+  return Choice;
 }
 
 InstanceChoice outdatedChoice() {
@@ -32,10 +32,23 @@
 
 } // namespace
 
-/// Chooses an instance from the cached state and has its agent confirm the
-/// choice, since the agent sees the requests of all entries. An instance whose
-/// agent does not answer is used only if no agent grants a slot: its link is
-/// saturated, and requests sent there unconfirmed arrived after 400 to 800 ms.
+/// Applies an answer to the cached state. Returns false if it is about another
+/// incarnation of the instance than the listed one.
+bool EntryRequests::applyReply(const SlotQuestion &Question,
+                               const SlotReply &Reply) {
+  if (Reply.m_Report)
+    return m_Instances.report(Question.m_Address, *Reply.m_Report, now());
+  if (Reply.m_RateLimit)
+    m_Instances.rateReported(*Reply.m_RateLimit, now());
+  return true;
+}
+
+/// Chooses an instance from the cached state and has its grantor confirm the
+/// choice: its agent, which sees the requests of all entries, or the entry that
+/// counts the requests to an instance that limits them. An instance whose agent
+/// does not answer is used only if no agent grants a slot and it has no rate
+/// limit: its link is saturated, and requests sent there unconfirmed arrived
+/// after 400 to 800 ms.
 asio::awaitable<InstanceChoice>
 EntryRequests::chooseInstance(ChoiceQuery Query) {
   if (m_ListFreshness().m_IsOutdated)
@@ -45,38 +58,47 @@
   for (unsigned Asked = 0; Asked < MaxAskedAgents; ++Asked) {
     InstanceChoice Chosen = m_Instances.choose(Query, now());
     if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
-      // This choice leaves out the instances that were asked.
-      if (!Refused)
+      // This choice leaves out the instances that were asked, but for those at
+      // their rate limits.
+      if (!Refused || Refused->m_Outcome == ChoiceOutcome::RateLimited)
         Refused = std::move(Chosen);
       break;
     }
-    const auto Place = m_Instances.placeQuery(Chosen.m_Instance, Query, now());
-    if (!Place)
+    const auto Question =
+        m_Instances.slotQuestion(Chosen.m_Instance, Query, now());
+    if (!Question)
       co_return Chosen;
-    const auto Reply = co_await m_Ask(Chosen.m_Address, *Place);
+    const auto Reply = co_await m_Ask(*Question);
     // This process may have been paused meanwhile.
     if (m_ListFreshness().m_IsOutdated)
       co_return outdatedChoice();
-    const bool IsListedLife =
-        Reply && m_Instances.report(Chosen.m_Address, Reply->m_Report, now());
+    const bool IsListedLife = Reply && applyReply(*Question, *Reply);
     if (IsListedLife && Reply->m_IsGranted) {
-      Chosen.m_GrantedBy = SlotGrantor::Agent;
+      Chosen.m_GrantedBy = Question->m_Grantor;
       co_return Chosen;
     }
+    if (IsListedLife && m_Instances.isAtRateLimit(Chosen.m_Instance, now())) {
+      Chosen.m_Outcome = ChoiceOutcome::RateLimited;
+      if (!Refused)
+        Refused = std::move(Chosen);
+      continue;
+    }
     Query.m_Full.insert(Chosen.m_Instance);
     if (!Reply)
       m_Instances.unanswered(Chosen.m_Instance, now());
     const bool MayLive = m_Instances.isConfirmed(Chosen.m_Instance, now());
-    if (!Reply && MayLive) {
+    const bool IsLimited = m_Instances.isRateLimited(Chosen.m_Instance);
+    if (!Reply && MayLive && !IsLimited) {
       if (!Unanswered && Chosen.m_Load < Chosen.m_Limit - Query.m_AskedBeyond)
         Unanswered = std::move(Chosen);
       continue;
     }
-    if (!IsListedLife) {
+    if (!IsListedLife && !IsLimited) {
       Refused = unconfirmed(std::move(Chosen));
       continue;
     }
-    Chosen.m_Outcome = ChoiceOutcome::Full;
+    Chosen.m_Outcome =
+        IsLimited ? ChoiceOutcome::RateLimited : ChoiceOutcome::Full;
     Refused = std::move(Chosen);
   }
   if (Unanswered)
@@ -87,9 +109,11 @@
   Query.m_Full.clear();
   Query.m_AskedBeyond = 0;
   InstanceChoice Last = m_Instances.choose(Query, now());
-  const bool IsUnconfirmed = Last.m_Outcome == ChoiceOutcome::Chosen &&
-                             !m_Instances.isConfirmed(Last.m_Instance, now());
-  if (IsUnconfirmed)
+  if (Last.m_Outcome != ChoiceOutcome::Chosen)
+    co_return Last;
+  if (m_Instances.isRateLimited(Last.m_Instance))
+    Last.m_Outcome = ChoiceOutcome::RateLimited;
+  else if (!m_Instances.isConfirmed(Last.m_Instance, now()))
     co_return unconfirmed(std::move(Last));
   co_return Last;
 }
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -4,6 +4,7 @@
 #include "deckpitch/link-delay.h"
 #include "direct/adapter.h"
 #include "direct/entry-peers.h"
+#include "direct/entry-rate-limits.h"
 #include "direct/entry-record.h"
 #include "direct/entry-requests.h"
 #include "direct/fleet-follower.h"
@@ -71,6 +72,8 @@
     Report.m_SwapIn = milliseconds(State.swap_in_ms());
   for (const wire::HeldWeightsState &Each : State.weights())
     Report.m_Weights.push_back(read(Each));
+  if (State.has_rate_limit())
+    Report.m_RateLimit = read(State.rate_limit(), now());
   return Report;
 }
 
@@ -100,8 +103,8 @@
   void onLink(const wire::LinkMessage &Message, const std::string &From);
   void onEntry(const wire::LinkMessage &Message, const std::string &From);
   void onState(const wire::InstanceState &State);
-  asio::awaitable<std::optional<SlotReply>> askSlot(std::string Address,
-                                                    PlaceQuery Query);
+  asio::awaitable<std::optional<SlotReply>> askSlot(SlotQuestion Question);
+  std::optional<std::string> grantorOf(const SlotQuestion &Question) const;
   std::string agentOf(const std::string &InstanceAddress) const;
   wire::LinkMessage ownHello() const;
   void announceHarmful(TimePoint Now);
@@ -127,6 +130,7 @@
   HarmfulRequestTracker m_Harmful;
   EntryRequests m_Requests;
   EntryPeers m_Peers;
+  EntryRateLimits m_RateLimits;
   StateLink m_Link;
   StoreRelay m_Relay;
   SlotClient m_SlotClient;
@@ -155,12 +159,12 @@
       m_Instances(Context.m_Settings.m_DataCentre),
       m_Requests(m_Io, m_Http, m_Adapter, m_Instances, m_Harmful,
                  Context.m_Settings.m_Bounds.m_Retries,
-                 [this](std::string Address, PlaceQuery Query) {
-                   return askSlot(std::move(Address), Query);
+                 [this](SlotQuestion Question) {
+                   return askSlot(std::move(Question));
                  }),
       m_Peers(ownAddress(Context.m_Settings)),
-      m_Link(m_Io, Context.m_Incarnation), m_Relay(Context.m_Threads),
-      m_SlotClient(m_Io, m_Link),
+      m_RateLimits(m_Instances, m_Peers), m_Link(m_Io, Context.m_Incarnation),
+      m_Relay(Context.m_Threads), m_SlotClient(m_Io, m_Link),
       m_Follower(m_Io, m_Http, *m_Store, m_Adapter,
                  {Context.m_Settings.m_Bounds.m_Apply,
                   Context.m_Settings.m_Bounds.m_Drain},
@@ -310,6 +314,12 @@
 void Entry::onLink(const wire::LinkMessage &Message, const std::string &From) {
   if (Message.has_hello() || Message.has_news())
     onEntry(Message, From);
+  if (Message.has_place_query()) {
+    wire::LinkMessage Answer;
+    *Answer.mutable_place_answer() =
+        m_RateLimits.answer(Message.place_query(), now());
+    m_Link.send(From, std::move(Answer));
+  }
   if (Message.has_place_answer())
     m_SlotClient.answered(Message.place_answer());
   if (!Message.has_state())
@@ -349,9 +359,24 @@
          std::to_string(m_Context.m_Settings.m_AgentLinkPort);
 }
 
-asio::awaitable<std::optional<SlotReply>> Entry::askSlot(std::string Address,
-                                                         PlaceQuery Query) {
-  const auto Answer = co_await m_SlotClient.ask(agentOf(Address), Query);
+/// Returns the link address to which the question is sent; nothing: this entry
+/// decides itself.
+std::optional<std::string>
+Entry::grantorOf(const SlotQuestion &Question) const {
+  if (Question.m_Grantor == SlotGrantor::Agent)
+    return agentOf(Question.m_Address);
+  const EntryAddress &Counts =
+      m_RateLimits.grantorOf(Question.m_Instance, !m_Leaving, now());
+  const bool IsOwn = Counts.m_Id == m_Peers.own().m_Id;
+  return IsOwn ? std::nullopt : std::optional(Counts.m_Link);
+}
+
+asio::awaitable<std::optional<SlotReply>>
+Entry::askSlot(SlotQuestion Question) {
+  const std::optional<std::string> Grantor = grantorOf(Question);
+  if (!Grantor)
+    co_return m_RateLimits.decide(Question, now());
+  const auto Answer = co_await m_SlotClient.ask(*Grantor, Question);
   const char *Outcome = !Answer                ? "unanswered"
                         : Answer->is_granted() ? "granted"
                                                : "refused";
@@ -359,10 +384,17 @@
       .counter("deckpitch_place_questions_total", {{"outcome", Outcome}})
       .add();
   if (!Answer) {
-    net::log(Event::SlotQueryUnanswered, {{"address", Address}});
+    net::log(Event::SlotQueryUnanswered,
+             {{"address", Question.m_Address}, {"grantor", *Grantor}});
     co_return std::nullopt;
   }
-  co_return SlotReply{Answer->is_granted(), reportOf(Answer->state())};
+  SlotReply Out;
+  Out.m_IsGranted = Answer->is_granted();
+  if (Question.m_Grantor == SlotGrantor::Agent)
+    Out.m_Report = reportOf(Answer->state());
+  else if (Answer->state().has_rate_limit())
+    Out.m_RateLimit = read(Answer->state().rate_limit(), now());
+  co_return Out;
 }
 
 void Entry::onState(const wire::InstanceState &State) {
@@ -432,6 +464,7 @@
     m_Requests.setEntries(entriesThatRetry(), Now);
     m_Follower.setRank(m_Peers.ownRank(Now));
     logListFreshness();
+    m_RateLimits.update(Now);
     m_Requests.checkSilence(Now);
     m_Requests.moveStreamsFromSwapping(Now);
     m_Requests.withdrawOverdue(Now);
@@ -551,6 +584,7 @@
           {"instances", m_Instances.size()},
           {"inFlight", m_Instances.inFlight()},
           {"refusedAsHarmful", m_Harmful.refusedCount()},
+          {"rateLimited", m_RateLimits.dump(now())},
           {"openRequests", m_Callers.openRequests()},
           {"storeCalls", m_Store->calls()}};
 }
--- a/src/direct/rate-limit-log.cc
+++ b/src/direct/rate-limit-log.cc
@@ -19,7 +19,15 @@
 }
 
 const char *grantorName(SlotGrantor Value) {
-  return Value == SlotGrantor::Agent ? "agent" : "";
+  switch (Value) {
+  case SlotGrantor::None:
+    return "";
+  case SlotGrantor::Agent:
+    return "agent";
+  case SlotGrantor::Entry:
+    return "entry";
+  }
+  return "";
 }
 
 void logRateLimit(const InstanceId &Instance, std::optional<double> PerSecond,
--- a/src/direct/slot-client.cc
+++ b/src/direct/slot-client.cc
@@ -1,9 +1,12 @@
 #include "direct/slot-client.h"
 
+#include "daemon/clock.h"
+
 #include <boost/asio.hpp>
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace deckpitch::direct {
@@ -21,6 +24,9 @@
 /// times would overflow the clock.
 constexpr microseconds MaxTime = std::chrono::hours(1);
 constexpr std::uint32_t MaxSlots = 100'000;
+/// Bound on the reported time until the next request: longer than at the lowest
+/// rate that is granted.
+constexpr Duration MaxNextIn = std::chrono::seconds(10);
 
 std::uint64_t microsOf(Duration Value) {
   const auto Us = std::chrono::duration_cast<microseconds>(Value).count();
@@ -50,8 +56,40 @@
           Time(From.first_within_us())};
 }
 
+void write(const RateLimitReport &From, TimePoint Now,
+           wire::RateLimitState &To) {
+  const RateObservation &Newest = From.m_Newest;
+  To.set_instance(From.m_Instance.m_Text);
+  if (Newest.m_PerSecond)
+    To.set_per_second(*Newest.m_PerSecond);
+  To.set_sent_age_us(microsOf(Now - Newest.m_Sent));
+  To.set_answered_age_us(microsOf(Now - Newest.m_Answered));
+  To.set_next_in_us(microsOf(From.m_NextIn));
+}
+
+std::optional<RateLimitReport> read(const wire::RateLimitState &From,
+                                    TimePoint Now) {
+  const auto Time = [](std::uint64_t Us) -> Duration {
+    return microseconds(std::min<std::uint64_t>(Us, MaxTime.count()));
+  };
+  RateLimitReport Out;
+  Out.m_Instance = {From.instance()};
+  if (From.has_per_second()) {
+    const bool IsRate =
+        std::isfinite(From.per_second()) && From.per_second() >= 0;
+    if (!IsRate)
+      return std::nullopt;
+    Out.m_Newest.m_PerSecond = From.per_second();
+  }
+  Out.m_Newest.m_Sent = Now - Time(From.sent_age_us());
+  Out.m_Newest.m_Answered =
+      std::max(Now - Time(From.answered_age_us()), Out.m_Newest.m_Sent);
+  Out.m_NextIn = std::min(Time(From.next_in_us()), MaxNextIn);
+  return Out;
+}
+
 asio::awaitable<std::optional<wire::PlaceAnswer>>
-SlotClient::ask(const std::string &Agent, const PlaceQuery &Query) {
+SlotClient::ask(const std::string &Grantor, const SlotQuestion &Question) {
   const std::uint64_t Id = ++m_LastId;
   const auto At =
       m_Waiting
@@ -59,9 +97,13 @@
           .first;
   wire::LinkMessage Message;
   wire::PlaceQuery &Asked = *Message.mutable_place_query();
-  write(Query, Asked);
+  write(Question.m_Place, Asked);
   Asked.set_id(Id);
-  m_Link.send(Agent, std::move(Message));
+  Asked.set_instance(Question.m_Instance.m_Text);
+  if (Question.m_RateLimit)
+    write({Question.m_Instance, *Question.m_RateLimit, {}}, daemon::now(),
+          *Asked.mutable_rate_limit());
+  m_Link.send(Grantor, std::move(Message));
   co_await At->second.m_Limit.async_wait(UseAwaitable);
   std::optional<wire::PlaceAnswer> Answer = std::move(At->second.m_Answer);
   m_Waiting.erase(At);
--- a/src/direct/slot-client.h
+++ b/src/direct/slot-client.h
@@ -1,6 +1,9 @@
-// Asks an instance's agent whether a request may be sent to the instance.
+// Asks an instance's agent, or the entry that counts for it, whether a request
+// may be sent to the instance.
 #pragma once
 
+#include "deckpitch/instance-table.h"
+#include "deckpitch/rate-limit.h"
 #include "deckpitch/slot-ledger.h"
 #include "direct/state-link.h"
 
@@ -14,16 +17,17 @@
 
 namespace deckpitch::direct {
 
-/// Sends slot queries to agents and matches the answers to them. All calls must
+/// Sends slot queries and matches the answers to them. All calls must
 /// be on one event loop.
 class SlotClient {
 public:
   SlotClient(asio::io_context &Io, StateLink &Link) : m_Io(Io), m_Link(Link) {}
 
-  /// Returns the agent's answer; nullopt if none arrived in time.
+  /// Returns the answer of the agent or entry with that link address; nullopt
+  /// if none arrived in time.
   asio::awaitable<std::optional<wire::PlaceAnswer>>
-  ask(const std::string &Agent, const PlaceQuery &Query);
-  /// Handles an answer from an agent.
+  ask(const std::string &Grantor, const SlotQuestion &Question);
+  /// Handles an answer from an agent or an entry.
   void answered(const wire::PlaceAnswer &Answer);
 
 private:
@@ -40,5 +44,11 @@
 
 void write(const PlaceQuery &From, wire::PlaceQuery &To);
 PlaceQuery read(const wire::PlaceQuery &From);
+/// Times become ages, as processes do not share a clock.
+void write(const RateLimitReport &From, TimePoint Now,
+           wire::RateLimitState &To);
+/// Returns nothing for a rate that is not a number of requests.
+std::optional<RateLimitReport> read(const wire::RateLimitState &From,
+                                    TimePoint Now);
 
 } // namespace deckpitch::direct
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -3,8 +3,7 @@
 #include "deckpitch/weights-plan.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
+#include <utility>
 
 namespace deckpitch {
 
@@ -15,47 +14,23 @@
 /// Age from which a report no longer shows how many requests other entries have
 /// there: several times the interval between two reports.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(800);
-/// Requests that a plain service may hold for each of its slots: one that runs
-/// and one that is next.
-constexpr double PlainServiceDepth = 2;
-/// Cost of a call to another data centre, as a number of requests at the
-/// instance: its traffic is paid for, and a few more requests make little
-/// difference at an engine that has free slots.
-constexpr double RemotePenalty = 3;
-/// Weight of a request whose prompt has not been prefilled yet, compared with
-/// one that only decodes, in the waiting time of the next request.
-constexpr double UnansweredWeight = 3;
-/// Number of instances that one choice compares.
-constexpr std::size_t CandidatesCompared = 3;
 /// Time by which a stream may run past the start of the swap to other weights.
 /// The swap waits for it, and nothing else may begin there meanwhile.
 constexpr Duration SwapOverrun = std::chrono::milliseconds(250);
 /// Time for which an instance whose agent did not answer is passed over while
 /// others answer: about the queueing delay of a question on a full link.
 constexpr Duration UnansweredBackOff = std::chrono::milliseconds(100);
-/// Retrying sooner would meet the same requests. Together with the caller's own
-/// round trip, a longer delay leaves too little of an objective of 300 ms: with
-/// 60 to 90 ms, 1,707 of 2,291 retries that were served came after 290 ms.
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(25);
 /// Time for which an instance that is only listed may already be gone: the
 /// platform keeps an instance listed for three heartbeat intervals of 1.2 s,
 /// and the list is read every 0.75 s.
 constexpr Duration UnconfirmedTimeout = std::chrono::milliseconds(4'500);
-/// Retry delay while no instance can serve: copying some MB of weights takes
-/// two to four seconds over links of some Mbit/s.
-constexpr Duration RetryAfterNothing = std::chrono::milliseconds(2'000);
-
-/// Removes the elements for which the condition does not hold, unless it holds
-/// for none.
-template <typename T, typename Condition>
-void preferWhere(std::vector<T> &Of, Condition &&Holds) {
-  const auto End = std::partition(Of.begin(), Of.end(), Holds);
-  if (End != Of.begin())
-    Of.erase(End, Of.end());
-}
 
 } // namespace
 
+bool InstanceTable::isFresh(const Instance &Each, TimePoint Now) {
+  return Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
+}
+
 void InstanceTable::setServices(
     const std::vector<ServiceDeclaration> &Services) {
   m_Services.clear();
@@ -75,9 +50,7 @@
       Known.m_LastActivity = Now;
       Known.m_ListedAt = Now;
     }
-    const bool HasFreshReport =
-        Known.m_Reported && Now - *Known.m_Reported < ReportLifetime;
-    if (!HasFreshReport && !Known.m_HasOtherIncarnation)
+    if (!isFresh(Known, Now) && !Known.m_HasOtherIncarnation)
       Known.m_Weights = Each.m_Weights;
     Known.m_Listed = Each;
     Known.m_IsListed = true;
@@ -126,6 +99,8 @@
     Known.m_SwapAt = Now + *Report.m_SwapIn;
   Known.m_HasSoundLink = Report.m_HasSoundLink;
   Known.m_Weights = std::move(Report.m_Weights);
+  if (Report.m_RateLimit)
+    rateReported(*Report.m_RateLimit, Now);
   return true;
 }
 
@@ -141,8 +116,7 @@
                            TimePoint Now) const {
   const std::string &Model = Query.m_Model;
   const auto Wanted = m_Wanted.find(Model);
-  const bool IsFresh =
-      Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
+  const bool IsFresh = isFresh(Each, Now);
   // The agent knows its own instance's link, but no process knows the link
   // between data centres, which weights may fill: requests arrived there 1.3 s
   // after they were sent.
@@ -200,8 +174,7 @@
 }
 
 double InstanceTable::loadOf(const Instance &Each, TimePoint Now) const {
-  const bool IsFresh =
-      Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
+  const bool IsFresh = isFresh(Each, Now);
   if (IsFresh)
     return Each.m_Own + Each.m_Others;
   // Without a report, each other entry is assumed to have as many requests
@@ -209,113 +182,6 @@
   return static_cast<double>(Each.m_Own) * static_cast<double>(m_Entries);
 }
 
-double InstanceTable::limitOf(const Instance &Each,
-                              const ChoiceQuery &Query) const {
-  if (const EngineProfile *Engine = engineOf(Each.m_Listed.m_Service))
-    return capacityOf(*Engine, Query.m_Objective).m_Limit - Query.m_Reserve;
-  return PlainServiceDepth * std::max(1U, Each.m_Listed.m_Slots);
-}
-
-bool InstanceTable::isUsable(const InstanceId &Id, const Instance &Each,
-                             const ChoiceQuery &Query) const {
-  const bool IsLeaving =
-      Each.m_Listed.m_IsLeaving || Each.m_HasAnnouncedLeaving;
-  return Each.m_IsListed && !Each.m_IsReplaced && !IsLeaving &&
-         Each.m_Listed.m_Service == Query.m_Service &&
-         !Query.m_Tried.contains(Id) && !Query.m_Full.contains(Id);
-}
-
-/// Returns the instance's cost as a number of requests; lower is better.
-double InstanceTable::scoreOf(const Instance &Each, TimePoint Now) {
-  std::uniform_real_distribution<double> Tie(0, 0.5);
-  const bool IsRemote = Each.m_Listed.m_DataCentre != m_Own;
-  return loadOf(Each, Now) + UnansweredWeight * Each.m_Unanswered +
-         (IsRemote ? RemotePenalty : 0) + Tie(m_Random);
-}
-
-InstanceChoice InstanceTable::choose(const ChoiceQuery &Query, TimePoint Now) {
-  InstanceChoice Best;
-  std::vector<std::map<InstanceId, Instance>::iterator> Usable;
-  bool LacksWeights = false;
-  std::optional<TimePoint> EarliestBackOffEnd;
-  for (auto It = m_Instances.begin(); It != m_Instances.end(); ++It) {
-    const Instance &Each = It->second;
-    if (!isUsable(It->first, Each, Query))
-      continue;
-    const bool Serves = Query.m_Model.empty() ||
-                        (Each.m_TakesRequests && serves(Each, Query, Now));
-    LacksWeights = LacksWeights || !Serves;
-    if (Serves && Each.m_BackOffUntil > Now)
-      EarliestBackOffEnd =
-          std::min(EarliestBackOffEnd.value_or(Each.m_BackOffUntil),
-                   Each.m_BackOffUntil);
-    else if (Serves)
-      Usable.push_back(It);
-  }
-  // Ejected instances are used only if there is no other: a faulty instance may
-  // still serve some requests, a missing one none.
-  preferWhere(Usable, [Now](const auto &Each) {
-    return Each->second.m_Ejection.until() <= Now;
-  });
-  // Prefers instances whose agents have not just failed to answer.
-  preferWhere(Usable, [Now](const auto &Each) {
-    return Now >= Each->second.m_AskAgain;
-  });
-  // Prefers instances that will not load other weights before the request ends.
-  preferWhere(Usable, [&](const auto &Each) {
-    return endsBeforeSwap(Each->second, Query, Now);
-  });
-  preferWhere(Usable, [&](const auto &Each) {
-    return !Query.m_Avoided.contains(Each->first);
-  });
-  if (Usable.empty() && EarliestBackOffEnd) {
-    Best.m_Outcome = ChoiceOutcome::BackingOff;
-    Best.m_RetryAfter = *EarliestBackOffEnd - Now;
-    return Best;
-  }
-  if (Usable.empty()) {
-    Best.m_Outcome =
-        LacksWeights ? ChoiceOutcome::NoWeights : ChoiceOutcome::NoInstance;
-    Best.m_RetryAfter = RetryAfterNothing;
-    return Best;
-  }
-  // All entries see the same reports. If each took the least loaded instance,
-  // one that has just become free would receive a burst of prompts: when all
-  // instances were compared, 49 of 100 first tokens at instances with one
-  // request came after 400 ms, against 3 at those with eight.
-  std::shuffle(Usable.begin(), Usable.end(), m_Random);
-  double BestScore = std::numeric_limits<double>::max();
-  const Instance *Chosen = nullptr;
-  for (std::size_t I = 0; I < Usable.size(); ++I) {
-    const bool IsSampleFull = I >= CandidatesCompared;
-    if (IsSampleFull && Best.m_Load < Best.m_Limit)
-      break;
-    const Instance &Each = Usable[I]->second;
-    const double Score = scoreOf(Each, Now);
-    if (Score >= BestScore)
-      continue;
-    BestScore = Score;
-    Chosen = &Each;
-    Best.m_Instance = Usable[I]->first;
-    Best.m_Load = loadOf(Each, Now);
-    Best.m_Limit = limitOf(Each, Query) +
-                   (needsAgentQuery(Each, Now) ? Query.m_AskedBeyond : 0);
-  }
-  Best.m_Address = Chosen->m_Listed.m_Address;
-  Best.m_RateLimit = Chosen->m_RateLimit.perSecond();
-  if (Chosen->m_Reported)
-    Best.m_ReportAge = Now - *Chosen->m_Reported;
-  Best.m_Outcome =
-      Best.m_Load < Best.m_Limit ? ChoiceOutcome::Chosen : ChoiceOutcome::Full;
-  Best.m_RetryAfter = MinRetryAfter;
-  if (const EngineProfile *Engine = engineOf(Query.m_Service))
-    Best.m_RetryAfter =
-        std::max(MinRetryAfter,
-                 capacityOf(*Engine, Query.m_Objective).m_CompletionInterval /
-                     static_cast<int>(Usable.size()));
-  return Best;
-}
-
 void InstanceTable::started(const InstanceId &Id, TimePoint Now) {
   const auto Found = m_Instances.find(Id);
   if (Found == m_Instances.end())
@@ -411,6 +277,59 @@
   return Found != m_Instances.end() && Found->second.m_RateLimit.note(Answer);
 }
 
+void InstanceTable::rateReported(const RateLimitReport &Report, TimePoint Now) {
+  const auto Found = m_Instances.find(Report.m_Instance);
+  if (Found == m_Instances.end())
+    return;
+  Instance &Known = Found->second;
+  Known.m_NextGrant = Now + Report.m_NextIn;
+  if (Known.m_RateLimit.note(Report.m_Newest))
+    m_ReportedLimits.push_back({Report.m_Instance, Report.m_Newest.m_PerSecond,
+                                Now - Report.m_Newest.m_Sent, Report.m_NextIn});
+}
+
+std::optional<RateObservation>
+InstanceTable::rateLimitOf(const InstanceId &Id) const {
+  const auto Found = m_Instances.find(Id);
+  return Found == m_Instances.end() ? std::nullopt
+                                    : Found->second.m_RateLimit.newest();
+}
+
+bool InstanceTable::isRateLimited(const InstanceId &Id) const {
+  const auto Found = m_Instances.find(Id);
+  return Found != m_Instances.end() && Found->second.m_RateLimit.perSecond();
+}
+
+bool InstanceTable::awaitsGrant(const Instance &Each, TimePoint Now) {
+  return Each.m_RateLimit.perSecond() && Each.m_NextGrant > Now;
+}
+
+bool InstanceTable::isAtRateLimit(const InstanceId &Id, TimePoint Now) const {
+  const auto Found = m_Instances.find(Id);
+  return Found != m_Instances.end() && awaitsGrant(Found->second, Now);
+}
+
+std::vector<LimitedInstance> InstanceTable::takeReportedLimits() {
+  return std::exchange(m_ReportedLimits, {});
+}
+
+std::vector<LimitedInstance>
+InstanceTable::limitedInstances(TimePoint Now) const {
+  std::vector<LimitedInstance> Out;
+  for (const auto &[Id, Each] : m_Instances) {
+    const std::optional<RateObservation> Newest = Each.m_RateLimit.newest();
+    if (Newest && Newest->m_PerSecond)
+      Out.push_back({Id, Newest->m_PerSecond, Now - Newest->m_Sent,
+                     std::max(Each.m_NextGrant - Now, Duration::zero())});
+  }
+  return Out;
+}
+
+bool InstanceTable::hasFreshReport(const InstanceId &Id, TimePoint Now) const {
+  const auto Found = m_Instances.find(Id);
+  return Found != m_Instances.end() && isFresh(Found->second, Now);
+}
+
 void InstanceTable::replaced(const InstanceId &Id) {
   const auto Found = m_Instances.find(Id);
   if (Found != m_Instances.end())
@@ -449,24 +368,35 @@
 }
 
 bool InstanceTable::needsAgentQuery(const Instance &Each, TimePoint Now) const {
-  const bool IsFresh =
-      Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
+  const bool IsFresh = isFresh(Each, Now);
   return engineOf(Each.m_Listed.m_Service) && (IsFresh || !isAlive(Each, Now));
 }
 
-std::optional<PlaceQuery> InstanceTable::placeQuery(const InstanceId &Id,
-                                                    const ChoiceQuery &Query,
-                                                    TimePoint Now) const {
+std::optional<SlotQuestion>
+InstanceTable::slotQuestion(const InstanceId &Id, const ChoiceQuery &Query,
+                            TimePoint Now) const {
   const auto Found = m_Instances.find(Id);
-  if (Found == m_Instances.end() || !needsAgentQuery(Found->second, Now))
+  if (Found == m_Instances.end())
     return std::nullopt;
+  const Instance &Each = Found->second;
+  SlotQuestion Out;
+  Out.m_Instance = Id;
+  Out.m_Address = Each.m_Listed.m_Address;
+  Out.m_RateLimit = Each.m_RateLimit.newest();
+  if (!needsAgentQuery(Each, Now)) {
+    if (!Each.m_RateLimit.perSecond())
+      return std::nullopt;
+    Out.m_Grantor = SlotGrantor::Entry;
+    return Out;
+  }
   const auto Share = m_PlannedShares.find(Query.m_Service);
   const double Planned = Share == m_PlannedShares.end() ? PlannedShare().value()
                                                         : Share->second.value();
   const Duration FirstWithin(static_cast<Duration::rep>(
       Planned * static_cast<double>(Duration(Query.m_Objective).count())));
-  return placeQueryFor(*engineOf(Query.m_Service), Query.m_Size, FirstWithin,
-                       Query.m_Reserve);
+  Out.m_Place = placeQueryFor(*engineOf(Query.m_Service), Query.m_Size,
+                              FirstWithin, Query.m_Reserve);
+  return Out;
 }
 
 void InstanceTable::firstToken(const ChoiceQuery &Query, Duration After) {
