Count a rate limit by what entries received themselves; test it with real entries

What an entry had from an agent's report went back to the agent with its next slot query. As the age of an observation grows with each transfer but its transfer time does not, each round made it look a little newer, so that an answer without a limit could be too old to end it: a limit that keeps itself alive.

Now an observation that was not received first-hand is used by the counting process only if it knows nothing, as after a restart, and an entry replaces the last report instead of merging it. Also: a refusal for the rate limit after several queries says so and when to return, instead of 'no instance'.

The soak names, changes and withdraws limits beside its faults and checks the rule from what instances see.

--- a/include/deckpitch/instance-grants.h
+++ b/include/deckpitch/instance-grants.h
@@ -16,7 +16,7 @@
 /// does not have the rate limit of the former one.
 class InstanceGrants {
 public:
-  explicit InstanceGrants(TimePoint Now) : m_Rate(Now) {}
+  explicit InstanceGrants(TimePoint Now) : m_Limit(Now) {}
 
   /// Records the number of requests that the instance reports.
   void reported(std::uint32_t Held, TimePoint Now) {
@@ -24,8 +24,7 @@
   }
   /// Records what an entry knows of an incarnation's rate limit. Returns true
   /// if the limit is another one than before.
-  bool noteRateLimit(const InstanceId &Incarnation,
-                     const RateObservation &Newest, TimePoint Now);
+  bool noteRateLimit(const RateLimitReport &Known, TimePoint Now);
   /// Returns whether the request may be sent, and counts it if so; see
   /// SlotLedger::grant().
   bool grant(const PlaceQuery &Query, const InstanceId &Incarnation,
@@ -41,8 +40,7 @@
 private:
   SlotLedger m_Slots;
   InstanceId m_Limited; ///< the incarnation that m_Limit is about
-  ObservedRateLimit m_Limit;
-  RequestRateBucket m_Rate;
+  CountedRateLimit m_Limit;
 };
 
 } // namespace deckpitch
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -90,7 +90,7 @@
   std::string m_Address;
   PlaceQuery m_Place; ///< for an agent
   /// Nothing: the instance never named a rate limit.
-  std::optional<RateObservation> m_RateLimit;
+  std::optional<RateLimitReport> m_RateLimit;
   SlotGrantor m_Grantor = SlotGrantor::Agent;
 
   friend bool operator==(const SlotQuestion &, const SlotQuestion &) = default;
@@ -194,9 +194,6 @@
   bool rateObserved(const InstanceId &Id, const RateObservation &Answer);
   /// Takes what another process reports about an instance's rate limit.
   void rateReported(const RateLimitReport &Report, TimePoint Now);
-  /// Returns the newest observation of the instance's rate limit; nothing if it
-  /// never named one.
-  std::optional<RateObservation> rateLimitOf(const InstanceId &Id) const;
   /// Returns the limits that reports have changed since the last call.
   std::vector<LimitedInstance> takeReportedLimits();
   /// Returns the instances that limit their requests.
--- a/include/deckpitch/rate-limit.h
+++ b/include/deckpitch/rate-limit.h
@@ -20,34 +20,49 @@
                          const RateObservation &) = default;
 };
 
-/// The rate limit of one incarnation of an instance, as of its newest answer.
-/// Answers overtake each other: one to a request that was sent earlier changes
-/// nothing, and one without a limit ends the limit only if its request was sent
-/// after the limit had been received.
-class ObservedRateLimit {
-public:
-  /// Returns true if the limit is another one than before.
-  bool note(const RateObservation &Answer);
-  /// Requests per second; nothing: no limit.
-  std::optional<double> perSecond() const { return m_Newest.m_PerSecond; }
-  /// Returns the newest observation; nothing if none ever named a limit.
-  std::optional<RateObservation> newest() const;
-
-private:
-  RateObservation m_Newest;
-  bool m_WasLimited = false;
-};
+/// Returns which of two observations of an incarnation is the newer one.
+/// Answers overtake each other: one without a limit is newer than one with a
+/// limit only if its request was sent after that limit had arrived.
+const RateObservation &newerOf(const RateObservation &One,
+                               const RateObservation &Other);
 
 /// What one process reports to another about an instance's rate limit.
 struct RateLimitReport {
   InstanceId m_Instance; ///< the incarnation that it is about
   RateObservation m_Newest;
+  /// The reporting process received the answer itself. What it knows from
+  /// others is no news to them: as its age grows with each transfer, reports
+  /// that are returned would make it look newer for ever.
+  bool m_IsFirstHand = true;
   Duration m_NextIn{}; ///< until the next request can be granted
 
   friend bool operator==(const RateLimitReport &,
                          const RateLimitReport &) = default;
 };
 
+/// The rate limit of one incarnation of an instance, as an entry knows it: from
+/// its own answers, and from the process that counts the requests.
+class ObservedRateLimit {
+public:
+  /// Records an answer that this entry received. Returns true if the limit is
+  /// another one than before.
+  bool note(const RateObservation &Answer);
+  /// Records what the counting process reports, in place of its last report.
+  /// Returns true if the limit is another one than before.
+  bool reported(const RateObservation &Newest);
+  /// Requests per second; nothing: no limit.
+  std::optional<double> perSecond() const;
+  /// Returns the newest observation; nothing if none ever named a limit.
+  std::optional<RateObservation> newest() const;
+  /// Whether the newest observation is an answer that this entry received.
+  bool isFirstHand() const;
+
+private:
+  std::optional<RateObservation> m_Own;
+  std::optional<RateObservation> m_Reported;
+  bool m_WasLimited = false;
+};
+
 /// Grants requests to one instance at its limit. Kept by a single process for
 /// each instance, so that the sum over all entries is exact. Starts without a
 /// burst: the process that had the duty before may just have granted one.
@@ -74,24 +89,54 @@
   TimePoint m_FilledAt;
 };
 
-/// Grants requests to the instances for which this entry counts on behalf of
-/// all entries, because no agent reports on them.
+/// The rate limit of one incarnation of an instance, in the process that counts
+/// its requests for all entries.
+class CountedRateLimit {
+public:
+  explicit CountedRateLimit(TimePoint Now) : m_Bucket(Now) {}
+
+  /// Records what an entry knows. Returns true if the limit is another one than
+  /// before.
+  bool note(const RateLimitReport &Known, TimePoint Now);
+  /// Whether a request may be sent that leaves the given share of the burst, 0
+  /// to 1, to others.
+  bool canTake(double ReservedShare, TimePoint Now);
+  /// Counts a request that canTake() allowed.
+  void take();
+  /// Requests per second; nothing: no limit.
+  std::optional<double> perSecond() const;
+  /// Returns the newest observation; nothing: no entry has reported one.
+  const std::optional<RateObservation> &newest() const { return m_Newest; }
+  /// Time until a request that reserves nothing can be granted.
+  Duration timeUntilNext(TimePoint Now);
+
+private:
+  std::optional<RateObservation> m_Newest;
+  RequestRateBucket m_Bucket;
+};
+
+/// The rate limits for which this entry counts on behalf of all entries,
+/// because no agent reports on the instances.
 class RateGrants {
 public:
-  /// Returns whether a request may be sent, and counts it if so.
-  bool grant(const InstanceId &Id, double PerSecond, TimePoint Now);
-  Duration timeUntilNext(const InstanceId &Id, TimePoint Now);
+  /// Records what an entry knows of an instance's limit.
+  void note(const RateLimitReport &Known, TimePoint Now);
+  /// Returns whether a request may be sent, and counts it if so. Nothing is
+  /// granted to an instance whose limit no entry has reported.
+  bool grant(const InstanceId &Id, TimePoint Now);
+  /// Returns what entries are to know of an instance's limit.
+  std::optional<RateLimitReport> report(const InstanceId &Id, TimePoint Now);
   /// Forgets instances that no request was asked for in a long time.
   void removeIdle(TimePoint Now);
-  std::size_t size() const { return m_Buckets.size(); }
+  std::size_t size() const { return m_Limits.size(); }
 
 private:
   struct Counted {
-    RequestRateBucket m_Bucket;
+    CountedRateLimit m_Limit;
     TimePoint m_LastAsked{};
   };
 
-  std::map<InstanceId, Counted> m_Buckets;
+  std::map<InstanceId, Counted> m_Limits;
 };
 
 } // namespace deckpitch
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -269,7 +269,7 @@
   if (!Limit)
     return;
   const RateObservation &Newest = Limit->m_Newest;
-  if (m_Grants.noteRateLimit(Limit->m_Instance, Newest, Now))
+  if (m_Grants.noteRateLimit(*Limit, Now))
     logRateLimit(Limit->m_Instance, Newest.m_PerSecond, "entry",
                  Now - Newest.m_Sent, "");
 }
--- a/src/direct/entry-rate-limits.cc
+++ b/src/direct/entry-rate-limits.cc
@@ -28,18 +28,16 @@
 SlotReply EntryRateLimits::decide(const SlotQuestion &Question, TimePoint Now) {
   const InstanceId &Id = Question.m_Instance;
   SlotReply Out;
-  if (Question.m_RateLimit)
-    m_Instances.rateReported(
-        {Id, *Question.m_RateLimit, m_Grants.timeUntilNext(Id, Now)}, Now);
-  const std::optional<RateObservation> Newest = m_Instances.rateLimitOf(Id);
   // Its agent counts then, also for those that it does not reach at the moment.
-  const bool HasAgent = m_Instances.hasFreshReport(Id, Now);
-  if (!Newest || HasAgent)
+  if (m_Instances.hasFreshReport(Id, Now))
     return Out;
-  Out.m_IsGranted =
-      !Newest->m_PerSecond || m_Grants.grant(Id, *Newest->m_PerSecond, Now);
+  if (Question.m_RateLimit)
+    m_Grants.note(*Question.m_RateLimit, Now);
+  Out.m_IsGranted = m_Grants.grant(Id, Now);
   grants(Out.m_IsGranted).add();
-  Out.m_RateLimit = {Id, *Newest, m_Grants.timeUntilNext(Id, Now)};
+  Out.m_RateLimit = m_Grants.report(Id, Now);
+  if (Out.m_RateLimit)
+    m_Instances.rateReported(*Out.m_RateLimit, Now);
   return Out;
 }
 
@@ -49,8 +47,7 @@
   Question.m_Instance = {Query.instance()};
   Question.m_Grantor = SlotGrantor::Entry;
   if (Query.has_rate_limit())
-    if (const auto Limit = read(Query.rate_limit(), Now))
-      Question.m_RateLimit = Limit->m_Newest;
+    Question.m_RateLimit = read(Query.rate_limit(), Now);
   const SlotReply Reply = decide(Question, Now);
   wire::PlaceAnswer Out;
   Out.set_id(Query.id());
--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -58,9 +58,12 @@
   for (unsigned Asked = 0; Asked < MaxAskedAgents; ++Asked) {
     InstanceChoice Chosen = m_Instances.choose(Query, now());
     if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
-      // This choice leaves out the instances that were asked, but for those at
-      // their rate limits.
-      if (!Refused || Refused->m_Outcome == ChoiceOutcome::RateLimited)
+      // This choice leaves out the instances that were asked, but for those
+      // that told when they grant the next request.
+      const bool IsNewer = Chosen.m_Outcome == ChoiceOutcome::RateLimited &&
+                           Refused &&
+                           Refused->m_Outcome == ChoiceOutcome::RateLimited;
+      if (!Refused || IsNewer)
         Refused = std::move(Chosen);
       break;
     }
--- a/src/direct/slot-client.cc
+++ b/src/direct/slot-client.cc
@@ -65,6 +65,7 @@
   To.set_sent_age_us(microsOf(Now - Newest.m_Sent));
   To.set_answered_age_us(microsOf(Now - Newest.m_Answered));
   To.set_next_in_us(microsOf(From.m_NextIn));
+  To.set_is_first_hand(From.m_IsFirstHand);
 }
 
 std::optional<RateLimitReport> read(const wire::RateLimitState &From,
@@ -84,6 +85,7 @@
   Out.m_Newest.m_Sent = Now - Time(From.sent_age_us());
   Out.m_Newest.m_Answered =
       std::max(Now - Time(From.answered_age_us()), Out.m_Newest.m_Sent);
+  Out.m_IsFirstHand = From.is_first_hand();
   Out.m_NextIn = std::min(Time(From.next_in_us()), MaxNextIn);
   return Out;
 }
@@ -101,8 +103,7 @@
   Asked.set_id(Id);
   Asked.set_instance(Question.m_Instance.m_Text);
   if (Question.m_RateLimit)
-    write({Question.m_Instance, *Question.m_RateLimit, {}}, daemon::now(),
-          *Asked.mutable_rate_limit());
+    write(*Question.m_RateLimit, daemon::now(), *Asked.mutable_rate_limit());
   m_Link.send(Grantor, std::move(Message));
   co_await At->second.m_Limit.async_wait(UseAwaitable);
   std::optional<wire::PlaceAnswer> Answer = std::move(At->second.m_Answer);
--- a/src/kernel/instance-grants.cc
+++ b/src/kernel/instance-grants.cc
@@ -4,45 +4,40 @@
 
 namespace deckpitch {
 
-bool InstanceGrants::noteRateLimit(const InstanceId &Incarnation,
-                                   const RateObservation &Newest,
+bool InstanceGrants::noteRateLimit(const RateLimitReport &Known,
                                    TimePoint Now) {
-  if (Incarnation != m_Limited) {
-    const std::optional<RateObservation> Known = m_Limit.newest();
+  if (Known.m_Instance != m_Limited) {
+    const std::optional<RateObservation> &Newest = m_Limit.newest();
     // An entry whose list is older may still ask for the former incarnation.
-    if (Known && Newest.m_Sent < Known->m_Sent)
+    if (Newest && Known.m_Newest.m_Sent < Newest->m_Sent)
       return false;
-    m_Limited = Incarnation;
-    m_Limit = {};
-    m_Rate = RequestRateBucket(Now);
+    m_Limited = Known.m_Instance;
+    m_Limit = CountedRateLimit(Now);
   }
-  const bool IsChange = m_Limit.note(Newest);
-  if (IsChange && Newest.m_PerSecond)
-    m_Rate.setLimit(*Newest.m_PerSecond, Now);
-  return IsChange;
+  return m_Limit.note(Known, Now);
 }
 
 bool InstanceGrants::grant(const PlaceQuery &Query,
                            const InstanceId &Incarnation, TimePoint Now,
                            TimePoint Closes) {
-  const bool IsLimited = m_Limit.perSecond() && Incarnation == m_Limited;
+  const bool IsLimited = Incarnation == m_Limited;
   // The share of the slots that is to be left to others is also left to them of
   // what the limit allows at once.
   const double ReservedShare = Query.m_Reserve / std::max(1U, Query.m_Slots);
-  if (IsLimited && !m_Rate.canTake(ReservedShare, Now))
+  if (IsLimited && !m_Limit.canTake(ReservedShare, Now))
     return false;
   if (!m_Slots.grant(Query, Now, Closes))
     return false;
   if (IsLimited)
-    m_Rate.take();
+    m_Limit.take();
   return true;
 }
 
 std::optional<RateLimitReport> InstanceGrants::rateLimit(TimePoint Now) {
-  const std::optional<RateObservation> Newest = m_Limit.newest();
-  if (!Newest)
+  if (!m_Limit.newest())
     return std::nullopt;
-  return RateLimitReport{m_Limited, *Newest, m_Rate.timeUntilNext(Now)};
+  return RateLimitReport{m_Limited, *m_Limit.newest(), true,
+                         m_Limit.timeUntilNext(Now)};
 }
 
 } // namespace deckpitch
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -283,18 +283,11 @@
     return;
   Instance &Known = Found->second;
   Known.m_NextGrant = Now + Report.m_NextIn;
-  if (Known.m_RateLimit.note(Report.m_Newest))
+  if (Known.m_RateLimit.reported(Report.m_Newest))
     m_ReportedLimits.push_back({Report.m_Instance, Report.m_Newest.m_PerSecond,
                                 Now - Report.m_Newest.m_Sent, Report.m_NextIn});
 }
 
-std::optional<RateObservation>
-InstanceTable::rateLimitOf(const InstanceId &Id) const {
-  const auto Found = m_Instances.find(Id);
-  return Found == m_Instances.end() ? std::nullopt
-                                    : Found->second.m_RateLimit.newest();
-}
-
 bool InstanceTable::isRateLimited(const InstanceId &Id) const {
   const auto Found = m_Instances.find(Id);
   return Found != m_Instances.end() && Found->second.m_RateLimit.perSecond();
@@ -382,7 +375,8 @@
   SlotQuestion Out;
   Out.m_Instance = Id;
   Out.m_Address = Each.m_Listed.m_Address;
-  Out.m_RateLimit = Each.m_RateLimit.newest();
+  if (const auto Newest = Each.m_RateLimit.newest())
+    Out.m_RateLimit = {Id, *Newest, Each.m_RateLimit.isFirstHand(), {}};
   if (!needsAgentQuery(Each, Now)) {
     if (!Each.m_RateLimit.perSecond())
       return std::nullopt;
--- a/src/kernel/rate-limit.cc
+++ b/src/kernel/rate-limit.cc
@@ -23,19 +23,44 @@
 
 } // namespace
 
+const RateObservation &newerOf(const RateObservation &One,
+                               const RateObservation &Other) {
+  const bool OneLimits = One.m_PerSecond.has_value();
+  const bool OtherLimits = Other.m_PerSecond.has_value();
+  if (OneLimits && !OtherLimits)
+    return Other.m_Sent >= One.m_Answered ? Other : One;
+  if (OtherLimits && !OneLimits)
+    return One.m_Sent >= Other.m_Answered ? One : Other;
+  return Other.m_Sent >= One.m_Sent ? Other : One;
+}
+
 bool ObservedRateLimit::note(const RateObservation &Answer) {
-  const bool EndsLimit = m_Newest.m_PerSecond && !Answer.m_PerSecond;
-  const TimePoint NotBefore = EndsLimit ? m_Newest.m_Answered : m_Newest.m_Sent;
-  if (Answer.m_Sent < NotBefore)
-    return false;
-  const bool IsChange = Answer.m_PerSecond != m_Newest.m_PerSecond;
-  m_Newest = Answer;
+  const std::optional<double> Before = perSecond();
+  m_Own = m_Own ? newerOf(*m_Own, Answer) : Answer;
   m_WasLimited = m_WasLimited || Answer.m_PerSecond.has_value();
-  return IsChange;
+  return perSecond() != Before;
+}
+
+bool ObservedRateLimit::reported(const RateObservation &Newest) {
+  const std::optional<double> Before = perSecond();
+  m_Reported = Newest;
+  m_WasLimited = true;
+  return perSecond() != Before;
+}
+
+bool ObservedRateLimit::isFirstHand() const {
+  return m_Own && (!m_Reported || &newerOf(*m_Reported, *m_Own) == &*m_Own);
 }
 
 std::optional<RateObservation> ObservedRateLimit::newest() const {
-  return m_WasLimited ? std::optional(m_Newest) : std::nullopt;
+  if (!m_WasLimited)
+    return std::nullopt;
+  return isFirstHand() ? m_Own : m_Reported;
+}
+
+std::optional<double> ObservedRateLimit::perSecond() const {
+  const std::optional<RateObservation> Newest = newest();
+  return Newest ? Newest->m_PerSecond : std::nullopt;
 }
 
 double RequestRateBucket::burst() const {
@@ -68,26 +93,66 @@
   return std::chrono::ceil<Duration>(std::chrono::duration<double>(Seconds));
 }
 
-bool RateGrants::grant(const InstanceId &Id, double PerSecond, TimePoint Now) {
-  const auto [At, IsNew] =
-      m_Buckets.try_emplace(Id, Counted{RequestRateBucket(Now), Now});
-  Counted &Known = At->second;
-  Known.m_LastAsked = Now;
-  Known.m_Bucket.setLimit(PerSecond, Now);
-  if (!Known.m_Bucket.canTake(0, Now))
+bool CountedRateLimit::note(const RateLimitReport &Known, TimePoint Now) {
+  if (m_Newest && !Known.m_IsFirstHand)
+    return false;
+  const std::optional<double> Before = perSecond();
+  m_Newest = m_Newest ? newerOf(*m_Newest, Known.m_Newest) : Known.m_Newest;
+  if (perSecond() == Before)
+    return false;
+  if (m_Newest->m_PerSecond)
+    m_Bucket.setLimit(*m_Newest->m_PerSecond, Now);
+  return true;
+}
+
+std::optional<double> CountedRateLimit::perSecond() const {
+  return m_Newest ? m_Newest->m_PerSecond : std::nullopt;
+}
+
+bool CountedRateLimit::canTake(double ReservedShare, TimePoint Now) {
+  return !perSecond() || m_Bucket.canTake(ReservedShare, Now);
+}
+
+void CountedRateLimit::take() {
+  if (perSecond())
+    m_Bucket.take();
+}
+
+Duration CountedRateLimit::timeUntilNext(TimePoint Now) {
+  return perSecond() ? m_Bucket.timeUntilNext(Now) : Duration::zero();
+}
+
+void RateGrants::note(const RateLimitReport &Known, TimePoint Now) {
+  const auto At =
+      m_Limits
+          .try_emplace(Known.m_Instance, Counted{CountedRateLimit(Now), Now})
+          .first;
+  At->second.m_Limit.note(Known, Now);
+}
+
+bool RateGrants::grant(const InstanceId &Id, TimePoint Now) {
+  const auto Found = m_Limits.find(Id);
+  if (Found == m_Limits.end())
+    return false;
+  Found->second.m_LastAsked = Now;
+  CountedRateLimit &Limit = Found->second.m_Limit;
+  if (!Limit.canTake(0, Now))
     return false;
-  Known.m_Bucket.take();
+  Limit.take();
   return true;
 }
 
-Duration RateGrants::timeUntilNext(const InstanceId &Id, TimePoint Now) {
-  const auto Found = m_Buckets.find(Id);
-  return Found == m_Buckets.end() ? Duration::zero()
-                                  : Found->second.m_Bucket.timeUntilNext(Now);
+std::optional<RateLimitReport> RateGrants::report(const InstanceId &Id,
+                                                  TimePoint Now) {
+  const auto Found = m_Limits.find(Id);
+  if (Found == m_Limits.end())
+    return std::nullopt;
+  CountedRateLimit &Limit = Found->second.m_Limit;
+  return RateLimitReport{Id, *Limit.newest(), true, Limit.timeUntilNext(Now)};
 }
 
 void RateGrants::removeIdle(TimePoint Now) {
-  std::erase_if(m_Buckets, [Now](const auto &Each) {
+  std::erase_if(m_Limits, [Now](const auto &Each) {
     return Now - Each.second.m_LastAsked > IdleLifetime;
   });
 }
--- a/support/soak/faults.py
+++ b/support/soak/faults.py
@@ -118,6 +118,22 @@
         await play_one(system, rest_instance)
 
 
+async def limit_instance(system):
+    """Names how many requests it takes a second, then others, then none."""
+    instance = system.limit_random.choice(system.instances)
+    for _ in range(2):
+        instance.set_limit(system.limit_random.choice([0, 0.4, 1, 2.5, 8]))
+        await asyncio.sleep(system.limit_random.uniform(4.0, 14.0))
+    instance.set_limit(None)
+
+
+async def limit_now_and_then(system):
+    """Beside the faults that the seed draws, which stay the same."""
+    while True:
+        await asyncio.sleep(system.limit_random.uniform(0.5, 2.0))
+        await play_one(system, limit_instance)
+
+
 async def hang_instance(system):
     instance = system.random.choice(system.instances)
     instance.hangs = True
@@ -171,6 +187,7 @@
 
 async def play(system, options):
     """Planned work alone, one after the other; then anything, overlapping."""
+    limiting = [asyncio.create_task(limit_now_and_then(system)) for _ in range(2)]
     for _ in range(options.faults // 2):
         await play_one(system, system.random.choice(PLANNED))
     system.record.is_planned_only = False
@@ -184,9 +201,11 @@
             _, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
     if running:
         await asyncio.gather(*running)
-    resting.cancel()
+    for task in [resting, *limiting]:
+        task.cancel()
     for instance in system.instances:
         instance.rests = False
+        instance.set_limit(None)
 
 
 async def play_one(system, fault):
--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -28,6 +28,8 @@
 DRAIN_SLACK_S = 1.5  # for a busy machine
 CONTACT_S = 3.0  # until what one entry knows is known to all
 REST_BEGINS_S = 1.5  # after the answer that asks for it, on a busy machine
+LIMIT_WINDOW_S = 4.0
+LIMIT_KNOWN_S = 1.0  # until an entry keeps what an answer said, on a busy machine
 HARMFUL_SHARE = 0.02  # of the callers' requests, once any fault may come
 SETTLE_S = 60.0  # only a run that fails waits so long
 MOST_MEMORY_MB = 128
@@ -47,6 +49,7 @@
         self.is_timed = True
         self.sabotage = sabotage
         self.heed = Heed(self.violate)
+        self.limits = Limits(self.violate, self.heed)
 
     def violate(self, what):
         self.violations.append(what)
@@ -123,7 +126,10 @@
     def all_disturbed(self):
         self._all_disturbed = time.monotonic()
 
-    def _is_calm(self, entry, since):
+    def entry_of(self, attempt):
+        return self._entries.get(attempt)
+
+    def is_calm(self, entry, since):
         last = max(self._disturbed.get(entry, 0.0), self._all_disturbed)
         return entry is not None and self.is_timed and last < since
 
@@ -146,12 +152,12 @@
     def reached(self, attempt, request, instance):
         now, entry = time.monotonic(), self._entries.get(attempt)
         said = self._left.get((instance.id, entry))
-        if said and now - said > DRAIN_S + DRAIN_SLACK_S and self._is_calm(entry, said):
+        if said and now - said > DRAIN_S + DRAIN_SLACK_S and self.is_calm(entry, said):
             self._violate(f"HEED {attempt} reaches {instance.id}, which told {entry} that it leaves")
         rest = self._rests.get((instance.id, entry))
         if rest and REST_BEGINS_S < now - rest[0] < standins.REST_S:
             rest[1] += 1
-            if rest[1] > 2 and self._is_calm(entry, rest[0]):
+            if rest[1] > 2 and self.is_calm(entry, rest[0]):
                 self._violate(f"HEED {attempt} reaches {instance.id}, which told {entry} to wait")
         if request.body == standins.HARMFUL_BODY:
             self._harmful_reached(attempt, request, entry, now)
@@ -160,13 +166,51 @@
         name = self._name_of(request)
         crashes = self._crashes.get(name, [])
         since = now - CONTACT_S - DRAIN_SLACK_S
-        if len(crashes) < 3 or crashes[2] > since or not self._is_calm(entry, since):
+        if len(crashes) < 3 or crashes[2] > since or not self.is_calm(entry, since):
             return
         self._late[name] += 1
         if self._late[name] > 3:
             self._violate(f"HARMFUL {attempt} ({name}) after {len(crashes)} crashes")
 
 
+class Limits:
+    """What instances get that name a limit of requests a second, from all entries
+    that had passed on such an answer a while before. An entry that was ended,
+    stopped or cut off since then is excused."""
+
+    def __init__(self, violate, heed):
+        self._violate, self._heed = violate, heed
+        self._since = {}  # by instance: when it named the limit that it has
+        self._told = {}  # by instance and entry: the first such answer
+        self._arrivals = {}  # by instance: times and entries
+
+    def changed(self, instance):
+        for key in [each for each in self._told if each[0] == instance.id]:
+            del self._told[key]
+        self._since[instance.id] = time.monotonic()
+        self._arrivals[instance.id] = []
+
+    def told(self, attempt, instance):
+        entry = self._heed.entry_of(attempt)
+        self._told.setdefault((instance.id, entry), time.monotonic())
+
+    def reached(self, attempt, instance):
+        now, entry = time.monotonic(), self._heed.entry_of(attempt)
+        told = self._told.get((instance.id, entry))
+        if instance.limit is None or told is None or now - told < LIMIT_KNOWN_S:
+            return
+        if now - self._since[instance.id] < CONTACT_S + DRAIN_SLACK_S:
+            return
+        arrivals = self._arrivals[instance.id]
+        arrivals.append((now, entry, told))
+        arrivals[:] = [each for each in arrivals if now - each[0] < LIMIT_WINDOW_S]
+        counted = sum(self._heed.is_calm(by, since) for _, by, since in arrivals)
+        allowed = 1.5 * LIMIT_WINDOW_S * instance.limit + 5
+        if counted > allowed:
+            self._violate(f"LIMIT {attempt}: {instance.id}, which takes {instance.limit:g} a second, "
+                          f"got {counted} in {LIMIT_WINDOW_S:g} s, {allowed:g} allowed")
+
+
 class Daemon:
     """One deckpitchd, started and ended by its own process id only."""
 
@@ -218,6 +262,7 @@
         self.random = random.Random(options.seed)
         # For what happens beside the faults that the seed draws.
         self.side_random = random.Random(f"beside {options.seed}")
+        self.limit_random = random.Random(f"limits {options.seed}")
         self.record = Record(options.sabotage)
         self.record.is_timed = self.record.heed.is_timed = not options.untimed
         self.store = standins.Store()
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -510,7 +510,7 @@
     return m_Table.rateObserved({"first"}, {PerSecond, Now - 1ms, Now});
   }
   static RateLimitReport limit(double PerSecond, Duration NextIn) {
-    return {{"first"}, {PerSecond, Start, Start + 1ms}, NextIn};
+    return {{"first"}, {PerSecond, Start, Start + 1ms}, true, NextIn};
   }
 
   const FleetInstance m_First = listed("first");
@@ -534,7 +534,8 @@
 /// engine.
 TEST_F(RateLimitedInstance, RetryAfterCountsWhatTheLimitsAllow) {
   report(m_First, Start, limit(2, 100ms));
-  m_Table.rateReported({{"second"}, {3, Start, Start + 1ms}, 100ms}, Start);
+  m_Table.rateReported({{"second"}, {3, Start, Start + 1ms}, true, 100ms},
+                       Start);
   const InstanceChoice None = m_Table.choose(m_Query, Start + 10ms);
   EXPECT_EQ(None.m_Outcome, ChoiceOutcome::RateLimited);
   EXPECT_EQ(None.m_RetryAfter, 200ms);
@@ -569,7 +570,7 @@
   const auto Question = m_Table.slotQuestion({"first"}, m_Query, Later);
   ASSERT_TRUE(Question);
   EXPECT_EQ(Question->m_Grantor, SlotGrantor::Entry);
-  EXPECT_EQ(Question->m_RateLimit->m_PerSecond, 0.5);
+  EXPECT_EQ(Question->m_RateLimit->m_Newest.m_PerSecond, 0.5);
   report(m_First, Later);
   EXPECT_EQ(m_Table.slotQuestion({"first"}, m_Query, Later)->m_Grantor,
             SlotGrantor::Agent);
@@ -591,7 +592,7 @@
   m_Query.m_Tried = {{"second"}};
   EXPECT_EQ(chosen(Start + 3s), "first");
   EXPECT_EQ(m_Table.slotQuestion({"first"}, m_Query, Start + 3s)
-                ->m_RateLimit->m_PerSecond,
+                ->m_RateLimit->m_Newest.m_PerSecond,
             std::nullopt);
 }
 
--- a/test/rate-limit-test.cc
+++ b/test/rate-limit-test.cc
@@ -20,6 +20,12 @@
   return {PerSecond, Start + Sent, Start + Answered};
 }
 
+/// What an entry reports that received the answer itself.
+RateLimitReport known(const std::string &Incarnation,
+                      const RateObservation &Newest) {
+  return {{Incarnation}, Newest, true, {}};
+}
+
 /// Largest number of times that lie within four seconds.
 std::size_t mostInWindow(const std::vector<TimePoint> &Times) {
   std::size_t Most = 0;
@@ -149,18 +155,69 @@
 
 TEST(RateGrants, CountEachInstanceByItself) {
   RateGrants Grants;
-  EXPECT_FALSE(Grants.grant({"i"}, 1, Start));
-  EXPECT_FALSE(Grants.grant({"j"}, 0.5, Start));
-  EXPECT_TRUE(Grants.grant({"i"}, 1, Start + 1s));
-  EXPECT_FALSE(Grants.grant({"j"}, 0.5, Start + 1s));
-  EXPECT_FALSE(Grants.grant({"i"}, 1, Start + 1s));
-  EXPECT_EQ(Grants.timeUntilNext({"i"}, Start + 1s), 1s);
+  EXPECT_FALSE(Grants.grant({"i"}, Start));
+  EXPECT_FALSE(Grants.report({"i"}, Start));
+  Grants.note(known("i", answer(1, 0ms, 10ms)), Start);
+  Grants.note(known("j", answer(0.5, 0ms, 10ms)), Start);
+  EXPECT_FALSE(Grants.grant({"i"}, Start));
+  EXPECT_TRUE(Grants.grant({"i"}, Start + 1s));
+  EXPECT_FALSE(Grants.grant({"j"}, Start + 1s));
+  EXPECT_FALSE(Grants.grant({"i"}, Start + 1s));
+  EXPECT_EQ(Grants.report({"i"}, Start + 1s)->m_NextIn, 1s);
+  Grants.note(known("i", answer({}, 1s, 1'010ms)), Start + 2s);
+  EXPECT_TRUE(Grants.grant({"i"}, Start + 2s));
+  EXPECT_TRUE(Grants.grant({"i"}, Start + 2s));
+  EXPECT_EQ(Grants.report({"i"}, Start + 2s)->m_NextIn, 0s);
   Grants.removeIdle(Start + 30s);
   EXPECT_EQ(Grants.size(), 2U);
   Grants.removeIdle(Start + 2min);
   EXPECT_EQ(Grants.size(), 0U);
 }
 
+/// An entry and an agent returned the limit to each other, a little younger
+/// each time, so that no answer was new enough to end it.
+TEST(ObservedRateLimit, ReturnedReportDoesNotKeepItAlive) {
+  static constexpr Duration Transfer = 30ms;
+  ObservedRateLimit Entry;
+  CountedRateLimit Agent(Start);
+  Entry.note(answer(0, 0ms, 10ms));
+  TimePoint Now = Start + 10ms;
+  const auto Exchange = [&] {
+    // A receiver knows ages only, as of its own clock.
+    const auto Received = [](RateObservation Out) {
+      return RateObservation{Out.m_PerSecond, Out.m_Sent + Transfer,
+                             Out.m_Answered + Transfer};
+    };
+    RateLimitReport Known = known("i", Received(*Entry.newest()));
+    Known.m_IsFirstHand = Entry.isFirstHand();
+    Agent.note(Known, Now);
+    Entry.reported(Received(*Agent.newest()));
+    Now += 2 * Transfer;
+  };
+  for (int I = 0; I < 50; ++I)
+    Exchange();
+  EXPECT_EQ(Agent.perSecond(), 0);
+  Entry.note({std::nullopt, Now - 5ms, Now});
+  EXPECT_EQ(Entry.perSecond(), std::nullopt);
+  Exchange();
+  EXPECT_EQ(Agent.perSecond(), std::nullopt);
+  EXPECT_EQ(Entry.perSecond(), std::nullopt);
+}
+
+/// After a restart, an agent knows the limit from entries that have it from its
+/// former process.
+TEST(CountedRateLimit, TakesWhatIsSecondHandOnlyIfItKnowsNothing) {
+  CountedRateLimit Agent(Start);
+  RateLimitReport Heard = known("i", answer(2, 0ms, 10ms));
+  Heard.m_IsFirstHand = false;
+  EXPECT_TRUE(Agent.note(Heard, Start));
+  EXPECT_EQ(Agent.perSecond(), 2);
+  Heard.m_Newest = answer(9, 500ms, 510ms);
+  EXPECT_FALSE(Agent.note(Heard, Start + 1s));
+  EXPECT_TRUE(Agent.note(known("i", answer(3, 20ms, 30ms)), Start + 1s));
+  EXPECT_EQ(Agent.perSecond(), 3);
+}
+
 class LimitedSlots : public testing::Test {
 protected:
   bool isGranted(Duration After, const std::string &Incarnation = "i") {
@@ -177,7 +234,7 @@
 TEST_F(LimitedSlots, AreGrantedAtTheRateLimitOnly) {
   EXPECT_TRUE(isGranted(0s));
   EXPECT_FALSE(m_Grants.rateLimit(Start));
-  EXPECT_TRUE(m_Grants.noteRateLimit({"i"}, answer(1, 0ms, 10ms), Start));
+  EXPECT_TRUE(m_Grants.noteRateLimit(known("i", answer(1, 0ms, 10ms)), Start));
   EXPECT_FALSE(isGranted(500ms));
   EXPECT_TRUE(isGranted(1s));
   EXPECT_FALSE(isGranted(1'500ms));
@@ -185,15 +242,15 @@
   ASSERT_TRUE(Report);
   EXPECT_EQ(Report->m_Instance, InstanceId{"i"});
   EXPECT_EQ(Report->m_NextIn, 500ms);
-  EXPECT_TRUE(
-      m_Grants.noteRateLimit({"i"}, answer({}, 1'600ms, 1'700ms), Start + 2s));
+  EXPECT_TRUE(m_Grants.noteRateLimit(known("i", answer({}, 1'600ms, 1'700ms)),
+                                     Start + 2s));
   EXPECT_TRUE(isGranted(2s));
   EXPECT_TRUE(isGranted(2'100ms));
 }
 
 /// A refusal for lack of slots counted as a request.
 TEST_F(LimitedSlots, RefusedRequestUsesNothingOfTheLimit) {
-  m_Grants.noteRateLimit({"i"}, answer(1, 0ms, 10ms), Start);
+  m_Grants.noteRateLimit(known("i", answer(1, 0ms, 10ms)), Start);
   m_Grants.reported(100, Start + 1s);
   EXPECT_FALSE(
       m_Grants.grant({16, 0, 85ms, 32ms, 43ms, 255ms}, {"i"}, Start + 1s));
@@ -202,17 +259,18 @@
 
 /// A restarted instance was held to the limit of its former incarnation.
 TEST_F(LimitedSlots, NewIncarnationHasNoLimit) {
-  m_Grants.noteRateLimit({"i"}, answer(0, 100ms, 110ms), Start);
+  m_Grants.noteRateLimit(known("i", answer(0, 100ms, 110ms)), Start);
   EXPECT_FALSE(isGranted(200ms));
   EXPECT_TRUE(isGranted(200ms, "i~2"));
   EXPECT_TRUE(isGranted(210ms, "i~2"));
   // An entry that does not know of the new incarnation yet.
   EXPECT_FALSE(isGranted(220ms));
   EXPECT_TRUE(
-      m_Grants.noteRateLimit({"i~2"}, answer(0.5, 250ms, 260ms), Start));
+      m_Grants.noteRateLimit(known("i~2", answer(0.5, 250ms, 260ms)), Start));
   EXPECT_FALSE(isGranted(300ms, "i~2"));
   // What the former incarnation said before does not replace it.
-  EXPECT_FALSE(m_Grants.noteRateLimit({"i"}, answer(9, 240ms, 270ms), Start));
+  EXPECT_FALSE(
+      m_Grants.noteRateLimit(known("i", answer(9, 240ms, 270ms)), Start));
   EXPECT_FALSE(isGranted(310ms, "i~2"));
 }
 
