--- a/include/deckpitch/claims.h
+++ b/include/deckpitch/claims.h
@@ -197,7 +197,7 @@
 
   void record(const LoggedBatch &Seen, TimePoint Now);
   void advance();
-  void settle(const Waiter &Of, ClaimOutcome::Verdict Verdict);
+  void settle(const Waiter &Waiting, ClaimOutcome::Verdict Verdict);
   void refuse(std::deque<Waiter> &All);
   void requeueInFlight();
   /// Settles the waiters whose key is taken.
--- a/include/deckpitch/entry-choice.h
+++ b/include/deckpitch/entry-choice.h
@@ -26,7 +26,7 @@
 /// centre which is cut off still sees its own processes, the others anywhere. A
 /// change of the candidates moves only the processes that it concerns.
 std::vector<InstanceId> chooseEntries(const InstanceId &For,
-                                      const DataCentreId &In,
+                                      const DataCentreId &DataCentre,
                                       std::vector<EntryCandidate> Candidates,
                                       std::size_t Count = WatchersPerProcess);
 
--- a/include/deckpitch/holders.h
+++ b/include/deckpitch/holders.h
@@ -75,9 +75,9 @@
 
   /// Last failure, remote, negated revision: the smallest is asked next.
   using Order = std::tuple<std::uint64_t, bool, std::int64_t>;
-  static Order orderOf(const Known &Of) {
-    return Order(Of.m_LastFailureNumber, !Of.m_Holder.m_IsLocal,
-                 -static_cast<std::int64_t>(Of.m_Holder.m_Has.m_Value));
+  static Order orderOf(const Known &Holder) {
+    return Order(Holder.m_LastFailureNumber, !Holder.m_Holder.m_IsLocal,
+                 -static_cast<std::int64_t>(Holder.m_Holder.m_Has.m_Value));
   }
 
   std::map<std::string, Known> m_ByLink;
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -167,7 +167,7 @@
   enum class End { Good, Failed, Neutral };
   /// Records the end of a request. Returns how long the instance is ejected
   /// from now on, if this failure causes an ejection.
-  std::optional<Duration> ended(const InstanceId &Id, End How,
+  std::optional<Duration> ended(const InstanceId &Id, End Outcome,
                                 bool WasAnswering, TimePoint Now);
   /// Records that data arrived from the instance.
   void dataReceived(const InstanceId &Id, TimePoint Now);
--- a/include/deckpitch/membership-table.h
+++ b/include/deckpitch/membership-table.h
@@ -100,7 +100,7 @@
   };
 
   bool apply(TimePoint Now, const MemberRecord &Record, MemberSource Source);
-  void updateSilence(TimePoint Now, Known &Of,
+  void updateSilence(TimePoint Now, Known &Observed,
                      std::vector<SilenceQuestion> &Out);
   void dropGone(TimePoint Now);
 
--- a/include/deckpitch/relay-choice.h
+++ b/include/deckpitch/relay-choice.h
@@ -16,7 +16,7 @@
 /// random weight; fewer if it has fewer entries. The position of a relay is its
 /// rank. The order of the live entries does not matter. If a relay goes, an
 /// entry that was none takes its place, and the other relays stay.
-std::vector<InstanceId> chooseRelays(const DataCentreId &Of,
+std::vector<InstanceId> chooseRelays(const DataCentreId &DataCentre,
                                      const std::vector<EntryCandidate> &Live,
                                      std::size_t Count = RelaysPerDataCentre);
 
--- a/include/deckpitch/state-batch.h
+++ b/include/deckpitch/state-batch.h
@@ -62,8 +62,8 @@
 };
 
 /// Returns an upper bound of the encoded size in bytes.
-std::size_t estimatedBytes(const SpreadState &Of);
-std::size_t estimatedBytes(const StateBatch &Of);
+std::size_t estimatedBytes(const SpreadState &State);
+std::size_t estimatedBytes(const StateBatch &Batch);
 
 /// Returns whether a received batch is valid: it has a known format, and no
 /// more states than a sender puts into one; a single state may be larger.
@@ -71,7 +71,7 @@
 
 /// Splits the states into batches of at most MaxBatchBytes; returns none for
 /// no states.
-std::vector<StateBatch> inBatches(const DataCentreId &Of,
+std::vector<StateBatch> inBatches(const DataCentreId &DataCentre,
                                   std::vector<AgedState> States);
 
 /// A report, and when its agent made it.
--- a/include/deckpitch/state-spread.h
+++ b/include/deckpitch/state-spread.h
@@ -134,27 +134,28 @@
     TimePoint m_Heard{};
   };
 
-  const std::vector<InstanceId> &relaysOf(const DataCentreId &Of) const;
+  const std::vector<InstanceId> &relaysOf(const DataCentreId &DataCentre) const;
   bool isLocal(const InstanceId &Entry) const;
-  bool maySendFor(const InstanceId &Entry, const DataCentreId &Of) const;
-  void setPartners(const DataCentreId &In, TimePoint Now);
+  bool maySendFor(const InstanceId &Entry,
+                  const DataCentreId &DataCentre) const;
+  void setPartners(const DataCentreId &DataCentre, TimePoint Now);
   void setChannels();
 
-  void noteSender(const InstanceId &From, const DataCentreId &Of,
+  void noteSender(const InstanceId &From, const DataCentreId &DataCentre,
                   TimePoint Now);
-  void receiveState(const InstanceId &From, const DataCentreId &Of,
+  void receiveState(const InstanceId &From, const DataCentreId &DataCentre,
                     const AgedState &Received, TimePoint Now, Duration Late);
   ReportChange update(Instance &About, const KnownState &Received,
                       TimePoint Now);
-  void markLocal(const DataCentreId &Of, const std::string &Address,
+  void markLocal(const DataCentreId &DataCentre, const std::string &Address,
                  ReportChange Change);
   void markRemote(const std::string &Address, ReportChange Change);
 
   std::vector<InstanceId> targetsOf(const Path &Along, TimePoint Now) const;
-  std::vector<InstanceId> localTargets(const DataCentreId &Of) const;
+  std::vector<InstanceId> localTargets(const DataCentreId &DataCentre) const;
   std::vector<InstanceId> remoteTargets(const DataCentreId &To,
                                         TimePoint Now) const;
-  bool isSilent(const Partners &Of, TimePoint Now) const;
+  bool isSilent(const Partners &Group, TimePoint Now) const;
   void updateTargets(const Path &Along, Channel &To, TimePoint Now) const;
   void addRepeats(const Path &Along, Channel &To, TimePoint Now) const;
   void addDueBatches(const Path &Along, Channel &To, TimePoint Now,
--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -236,7 +236,7 @@
   SwarmActions onArrived(PeerNumber Peer, std::uint32_t Chunk, bool Verified,
                          TimePoint Now);
   enum class OriginOutcome { Good, Corrupt, Failed, Refused };
-  SwarmActions onOriginReply(std::uint32_t Chunk, OriginOutcome How,
+  SwarmActions onOriginReply(std::uint32_t Chunk, OriginOutcome Outcome,
                              TimePoint Now);
   SwarmActions onStaged(std::uint32_t Chunk, bool Stored, TimePoint Now);
   SwarmActions onTick(TimePoint Now);
@@ -295,14 +295,14 @@
   void grant(SwarmActions &Out, TimePoint Now);
   Peer *selectGrantee(TimePoint Now, PeerNumber &Number);
   std::optional<std::uint32_t> choose(const Peer &From, TimePoint Now);
-  bool mayImport(const InstanceId &Who, const DataCentreId &In,
+  bool mayImport(const InstanceId &Who, const DataCentreId &DataCentre,
                  std::uint32_t Chunk, TimePoint Now) const;
   bool isUsefulTo(const Peer &To, TimePoint Now) const;
   std::uint32_t copiesIn(const DataCentreId &DataCentre,
                          std::uint32_t Chunk) const;
   std::optional<std::uint32_t> chooseHedge(const Peer &From,
                                            TimePoint Now) const;
-  void markHas(Peer &Of, std::uint32_t Chunk, TimePoint Now);
+  void markHas(Peer &Holder, std::uint32_t Chunk, TimePoint Now);
   void markSeen(std::uint32_t Chunk, TimePoint Now);
   void insertHere(std::uint32_t Chunk, TimePoint Now);
   void release(std::uint32_t Chunk);
--- a/include/deckpitch/weights-plan.h
+++ b/include/deckpitch/weights-plan.h
@@ -63,7 +63,7 @@
 /// Whether to finish the copy before copying a newer version. Otherwise, if new
 /// versions are declared as fast as they can be copied, no copy would ever be
 /// complete and all instances would miss the bound of the first version.
-bool isWorthFinishing(const CopyProgress &Of);
+bool isWorthFinishing(const CopyProgress &Progress);
 
 WeightsStep nextWeightsStep(const WeightsState &State, TimePoint Now);
 
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Checks layout (clang-format) and code (clang-tidy) of all but generated
-# files; with --changed BASE, clang-tidy sees only files changed since BASE.
+# files; with --changed BASE, clang-tidy sees only files changed since BASE. What has
+# passed before and has not changed is not checked again (scripts/tidy.py).
 #   JOBS=N   parallel jobs (default: one for each processor)
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -20,8 +21,5 @@
 else
   files=$(sources '*.cc')
 fi
-# The macro lets clang 14 accept the coroutines of this standard library.
-[ -z "$files" ] || xargs -P "$jobs" -n 1 \
-  clang-tidy -p build-lint --quiet --extra-arg=-D__cpp_impl_coroutine=201902L \
-  --extra-arg=-Wno-gnu-statement-expression <<<"$files" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
+[ -z "$files" ] || xargs scripts/tidy.py build-lint "$jobs" <<<"$files"
 echo "clang-tidy: clean"
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -50,10 +50,10 @@
 
 /// Whether a stream may move to another instance. One that may not stays where
 /// it is: silence alone ends no answer.
-bool EntryRequests::mayMove(const Call &Of) const {
-  return Of.isStream() && Of.isRepeatable() && !Of.m_IsMoving &&
-         !Of.m_Handover && !Of.m_IsGone && Of.m_Abort && Of.hasAttemptsLeft() &&
-         !m_Harmful.isRefused(Of.m_Fingerprint);
+bool EntryRequests::mayMove(const Call &C) const {
+  return C.isStream() && C.isRepeatable() && !C.m_IsMoving && !C.m_Handover &&
+         !C.m_IsGone && C.m_Abort && C.hasAttemptsLeft() &&
+         !m_Harmful.isRefused(C.m_Fingerprint);
 }
 
 /// Finds another instance for a request and hands the request over. The request
@@ -90,104 +90,104 @@
 /// forwarded meanwhile, so that the next instance continues exactly after what
 /// the caller has. The current attempt waits for the outcome, which keeps the
 /// call alive.
-asio::awaitable<void> EntryRequests::handOver(Call &Of,
+asio::awaitable<void> EntryRequests::handOver(Call &C,
                                               const InstanceChoice &Next,
                                               const char *Reason) {
   // Shared, since this coroutine's frame and that of the call may be destroyed
   // in any order when the process stops.
   const auto Pending = std::make_shared<Call::Handover>(m_Io);
-  Of.m_Handover = Pending;
-  Of.m_IsMoveSought = true;
+  C.m_Handover = Pending;
+  C.m_IsMoveSought = true;
   m_Instances.started(Next.m_Instance, now());
-  SendResult Begun = co_await send(Of, Next, Pending->m_Cancel);
+  SendResult Begun = co_await send(C, Next, Pending->m_Cancel);
   const Duration Asked = now() - Pending->m_Sent;
   const bool IsTaken =
-      Begun.m_Body && isSuccess(Begun.m_Body->status()) && !Of.m_IsGone;
-  logMove(IsTaken ? Event::StreamMoved : Event::StreamMoveRefused, Of, Next,
+      Begun.m_Body && isSuccess(Begun.m_Body->status()) && !C.m_IsGone;
+  logMove(IsTaken ? Event::StreamMoved : Event::StreamMoveRefused, C, Next,
           Reason, IsTaken ? "begun" : outcomeName(Begun.m_How), Asked);
   if (IsTaken) {
-    Of.m_Next = Next;
-    Of.m_NextAnswer = std::move(Begun);
-    Of.m_IsMoving = true;
-    Of.abort();
+    C.m_Next = Next;
+    C.m_NextAnswer = std::move(Begun);
+    C.m_IsMoving = true;
+    C.abort();
   } else {
     using End = InstanceTable::End;
     const bool IsRefused = Begun.m_How == AttemptOutcome::NotRun;
     const bool HasFailed = !IsRefused && !Pending->m_Cancel.cancelled();
-    Of.m_Query.m_Tried.insert(Next.m_Instance);
+    C.m_Query.m_Tried.insert(Next.m_Instance);
     if (Begun.m_IsPeerEnd)
-      recordLoss(Of, Next.m_Instance, Begun.m_Sent);
+      recordLoss(C, Next.m_Instance, Begun.m_Sent);
     recordEnd(Next.m_Instance, HasFailed ? End::Failed : End::Neutral, false);
   }
-  Of.m_IsMoveSought = false;
-  Of.m_Handover.reset();
+  C.m_IsMoveSought = false;
+  C.m_Handover.reset();
   Pending->m_Decided.cancel();
 }
 
 /// Cancels the handover if the current instance has completed the stream, or
 /// has more data while the next instance takes too long.
-asio::awaitable<void> EntryRequests::limitHandover(Call &Of, bool IsEnd) {
-  const bool IsLate = now() - Of.m_Handover->m_Sent > HandoverTimeout;
+asio::awaitable<void> EntryRequests::limitHandover(Call &C, bool IsEnd) {
+  const bool IsLate = now() - C.m_Handover->m_Sent > HandoverTimeout;
   if (!IsEnd && !IsLate)
     co_return;
-  Of.m_Handover->m_Cancel.cancel();
-  co_await waitForHandover(Of);
+  C.m_Handover->m_Cancel.cancel();
+  co_await waitForHandover(C);
 }
 
 /// Waits until the handover in progress, if any, has succeeded or failed.
-asio::awaitable<void> EntryRequests::waitForHandover(Call &Of) {
-  while (Of.m_Handover) {
-    const std::shared_ptr<Call::Handover> Pending = Of.m_Handover;
+asio::awaitable<void> EntryRequests::waitForHandover(Call &C) {
+  while (C.m_Handover) {
+    const std::shared_ptr<Call::Handover> Pending = C.m_Handover;
     co_await Pending->m_Decided.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
 
 /// Waits for the handover in progress before an attempt ends. If the caller has
 /// the whole answer or has disconnected, the next attempt is ended too.
-asio::awaitable<void> EntryRequests::finishHandover(Call &Of,
-                                                    AttemptOutcome How) {
+asio::awaitable<void> EntryRequests::finishHandover(Call &C,
+                                                    AttemptOutcome Outcome) {
   // A failed write shows a disconnect before m_IsGone is set.
-  const auto IsNeeded = [&Of, How] {
-    return How != AttemptOutcome::Delivered && How != AttemptOutcome::Gone &&
-           !Of.m_IsGone;
+  const auto IsNeeded = [&C, Outcome] {
+    return Outcome != AttemptOutcome::Delivered &&
+           Outcome != AttemptOutcome::Gone && !C.m_IsGone;
   };
-  if (Of.m_Handover && !IsNeeded())
-    Of.m_Handover->m_Cancel.cancel();
-  co_await waitForHandover(Of);
-  const bool IsDropped = Of.m_NextAnswer.m_Body && !IsNeeded();
+  if (C.m_Handover && !IsNeeded())
+    C.m_Handover->m_Cancel.cancel();
+  co_await waitForHandover(C);
+  const bool IsDropped = C.m_NextAnswer.m_Body && !IsNeeded();
   if (!IsDropped)
     co_return;
-  Of.m_NextAnswer = {};
-  recordEnd(Of.m_Next.m_Instance, InstanceTable::End::Neutral, false);
+  C.m_NextAnswer = {};
+  recordEnd(C.m_Next.m_Instance, InstanceTable::End::Neutral, false);
 }
 
-void EntryRequests::logMove(Event What, const Call &Of,
+void EntryRequests::logMove(Event What, const Call &C,
                             const InstanceChoice &Next, const char *Reason,
                             const char *Outcome, Duration Asked) {
-  net::log(What, {{"request", Of.m_Terms.m_AttemptId},
+  net::log(What, {{"request", C.m_Terms.m_AttemptId},
                   {"reason", Reason},
                   {"outcome", Outcome},
-                  {"from", Of.m_Instance.m_Text},
+                  {"from", C.m_Instance.m_Text},
                   {"to", Next.m_Instance.m_Text},
                   {"load", static_cast<std::uint64_t>(Next.m_Load)},
                   {"reportAgeMs", msOf(Next.m_ReportAge)},
-                  {"events", Of.m_EventCount},
+                  {"events", C.m_EventCount},
                   {"askedMs", msOf(Asked)}});
 }
 
 /// Query for the remainder of a stream that moves: the next engine processes
 /// the prompt and the tokens generated so far.
-ChoiceQuery EntryRequests::queryForRemainder(const Call &Of) const {
-  ChoiceQuery Out = Of.m_Query;
+ChoiceQuery EntryRequests::queryForRemainder(const Call &C) const {
+  ChoiceQuery Out = C.m_Query;
   const auto Written = static_cast<std::uint32_t>(
-      Of.m_EventCount * m_Instances.tokensPerEvent(Out.m_Service));
+      C.m_EventCount * m_Instances.tokensPerEvent(Out.m_Service));
   const std::uint32_t Likely = Out.m_Size.m_AnswerTokens;
   Out.m_Size.m_PromptTokens += Written;
   // An answer longer than expected is assumed to be at its half.
   if (Likely != 0)
     Out.m_Size.m_AnswerTokens =
         Likely > Written ? Likely - Written : std::max(Written, 1U);
-  Out.m_Version = Of.m_Version;
+  Out.m_Version = C.m_Version;
   return Out;
 }
 
--- a/src/direct/entry-record.cc
+++ b/src/direct/entry-record.cc
@@ -50,13 +50,13 @@
   return RequestFingerprint{*High, *Low};
 }
 
-json::object write(const RefusedRequest &Of) {
+json::object write(const RefusedRequest &Refused) {
   json::array Instances;
-  for (const std::uint64_t Each : Of.m_Instances)
+  for (const std::uint64_t Each : Refused.m_Instances)
     Instances.emplace_back(hexOf(Each));
-  return {{"fingerprint", textOf(Of.m_Request)},
+  return {{"fingerprint", textOf(Refused.m_Request)},
           {"instances", std::move(Instances)},
-          {"lostMs", Of.m_LostMs}};
+          {"lostMs", Refused.m_LostMs}};
 }
 
 RefusedRequest readRefused(const json::value &Value, const std::string &Path,
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -111,14 +111,14 @@
   return At->second;
 }
 
-bool EntryRequests::takeRetry(const Call &Of) {
+bool EntryRequests::takeRetry(const Call &C) {
   const TimePoint Now = now();
-  RetryWindow &Own = retriesOf(Of.m_Query.m_Service);
+  RetryWindow &Own = retriesOf(C.m_Query.m_Service);
   const RetryUse Before = Own.use(Now);
   const bool IsGranted = Own.tryRetry(Now);
   net::log(Event::RetryDecided,
-           {{"request", Of.m_Terms.m_AttemptId},
-            {"service", Of.m_Query.m_Service.m_Text},
+           {{"request", C.m_Terms.m_AttemptId},
+            {"service", C.m_Query.m_Service.m_Text},
             {"granted", std::uint64_t{IsGranted}},
             {"requests", Before.m_Requests},
             {"retries", Before.m_Retries},
@@ -129,143 +129,143 @@
 }
 
 /// Slots of an engine that the request must leave free for others.
-double EntryRequests::reserveFor(const Call &Of) {
-  if (Of.m_Query.m_Model.empty())
+double EntryRequests::reserveFor(const Call &C) {
+  if (C.m_Query.m_Model.empty())
     return 0;
-  RouteLoad &Load = m_RouteLoads[Of.m_Route->m_Name];
-  Load.m_Sizes.arrived(Of.size());
+  RouteLoad &Load = m_RouteLoads[C.m_Route->m_Name];
+  Load.m_Sizes.arrived(C.size());
   const milliseconds CallerTimeout =
-      Of.m_Terms.m_CallerTimeout.value_or(DefaultCallerTimeout);
+      C.m_Terms.m_CallerTimeout.value_or(DefaultCallerTimeout);
   Load.m_LongestTimeout = std::max(Load.m_LongestTimeout, CallerTimeout);
   // A request with less time than others of its route was refused before.
   const bool IsReturning =
       CallerTimeout + FirstTryTolerance < Load.m_LongestTimeout;
   const double Reserve =
-      Load.m_Sizes.reserve(Of.size()) + (IsReturning ? 0 : FirstTryReserve);
+      Load.m_Sizes.reserve(C.size()) + (IsReturning ? 0 : FirstTryReserve);
   return Reserve;
 }
 
 asio::awaitable<void> EntryRequests::handle(net::HttpRequest Request,
                                             net::HttpResponder &Answer) {
-  Call Of{std::move(Request), Answer, m_Routes};
-  Of.m_Start = now();
-  Of.m_Terms = m_Adapter.readTerms(Of.m_Request);
-  Answer.onDisconnect([&Of] {
-    Of.m_IsGone = true;
-    if (Of.m_Handover)
-      Of.m_Handover->m_Cancel.cancel();
-    Of.abort();
+  Call C{std::move(Request), Answer, m_Routes};
+  C.m_Start = now();
+  C.m_Terms = m_Adapter.readTerms(C.m_Request);
+  Answer.onDisconnect([&C] {
+    C.m_IsGone = true;
+    if (C.m_Handover)
+      C.m_Handover->m_Cancel.cancel();
+    C.abort();
   });
-  Of.m_Number = ++m_LastCall;
-  m_Calls.emplace(Of.m_Number, &Of);
+  C.m_Number = ++m_LastCall;
+  m_Calls.emplace(C.m_Number, &C);
   ++m_Open;
-  co_await serve(Of);
+  co_await serve(C);
   --m_Open;
-  m_Calls.erase(Of.m_Number);
+  m_Calls.erase(C.m_Number);
 }
 
-asio::awaitable<void> EntryRequests::serve(Call &Of) {
-  const RouteIndex &Routes = *Of.m_Routes;
+asio::awaitable<void> EntryRequests::serve(Call &C) {
+  const RouteIndex &Routes = *C.m_Routes;
   if (Routes.declaration().m_Version == 0)
-    co_return co_await refuse(Of, StatusUnavailable, "starting",
+    co_return co_await refuse(C, StatusUnavailable, "starting",
                               RetryAfterStart);
   const StoreFreshness Freshness = m_DeclarationFreshness();
   if (Freshness.m_IsUnconfirmed)
-    co_return co_await refuse(Of, StatusUnavailable,
+    co_return co_await refuse(C, StatusUnavailable,
                               "stood still, declaration may be old",
                               RetryAfterOutdated);
   if (Freshness.m_IsOutdated)
-    co_return co_await refuse(Of, StatusUnavailable, "declaration is replaced",
+    co_return co_await refuse(C, StatusUnavailable, "declaration is replaced",
                               RetryAfterStart);
-  Of.m_Route =
-      Routes.find(Of.m_Request.m_Headers.find("Host"), Of.m_Request.path());
-  if (!Of.m_Route)
-    co_return co_await rejectUnknown(Of, StatusNotFound, "no such route");
-  Of.m_Organisation = Routes.organisationOf(Of.m_Terms.m_Key);
-  const bool NeedsKey = Routes.hasOrganisations() && !Of.m_Route->m_IsOpen;
-  if (NeedsKey && !Of.m_Organisation)
-    co_return co_await rejectUnknown(Of, StatusUnauthorized, "unknown key");
-  Of.m_Fingerprint = fingerprintOf(
-      {Of.m_Organisation ? Of.m_Organisation->m_Organisation.m_Text : "",
-       Of.m_Request.m_Headers.find("Host"), Of.m_Request.m_Method,
-       Of.m_Request.m_Target, Of.m_Request.m_Body});
-  if (const auto RefusedFor = m_Harmful.refusedFor(Of.m_Fingerprint))
-    co_return co_await refuse(Of, StatusUnavailable, "crashes its instances",
+  C.m_Route =
+      Routes.find(C.m_Request.m_Headers.find("Host"), C.m_Request.path());
+  if (!C.m_Route)
+    co_return co_await rejectUnknown(C, StatusNotFound, "no such route");
+  C.m_Organisation = Routes.organisationOf(C.m_Terms.m_Key);
+  const bool NeedsKey = Routes.hasOrganisations() && !C.m_Route->m_IsOpen;
+  if (NeedsKey && !C.m_Organisation)
+    co_return co_await rejectUnknown(C, StatusUnauthorized, "unknown key");
+  C.m_Fingerprint = fingerprintOf(
+      {C.m_Organisation ? C.m_Organisation->m_Organisation.m_Text : "",
+       C.m_Request.m_Headers.find("Host"), C.m_Request.m_Method,
+       C.m_Request.m_Target, C.m_Request.m_Body});
+  if (const auto RefusedFor = m_Harmful.refusedFor(C.m_Fingerprint))
+    co_return co_await refuse(C, StatusUnavailable, "crashes its instances",
                               *RefusedFor);
-  const ServiceId *Service = chooseService(*Of.m_Route, m_Random());
+  const ServiceId *Service = chooseService(*C.m_Route, m_Random());
   if (!Service)
-    co_return co_await refuse(Of, StatusUnavailable, "route without service",
+    co_return co_await refuse(C, StatusUnavailable, "route without service",
                               RetryAfterStart);
-  Of.m_Query.m_Service = *Service;
-  Of.m_Query.m_Model = Of.m_Terms.m_Model;
-  Of.m_Query.m_Objective = Of.m_Route->m_Objective;
-  Of.m_Query.m_AskedBeyond = AskedBeyond;
-  Of.m_Query.m_AvoidsLimited = !Of.isRepeatable();
-  Of.m_Query.m_Size = {Of.m_Terms.m_PromptTokens, Of.m_Terms.m_LikelyTokens};
+  C.m_Query.m_Service = *Service;
+  C.m_Query.m_Model = C.m_Terms.m_Model;
+  C.m_Query.m_Objective = C.m_Route->m_Objective;
+  C.m_Query.m_AskedBeyond = AskedBeyond;
+  C.m_Query.m_AvoidsLimited = !C.isRepeatable();
+  C.m_Query.m_Size = {C.m_Terms.m_PromptTokens, C.m_Terms.m_LikelyTokens};
   const milliseconds CallerTimeout =
-      Of.m_Terms.m_CallerTimeout.value_or(DefaultCallerTimeout);
-  Of.m_Deadline = Of.m_Start + std::min(CallerTimeout, Of.m_Route->m_Timeout);
-  Of.m_LastEventId = Of.m_Terms.m_LastEventId;
+      C.m_Terms.m_CallerTimeout.value_or(DefaultCallerTimeout);
+  C.m_Deadline = C.m_Start + std::min(CallerTimeout, C.m_Route->m_Timeout);
+  C.m_LastEventId = C.m_Terms.m_LastEventId;
   retriesOf(*Service).arrived(now());
-  Of.m_Query.m_Reserve = reserveFor(Of);
-  co_await tryInstances(Of);
+  C.m_Query.m_Reserve = reserveFor(C);
+  co_await tryInstances(C);
 }
 
 /// Rejects a request with an unknown route or key. Both may have been declared
 /// meanwhile, so the rejection is final only if the cached declaration is
 /// current: entries that could not read the store for 3 s, behind a saturated
 /// link, answered 404 for routes that existed.
-asio::awaitable<void> EntryRequests::rejectUnknown(Call &Of, unsigned Status,
+asio::awaitable<void> EntryRequests::rejectUnknown(Call &C, unsigned Status,
                                                    std::string Reason) {
   if (m_DeclarationFreshness().m_MayBeStale)
-    co_return co_await refuse(Of, StatusUnavailable,
+    co_return co_await refuse(C, StatusUnavailable,
                               Reason + ", declaration may be old",
                               RetryAfterStart);
-  co_await refuse(Of, Status, std::move(Reason), {});
+  co_await refuse(C, Status, std::move(Reason), {});
 }
 
-asio::awaitable<void> EntryRequests::tryInstances(Call &Of) {
+asio::awaitable<void> EntryRequests::tryInstances(Call &C) {
   AttemptOutcome How = AttemptOutcome::NotRun;
   while (true) {
-    const bool IsBegun = Of.m_NextAnswer.m_Body != nullptr;
-    if (!IsBegun && Of.timeLeft() < MinTimeLeft)
+    const bool IsBegun = C.m_NextAnswer.m_Body != nullptr;
+    if (!IsBegun && C.timeLeft() < MinTimeLeft)
       break;
-    const bool IsMoving = std::exchange(Of.m_IsMoving, false);
-    InstanceChoice Chosen = Of.m_Next;
+    const bool IsMoving = std::exchange(C.m_IsMoving, false);
+    InstanceChoice Chosen = C.m_Next;
     if (!IsMoving)
-      Chosen = co_await chooseInstanceFor(Of);
+      Chosen = co_await chooseInstanceFor(C);
     if (Chosen.m_Outcome != ChoiceOutcome::Chosen) {
-      Of.m_RetryAfter = Chosen.m_RetryAfter;
-      Of.m_LastOutcome = reasonOf(Chosen.m_Outcome);
-      if (mayRepeatSearch(Of)) {
+      C.m_RetryAfter = Chosen.m_RetryAfter;
+      C.m_LastOutcome = reasonOf(Chosen.m_Outcome);
+      if (mayRepeatSearch(C)) {
         co_await sleepFor(SearchInterval);
         continue;
       }
-      if (Of.m_Sends == 0 && Of.m_Unreachable == 0) {
+      if (C.m_Sends == 0 && C.m_Unreachable == 0) {
         const char *Reason = reasonOf(Chosen.m_Outcome);
         net::log(Event::AttemptEnded,
-                 {{"request", Of.m_Terms.m_AttemptId},
+                 {{"request", C.m_Terms.m_AttemptId},
                   {"outcome", Reason},
                   {"instance", Chosen.m_Instance.m_Text},
                   {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
                   {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
                   {"reportAgeMs", msOf(Chosen.m_ReportAge)}});
-        co_return co_await refuse(Of, StatusUnavailable, Reason,
+        co_return co_await refuse(C, StatusUnavailable, Reason,
                                   Chosen.m_RetryAfter);
       }
       break;
     }
-    if (Of.m_Sends == 0 && Of.m_Unreachable == 0 && !Of.m_Query.m_Model.empty())
-      m_RouteLoads[Of.m_Route->m_Name].m_Sizes.admitted(Of.size());
-    How = co_await attempt(Of, Chosen);
+    if (C.m_Sends == 0 && C.m_Unreachable == 0 && !C.m_Query.m_Model.empty())
+      m_RouteLoads[C.m_Route->m_Name].m_Sizes.admitted(C.size());
+    How = co_await attempt(C, Chosen);
     if (How == AttemptOutcome::Delivered || How == AttemptOutcome::Gone)
       co_return;
-    Of.m_Query.m_Tried.insert(Chosen.m_Instance);
-    Of.m_LastOutcome = outcomeName(How);
-    if (!Of.m_IsMoving && !mayRetry(Of, How))
+    C.m_Query.m_Tried.insert(Chosen.m_Instance);
+    C.m_LastOutcome = outcomeName(How);
+    if (!C.m_IsMoving && !mayRetry(C, How))
       break;
   }
-  co_await giveUp(Of, How);
+  co_await giveUp(C, How);
 }
 
 /// Whether the search for an instance is repeated after none was found. All
@@ -273,101 +273,101 @@
 /// at a time: when 3 in 10 of 20 instances failed, 14 streams were broken off
 /// at once. A caller that has received nothing yet is better served by a
 /// refusal.
-bool EntryRequests::mayRepeatSearch(Call &Of) const {
-  if (Of.m_IsGone || !Of.m_Answer.started())
+bool EntryRequests::mayRepeatSearch(Call &C) const {
+  if (C.m_IsGone || !C.m_Answer.started())
     return false;
   const TimePoint Now = now();
-  if (!Of.m_SearchStart)
-    Of.m_SearchStart = Now;
-  return Now - *Of.m_SearchStart < SearchTimeout;
+  if (!C.m_SearchStart)
+    C.m_SearchStart = Now;
+  return Now - *C.m_SearchStart < SearchTimeout;
 }
 
 /// Whether another attempt is allowed after one with the given outcome.
-bool EntryRequests::mayRetry(Call &Of, AttemptOutcome How) {
-  if (How == AttemptOutcome::Unreachable)
-    return ++Of.m_Unreachable < MaxUnreachable;
-  const bool MayRun = How == AttemptOutcome::NotRun || Of.isRepeatable();
-  if (!MayRun || !Of.hasAttemptsLeft() || m_Harmful.isRefused(Of.m_Fingerprint))
+bool EntryRequests::mayRetry(Call &C, AttemptOutcome Outcome) {
+  if (Outcome == AttemptOutcome::Unreachable)
+    return ++C.m_Unreachable < MaxUnreachable;
+  const bool MayRun = Outcome == AttemptOutcome::NotRun || C.isRepeatable();
+  if (!MayRun || !C.hasAttemptsLeft() || m_Harmful.isRefused(C.m_Fingerprint))
     return false;
-  return takeRetry(Of);
+  return takeRetry(C);
 }
 
 /// Sends the final answer after no instance has given a complete one.
-asio::awaitable<void> EntryRequests::giveUp(Call &Of, AttemptOutcome How) {
-  if (Of.m_IsGone) {
+asio::awaitable<void> EntryRequests::giveUp(Call &C, AttemptOutcome Outcome) {
+  if (C.m_IsGone) {
     answers("abandoned").add();
     co_return;
   }
-  if (Of.m_Answer.started()) {
-    co_await writeNewEvents(Of);
+  if (C.m_Answer.started()) {
+    co_await writeNewEvents(C);
     answers("broken").add();
-    net::log(Event::StreamBroken, {{"request", Of.m_Terms.m_AttemptId},
-                                   {"reason", Of.m_LastOutcome},
-                                   {"events", Of.m_EventCount},
-                                   {"sends", std::uint64_t{Of.m_Sends}},
-                                   {"afterMs", msOf(now() - Of.m_Start)}});
-    Of.m_Answer.abort();
+    net::log(Event::StreamBroken, {{"request", C.m_Terms.m_AttemptId},
+                                   {"reason", C.m_LastOutcome},
+                                   {"events", C.m_EventCount},
+                                   {"sends", std::uint64_t{C.m_Sends}},
+                                   {"afterMs", msOf(now() - C.m_Start)}});
+    C.m_Answer.abort();
     co_return;
   }
-  if (How == AttemptOutcome::Failed) {
+  if (Outcome == AttemptOutcome::Failed) {
     // The instance's error is forwarded unchanged.
-    net::HttpResponse Held{Of.m_Status, std::move(Of.m_Headers),
-                           std::move(Of.m_Body)};
+    net::HttpResponse Held{C.m_Status, std::move(C.m_Headers),
+                           std::move(C.m_Body)};
     answers("failed").add();
-    net::log(Event::RequestFailed, {{"request", Of.m_Terms.m_AttemptId},
-                                    {"status", std::uint64_t{Of.m_Status}},
-                                    {"instance", Of.m_Instance.m_Text},
-                                    {"afterMs", msOf(now() - Of.m_Start)}});
-    co_await Of.m_Answer.send(std::move(Held));
+    net::log(Event::RequestFailed, {{"request", C.m_Terms.m_AttemptId},
+                                    {"status", std::uint64_t{C.m_Status}},
+                                    {"instance", C.m_Instance.m_Text},
+                                    {"afterMs", msOf(now() - C.m_Start)}});
+    co_await C.m_Answer.send(std::move(Held));
     co_return;
   }
-  if (Of.m_Runs == 0)
-    co_return co_await refuse(Of, StatusUnavailable, "not run",
-                              retryAfterNotRun(Of));
-  const bool IsLate = Of.timeLeft() < MinTimeLeft;
-  co_await refuse(Of, IsLate ? StatusGatewayTimeout : StatusBadGateway,
+  if (C.m_Runs == 0)
+    co_return co_await refuse(C, StatusUnavailable, "not run",
+                              retryAfterNotRun(C));
+  const bool IsLate = C.timeLeft() < MinTimeLeft;
+  co_await refuse(C, IsLate ? StatusGatewayTimeout : StatusBadGateway,
                   "unknown whether it ran", {});
 }
 
 /// Retry-After for a request that no instance has run, with the instances that
 /// were tried included.
-Duration EntryRequests::retryAfterNotRun(const Call &Of) {
-  ChoiceQuery Query = Of.m_Query;
+Duration EntryRequests::retryAfterNotRun(const Call &C) {
+  ChoiceQuery Query = C.m_Query;
   Query.m_Tried.clear();
   const InstanceChoice Next = m_Instances.choose(Query, now());
   if (Next.m_Outcome == ChoiceOutcome::BackingOff ||
       Next.m_Outcome == ChoiceOutcome::RateLimited)
     return Next.m_RetryAfter;
-  return std::max(Of.m_RetryAfter, MinRetryAfterNotRun);
+  return std::max(C.m_RetryAfter, MinRetryAfterNotRun);
 }
 
-asio::awaitable<void> EntryRequests::refuse(Call &Of, unsigned Status,
+asio::awaitable<void> EntryRequests::refuse(Call &C, unsigned Status,
                                             std::string Reason,
                                             Duration RetryAfter) {
   answers(Status == StatusUnavailable ? "refused" : "failed").add();
   net::log(Status == StatusUnavailable ? Event::RequestRefused
                                        : Event::RequestFailed,
-           {{"request", Of.m_Terms.m_AttemptId},
+           {{"request", C.m_Terms.m_AttemptId},
             {"status", std::uint64_t{Status}},
             {"reason", Reason},
-            {"route", Of.m_Route ? Of.m_Route->m_Name : ""},
-            {"declaration", Of.m_Routes->declaration().m_Version},
+            {"route", C.m_Route ? C.m_Route->m_Name : ""},
+            {"declaration", C.m_Routes->declaration().m_Version},
             {"declarationAgeMs", msOf(m_DeclarationFreshness().m_Age)},
             {"listAgeMs", msOf(m_ListFreshness().m_Age)},
-            {"sends", std::uint64_t{Of.m_Sends}},
+            {"sends", std::uint64_t{C.m_Sends}},
             {"retryAfterMs", msOf(RetryAfter)},
-            {"leftMs", msOf(Of.m_Deadline - now())},
-            {"afterMs", msOf(now() - Of.m_Start)}});
+            {"leftMs", msOf(C.m_Deadline - now())},
+            {"afterMs", msOf(now() - C.m_Start)}});
   net::HttpResponse Response =
-      m_Adapter.ownAnswer(Status, Reason, Of.m_Terms.m_AttemptId, RetryAfter);
-  co_await Of.m_Answer.send(std::move(Response));
+      m_Adapter.ownAnswer(Status, Reason, C.m_Terms.m_AttemptId, RetryAfter);
+  co_await C.m_Answer.send(std::move(Response));
 }
 
-const char *EntryRequests::outcomeName(AttemptOutcome How) {
+const char *EntryRequests::outcomeName(AttemptOutcome Outcome) {
   static constexpr std::array Words{"delivered", "gone",   "unreachable",
                                     "not run",   "failed", "lost",
                                     "broken"};
-  return Words[static_cast<std::size_t>(How)];
+  return Words[static_cast<std::size_t>(Outcome)];
 }
 
 } // namespace deckpitch::direct
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -82,16 +82,16 @@
   };
 
   /// Name of an outcome for log lines.
-  static const char *outcomeName(AttemptOutcome How);
+  static const char *outcomeName(AttemptOutcome Outcome);
 
-  asio::awaitable<void> serve(Call &Of);
-  asio::awaitable<void> rejectUnknown(Call &Of, unsigned Status,
+  asio::awaitable<void> serve(Call &C);
+  asio::awaitable<void> rejectUnknown(Call &C, unsigned Status,
                                       std::string Reason);
-  asio::awaitable<void> tryInstances(Call &Of);
+  asio::awaitable<void> tryInstances(Call &C);
   asio::awaitable<InstanceChoice> chooseInstance(ChoiceQuery Query);
   bool applyReply(const SlotQuestion &Question, const SlotReply &Reply);
-  asio::awaitable<InstanceChoice> chooseInstanceFor(Call &Of);
-  std::set<InstanceId> instancesOfOtherSuspects(const Call &Than) const;
+  asio::awaitable<InstanceChoice> chooseInstanceFor(Call &C);
+  std::set<InstanceId> instancesOfOtherSuspects(const Call &C) const;
   /// Result of sending a request to an instance.
   struct SendResult {
     std::unique_ptr<net::HttpStream> m_Body;     ///< null without an answer
@@ -100,51 +100,50 @@
     InstanceNotice m_Notice;
     TimePoint m_Sent{};
   };
-  asio::awaitable<AttemptOutcome> attempt(Call &Of,
+  asio::awaitable<AttemptOutcome> attempt(Call &C,
                                           const InstanceChoice &Chosen);
-  bool hasAlternative(const Call &Of, const InstanceChoice &Than);
+  bool hasAlternative(const Call &C, const InstanceChoice &Chosen);
   void applyNotice(const InstanceNotice &Notice, const InstanceId &From,
-                   const Call &In, TimePoint Sent);
+                   const Call &C, TimePoint Sent);
   void noteRateLimit(const InstanceNotice &Notice, const InstanceId &From,
-                     const Call &In, TimePoint Sent);
-  asio::awaitable<SendResult> send(Call &Of, const InstanceChoice &Chosen,
+                     const Call &C, TimePoint Sent);
+  asio::awaitable<SendResult> send(Call &C, const InstanceChoice &Chosen,
                                    net::CallCancel &Cancel);
-  asio::awaitable<AttemptOutcome> exchange(Call &Of,
+  asio::awaitable<AttemptOutcome> exchange(Call &C,
                                            const InstanceChoice &Chosen);
-  asio::awaitable<AttemptOutcome> readWhole(Call &Of, net::HttpStream &Body);
-  asio::awaitable<AttemptOutcome> forwardEvents(Call &Of,
-                                                net::HttpStream &Body);
-  void recordFirstByte(Call &Of);
-  void recordLoss(const Call &Of, const InstanceId &At, TimePoint Sent);
-  void recordEnd(const InstanceId &At, InstanceTable::End How,
+  asio::awaitable<AttemptOutcome> readWhole(Call &C, net::HttpStream &Body);
+  asio::awaitable<AttemptOutcome> forwardEvents(Call &C, net::HttpStream &Body);
+  void recordFirstByte(Call &C);
+  void recordLoss(const Call &C, const InstanceId &At, TimePoint Sent);
+  void recordEnd(const InstanceId &At, InstanceTable::End Outcome,
                  bool WasAnswering);
-  static std::string takeNewEvents(Call &Of);
-  static asio::awaitable<bool> writeNewEvents(Call &Of);
-  bool mayRetry(Call &Of, AttemptOutcome How);
-  bool mayRepeatSearch(Call &Of) const;
-  bool mayMove(const Call &Of) const;
+  static std::string takeNewEvents(Call &C);
+  static asio::awaitable<bool> writeNewEvents(Call &C);
+  bool mayRetry(Call &C, AttemptOutcome Outcome);
+  bool mayRepeatSearch(Call &C) const;
+  bool mayMove(const Call &C) const;
   asio::awaitable<void> move(std::uint64_t CallNumber, InstanceId From,
                              const char *Reason);
-  asio::awaitable<void> handOver(Call &Of, const InstanceChoice &Next,
+  asio::awaitable<void> handOver(Call &C, const InstanceChoice &Next,
                                  const char *Reason);
-  asio::awaitable<void> limitHandover(Call &Of, bool IsEnd);
-  static asio::awaitable<void> waitForHandover(Call &Of);
+  asio::awaitable<void> limitHandover(Call &C, bool IsEnd);
+  static asio::awaitable<void> waitForHandover(Call &C);
   void cancelSilentHandovers(TimePoint Now);
-  asio::awaitable<void> finishHandover(Call &Of, AttemptOutcome How);
-  static void logMove(Event What, const Call &Of, const InstanceChoice &Next,
+  asio::awaitable<void> finishHandover(Call &C, AttemptOutcome Outcome);
+  static void logMove(Event What, const Call &C, const InstanceChoice &Next,
                       const char *Reason, const char *Outcome, Duration Asked);
-  ChoiceQuery queryForRemainder(const Call &Of) const;
+  ChoiceQuery queryForRemainder(const Call &C) const;
   template <typename Condition>
   void moveStreamsFrom(const InstanceId &Id, const char *Reason,
                        Condition &&Holds);
-  Duration retryAfterNotRun(const Call &Of);
-  asio::awaitable<void> giveUp(Call &Of, AttemptOutcome How);
-  asio::awaitable<void> refuse(Call &Of, unsigned Status, std::string Reason,
+  Duration retryAfterNotRun(const Call &C);
+  asio::awaitable<void> giveUp(Call &C, AttemptOutcome Outcome);
+  asio::awaitable<void> refuse(Call &C, unsigned Status, std::string Reason,
                                Duration RetryAfter);
   RetryWindow &retriesOf(const ServiceId &Service);
   /// Charges one retry to the budget; false if the budget is exhausted.
-  bool takeRetry(const Call &Of);
-  double reserveFor(const Call &Of);
+  bool takeRetry(const Call &C);
+  double reserveFor(const Call &C);
 
   asio::io_context &m_Io;
   net::HttpClient &m_Http;
--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -124,13 +124,13 @@
 /// Instances that run other suspected requests: which of two requests crashes
 /// instances shows only if they run apart.
 std::set<InstanceId>
-EntryRequests::instancesOfOtherSuspects(const Call &Than) const {
+EntryRequests::instancesOfOtherSuspects(const Call &C) const {
   std::set<InstanceId> Out;
-  if (!m_Harmful.isSuspect(Than.m_Fingerprint))
+  if (!m_Harmful.isSuspect(C.m_Fingerprint))
     return Out;
   for (const auto &[Id, Calls] : m_AtInstance)
     if (std::any_of(Calls.begin(), Calls.end(), [&](const Call *Each) {
-          return Each != &Than && m_Harmful.isSuspect(Each->m_Fingerprint);
+          return Each != &C && m_Harmful.isSuspect(Each->m_Fingerprint);
         }))
       Out.insert(Id);
   return Out;
@@ -138,14 +138,14 @@
 
 /// Chooses an instance for the next attempt. A stream that the caller has a
 /// part of continues with the same weights if any instance still serves them.
-asio::awaitable<InstanceChoice> EntryRequests::chooseInstanceFor(Call &Of) {
-  Of.m_Query.m_Avoided = instancesOfOtherSuspects(Of);
-  if (Of.m_EventCount > 0 && Of.m_Version != 0) {
-    InstanceChoice Same = co_await chooseInstance(queryForRemainder(Of));
+asio::awaitable<InstanceChoice> EntryRequests::chooseInstanceFor(Call &C) {
+  C.m_Query.m_Avoided = instancesOfOtherSuspects(C);
+  if (C.m_EventCount > 0 && C.m_Version != 0) {
+    InstanceChoice Same = co_await chooseInstance(queryForRemainder(C));
     if (Same.m_Outcome == ChoiceOutcome::Chosen)
       co_return Same;
   }
-  co_return co_await chooseInstance(Of.m_Query);
+  co_return co_await chooseInstance(C.m_Query);
 }
 
 } // namespace deckpitch::direct
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -61,14 +61,16 @@
 
 std::uint32_t ageMs(TimePoint Since) { return direct::ageMs(Since, now()); }
 
-std::size_t bytesOf(const net::PlatformList &Of) {
+std::size_t bytesOf(const net::PlatformList &List) {
   std::size_t Sum = 0;
-  for (const net::PlatformObject &Each : Of.m_Items)
+  for (const net::PlatformObject &Each : List.m_Items)
     Sum += Each.m_Json.size();
   return Sum;
 }
 
-std::uint32_t ageMs(const SharedReading &Of) { return ageMs(Of.asOf()); }
+std::uint32_t ageMs(const SharedReading &Reading) {
+  return ageMs(Reading.asOf());
+}
 
 } // namespace
 
@@ -199,17 +201,18 @@
   m_Calls.m_OnUpdate(News, Reach);
 }
 
-asio::awaitable<void> FleetFollower::follow(FollowedKind &Of) {
+asio::awaitable<void> FleetFollower::follow(FollowedKind &Kind) {
   unsigned Failures = 0;
   while (!m_Stopped) {
-    const bool Watches = Of.m_Reading.isFirst() && !Of.m_Reading.isBehind() &&
-                         !Of.m_MustRead && Of.m_Seen.m_Value != 0;
+    const bool Watches = Kind.m_Reading.isFirst() &&
+                         !Kind.m_Reading.isBehind() && !Kind.m_MustRead &&
+                         Kind.m_Seen.m_Value != 0;
     if (!Watches)
-      co_await waitUntilDue(Of.m_Reading, Of.m_Wake);
+      co_await waitUntilDue(Kind.m_Reading, Kind.m_Wake);
     if (m_Stopped)
       break;
     const bool Succeeded =
-        Watches ? co_await watchOnce(Of) : co_await readOnce(Of);
+        Watches ? co_await watchOnce(Kind) : co_await readOnce(Kind);
     Failures = Succeeded ? 0 : Failures + 1;
     if (!Succeeded)
       co_await pause(retryDelay(Failures));
@@ -217,33 +220,33 @@
 }
 
 /// Reads from another entry that announced a newer object, else from the store.
-asio::awaitable<bool> FleetFollower::readOnce(FollowedKind &Of) {
-  const bool IsAnnounced = Of.m_Reading.isBehind() && Of.m_FetchAnnounced;
-  if (IsAnnounced && co_await Of.m_FetchAnnounced())
+asio::awaitable<bool> FleetFollower::readOnce(FollowedKind &Kind) {
+  const bool IsAnnounced = Kind.m_Reading.isBehind() && Kind.m_FetchAnnounced;
+  if (IsAnnounced && co_await Kind.m_FetchAnnounced())
     co_return true;
-  logTakeOver(Of.m_Kind, Of.m_Reading);
-  co_return co_await refreshOnce(Of);
+  logTakeOver(Kind.m_Kind, Kind.m_Reading);
+  co_return co_await refreshOnce(Kind);
 }
 
 /// Reads the changes since the last read. Full reads by all entries that had
 /// received no update for a while kept links between regions full for 10 s and
 /// more.
-asio::awaitable<bool> FleetFollower::refreshOnce(FollowedKind &Of) {
-  if (Of.m_Seen.m_Value == 0)
-    co_return co_await listOnce(Of);
+asio::awaitable<bool> FleetFollower::refreshOnce(FollowedKind &Kind) {
+  if (Kind.m_Seen.m_Value == 0)
+    co_return co_await listOnce(Kind);
   const TimePoint Asked = now();
-  const auto Changed = co_await m_Store.changes(Of.m_Kind, Of.m_Seen);
+  const auto Changed = co_await m_Store.changes(Kind.m_Kind, Kind.m_Seen);
   if (Changed || Changed.error().m_Code != ErrorCode::NotFound)
-    co_return handleRead(Of, Changed, Asked, "changes of ");
-  Of.m_Seen = {};
-  co_return co_await listOnce(Of);
+    co_return handleRead(Kind, Changed, Asked, "changes of ");
+  Kind.m_Seen = {};
+  co_return co_await listOnce(Kind);
 }
 
 /// Reads all objects of a kind.
-asio::awaitable<bool> FleetFollower::listOnce(FollowedKind &Of) {
+asio::awaitable<bool> FleetFollower::listOnce(FollowedKind &Kind) {
   const TimePoint Asked = now();
-  const auto List = co_await m_Store.list(Of.m_Kind);
-  co_return handleRead(Of, List, Asked, "list ");
+  const auto List = co_await m_Store.list(Kind.m_Kind);
+  co_return handleRead(Kind, List, Asked, "list ");
 }
 
 /// Another version may have been announced while an older one was in transit.
@@ -252,56 +255,56 @@
     m_Declarations.m_Reading.noteBehind(now(), Duration::zero());
 }
 
-bool FleetFollower::handleRead(FollowedKind &Of,
+bool FleetFollower::handleRead(FollowedKind &Kind,
                                const Outcome<net::PlatformList> &Read,
                                TimePoint Asked, const std::string &Call) {
-  logStoreAvailability(Call + Of.m_Kind, detail::faultOf(Read));
-  logSlowRead(Of.m_Kind, Asked, m_Bounds.m_Apply, Read ? bytesOf(*Read) : 0);
+  logStoreAvailability(Call + Kind.m_Kind, detail::faultOf(Read));
+  logSlowRead(Kind.m_Kind, Asked, m_Bounds.m_Apply, Read ? bytesOf(*Read) : 0);
   if (!Read)
     return false;
   // The entry that announced a newer version has sent it to the entries of
   // other data centres too.
   const UpdateReach Reach =
-      Of.m_Reading.isBehind() ? UpdateReach::Local : UpdateReach::All;
+      Kind.m_Reading.isBehind() ? UpdateReach::Local : UpdateReach::All;
   for (const net::PlatformObject &Each : Read->m_Items)
-    Of.m_Apply(Each);
-  Of.m_Seen = std::max(Of.m_Seen, Read->m_Revision);
-  Of.m_MustRead = false;
-  Of.m_Reading.confirm(Asked);
+    Kind.m_Apply(Each);
+  Kind.m_Seen = std::max(Kind.m_Seen, Read->m_Revision);
+  Kind.m_MustRead = false;
+  Kind.m_Reading.confirm(Asked);
   // A version announced before this read that the store does not hold does not
   // exist.
-  if (&Of == &m_Declarations && m_NewestAnnouncedAt < Asked)
+  if (&Kind == &m_Declarations && m_NewestAnnouncedAt < Asked)
     m_NewestAnnounced = m_Version;
   stayBehindAnnounced();
-  publish(Of.m_FillUpdate, Reach);
+  publish(Kind.m_FillUpdate, Reach);
   return true;
 }
 
 /// Watches while this entry is the first. False when the store did not answer.
-asio::awaitable<bool> FleetFollower::watchOnce(FollowedKind &Of) {
+asio::awaitable<bool> FleetFollower::watchOnce(FollowedKind &Kind) {
   const std::function<bool(net::PlatformEvent)> OnEvent =
       [&](const net::PlatformEvent &Update) {
-        logStoreAvailability("watch " + Of.m_Kind, std::nullopt);
+        logStoreAvailability("watch " + Kind.m_Kind, std::nullopt);
         if (Update.m_Type == net::PlatformEvent::Type::Put)
-          Of.m_Apply(Update.m_Object);
+          Kind.m_Apply(Update.m_Object);
         if (Update.m_Type == net::PlatformEvent::Type::Bookmark) {
-          Of.m_Seen = std::max(Of.m_Seen, Update.m_Object.m_Revision);
-          Of.m_Reading.confirm(now() - Update.m_Age);
-          publish(Of.m_FillUpdate, UpdateReach::All);
+          Kind.m_Seen = std::max(Kind.m_Seen, Update.m_Object.m_Revision);
+          Kind.m_Reading.confirm(now() - Update.m_Age);
+          publish(Kind.m_FillUpdate, UpdateReach::All);
         }
-        return !m_Stopped && Of.m_Reading.isFirst();
+        return !m_Stopped && Kind.m_Reading.isFirst();
       };
-  const std::vector<std::string> Kinds{Of.m_Kind};
-  const Error End = co_await m_Store.watch(Kinds, Of.m_Seen, OnEvent);
-  if (m_Stopped || !Of.m_Reading.isFirst())
+  const std::vector<std::string> Kinds{Kind.m_Kind};
+  const Error End = co_await m_Store.watch(Kinds, Kind.m_Seen, OnEvent);
+  if (m_Stopped || !Kind.m_Reading.isFirst())
     co_return true;
   // A read finds missed changes and shows whether the store answers at all.
-  Of.m_MustRead = true;
+  Kind.m_MustRead = true;
   if (End.m_Code == ErrorCode::NotFound) {
-    Of.m_Seen = {};
+    Kind.m_Seen = {};
     co_return true;
   }
-  logStoreAvailability("watch " + Of.m_Kind, End);
+  logStoreAvailability("watch " + Kind.m_Kind, End);
   co_return false;
 }
 
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -131,13 +131,13 @@
     std::function<asio::awaitable<bool>()> m_FetchAnnounced;
   };
 
-  asio::awaitable<void> follow(FollowedKind &Of);
-  asio::awaitable<bool> watchOnce(FollowedKind &Of);
-  asio::awaitable<bool> readOnce(FollowedKind &Of);
-  asio::awaitable<bool> refreshOnce(FollowedKind &Of);
-  asio::awaitable<bool> listOnce(FollowedKind &Of);
+  asio::awaitable<void> follow(FollowedKind &Kind);
+  asio::awaitable<bool> watchOnce(FollowedKind &Kind);
+  asio::awaitable<bool> readOnce(FollowedKind &Kind);
+  asio::awaitable<bool> refreshOnce(FollowedKind &Kind);
+  asio::awaitable<bool> listOnce(FollowedKind &Kind);
   asio::awaitable<bool> fetchAnnounced();
-  bool handleRead(FollowedKind &Of, const Outcome<net::PlatformList> &Read,
+  bool handleRead(FollowedKind &Kind, const Outcome<net::PlatformList> &Read,
                   TimePoint Asked, const std::string &Call);
   asio::awaitable<void> pollInstances();
   asio::awaitable<bool> readInstances();
--- a/src/direct/state-link.cc
+++ b/src/direct/state-link.cc
@@ -17,8 +17,8 @@
   return udp::endpoint(Endpoint.address(), Endpoint.port());
 }
 
-std::string textOf(const udp::endpoint &Of) {
-  return net::formatEndpoint({Of.address(), Of.port()});
+std::string textOf(const udp::endpoint &Endpoint) {
+  return net::formatEndpoint({Endpoint.address(), Endpoint.port()});
 }
 
 } // namespace
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -196,8 +196,8 @@
 
 /// Keeps the verdict of an earlier copy: a new copy gives none until its first
 /// chunks have arrived.
-void WeightsSupply::observeLink(const Swarm &Of) {
-  const LinkQuality Verdict = Of.linkQuality();
+void WeightsSupply::observeLink(const Swarm &S) {
+  const LinkQuality Verdict = S.linkQuality();
   if (Verdict != LinkQuality::Unknown)
     m_HasSoundLink = Verdict == LinkQuality::Sound;
 }
@@ -245,12 +245,12 @@
   return timeToSwap(stateFor(*Newest, Report), Now);
 }
 
-WeightsState WeightsSupply::stateFor(const Copy &Of,
+WeightsState WeightsSupply::stateFor(const Copy &C,
                                      const InstanceReport &Report) const {
   WeightsState Out;
-  Out.m_Wanted = Of.m_Weights;
+  Out.m_Wanted = C.m_Weights;
   Out.m_Held = Report.m_Weights;
-  Out.m_IsCopyComplete = Of.m_CompleteAt.has_value();
+  Out.m_IsCopyComplete = C.m_CompleteAt.has_value();
   Out.m_IsBusy = !Report.m_TakesRequests;
   Out.m_Rank = ownRank();
   Out.m_PoolSize = std::max<std::size_t>(m_Pool.size(), 1);
@@ -259,7 +259,7 @@
     if (Each.m_Model == m_Source.m_Model && Each.m_IsComplete)
       Held = std::max(Held, Each.m_Version);
   Out.m_DeclaredAt = m_Declared.behindSince(Held).value_or(now());
-  Out.m_CopiedAt = Of.m_CompleteAt.value_or(now());
+  Out.m_CopiedAt = C.m_CompleteAt.value_or(now());
   Out.m_Bound = m_Options.m_Bound;
   Out.m_Margin = versionMargin(hasSoundLink());
   return Out;
@@ -267,14 +267,14 @@
 
 /// Logs what a copy without progress waits for, at most once per
 /// StallLogInterval.
-void WeightsSupply::logStall(Copy &Of) {
+void WeightsSupply::logStall(Copy &C) {
   const TimePoint Now = now();
-  if (Now - std::max(Of.m_ProgressAt, Of.m_StallLoggedAt) < StallLogInterval)
+  if (Now - std::max(C.m_ProgressAt, C.m_StallLoggedAt) < StallLogInterval)
     return;
-  Of.m_StallLoggedAt = Now;
-  const CopyWait Wait = Of.m_Copy->swarm().waitsFor(Now);
+  C.m_StallLoggedAt = Now;
+  const CopyWait Wait = C.m_Copy->swarm().waitsFor(Now);
   net::log(Event::CopyStalled,
-           {{"weights", Of.m_Copy->manifest().m_Weights.m_Text},
+           {{"weights", C.m_Copy->manifest().m_Weights.m_Text},
             {"missing", std::uint64_t{Wait.m_Missing}},
             {"chunk", std::uint64_t{Wait.m_Chunk}},
             {"sinceGainMs", msOf(Wait.m_SinceLastChunk)},
@@ -290,23 +290,23 @@
 }
 
 /// Records the progress of a copy and logs its completion once.
-void WeightsSupply::observe(Copy &Of) {
-  if (!Of.m_Copy)
+void WeightsSupply::observe(Copy &C) {
+  if (!C.m_Copy)
     return;
-  const Swarm &Swarm = Of.m_Copy->swarm();
+  const Swarm &Swarm = C.m_Copy->swarm();
   observeLink(Swarm);
-  if (Swarm.here().count() != Of.m_Held || Of.m_ProgressAt == TimePoint{}) {
-    Of.m_Held = Swarm.here().count();
-    Of.m_ProgressAt = now();
+  if (Swarm.here().count() != C.m_Held || C.m_ProgressAt == TimePoint{}) {
+    C.m_Held = Swarm.here().count();
+    C.m_ProgressAt = now();
   }
   if (!Swarm.complete())
-    return logStall(Of);
-  if (Of.m_CompleteAt)
+    return logStall(C);
+  if (C.m_CompleteAt)
     return;
-  Of.m_CompleteAt = now();
+  C.m_CompleteAt = now();
   const SwarmCounters &Counts = Swarm.counters();
   net::log(Event::CopyComplete,
-           {{"weights", Of.m_Copy->manifest().m_Weights.m_Text},
+           {{"weights", C.m_Copy->manifest().m_Weights.m_Text},
             {"fromPeers", Counts.m_FromPeers},
             {"fromOrigin", Counts.m_FromOrigin},
             {"crossings", Counts.m_Crossings},
@@ -419,9 +419,9 @@
   Copy->start();
 }
 
-asio::awaitable<void> WeightsSupply::orderLoad(const Copy &Of) {
-  const std::shared_ptr<WeightsCopy> Copy = Of.m_Copy;
-  const DeclaredWeights Ordered = Of.m_Weights;
+asio::awaitable<void> WeightsSupply::orderLoad(const Copy &C) {
+  const std::shared_ptr<WeightsCopy> Copy = C.m_Copy;
+  const DeclaredWeights Ordered = C.m_Weights;
   const Manifest &Wanted = Copy->manifest();
   // Checked immediately before the order: the instance loads whatever staging
   // holds when it accepts.
--- a/src/direct/weights-supply.h
+++ b/src/direct/weights-supply.h
@@ -89,15 +89,15 @@
   boost::asio::awaitable<void>
   acceptHello(std::shared_ptr<daemon::BulkConnection> Connection);
   boost::asio::awaitable<void> startCopy();
-  boost::asio::awaitable<void> orderLoad(const Copy &Of);
+  boost::asio::awaitable<void> orderLoad(const Copy &C);
   bool mayStartCopy() const;
-  void observe(Copy &Of);
-  void logStall(Copy &Of);
-  void observeLink(const Swarm &Of);
+  void observe(Copy &C);
+  void logStall(Copy &C);
+  void observeLink(const Swarm &S);
   void retirePrevious();
   void updateCopyPeers();
   const Copy *newestComplete() const;
-  WeightsState stateFor(const Copy &Of, const InstanceReport &Report) const;
+  WeightsState stateFor(const Copy &C, const InstanceReport &Report) const;
   std::size_t ownRank() const;
 
   boost::asio::io_context &m_Io;
--- a/src/kernel/assignment.cc
+++ b/src/kernel/assignment.cc
@@ -144,15 +144,15 @@
     m_Out.m_Instances.emplace(Entry.m_Member->m_Id, std::move(Next));
   }
 
-  WeightsId currentWeights(const Pool &Of) const {
+  WeightsId currentWeights(const Pool &P) const {
     std::map<WeightsId, std::size_t> Counts;
     for (const auto &[Id, Each] : previous().m_Instances)
-      if (Each.m_Pool == Of.m_Id)
+      if (Each.m_Pool == P.m_Id)
         ++Counts[Each.m_Weights];
     const auto Most = std::max_element(
         Counts.begin(), Counts.end(),
         [](const auto &A, const auto &B) { return A.second < B.second; });
-    return Most == Counts.end() ? weightsOf(Of) : Most->first;
+    return Most == Counts.end() ? weightsOf(P) : Most->first;
   }
 
   void keepSurplus() {
@@ -173,15 +173,15 @@
 
   /// Advances the pool's weights. Instances whose engine must drain before the
   /// swap are limited by m_MaxUnavailable.
-  void advance(const Pool &Of) {
-    const WeightsId Target = weightsOf(Of);
+  void advance(const Pool &P) {
+    const WeightsId Target = weightsOf(P);
     std::uint32_t Unavailable = 0;
     std::vector<AssignedPool *> Draining;
     for (auto &[Id, Each] : m_Out.m_Instances) {
-      if (Each.m_Pool != Of.m_Id)
+      if (Each.m_Pool != P.m_Id)
         continue;
       const ServingReport &Serving = m_Members.m_Members.at(Id).m_Serving;
-      const bool IsUnavailable = !Serving.m_Ready || Serving.m_Pool != Of.m_Id;
+      const bool IsUnavailable = !Serving.m_Ready || Serving.m_Pool != P.m_Id;
       if (Each.m_Weights == Target) {
         Unavailable += IsUnavailable || Serving.m_Weights != Target;
         continue;
@@ -196,7 +196,7 @@
         Draining.push_back(&Each);
     }
     for (AssignedPool *Each : Draining) {
-      if (Unavailable >= Of.m_MaxUnavailable)
+      if (Unavailable >= P.m_MaxUnavailable)
         return;
       Each->m_Weights = Target;
       ++Unavailable;
--- a/src/kernel/claim-log.cc
+++ b/src/kernel/claim-log.cc
@@ -290,11 +290,11 @@
   All.clear();
 }
 
-void ClaimLog::settle(const Waiter &Of, ClaimOutcome::Verdict Verdict) {
-  const Claim *Existing = find(Of.m_Wanted.m_Key);
+void ClaimLog::settle(const Waiter &Waiting, ClaimOutcome::Verdict Verdict) {
+  const Claim *Existing = find(Waiting.m_Wanted.m_Key);
   const bool IsTaken = Verdict == ClaimOutcome::Verdict::Taken;
-  m_Settled.push_back(
-      {Of.m_Id, Verdict, IsTaken && Existing ? *Existing : Of.m_Wanted});
+  m_Settled.push_back({Waiting.m_Id, Verdict,
+                       IsTaken && Existing ? *Existing : Waiting.m_Wanted});
 }
 
 void ClaimLog::expireClaims(TimePoint Now) {
--- a/src/kernel/declaration-store.cc
+++ b/src/kernel/declaration-store.cc
@@ -20,17 +20,17 @@
 }
 
 template <typename Map, typename Key, typename Parse>
-bool updateObject(Map &In, const Key &Name, const DeclaredObject &Object,
+bool updateObject(Map &Objects, const Key &Name, const DeclaredObject &Object,
                   Parse Parser) {
   if (Object.m_Deleted) {
-    In.erase(Name);
+    Objects.erase(Name);
     return true;
   }
   const auto Parsed =
       outcomeOf([&] { return Parser(Object.m_Json, UnknownKeys::Ignore); });
   if (!Parsed)
     return false;
-  In[Name] = {Object.m_Revision, *Parsed, readChangeNote(Object.m_Json)};
+  Objects[Name] = {Object.m_Revision, *Parsed, readChangeNote(Object.m_Json)};
   return true;
 }
 
--- a/src/kernel/entry-choice.cc
+++ b/src/kernel/entry-choice.cc
@@ -7,7 +7,7 @@
 namespace deckpitch {
 
 std::vector<InstanceId> chooseEntries(const InstanceId &For,
-                                      const DataCentreId &In,
+                                      const DataCentreId &DataCentre,
                                       std::vector<EntryCandidate> Candidates,
                                       std::size_t Count) {
   std::erase_if(Candidates,
@@ -17,9 +17,10 @@
            randomWeight(For.m_Text, B.m_Id.m_Text);
   };
   std::sort(Candidates.begin(), Candidates.end(), Heavier);
-  const auto Local = std::find_if(
-      Candidates.begin(), Candidates.end(),
-      [&](const EntryCandidate &Each) { return Each.m_DataCentre == In; });
+  const auto Local = std::find_if(Candidates.begin(), Candidates.end(),
+                                  [&](const EntryCandidate &Each) {
+                                    return Each.m_DataCentre == DataCentre;
+                                  });
   if (Local != Candidates.end())
     std::rotate(Candidates.begin(), Local, std::next(Local));
   std::vector<InstanceId> Chosen;
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -198,7 +198,7 @@
     Found->second.m_Unanswered -= std::min(Found->second.m_Unanswered, 1U);
 }
 
-std::optional<Duration> InstanceTable::ended(const InstanceId &Id, End How,
+std::optional<Duration> InstanceTable::ended(const InstanceId &Id, End Outcome,
                                              bool WasAnswering, TimePoint Now) {
   const auto Found = m_Instances.find(Id);
   if (Found == m_Instances.end())
@@ -207,10 +207,10 @@
   Known.m_Own -= std::min(Known.m_Own, 1U);
   if (!WasAnswering)
     Known.m_Unanswered -= std::min(Known.m_Unanswered, 1U);
-  if (How == End::Good)
+  if (Outcome == End::Good)
     Known.m_Ejection.succeeded();
   std::optional<Duration> EjectedFor;
-  if (How == End::Failed && Known.m_Ejection.failed(Now))
+  if (Outcome == End::Failed && Known.m_Ejection.failed(Now))
     EjectedFor = Known.m_Ejection.until() - Now;
   if (!Known.m_IsListed && Known.m_Own == 0)
     m_Instances.erase(Found);
--- a/src/kernel/membership-table.cc
+++ b/src/kernel/membership-table.cc
@@ -180,38 +180,38 @@
   return chooseEntries(Watched.m_Id, Watched.m_DataCentre, entries());
 }
 
-void MembershipTable::updateSilence(TimePoint Now, Known &Of,
+void MembershipTable::updateSilence(TimePoint Now, Known &Observed,
                                     std::vector<SilenceQuestion> &Out) {
-  Member &Judged = Of.m_Record.m_Member;
+  Member &Judged = Observed.m_Record.m_Member;
   const std::vector<InstanceId> Watchers = watchersOf(Judged);
   const bool Watched =
       std::find(Watchers.begin(), Watchers.end(), m_SelfId) != Watchers.end();
-  if (Watched && !Of.m_IsWatchedHere)
-    Of.m_LastUpdate =
-        std::max(Of.m_LastUpdate, Now); // this entry begins to watch it now
-  Of.m_IsWatchedHere = Watched;
-  const Duration Silence = Now - Of.m_LastUpdate;
+  if (Watched && !Observed.m_IsWatchedHere)
+    Observed.m_LastUpdate = std::max(Observed.m_LastUpdate,
+                                     Now); // this entry begins to watch it now
+  Observed.m_IsWatchedHere = Watched;
+  const Duration Silence = Now - Observed.m_LastUpdate;
   if (!Watched || Silence < m_Limits.m_SuspectAfter)
     return;
-  if (!Of.m_HasAsked) {
-    Of.m_HasAsked = true;
-    Of.m_Asked = Now;
+  if (!Observed.m_HasAsked) {
+    Observed.m_HasAsked = true;
+    Observed.m_Asked = Now;
     SilenceQuestion Question{Judged.m_Id, Watchers};
     std::erase(Question.m_Watchers, m_SelfId);
     Out.push_back(std::move(Question));
     return;
   }
-  if (Now - Of.m_Asked < m_Limits.m_Heartbeat)
+  if (Now - Observed.m_Asked < m_Limits.m_Heartbeat)
     return;
   const bool IsGone = Silence >= m_Limits.m_GoneAfter;
-  const MemberState Next = IsGone         ? MemberState::Gone
-                           : Of.m_Leaving ? MemberState::Leaving
-                                          : MemberState::Suspect;
+  const MemberState Next = IsGone               ? MemberState::Gone
+                           : Observed.m_Leaving ? MemberState::Leaving
+                                                : MemberState::Suspect;
   if (Judged.m_State == Next)
     return;
   Judged.m_State = Next;
   Judged.m_Source = MemberSource::Silence;
-  Of.m_TimesSent = 0;
+  Observed.m_TimesSent = 0;
 }
 
 std::vector<SilenceQuestion> MembershipTable::tick(TimePoint Now) {
--- a/src/kernel/state-batch.cc
+++ b/src/kernel/state-batch.cc
@@ -39,16 +39,16 @@
 
 } // namespace
 
-std::size_t estimatedBytes(const SpreadState &Of) {
-  std::size_t Bytes = StateBytes + Of.m_Address.size();
-  for (const HeldWeights &Each : Of.m_Report.m_Weights)
+std::size_t estimatedBytes(const SpreadState &State) {
+  std::size_t Bytes = StateBytes + State.m_Address.size();
+  for (const HeldWeights &Each : State.m_Report.m_Weights)
     Bytes += WeightsBytes + Each.m_Model.size();
   return Bytes;
 }
 
-std::size_t estimatedBytes(const StateBatch &Of) {
-  std::size_t Bytes = BatchBytes + Of.m_Of.m_Text.size();
-  for (const AgedState &Each : Of.m_States)
+std::size_t estimatedBytes(const StateBatch &Batch) {
+  std::size_t Bytes = BatchBytes + Batch.m_Of.m_Text.size();
+  for (const AgedState &Each : Batch.m_States)
     Bytes += estimatedBytes(Each.m_State);
   return Bytes;
 }
@@ -59,14 +59,14 @@
   return Batch.m_Format == StateBatchFormat && Fits;
 }
 
-std::vector<StateBatch> inBatches(const DataCentreId &Of,
+std::vector<StateBatch> inBatches(const DataCentreId &DataCentre,
                                   std::vector<AgedState> States) {
   std::vector<StateBatch> Out;
   std::size_t Bytes = MaxBatchBytes;
   for (AgedState &Each : States) {
     const std::size_t More = estimatedBytes(Each.m_State);
     if (Bytes + More > MaxBatchBytes) {
-      Out.push_back({StateBatchFormat, Of, {}});
+      Out.push_back({StateBatchFormat, DataCentre, {}});
       Bytes = estimatedBytes(Out.back());
     }
     Bytes += More;
@@ -78,8 +78,9 @@
 ReportChange changeOf(const DatedReport &Before, const DatedReport &Now) {
   if (isUrgent(Before.m_Report, Now.m_Report))
     return ReportChange::Urgent;
-  const auto RestOf = [](const InstanceReport &Of) {
-    return std::tuple(Of.m_Running, Of.m_Waiting, Of.m_HasSoundLink);
+  const auto RestOf = [](const InstanceReport &Report) {
+    return std::tuple(Report.m_Running, Report.m_Waiting,
+                      Report.m_HasSoundLink);
   };
   const bool IsChanged = RestOf(Before.m_Report) != RestOf(Now.m_Report) ||
                          isSwapMoved(Before, Now);
--- a/src/kernel/state-rounds.cc
+++ b/src/kernel/state-rounds.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-std::chrono::milliseconds ageOf(const KnownState &Of, TimePoint Now) {
-  return std::chrono::ceil<std::chrono::milliseconds>(Now - Of.m_AsOf);
+std::chrono::milliseconds ageOf(const KnownState &State, TimePoint Now) {
+  return std::chrono::ceil<std::chrono::milliseconds>(Now - State.m_AsOf);
 }
 
 /// Returns how often an address was due for repetition until then: once per
@@ -72,9 +72,9 @@
 /// more, none across a border, and a relay that an agent does not reach, or
 /// does not know yet, still passes them on.
 std::vector<InstanceId>
-StateSpread::localTargets(const DataCentreId &Of) const {
+StateSpread::localTargets(const DataCentreId &DataCentre) const {
   const std::vector<InstanceId> &Relays = relaysOf(m_Own.m_DataCentre);
-  const bool IsOwn = Of == m_Own.m_DataCentre;
+  const bool IsOwn = DataCentre == m_Own.m_DataCentre;
   std::vector<InstanceId> Out;
   for (const auto &[Id, In] : m_Live) {
     const bool HasOwnPath =
@@ -103,12 +103,12 @@
   return Out;
 }
 
-bool StateSpread::isSilent(const Partners &Of, TimePoint Now) const {
+bool StateSpread::isSilent(const Partners &Group, TimePoint Now) const {
   const auto IsActive = [&](const InstanceId &Id) {
     return m_RemoteSenders.contains(Id);
   };
-  return Now - Of.m_Since >= PathTimeout &&
-         !std::all_of(Of.m_Ids.begin(), Of.m_Ids.end(), IsActive);
+  return Now - Group.m_Since >= PathTimeout &&
+         !std::all_of(Group.m_Ids.begin(), Group.m_Ids.end(), IsActive);
 }
 
 /// Adds the states that are due for repetition. The relays of a data centre
--- a/src/kernel/state-spread.cc
+++ b/src/kernel/state-spread.cc
@@ -60,12 +60,13 @@
     m_LastRelayBatch = Now;
 }
 
-void StateSpread::setPartners(const DataCentreId &In, TimePoint Now) {
-  if (In == m_Own.m_DataCentre || !m_Rank)
-    return void(m_Partners.erase(In));
+void StateSpread::setPartners(const DataCentreId &DataCentre, TimePoint Now) {
+  if (DataCentre == m_Own.m_DataCentre || !m_Rank)
+    return void(m_Partners.erase(DataCentre));
   const std::size_t OwnCount = relaysOf(m_Own.m_DataCentre).size();
-  std::vector<InstanceId> Ids = partnersOf(*m_Rank, OwnCount, relaysOf(In));
-  Partners &Of = m_Partners[In];
+  std::vector<InstanceId> Ids =
+      partnersOf(*m_Rank, OwnCount, relaysOf(DataCentre));
+  Partners &Of = m_Partners[DataCentre];
   if (Of.m_Ids != Ids)
     Of = {std::move(Ids), Now};
 }
@@ -106,9 +107,9 @@
 }
 
 const std::vector<InstanceId> &
-StateSpread::relaysOf(const DataCentreId &Of) const {
+StateSpread::relaysOf(const DataCentreId &DataCentre) const {
   static const std::vector<InstanceId> None;
-  const auto Found = m_Relays.find(Of);
+  const auto Found = m_Relays.find(DataCentre);
   return Found == m_Relays.end() ? None : Found->second;
 }
 
@@ -119,9 +120,9 @@
 
 /// An entry that is not known as live yet is trusted about its data centre.
 bool StateSpread::maySendFor(const InstanceId &Entry,
-                             const DataCentreId &Of) const {
+                             const DataCentreId &DataCentre) const {
   const auto Found = m_Live.find(Entry);
-  return Found == m_Live.end() || Found->second == Of;
+  return Found == m_Live.end() || Found->second == DataCentre;
 }
 
 void StateSpread::receiveReport(const SpreadState &State, TimePoint Now,
@@ -149,16 +150,17 @@
     receiveState(From, Received.m_Of, Each, Now, Late);
 }
 
-void StateSpread::noteSender(const InstanceId &From, const DataCentreId &Of,
-                             TimePoint Now) {
-  if (Of != m_Own.m_DataCentre) {
+void StateSpread::noteSender(const InstanceId &From,
+                             const DataCentreId &DataCentre, TimePoint Now) {
+  if (DataCentre != m_Own.m_DataCentre) {
     const auto IsOfSame = [&](const auto &Each) {
-      return Each.first != From && Each.second.m_Of == Of;
+      return Each.first != From && Each.second.m_Of == DataCentre;
     };
     const auto Others =
         std::count_if(m_RemoteSenders.begin(), m_RemoteSenders.end(), IsOfSame);
-    if (maySendFor(From, Of) && !isLocal(From) && Others < MaxOtherSenders)
-      m_RemoteSenders[From] = {Of, Now};
+    if (maySendFor(From, DataCentre) && !isLocal(From) &&
+        Others < MaxOtherSenders)
+      m_RemoteSenders[From] = {DataCentre, Now};
     return;
   }
   if (!isLocal(From) || From == m_Own.m_Id)
@@ -169,22 +171,23 @@
   m_LastRelayBatch = Now;
 }
 
-void StateSpread::receiveState(const InstanceId &From, const DataCentreId &Of,
+void StateSpread::receiveState(const InstanceId &From,
+                               const DataCentreId &DataCentre,
                                const AgedState &Received, TimePoint Now,
                                Duration Late) {
   const auto Found = m_Instances.find(Received.m_State.m_Address);
-  if (Found == m_Instances.end() || Found->second.m_DataCentre != Of ||
+  if (Found == m_Instances.end() || Found->second.m_DataCentre != DataCentre ||
       !isUsableAge(Received.m_Age, Late))
     return void(++m_Refused);
   const Duration Age = Received.m_Age + Late;
   const ReportChange Change =
       update(Found->second, {Received.m_State, Now - Age}, Now);
   // Another relay of the own data centre sends it to the entries here itself.
-  if (Of == m_Own.m_DataCentre)
+  if (DataCentre == m_Own.m_DataCentre)
     return isLocal(From) ? markRemote(Received.m_State.m_Address, Change)
                          : void();
   if (!isLocal(From))
-    markLocal(Of, Received.m_State.m_Address, Change);
+    markLocal(DataCentre, Received.m_State.m_Address, Change);
 }
 
 /// Stores the state if it is newer, and returns what it changes.
@@ -210,9 +213,9 @@
   return Change;
 }
 
-void StateSpread::markLocal(const DataCentreId &Of, const std::string &Address,
-                            ReportChange Change) {
-  const auto Found = m_Channels.find({Of, m_Own.m_DataCentre});
+void StateSpread::markLocal(const DataCentreId &DataCentre,
+                            const std::string &Address, ReportChange Change) {
+  const auto Found = m_Channels.find({DataCentre, m_Own.m_DataCentre});
   if (Found == m_Channels.end() || Change == ReportChange::None)
     return;
   Found->second.m_Pending.insert(Address);
--- a/src/kernel/swarm-origin.cc
+++ b/src/kernel/swarm-origin.cc
@@ -47,11 +47,11 @@
 }
 
 /// The first instances in a chunk's rendezvous order.
-std::vector<InstanceId> firstInOrder(const std::vector<InstanceId> &Of,
+std::vector<InstanceId> firstInOrder(const std::vector<InstanceId> &List,
                                      std::uint32_t Chunk) {
   std::vector<std::pair<std::uint64_t, InstanceId>> Scored;
-  Scored.reserve(Of.size());
-  for (const InstanceId &Each : Of)
+  Scored.reserve(List.size());
+  for (const InstanceId &Each : List)
     Scored.emplace_back(score(hashOf(Each), Chunk), Each);
   const std::size_t Count = std::min(MaxImporters, Scored.size());
   std::partial_sort(Scored.begin(),
@@ -127,9 +127,9 @@
 }
 
 /// Whether an instance may take a chunk from another data centre now.
-bool Swarm::mayImport(const InstanceId &Who, const DataCentreId &In,
+bool Swarm::mayImport(const InstanceId &Who, const DataCentreId &DataCentre,
                       std::uint32_t Chunk, TimePoint Now) const {
-  const auto Found = m_Importers.find(In);
+  const auto Found = m_Importers.find(DataCentre);
   if (Found == m_Importers.end())
     return true;
   const std::vector<InstanceId> &Order = Found->second[Chunk];
@@ -269,12 +269,12 @@
   }
 }
 
-SwarmActions Swarm::onOriginReply(std::uint32_t Chunk, OriginOutcome How,
+SwarmActions Swarm::onOriginReply(std::uint32_t Chunk, OriginOutcome Outcome,
                                   TimePoint Now) {
   SwarmActions Out;
   if (m_Reading.erase(Chunk) == 0)
     return Out;
-  if (How == OriginOutcome::Good && wants(Chunk)) {
+  if (Outcome == OriginOutcome::Good && wants(Chunk)) {
     m_Unstaged.insert(Chunk);
     m_CorruptReads.erase(Chunk);
     m_CurrentOriginBackOff = {};
@@ -285,11 +285,11 @@
     return Out;
   }
   release(Chunk);
-  if (How == OriginOutcome::Good) {
+  if (Outcome == OriginOutcome::Good) {
     ++m_Counters.m_Duplicates;
     return Out;
   }
-  if (How == OriginOutcome::Corrupt) {
+  if (Outcome == OriginOutcome::Corrupt) {
     // Other chunks may be intact, so only this one backs off.
     ++m_Counters.m_Corrupt;
     backOffChunk(Chunk, Now);
--- a/src/kernel/swarm.cc
+++ b/src/kernel/swarm.cc
@@ -128,16 +128,16 @@
   return Out;
 }
 
-void Swarm::markHas(Peer &Of, std::uint32_t Chunk, TimePoint Now) {
+void Swarm::markHas(Peer &Holder, std::uint32_t Chunk, TimePoint Now) {
   markSeen(Chunk, Now);
-  if (!Of.m_Has.insert(Chunk))
+  if (!Holder.m_Has.insert(Chunk))
     return;
   ++m_Copies[Chunk];
-  auto &Copies = m_CopiesIn[Of.m_DataCentre];
+  auto &Copies = m_CopiesIn[Holder.m_DataCentre];
   Copies.resize(m_Here.size());
   ++Copies[Chunk];
   if (m_Here.contains(Chunk))
-    --Of.m_Useful;
+    --Holder.m_Useful;
 }
 
 void Swarm::markSeen(std::uint32_t Chunk, TimePoint Now) {
--- a/src/kernel/weights-plan.cc
+++ b/src/kernel/weights-plan.cc
@@ -75,9 +75,9 @@
                                 Position * static_cast<double>(Left.count())));
 }
 
-bool isWorthFinishing(const CopyProgress &Of) {
-  return Of.m_Held >= WorthFinishingShare * Of.m_All &&
-         Of.m_SinceLastChunk < CopyStallTimeout;
+bool isWorthFinishing(const CopyProgress &Progress) {
+  return Progress.m_Held >= WorthFinishingShare * Progress.m_All &&
+         Progress.m_SinceLastChunk < CopyStallTimeout;
 }
 
 WeightsStep nextWeightsStep(const WeightsState &State, TimePoint Now) {
--- a/support/fuzz/link-times-target.cc
+++ b/support/fuzz/link-times-target.cc
@@ -1,6 +1,7 @@
 // Times in messages between entries and agents: arithmetic on them has no
 // undefined behaviour for any value.
 #include "deckpitch/link-delay.h"
+#include "deckpitch/rate-limit.h"
 #include "deckpitch/shared-reading.h"
 #include "deckpitch/slot-ledger.h"
 #include "direct/slot-client.h"
@@ -54,17 +55,36 @@
           "exactly the granted slots are counted as held");
 }
 
+void checkRateLimit(CountedRateLimit &Limit, const wire::RateLimitState &State,
+                    TimePoint Now) {
+  const auto Received = direct::read(State, Now);
+  if (!Received)
+    return;
+  require(Received->m_Newest.m_Sent <= Received->m_Newest.m_Answered &&
+              Received->m_Newest.m_Answered <= Now,
+          "an answer arrived after its request was sent, and in the past");
+  Limit.note(*Received, Now);
+  const double PerSecond = Limit.perSecond().value_or(0);
+  require(std::isfinite(PerSecond) && PerSecond >= 0,
+          "a rate limit is a number of requests");
+  require(Limit.timeUntilNext(Now) <= std::chrono::seconds(4),
+          "a request is granted now and then at any limit");
+}
+
 } // namespace
 
 void fuzzLinkTimes(Bytes Input) {
   LinkDelay Delay;
   SlotLedger Ledger;
+  CountedRateLimit Limit(Begin);
   TimePoint Now = Begin;
   for (const wire::LinkMessage &Message : messagesIn(Input)) {
     checkAge(Delay, Message, Now);
     if (Message.has_state())
       Ledger.reported(Message.state().running(), Now);
     checkSlotQuery(Ledger, Message.place_query(), Now);
+    checkRateLimit(Limit, Message.place_query().rate_limit(), Now);
+    checkRateLimit(Limit, Message.state().rate_limit(), Now);
     Now += Step;
   }
 }
