Serve requests only in the regions that their route and organisation allow

Change: AllowedRegions and RegionMap in the kernel. Settings name the region of each data centre; the adapter reads the restrictions and, where they cannot be read, permits no region (logged, RegionsUnreadable). The call's query carries what route and organisation both allow, so the first choice, repeats and moves of streams are bound alike; without an instance there the request is refused at once. The directory names entries in the caller's region or in an allowed one.

--- a/include/deckpitch/direct-settings.h
+++ b/include/deckpitch/direct-settings.h
@@ -4,6 +4,7 @@
 #include "deckpitch/error.h"
 #include "deckpitch/id.h"
 #include "deckpitch/membership.h"
+#include "deckpitch/regions.h"
 #include "deckpitch/retry-window.h"
 
 #include <chrono>
@@ -54,6 +55,7 @@
   std::string m_Upstream; ///< agents only: "scheme://ip:port" of the instance
   std::string m_Service;  ///< agents only: the instance's service
   double m_LinkMbps = 0;  ///< of this instance, each way; 0: unlimited
+  RegionMap m_Regions;    ///< of all data centres; entries only
   DirectBounds m_Bounds;
 
   friend bool operator==(const DirectSettings &,
--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/id.h"
+#include "deckpitch/regions.h"
 #include "deckpitch/time.h"
 
 #include <chrono>
@@ -39,6 +40,7 @@
   std::uint32_t m_Attempts = 1; ///< maximum instances tried per request
   bool m_IsOpen = false;        ///< accepts requests without an API key
   bool m_IsResumable = false;   ///< streams may continue on another instance
+  AllowedRegions m_Regions;     ///< where its requests may be served
   std::vector<WeightedService> m_Services;
 
   friend bool operator==(const ServiceRoute &, const ServiceRoute &) = default;
@@ -78,6 +80,7 @@
   OrganisationId m_Organisation;
   std::optional<std::uint32_t> m_Priority; ///< overrides the route's
   std::vector<std::string> m_Keys;
+  AllowedRegions m_Regions; ///< restricts its requests as a route's does
 
   friend bool operator==(const OrganisationKeys &,
                          const OrganisationKeys &) = default;
@@ -101,6 +104,9 @@
   /// Empty: no API key is required.
   std::vector<OrganisationKeys> m_Organisations;
   CallerLimits m_Limits;
+  /// Values that could not be read and were replaced by the most restrictive
+  /// reading, for the log.
+  std::vector<std::string> m_Problems;
 
   friend bool operator==(const FleetDeclaration &,
                          const FleetDeclaration &) = default;
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -7,6 +7,7 @@
 #include "deckpitch/fleet.h"
 #include "deckpitch/planned-share.h"
 #include "deckpitch/rate-limit.h"
+#include "deckpitch/regions.h"
 #include "deckpitch/time.h"
 #include "deckpitch/upstream-choice.h"
 
@@ -64,11 +65,13 @@
   /// The request may run once only: instances that limit their requests, which
   /// are in difficulties, are its last choice.
   bool m_AvoidsLimited = false;
+  AllowedRegions m_Regions; ///< of the instance
 };
 
 enum class ChoiceOutcome {
   Chosen,
   NoInstance,  ///< no instance is listed, or all were tried
+  NotAllowed,  ///< there are instances, but none in an allowed region
   NoWeights,   ///< no instance serves the declared weights yet
   Full,        ///< no instance could start the request in time
   BackingOff,  ///< all that could take it have asked for a back-off
@@ -128,6 +131,9 @@
 public:
   explicit InstanceTable(DataCentreId Own) : m_Own(std::move(Own)) {}
 
+  /// Sets the region of each data centre; without it, restricted requests can
+  /// be served nowhere.
+  void setRegions(RegionMap Regions);
   void setServices(const std::vector<ServiceDeclaration> &Services);
   void setInstances(const std::vector<FleetInstance> &Listed, TimePoint Now);
   void setWeights(const std::vector<DeclaredWeights> &Declared, TimePoint Now);
@@ -231,6 +237,7 @@
 private:
   struct Instance {
     FleetInstance m_Listed;
+    RegionId m_Region;
     bool m_IsListed = true; ///< false: kept only until its requests end
     TimePoint m_ListedAt{}; ///< when it was first listed here
     /// Known to be alive, from its agent or its own answer.
@@ -271,6 +278,7 @@
     std::optional<TimePoint> m_FirstGrant;
     std::optional<TimePoint> m_FirstBackOffEnd;
     bool m_LacksWeights = false;
+    bool m_HasElsewhere = false; ///< some are in a region that is not allowed
   };
 
   bool isUsable(const InstanceId &Id, const Instance &Each,
@@ -299,6 +307,7 @@
   static bool awaitsGrant(const Instance &Each, TimePoint Now);
 
   DataCentreId m_Own;
+  RegionMap m_Regions;
   std::size_t m_Entries = 1;
   Duration m_VersionBound = std::chrono::seconds(8);
   std::map<InstanceId, Instance> m_Instances;
--- a/include/deckpitch/json-reader.h
+++ b/include/deckpitch/json-reader.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,8 @@
   /// A number of milliseconds.
   void optional(std::string_view Key, std::chrono::milliseconds &Out,
                 std::chrono::milliseconds Min, std::chrono::milliseconds Max);
+  /// An object whose values are all strings.
+  void optional(std::string_view Key, std::map<std::string, std::string> &Out);
   /// Reads one of the given words and stores its index.
   void choice(std::string_view Key, std::size_t &Out,
               const std::vector<std::string_view> &Words,
--- a/include/deckpitch/route-index.h
+++ b/include/deckpitch/route-index.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "deckpitch/fleet.h"
+#include "deckpitch/regions.h"
 
 #include <cstddef>
 #include <string>
@@ -25,6 +26,9 @@
   /// Returns the organisation that the key belongs to, or null.
   const OrganisationKeys *organisationOf(std::string_view Key) const;
   const ServiceDeclaration *service(const ServiceId &Id) const;
+  /// Returns the regions in which requests of all the host's routes may be
+  /// served.
+  AllowedRegions regionsOf(std::string_view Host) const;
 
   const FleetDeclaration &declaration() const { return m_Declaration; }
   /// Whether callers need a key.
@@ -38,6 +42,8 @@
   std::unordered_map<std::string, std::size_t> m_Routes;
   std::unordered_map<std::string, std::size_t> m_Keys;
   std::unordered_map<std::string, std::size_t> m_Services;
+  /// By host, for those with routes that are restricted to regions.
+  std::unordered_map<std::string, AllowedRegions> m_HostRegions;
 };
 
 /// Chooses the service for a request in proportion to the weights. Draw is a
--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -71,6 +71,8 @@
 };
 
 struct DirectoryQuery {
+  std::string m_Host;        ///< that the caller wants to reach
+  RegionId m_Region;         ///< the caller's; may be unknown
   DataCentreId m_DataCentre; ///< the caller's; may be unknown
 
   friend bool operator==(const DirectoryQuery &,
--- a/src/direct/entry-directory.cc
+++ b/src/direct/entry-directory.cc
@@ -32,6 +32,30 @@
   co_await Answer.send(net::jsonResponse(Status, "{}"));
 }
 
+/// Callers of routes that are restricted to regions are sent to entries in
+/// their own region, or in one that all these routes allow; to others only if
+/// there are none.
+std::vector<std::string>
+EntryDirectory::addressesFor(const DirectoryQuery &Query) const {
+  const bool IsReady = m_IsReady();
+  const AllowedRegions Allowed = m_Routes->regionsOf(Query.m_Host);
+  if (Allowed.isRestricted()) {
+    const RegionId Own = Query.m_Region.empty()
+                             ? m_Regions.regionOf(Query.m_DataCentre)
+                             : Query.m_Region;
+    for (const AllowedRegions &Each : {AllowedRegions({Own}), Allowed}) {
+      std::vector<std::string> Found = m_Peers.addressesWhere(
+          [&](const DataCentreId &In) {
+            return Each.permits(m_Regions.regionOf(In));
+          },
+          IsReady, now());
+      if (!Found.empty())
+        return Found;
+    }
+  }
+  return m_Peers.addressesFor(Query.m_DataCentre, IsReady, now());
+}
+
 asio::awaitable<void>
 EntryDirectory::answerAddresses(net::HttpRequest Request,
                                 net::HttpResponder &Answer) const {
@@ -39,8 +63,7 @@
   if (!Query)
     co_return (void) co_await Answer.send(
         net::jsonResponse(StatusNotFound, R"({"error":"no such path"})"));
-  const std::vector<std::string> Addresses =
-      m_Peers.addressesFor(Query->m_DataCentre, m_IsReady(), now());
+  const std::vector<std::string> Addresses = addressesFor(*Query);
   net::HttpResponse Response =
       Addresses.empty()
           ? m_Adapter.ownAnswer(StatusUnavailable, "no entry is ready", "",
--- a/src/direct/entry-directory.h
+++ b/src/direct/entry-directory.h
@@ -2,13 +2,18 @@
 // addresses of entries.
 #pragma once
 
+#include "deckpitch/regions.h"
+#include "deckpitch/route-index.h"
 #include "direct/adapter.h"
 #include "direct/entry-peers.h"
 #include "net/http.h"
 
 #include <chrono>
 #include <functional>
+#include <memory>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace deckpitch::direct {
 
@@ -19,6 +24,11 @@
                  std::function<bool()> IsReady)
       : m_Adapter(Adapter), m_Peers(Peers), m_IsReady(std::move(IsReady)) {}
 
+  /// Sets the regions of the data centres, for routes that are restricted.
+  void setRegions(RegionMap Regions) { m_Regions = std::move(Regions); }
+  void setRoutes(std::shared_ptr<const RouteIndex> Routes) {
+    m_Routes = std::move(Routes);
+  }
   /// Sets how long callers may cache the addresses.
   void setLifetime(std::chrono::milliseconds Lifetime) {
     m_Lifetime = Lifetime;
@@ -29,9 +39,14 @@
                                         net::HttpResponder &Answer) const;
 
 private:
+  std::vector<std::string> addressesFor(const DirectoryQuery &Query) const;
+
   const FleetAdapter &m_Adapter;
   const EntryPeers &m_Peers;
   std::function<bool()> m_IsReady;
+  RegionMap m_Regions;
+  std::shared_ptr<const RouteIndex> m_Routes =
+      std::make_shared<const RouteIndex>();
   std::chrono::milliseconds m_Lifetime{2'000};
 };
 
--- a/src/direct/entry-peers.cc
+++ b/src/direct/entry-peers.cc
@@ -163,6 +163,19 @@
   return Local.size() >= SufficientLocalEntries ? Local : All;
 }
 
+std::vector<std::string> EntryPeers::addressesWhere(
+    const std::function<bool(const DataCentreId &)> &Holds, bool IncludeOwn,
+    TimePoint Now) const {
+  std::vector<std::string> Out;
+  if (IncludeOwn && Holds(m_Own.m_DataCentre))
+    Out.push_back(m_Own.m_Callers);
+  for (const auto &[Id, Each] : m_Peers)
+    if (isLive(Each, Now) && Each.m_TakesCallers &&
+        Holds(Each.m_Address.m_DataCentre))
+      Out.push_back(Each.m_Address.m_Callers);
+  return Out;
+}
+
 const EntryAddress &EntryPeers::responsibleFor(const std::string &Duty,
                                                bool IncludeOwn,
                                                TimePoint Now) const {
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -8,6 +8,7 @@
 #include "direct/state-link.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -71,6 +72,10 @@
   /// enough of them, else all.
   std::vector<std::string> addressesFor(const DataCentreId &Caller,
                                         bool IncludeOwn, TimePoint Now) const;
+  /// Addresses of the entries in data centres for which the condition holds.
+  std::vector<std::string>
+  addressesWhere(const std::function<bool(const DataCentreId &)> &Holds,
+                 bool IncludeOwn, TimePoint Now) const;
   /// The entry that all entries which know the same live ones choose for the
   /// duty; this one if there is no other.
   const EntryAddress &responsibleFor(const std::string &Duty, bool IncludeOwn,
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -59,6 +59,8 @@
     return "chosen";
   case ChoiceOutcome::NoInstance:
     return "no instance";
+  case ChoiceOutcome::NotAllowed:
+    return "no instance in an allowed region";
   case ChoiceOutcome::NoWeights:
     return "no weights";
   case ChoiceOutcome::Full:
@@ -93,10 +95,6 @@
                                     Retries.m_Window},
       m_Start(now()), m_Ask(std::move(Ask)) {}
 
-void EntryRequests::setDeclaration(const FleetDeclaration &Declaration) {
-  m_Routes = std::make_shared<const RouteIndex>(Declaration);
-}
-
 void EntryRequests::setEntries(std::size_t Count, TimePoint Now) {
   m_Entries = Count;
   for (auto &[Service, Each] : m_RetryWindows)
@@ -199,6 +197,10 @@
   C.m_Query.m_Service = *Service;
   C.m_Query.m_Model = C.m_Terms.m_Model;
   C.m_Query.m_Objective = C.m_Route->m_Objective;
+  C.m_Query.m_Regions =
+      C.m_Organisation
+          ? intersectionOf(C.m_Route->m_Regions, C.m_Organisation->m_Regions)
+          : C.m_Route->m_Regions;
   C.m_Query.m_AskedBeyond = AskedBeyond;
   C.m_Query.m_AvoidsLimited = !C.isRepeatable();
   C.m_Query.m_Size = {C.m_Terms.m_PromptTokens, C.m_Terms.m_LikelyTokens};
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -43,7 +43,9 @@
                 HarmfulRequestTracker &Harmful, RetryShare Retries,
                 AskSlot Ask);
 
-  void setDeclaration(const FleetDeclaration &Declaration);
+  void setDeclaration(std::shared_ptr<const RouteIndex> Routes) {
+    m_Routes = std::move(Routes);
+  }
   /// Sets the number of all entries, reachable or not; 0 if unknown.
   void setEntries(std::size_t Count, TimePoint Now);
   /// Sets the functions that return the freshness of the cached declaration and
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -17,7 +17,11 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+#include <memory>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace deckpitch::direct {
 
@@ -41,6 +45,30 @@
                                       1'000,
                                       true};
 
+/// Most lines that one declaration may log about its regions.
+constexpr std::size_t MaxRegionProblems = 20;
+
+/// Logs restrictions to regions that could not be read or that name an unknown
+/// region. Nothing is served in one.
+void logRegionProblems(const FleetDeclaration &Declaration,
+                       const RegionMap &Known) {
+  std::vector<std::string> Found = Declaration.m_Problems;
+  const auto Check = [&](const AllowedRegions &Regions, std::string Owner) {
+    for (const RegionId &Each : Regions.named())
+      if (!Known.contains(Each))
+        Found.push_back(Owner + ": unknown region " + Each.m_Text);
+  };
+  for (const ServiceRoute &Each : Declaration.m_Routes)
+    Check(Each.m_Regions, "route " + Each.m_Name);
+  for (const OrganisationKeys &Each : Declaration.m_Organisations)
+    Check(Each.m_Regions, "organisation " + Each.m_Organisation.m_Text);
+  for (std::size_t I = 0; I < std::min(Found.size(), MaxRegionProblems); ++I)
+    net::log(Event::RegionsUnreadable,
+             {{"declaration", Declaration.m_Version},
+              {"problem", Found[I]},
+              {"problems", std::uint64_t{Found.size()}}});
+}
+
 class Entry final : public DirectRole {
 public:
   explicit Entry(DirectContext &Context);
@@ -128,6 +156,8 @@
           SmallLimits) {
   m_Requests.setFreshness([this] { return m_Follower.declarationFreshness(); },
                           [this] { return m_Follower.instancesFreshness(); });
+  m_Instances.setRegions(Context.m_Settings.m_Regions);
+  m_Directory.setRegions(Context.m_Settings.m_Regions);
   m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
   m_Directory.setLifetime(Context.m_Settings.m_Bounds.m_AddressLifetime);
 }
@@ -150,8 +180,11 @@
 FleetFollower::Callbacks Entry::followerCalls() {
   FleetFollower::Callbacks Calls;
   Calls.m_OnDeclaration = [this](const FleetDeclaration &Declaration) {
+    const auto Routes = std::make_shared<const RouteIndex>(Declaration);
     m_Instances.setServices(Declaration.m_Services);
-    m_Requests.setDeclaration(Declaration);
+    m_Requests.setDeclaration(Routes);
+    m_Directory.setRoutes(Routes);
+    logRegionProblems(Declaration, m_Context.m_Settings.m_Regions);
     m_CallerServer.setLimits(callerLimits(Declaration.m_Limits));
     m_Link.setSources(sourcesOf(Declaration));
     noteReadiness();
--- a/src/kernel/direct-settings.cc
+++ b/src/kernel/direct-settings.cc
@@ -4,6 +4,10 @@
 
 #include <boost/json.hpp>
 
+#include <map>
+#include <string>
+#include <utility>
+
 namespace deckpitch {
 
 namespace {
@@ -28,6 +32,15 @@
   Reader.optional("bulkPort", Out.m_AgentBulkPort, 1, MaxPort);
 }
 
+RegionMap readRegions(JsonObjectReader &Reader) {
+  std::map<std::string, std::string> Read;
+  Reader.optional("regions", Read);
+  std::map<DataCentreId, RegionId> Out;
+  for (auto &[DataCentre, Region] : Read)
+    Out.emplace(DataCentreId{DataCentre}, RegionId{std::move(Region)});
+  return RegionMap(std::move(Out));
+}
+
 void readBounds(JsonObjectReader &Reader, DirectBounds &Out) {
   Reader.optional("drainMs", Out.m_Drain, milliseconds(1), Hour);
   Reader.optional("applyMs", Out.m_Apply, milliseconds(1), Hour);
@@ -81,6 +94,7 @@
   Reader.optional("upstream", Out.m_Upstream);
   Reader.optional("service", Out.m_Service);
   Reader.optional("linkMbps", Out.m_LinkMbps, 0.0, 1e6);
+  Out.m_Regions = readRegions(Reader);
   Reader.object("bounds", [&](JsonObjectReader &Inner) {
     readBounds(Inner, Out.m_Bounds);
   });
--- a/src/kernel/instance-choice.cc
+++ b/src/kernel/instance-choice.cc
@@ -113,6 +113,10 @@
     const Instance &Each = It->second;
     if (!isUsable(It->first, Each, Query))
       continue;
+    if (!Query.m_Regions.permits(Each.m_Region)) {
+      Out.m_HasElsewhere = true;
+      continue;
+    }
     const bool Serves = Query.m_Model.empty() ||
                         (Each.m_TakesRequests && serves(Each, Query, Now));
     Out.m_LacksWeights = Out.m_LacksWeights || !Serves;
@@ -185,8 +189,9 @@
     Out.m_RetryAfter = *All.m_FirstBackOffEnd - Now;
     return Out;
   }
-  Out.m_Outcome =
-      All.m_LacksWeights ? ChoiceOutcome::NoWeights : ChoiceOutcome::NoInstance;
+  Out.m_Outcome = All.m_LacksWeights   ? ChoiceOutcome::NoWeights
+                  : All.m_HasElsewhere ? ChoiceOutcome::NotAllowed
+                                       : ChoiceOutcome::NoInstance;
   Out.m_RetryAfter = RetryAfterNothing;
   return Out;
 }
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -31,6 +31,12 @@
   return Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
 }
 
+void InstanceTable::setRegions(RegionMap Regions) {
+  m_Regions = std::move(Regions);
+  for (auto &[Id, Each] : m_Instances)
+    Each.m_Region = m_Regions.regionOf(Each.m_Listed.m_DataCentre);
+}
+
 void InstanceTable::setServices(
     const std::vector<ServiceDeclaration> &Services) {
   m_Services.clear();
@@ -53,6 +59,7 @@
     if (!isFresh(Known, Now) && !Known.m_HasOtherIncarnation)
       Known.m_Weights = Each.m_Weights;
     Known.m_Listed = Each;
+    Known.m_Region = m_Regions.regionOf(Each.m_DataCentre);
     Known.m_IsListed = true;
     m_ByAddress[Each.m_Address] = Each.m_Id;
   }
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -162,6 +162,22 @@
   Out = std::chrono::milliseconds(Count);
 }
 
+void JsonObjectReader::optional(std::string_view Key,
+                                std::map<std::string, std::string> &Out) {
+  const boost::json::value *Value = takeValue(Key);
+  if (!Value)
+    return;
+  std::map<std::string, std::string> Read;
+  if (!Value->is_object())
+    return problem(Key, "an object of strings");
+  for (const auto &Each : Value->get_object()) {
+    if (!Each.value().is_string())
+      return problem(Key, "an object of strings");
+    Read.emplace(Each.key(), Each.value().get_string());
+  }
+  Out = std::move(Read);
+}
+
 void JsonObjectReader::choice(std::string_view Key, std::size_t &Out,
                               const std::vector<std::string_view> &Words,
                               bool IsRequired) {
--- a/src/kernel/route-index.cc
+++ b/src/kernel/route-index.cc
@@ -28,7 +28,12 @@
     : m_Declaration(std::move(Declaration)) {
   for (std::size_t I = 0; I < m_Declaration.m_Routes.size(); ++I) {
     const ServiceRoute &Route = m_Declaration.m_Routes[I];
-    m_Routes.emplace(hostOf(Route.m_Host) + Separator + Route.m_PathPrefix, I);
+    const std::string Host = hostOf(Route.m_Host);
+    m_Routes.emplace(Host + Separator + Route.m_PathPrefix, I);
+    if (!Route.m_Regions.isRestricted())
+      continue;
+    AllowedRegions &OfHost = m_HostRegions[Host];
+    OfHost = intersectionOf(OfHost, Route.m_Regions);
   }
   for (std::size_t I = 0; I < m_Declaration.m_Services.size(); ++I)
     m_Services.emplace(m_Declaration.m_Services[I].m_Id.m_Text, I);
@@ -68,6 +73,11 @@
                                    : &m_Declaration.m_Services[Found->second];
 }
 
+AllowedRegions RouteIndex::regionsOf(std::string_view Host) const {
+  const auto Found = m_HostRegions.find(hostOf(Host));
+  return Found == m_HostRegions.end() ? AllowedRegions{} : Found->second;
+}
+
 const ServiceId *chooseService(const ServiceRoute &Route, std::uint64_t Draw) {
   std::uint64_t Sum = 0;
   for (const WeightedService &Each : Route.m_Services)
--- a/test/direct-settings-test.cc
+++ b/test/direct-settings-test.cc
@@ -35,6 +35,17 @@
   EXPECT_EQ(Parsed->m_Bounds.m_Version, 8'000ms);
 }
 
+TEST(DirectSettings, ReadsTheRegionsOfDataCentres) {
+  std::string Text = EntryText;
+  Text.replace(Text.rfind('}'), 1, R"("regions": {"a": "north"}})");
+  const auto Parsed = outcomeOf([&] { return parseDirectSettings(Text); });
+  ASSERT_TRUE(Parsed) << Parsed.error().m_Message;
+  EXPECT_EQ(Parsed->m_Regions.regionOf({"a"}), RegionId{"north"});
+  EXPECT_TRUE(Parsed->m_Regions.regionOf({"b"}).empty());
+  Text.replace(Text.find("\"north\""), 7, "7");
+  EXPECT_NE(faultsOf(Text).find("regions"), std::string::npos);
+}
+
 TEST(DirectSettings, RejectsSettingsOfOtherModes) {
   EXPECT_FALSE(areDirectSettings(R"({"role": "entry"})"));
   EXPECT_FALSE(areDirectSettings("not json"));
@@ -59,6 +70,7 @@
   const auto Fill = [&Out](const std::string &Pattern, const char *Value) {
     Out = std::regex_replace(Out, std::regex(Pattern), Value);
   };
+  Fill(R"(\{\{zones\|json\}\})", R"({"a": "north"})");
   Fill(R"(\{\{[^}]*\|json\}\})", "\"127.0.0.1:1\"");
   Fill(R"(\{\{[^}]*retryRatio\}\})", "0.2");
   Fill(R"(\{\{[^}]*linkMbps\}\})", "9.4");
--- a/test/route-index-test.cc
+++ b/test/route-index-test.cc
@@ -53,6 +53,17 @@
   EXPECT_EQ(nameOf(Table, "a.example\n/x/", ""), "none");
 }
 
+TEST(RouteIndex, RegionsOfHostSuitAllItsRoutes) {
+  ServiceRoute One = route("one", "a.example", "/1/");
+  ServiceRoute Two = route("two", "A.example", "/2/");
+  One.m_Regions = AllowedRegions({{"north"}, {"south"}});
+  Two.m_Regions = AllowedRegions({{"south"}, {"west"}});
+  const RouteIndex Table = tableOf(
+      {One, Two, route("any", "a.example", "/"), route("x", "b.example", "/")});
+  EXPECT_EQ(Table.regionsOf("a.example:80"), AllowedRegions({{"south"}}));
+  EXPECT_EQ(Table.regionsOf("b.example"), AllowedRegions());
+}
+
 TEST(RouteIndex, IgnoresCaseAndPortOfHost) {
   const RouteIndex Table = tableOf({route("x", "a.example", "/x/")});
   EXPECT_EQ(nameOf(Table, "A.Example:8080", "/x/1"), "x");
