Pass over instances whose address another one has registered at since

Cause: the platform lists an instance that crashed for up to three of its heartbeats more, beside the one that has started at its address.

Change: the store's number of an object's creation travels with the list; of several instances at one address only the last registered one gets requests and reports, and requests at the others move as for a restarted one. Lists without numbers are used as before.

--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -144,6 +144,8 @@
   /// Start time in Unix milliseconds by the instance's clock; 0: unknown. Only
   /// compared for equality, since that clock may be off.
   std::uint64_t m_Start = 0;
+  /// Later registrations have larger numbers; 0: unknown.
+  std::uint64_t m_Registration = 0;
   ServiceId m_Service;
   std::string m_Address;
   DataCentreId m_DataCentre;
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -239,6 +239,8 @@
     FleetInstance m_Listed;
     RegionId m_Region;
     bool m_IsListed = true; ///< false: kept only until its requests end
+    /// Another instance has registered at its address since.
+    bool m_IsSuperseded = false;
     TimePoint m_ListedAt{}; ///< when it was first listed here
     /// Known to be alive, from its agent or its own answer.
     bool m_IsConfirmed = false;
@@ -269,6 +271,8 @@
     TimePoint m_AskAgain{};
   };
 
+  void markSuperseded();
+
   using InstanceIterator = std::map<InstanceId, Instance>::iterator;
   /// The instances that could take a request.
   struct Candidates {
--- a/src/direct/fleet-instances.cc
+++ b/src/direct/fleet-instances.cc
@@ -144,12 +144,14 @@
   InstanceList Out;
   std::map<std::string, std::string> Unreadable;
   for (const net::PlatformObject &Each : List.m_Items) {
-    const auto Parsed = outcomeOf(
+    auto Parsed = outcomeOf(
         [&] { return m_Adapter.parseInstance(Each.m_Name, Each.m_Json); });
-    if (Parsed)
-      Out.emplace(Parsed->m_Id, *Parsed);
-    else
+    if (!Parsed) {
       Unreadable.emplace(Each.m_Name, Parsed.error().m_Message);
+      continue;
+    }
+    Parsed->m_Registration = Each.m_Created;
+    Out.emplace(Parsed->m_Id, std::move(*Parsed));
   }
   logUnreadable(std::move(Unreadable));
   return Out;
--- a/src/direct/store-updates.cc
+++ b/src/direct/store-updates.cc
@@ -46,6 +46,7 @@
 void write(const FleetInstance &From, wire::ListedInstanceState &To) {
   To.set_id(From.m_Id.m_Text);
   To.set_start_ms(From.m_Start);
+  To.set_registration(From.m_Registration);
   To.set_service(From.m_Service.m_Text);
   To.set_address(From.m_Address);
   To.set_data_centre(From.m_DataCentre.m_Text);
@@ -59,6 +60,7 @@
   FleetInstance Out;
   Out.m_Id.m_Text = From.id();
   Out.m_Start = From.start_ms();
+  Out.m_Registration = From.registration();
   Out.m_Service.m_Text = From.service();
   Out.m_Address = From.address();
   Out.m_DataCentre.m_Text = From.data_centre();
--- a/src/kernel/instance-choice.cc
+++ b/src/kernel/instance-choice.cc
@@ -59,8 +59,8 @@
                              const ChoiceQuery &Query) const {
   const bool IsLeaving =
       Each.m_Listed.m_IsLeaving || Each.m_HasAnnouncedLeaving;
-  return Each.m_IsListed && !Each.m_IsReplaced && !IsLeaving &&
-         Each.m_Listed.m_Service == Query.m_Service &&
+  return Each.m_IsListed && !Each.m_IsSuperseded && !Each.m_IsReplaced &&
+         !IsLeaving && Each.m_Listed.m_Service == Query.m_Service &&
          !Query.m_Tried.contains(Id) && !Query.m_Full.contains(Id);
 }
 
--- a/src/kernel/instance-list.cc
+++ b/src/kernel/instance-list.cc
@@ -30,6 +30,7 @@
 void add(std::string &Text, const FleetInstance &Each) {
   add(Text, Each.m_Id.m_Text);
   add(Text, Each.m_Start);
+  add(Text, Each.m_Registration);
   add(Text, Each.m_Service.m_Text);
   add(Text, Each.m_Address);
   add(Text, Each.m_DataCentre.m_Text);
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -61,13 +61,36 @@
     Known.m_Listed = Each;
     Known.m_Region = m_Regions.regionOf(Each.m_DataCentre);
     Known.m_IsListed = true;
-    m_ByAddress[Each.m_Address] = Each.m_Id;
   }
+  markSuperseded();
   std::erase_if(m_Instances, [](const auto &Each) {
     return !Each.second.m_IsListed && Each.second.m_Own == 0;
   });
 }
 
+/// The platform lists an instance that crashed for some seconds more, beside
+/// the one that has started at its address: after a loss of power, half of the
+/// listed ones were gone, and reports were taken for theirs.
+void InstanceTable::markSuperseded() {
+  for (auto &[Id, Each] : m_Instances) {
+    if (!Each.m_IsListed)
+      continue;
+    const auto [At, IsFirst] =
+        m_ByAddress.try_emplace(Each.m_Listed.m_Address, Id);
+    Each.m_IsSuperseded = false;
+    if (IsFirst)
+      continue;
+    Instance &Other = m_Instances.at(At->second);
+    const bool IsLater =
+        Each.m_Listed.m_Registration >= Other.m_Listed.m_Registration;
+    const bool IsKnown =
+        Each.m_Listed.m_Registration != Other.m_Listed.m_Registration;
+    (IsLater ? Other : Each).m_IsSuperseded = IsKnown;
+    if (IsLater)
+      At->second = Id;
+  }
+}
+
 void InstanceTable::setWeights(const std::vector<DeclaredWeights> &Declared,
                                TimePoint Now) {
   for (const DeclaredWeights &Each : Declared)
@@ -430,7 +453,8 @@
   for (const auto &[Id, Each] : m_Instances) {
     const auto Now = m_ByAddress.find(Each.m_Listed.m_Address);
     const bool HasOther = Now != m_ByAddress.end() && Now->second != Id;
-    if (Each.m_Own > 0 && !Each.m_IsListed && HasOther)
+    const bool IsGone = !Each.m_IsListed || Each.m_IsSuperseded;
+    if (Each.m_Own > 0 && IsGone && HasOther)
       Out.push_back(Id);
   }
   return Out;
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -19,6 +19,8 @@
   std::string m_Name;
   Revision m_Revision;
   std::string m_Json; ///< the value; at most 1 MiB
+  /// Grows from each object that was created to the next; 0: unknown.
+  std::uint64_t m_Created = 0;
 
   friend bool operator==(const PlatformObject &,
                          const PlatformObject &) = default;
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -98,6 +98,38 @@
   EXPECT_FALSE(m_Table.lost({"i"}, Start + 2s, Start + 2'001ms));
 }
 
+/// After a loss of power, half of the listed instances were gone: requests were
+/// sent to them, and reports of the new ones at their addresses were taken for
+/// theirs.
+TEST_F(InstanceTableTest, LaterRegistrationSupersedesOthersAtItsAddress) {
+  for (const bool IsFirstInList : {true, false}) {
+    FleetInstance Gone = listed(IsFirstInList ? "b" : "c");
+    FleetInstance Live = listed(IsFirstInList ? "a" : "d");
+    Gone.m_Address = Live.m_Address;
+    Gone.m_Registration = 7;
+    Live.m_Registration = 9;
+    Live.m_Weights.clear();
+    list({Gone, Live});
+    EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
+    EXPECT_TRUE(
+        m_Table.report(Live.m_Address, {.m_Weights = {{"m", 1, true}}}, Start));
+    for (int I = 0; I < 10; ++I)
+      EXPECT_EQ(chosen(), Live.m_Id.m_Text);
+    EXPECT_FALSE(m_Table.hasFreshReport(Gone.m_Id, Start));
+  }
+}
+
+/// A list without registration numbers does not show which one is gone.
+TEST_F(InstanceTableTest, UnknownRegistrationsSupersedeNothing) {
+  FleetInstance Other = listed("j");
+  Other.m_Address = listed("i").m_Address;
+  list({listed("i"), Other});
+  m_Query.m_Tried = {{"j"}};
+  EXPECT_EQ(chosen(), "i");
+  m_Query.m_Tried = {{"i"}};
+  EXPECT_EQ(chosen(), "j");
+}
+
 TEST_F(InstanceTableTest, AvoidedInstanceIsLastChoice) {
   list({listed("i"), listed("j")});
   m_Query.m_Avoided = {{"i"}};
