Count a version's bound from its declaration also after a restart

Cause: an entry takes a version that it finds at its start for a new one. Ruled out: the wait at the instance.

Change: an entry that reads the store before and after a declaration notes its time in its own record, where entries that start read it with the list of records that they read anyway. DeclaredHistory takes versions that become known out of order. Weighed: a status beside the operator's object (may conflict with the operator's conditional writes), an object of its own for each version (one more list at each start). A clock that was set back makes a version look newer by as much, as before.

--- a/src/direct/entry-record.cc
+++ b/src/direct/entry-record.cc
@@ -81,6 +81,24 @@
   return Out;
 }
 
+json::object write(const StoredDeclaration &Stored) {
+  return {{"model", Stored.m_Declared.m_Model},
+          {"version", Stored.m_Declared.m_Version},
+          {"sinceMs", Stored.m_SinceMs}};
+}
+
+StoredDeclaration readDeclared(const json::value &Value,
+                               const std::string &Path, Problems &Found) {
+  StoredDeclaration Out;
+  JsonObjectReader Reader(Value, Path, Found, UnknownKeys::Ignore);
+  Reader.required("model", Out.m_Declared.m_Model);
+  Reader.optional("version", Out.m_Declared.m_Version, 1, UINT64_MAX);
+  Reader.optional("sinceMs", Out.m_SinceMs, 1, LatestUnixMs);
+  if (Out.m_Declared.m_Version == 0 || Out.m_SinceMs == 0)
+    Reader.problem("version", "a version and the time of its declaration");
+  return Out;
+}
+
 } // namespace
 
 std::string formatEntry(const EntryRecord &Value) {
@@ -93,6 +111,11 @@
     Refused.emplace_back(write(Each));
   if (!Refused.empty())
     Out["refused"] = std::move(Refused);
+  json::array Declared;
+  for (const StoredDeclaration &Each : Value.m_Declared)
+    Declared.emplace_back(write(Each));
+  if (!Declared.empty())
+    Out["declared"] = std::move(Declared);
   return json::serialize(Out);
 }
 
@@ -110,6 +133,10 @@
                [&](const json::value &Each, const std::string &Path) {
                  Out.m_Refused.push_back(readRefused(Each, Path, Found));
                });
+  Reader.array("declared",
+               [&](const json::value &Each, const std::string &Path) {
+                 Out.m_Declared.push_back(readDeclared(Each, Path, Found));
+               });
   if (!Found.m_List.empty())
     return failWith(std::move(Found));
   return Out;
--- a/src/direct/entry-record.h
+++ b/src/direct/entry-record.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/error.h"
+#include "deckpitch/fleet.h"
 #include "deckpitch/request-fingerprint.h"
 #include "direct/entry-peers.h"
 
@@ -23,9 +24,21 @@
                          const RefusedRequest &) = default;
 };
 
+/// When a version of weights was declared, as seen by an entry that read the
+/// store before and after. Entries that start later would count its bound from
+/// their start.
+struct StoredDeclaration {
+  DeclaredWeights m_Declared;
+  std::uint64_t m_SinceMs = 0; ///< Unix milliseconds
+
+  friend bool operator==(const StoredDeclaration &,
+                         const StoredDeclaration &) = default;
+};
+
 struct EntryRecord {
   EntryAddress m_Address;
   std::vector<RefusedRequest> m_Refused;
+  std::vector<StoredDeclaration> m_Declared;
 
   friend bool operator==(const EntryRecord &, const EntryRecord &) = default;
 };
--- a/src/direct/entry-registration.cc
+++ b/src/direct/entry-registration.cc
@@ -1,7 +1,7 @@
 #include "direct/entry-registration.h"
 
 #include "daemon/clock.h"
-#include "direct/entry-record.h"
+#include "direct/store-updates.h"
 #include "net/log.h"
 
 #include <boost/asio.hpp>
@@ -25,6 +25,8 @@
 constexpr Duration RetryInterval = milliseconds(500);
 /// Minimum number of entries assumed until the store has listed them.
 constexpr std::size_t EntriesBeforeList = 64;
+/// Declarations that a record holds: bounds of earlier ones are long past.
+constexpr std::size_t MaxDeclared = 8;
 
 } // namespace
 
@@ -46,7 +48,32 @@
 }
 
 std::string EntryRegistration::ownRecord() const {
-  return formatEntry({m_Peers.own(), m_Harmful.toStore()});
+  return formatEntry({m_Peers.own(), m_Harmful.toStore(), m_Declared});
+}
+
+/// Returns false if the record holds the declaration already.
+bool EntryRegistration::addDeclared(const StoredDeclaration &Seen) {
+  const bool IsKnown = std::any_of(m_Declared.begin(), m_Declared.end(),
+                                   [&](const StoredDeclaration &Each) {
+                                     return Each.m_Declared == Seen.m_Declared;
+                                   });
+  if (IsKnown)
+    return false;
+  m_Declared.push_back(Seen);
+  if (m_Declared.size() > MaxDeclared)
+    m_Declared.erase(m_Declared.begin());
+  return true;
+}
+
+void EntryRegistration::setDeclared(const std::vector<DatedWeights> &Seen) {
+  const std::uint64_t UnixNow = daemon::unixMs();
+  bool IsChanged = false;
+  for (const DatedWeights &Each : Seen) {
+    const std::uint64_t AgeMs = ageMs(Each.m_Since, now());
+    IsChanged = addDeclared({Each.m_Declared, UnixNow - AgeMs}) || IsChanged;
+  }
+  if (IsChanged)
+    recordChanged();
 }
 
 void EntryRegistration::addListed(const net::PlatformObject &Record) {
@@ -59,6 +86,14 @@
   }
   m_Peers.addListed(Known->m_Address);
   m_Harmful.receive(Known->m_Refused, Record.m_Name);
+  const std::uint64_t UnixNow = daemon::unixMs();
+  for (const StoredDeclaration &Each : Known->m_Declared) {
+    // The clock may have been set back since.
+    const std::uint64_t AgeMs = UnixNow - std::min(Each.m_SinceMs, UnixNow);
+    m_OnDeclared({Each.m_Declared, now() - milliseconds(AgeMs)});
+    if (Record.m_Name == m_Peers.own().m_Id.m_Text)
+      addDeclared(Each);
+  }
 }
 
 /// Writes this entry's record; true if the store holds the current record.
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -134,7 +134,12 @@
               [this] {
                 return EntryStatus{isReady(), m_Leaving};
               }}),
-      m_Registration(m_Io, *m_Store, m_Peers, m_Harmful),
+      m_Registration(m_Io, *m_Store, m_Peers, m_Harmful,
+                     [this](const DatedWeights &Declared) {
+                       m_Instances.setWeights({Declared.m_Declared},
+                                              Declared.m_Since);
+                       m_Follower.noteDeclared(Declared);
+                     }),
       m_Directory(m_Adapter, m_Peers, [this] { return isReady(); }),
       m_CallerServer(
           Context.m_Threads,
@@ -198,6 +203,7 @@
     for (const DatedWeights &Each : Declared)
       m_Instances.setWeights({Each.m_Declared}, Each.m_Since);
     m_Link.setDeclared(Declared);
+    m_Registration.setDeclared(m_Follower.seenDeclarations());
   };
   Calls.m_OnUpdate = [this](const wire::StoreNews &News, UpdateReach Reach) {
     m_Link.publish(News, Reach, now());
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -366,7 +366,23 @@
   // It may have been declared at any time since the previous read.
   const TimePoint ReadBefore = m_WeightVersions.m_Reading.asOf();
   const bool WasAway = now() - ReadBefore > OutageThreshold;
-  setWeights({*Parsed, WasAway ? now() : ReadBefore});
+  const TimePoint Since = WasAway ? now() : ReadBefore;
+  const auto Known = m_Weights.find(Parsed->m_Model);
+  const bool IsSeenBeingMade =
+      ReadBefore != TimePoint{} &&
+      (Known == m_Weights.end() ||
+       Known->second.m_Declared.m_Version < Parsed->m_Version);
+  if (IsSeenBeingMade)
+    m_SeenWeights[Parsed->m_Model].add(Parsed->m_Version, Since);
+  setWeights({*Parsed, Since});
+}
+
+std::vector<DatedWeights> FleetFollower::seenDeclarations() const {
+  std::vector<DatedWeights> Out;
+  for (const auto &[Model, Each] : m_SeenWeights)
+    for (const DeclaredHistory::Declared &One : Each.list())
+      Out.push_back({{Model, One.m_Version}, One.m_Since});
+  return Out;
 }
 
 void FleetFollower::setWeights(const DatedWeights &Received) {
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -2,6 +2,7 @@
 // entries: one entry reads the store and sends updates to the rest.
 #pragma once
 
+#include "deckpitch/declared-history.h"
 #include "deckpitch/fleet.h"
 #include "deckpitch/holders.h"
 #include "deckpitch/instance-list.h"
@@ -91,6 +92,12 @@
   /// Fetches the list that the entry with this link address holds.
   asio::awaitable<bool> fetchInstancesFrom(std::string Holder);
 
+  /// Takes the time of a declaration that another process saw being made.
+  void noteDeclared(const DatedWeights &Declared) { setWeights(Declared); }
+  /// The declarations of weights that this process saw being made: it had read
+  /// the store before.
+  std::vector<DatedWeights> seenDeclarations() const;
+
   bool knowsDeclaration() const { return m_Version != 0; }
   /// Call this and instancesFreshness in each iteration of the event loop too,
   /// so that a pause of the process is detected.
@@ -194,10 +201,11 @@
   /// Newest version that others announced since this entry last read the store.
   std::uint64_t m_NewestAnnounced = 0;
   TimePoint m_NewestAnnouncedAt{};
-  std::map<std::string, DatedWeights> m_Weights; ///< by model
-  InstanceList m_Read;                           ///< as the store held it
-  std::uint64_t m_ReadFingerprint = 0;           ///< fingerprint of m_Read
-  Revision m_ReadRevision{};                     ///< store revision of m_Read
+  std::map<std::string, DatedWeights> m_Weights;        ///< by model
+  std::map<std::string, DeclaredHistory> m_SeenWeights; ///< by model
+  InstanceList m_Read;                 ///< as the store held it
+  std::uint64_t m_ReadFingerprint = 0; ///< fingerprint of m_Read
+  Revision m_ReadRevision{};           ///< store revision of m_Read
   Holders m_InstanceHolders; ///< entries that hold a newer list than m_Read
   InstanceList m_Listed;     ///< m_Read and instances that expired in an outage
   /// Objects of the list that could not be parsed, with the error of each.
--- a/test/declared-history-test.cc
+++ b/test/declared-history-test.cc
@@ -28,6 +28,18 @@
   EXPECT_EQ(History.behindSince(4), Start);
 }
 
+/// After a start the newest version may be known before the ones that it
+/// follows; their time was lost, and instances without any of them kept serving
+/// for the newest one's whole bound.
+TEST(DeclaredHistory, AddsAnOlderVersionThatBecomesKnownLater) {
+  DeclaredHistory History;
+  EXPECT_TRUE(History.add(5, Start));
+  EXPECT_FALSE(History.add(3, Start - 9s));
+  EXPECT_EQ(History.behindSince(2), Start - 9s);
+  EXPECT_EQ(History.behindSince(3), Start);
+  EXPECT_EQ(History.newest(), 5U);
+}
+
 TEST(DeclaredHistory, KeepsEarliestTimeOfVersion) {
   DeclaredHistory History;
   EXPECT_TRUE(History.add(2, Start + 1s));
