Choose instances whose agents have stopped reporting last

Cause: when an agent's last report is older than 0.8 s, its instance counts as one without an agent, which gets requests without a question.

Change: of the instances of a service with agents, those whose agents have stopped reporting are chosen only if all others are full, and get one unanswered request of this entry at a time; a stream moves to one only if no agent reports at all.

Measured: the new test fails without the change (chosen "paused"), 25 tests of the table and 58 of moves, losses, pauses and slot queries pass.

--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -66,6 +66,9 @@
   /// are in difficulties, are its last choice.
   bool m_AvoidsLimited = false;
   AllowedRegions m_Regions; ///< of the instance
+  /// Instances whose agents have stopped reporting are chosen only if no agent
+  /// reports.
+  bool m_NeedsReport = false;
 };
 
 enum class ChoiceOutcome {
@@ -308,6 +311,7 @@
   double loadOf(const Instance &Each, TimePoint Now) const;
   double limitOf(const Instance &Each, const ChoiceQuery &Query) const;
   static bool isFresh(const Instance &Each, TimePoint Now);
+  static bool hasStoppedReporting(const Instance &Each, TimePoint Now);
   static bool awaitsGrant(const Instance &Each, TimePoint Now);
 
   DataCentreId m_Own;
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -69,6 +69,9 @@
   Query.m_Avoided = instancesOfOtherSuspects(*Asking->second);
   // The request was admitted before, so it leaves no slots to others.
   Query.m_Reserve = 0;
+  // It must not move from one silent instance to another: both would begin it
+  // once they run again, after its caller has left.
+  Query.m_NeedsReport = true;
   const InstanceChoice Chosen = co_await chooseInstance(std::move(Query));
   const auto Found = m_Calls.find(CallNumber);
   if (Found == m_Calls.end())
--- a/src/kernel/instance-choice.cc
+++ b/src/kernel/instance-choice.cc
@@ -122,6 +122,9 @@
     Out.m_LacksWeights = Out.m_LacksWeights || !Serves;
     if (!Serves)
       continue;
+    // One request shows whether it answers.
+    if (hasStoppedReporting(Each, Now) && Each.m_Unanswered > 0)
+      continue;
     if (Each.m_BackOffUntil > Now) {
       Advance(Out.m_FirstBackOffEnd, Each.m_BackOffUntil);
     } else if (awaitsGrant(Each, Now)) {
@@ -153,6 +156,9 @@
   preferWhere(Usable, [&](const auto &Each) {
     return !Query.m_Avoided.contains(Each->first);
   });
+  preferWhere(Usable, [&](const auto &Each) {
+    return !Query.m_NeedsReport || !hasStoppedReporting(Each->second, Now);
+  });
   preferWhere(Usable, [&](const auto &Each) {
     const Instance &Known = Each->second;
     const bool IsHealthy = !Known.m_RateLimit.perSecond() &&
@@ -207,13 +213,22 @@
   // instances were compared, 49 of 100 first tokens at instances with one
   // request came after 400 ms, against 3 at those with eight.
   std::shuffle(Usable.begin(), Usable.end(), m_Random);
+  const auto FirstStopped = std::stable_partition(
+      Usable.begin(), Usable.end(), [Now](const auto &Each) {
+        return !hasStoppedReporting(Each->second, Now);
+      });
+  const auto Reporting =
+      static_cast<std::size_t>(FirstStopped - Usable.begin());
   InstanceChoice Best;
   double BestScore = std::numeric_limits<double>::max();
   const Instance *Chosen = nullptr;
   for (std::size_t I = 0; I < Usable.size(); ++I) {
-    const bool IsSampleFull = I >= CandidatesCompared;
+    const bool IsSampleFull = I >= CandidatesCompared || I == Reporting;
     if (IsSampleFull && Best.m_Load < Best.m_Limit)
       break;
+    // Any that has stopped reporting is better than full ones.
+    if (I == Reporting)
+      BestScore = std::numeric_limits<double>::max();
     const Instance &Each = Usable[I]->second;
     const double Score = scoreOf(Each, Query, Now);
     if (Score >= BestScore)
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -31,6 +31,12 @@
   return Each.m_Reported && Now - *Each.m_Reported < ReportLifetime;
 }
 
+/// The agent has ended, or the machine is paused or cut off: what is sent there
+/// may be read long after its caller has left.
+bool InstanceTable::hasStoppedReporting(const Instance &Each, TimePoint Now) {
+  return Each.m_Reported && !isFresh(Each, Now);
+}
+
 void InstanceTable::setRegions(RegionMap Regions) {
   m_Regions = std::move(Regions);
   for (auto &[Id, Each] : m_Instances)
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -130,6 +130,42 @@
   EXPECT_EQ(chosen(), "j");
 }
 
+/// Seven machines were paused for 4 s. After 0.8 s without a report their
+/// instances counted as ones without agents, which are not asked: streams of
+/// one paused instance moved to another, and both ran them at the end of the
+/// pause, up to 1.9 s after the callers had left.
+TEST_F(InstanceTableTest, InstanceThatStopsReportingIsLastChoice) {
+  const FleetInstance Paused = listed("paused");
+  const FleetInstance Live = listed("live");
+  list({Paused, Live});
+  const InstanceReport Idle{.m_Weights = {{"m", 1, true}}};
+  const InstanceReport Busy{.m_Running = 3, .m_Weights = {{"m", 1, true}}};
+  const InstanceReport Full{.m_Running = 9, .m_Weights = {{"m", 1, true}}};
+  m_Table.report(Paused.m_Address, Idle, Start);
+  m_Table.report(Live.m_Address, Busy, Start + 900ms);
+  const TimePoint Later = Start + 1s;
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(chosen(Later), "live");
+  // Its agent alone may have ended: one request finds out.
+  m_Table.report(Live.m_Address, Full, Later);
+  EXPECT_EQ(chosen(Later), "paused");
+  m_Table.started({"paused"}, Later);
+  EXPECT_EQ(outcome(Later), ChoiceOutcome::Full);
+  m_Table.answerStarted({"paused"});
+  EXPECT_EQ(chosen(Later), "paused");
+  m_Query.m_NeedsReport = true;
+  EXPECT_EQ(outcome(Later), ChoiceOutcome::Full);
+}
+
+/// Without any report, as after the loss of all agents, requests go on.
+TEST_F(InstanceTableTest, ServesWithoutAnyReport) {
+  const FleetInstance One = listed("i");
+  list({One});
+  m_Table.report(One.m_Address, {.m_Weights = {{"m", 1, true}}}, Start);
+  m_Query.m_NeedsReport = true;
+  EXPECT_EQ(chosen(Start + 2s), "i");
+}
+
 TEST_F(InstanceTableTest, AvoidedInstanceIsLastChoice) {
   list({listed("i"), listed("j")});
   m_Query.m_Avoided = {{"i"}};
