--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -32,6 +32,11 @@
 /// Least time between two log lines about rate limits that are not numbers.
 constexpr Duration UnreadableLogInterval = std::chrono::seconds(1);
 
+/// Name of a framing for log lines.
+const char *framingName(net::BodyFraming Value) {
+  return Value == net::BodyFraming::UntilClose ? "close" : "delimited";
+}
+
 } // namespace
 
 asio::awaitable<EntryRequests::AttemptOutcome>
@@ -40,6 +45,8 @@
   C.m_Instance = Chosen.m_Instance;
   C.m_IsAnswering = false;
   C.m_IsPeerEnd = false;
+  C.m_Framing = net::BodyFraming::Delimited;
+  C.m_PartialBytes = 0;
   C.m_Notice = {};
   C.m_Sent = IsBegun ? C.m_NextAnswer.m_Sent : now();
   const std::uint64_t ListAgeMs = msOf(m_ListFreshness().m_Age);
@@ -88,6 +95,8 @@
             {"instance", Chosen.m_Instance.m_Text},
             {"fingerprint", textOf(C.m_Fingerprint)},
             {"closedThere", std::uint64_t{C.m_IsPeerEnd}},
+            {"framing", framingName(C.m_Framing)},
+            {"partialBytes", C.m_PartialBytes},
             {"saysLeaving", std::uint64_t{C.m_Notice.m_IsLeaving}},
             {"restMs", msOf(C.m_Notice.m_BackOff)},
             {"rateLimit", rateText(Chosen.m_RateLimit)},
@@ -252,6 +261,7 @@
   if (!Begun.m_Body)
     co_return Begun.m_How;
   net::HttpStream &Body = *Begun.m_Body;
+  C.m_Framing = Body.framing();
   C.m_Abort = [&Body] { Body.cancel(); };
   if (!C.m_Answer.started()) {
     C.m_Status = Body.status();
@@ -370,6 +380,7 @@
       continue;
     std::string Ready = takeNewEvents(C);
     if (IsEnd) {
+      C.m_PartialBytes = C.m_Events.part().size();
       Ready += C.m_Events.part();
       C.m_Events.clear();
     }
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -90,6 +90,7 @@
   // The instance's answer while it is buffered.
   unsigned m_Status = 0;
   net::HttpHeaders m_Headers;
+  net::BodyFraming m_Framing = net::BodyFraming::Delimited;
   std::string m_Body;
 
   // The part of a stream that the caller has received.
@@ -97,6 +98,8 @@
   std::uint64_t m_EventCount = 0;
   std::string m_LastEventId;
   std::optional<std::uint64_t> m_LastEvent;
+  /// Bytes of an incomplete event at the end of the current attempt.
+  std::uint64_t m_PartialBytes = 0;
   Duration m_FirstByte{};
 
   /// Cost of the request, in prompt tokens.
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -149,6 +149,10 @@
 
   unsigned status() const override { return m_Parser.get().result_int(); }
   const HttpHeaders &headers() const override { return m_Headers; }
+  BodyFraming framing() const override {
+    return m_Parser.need_eof() ? BodyFraming::UntilClose
+                               : BodyFraming::Delimited;
+  }
 
   asio::awaitable<Outcome<std::string>> read() override {
     while (m_Connection) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -142,6 +142,12 @@
   bool m_RetriesGet = true;
 };
 
+/// How the end of a response's body is told.
+enum class BodyFraming {
+  Delimited, ///< by a length or chunks: a body that breaks off is an error
+  UntilClose ///< by the end of the connection, also if the body breaks off
+};
+
 /// A response whose body is read in pieces. Destroying it before the end of
 /// the body closes the connection, which signals the cancellation to the
 /// server.
@@ -150,7 +156,9 @@
   virtual ~HttpStream() = default;
   virtual unsigned status() const = 0;
   virtual const HttpHeaders &headers() const = 0;
-  /// Reads the next piece, which is empty at the end of a complete response.
+  virtual BodyFraming framing() const = 0;
+  /// Reads the next piece, which is empty at the end of the response. Only with
+  /// BodyFraming::Delimited is the response certainly complete then.
   virtual asio::awaitable<Outcome<std::string>> read() = 0;
   /// Sets how long each later read waits for data.
   virtual void setReadTimeout(std::chrono::milliseconds Limit) = 0;
