Break off, or continue elsewhere, streams that their instance ended incomplete

Callers saw (ORDER): a stream whose instance crashed reached them as a complete answer.

Cause: HttpStream told the end of a body and not how it was told. An answer with neither a length nor chunks ends with its connection, so that a crash, which closes connections, looked like its end; forwardEvents then added the incomplete event that it still held and the last chunk, a claim that the instance's answer did not make.

Change: a stream that ends inside an event was broken off, whatever its framing: it continues elsewhere if its route allows that, else the caller's connection ends without the last chunk and without the incomplete event. With the end of the connection as its only end, a stream without any event was broken off too, and so was one that ends between two events while its instance is found to be gone within 15 ms: a crash ends all connections. Otherwise the end of the connection is the end of the stream; asking elsewhere for a remainder that does not exist would cost a repeat for each sound answer. Such ends now count as losses of the instance, not as good answers, also for the retry budget and for requests that crash instances. A document on a stream's route is read whole.

--- a/include/deckpitch/event-stream.h
+++ b/include/deckpitch/event-stream.h
@@ -1,6 +1,7 @@
 // Splits a server-sent event stream into complete events.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,12 +29,19 @@
   bool hasPartialEvent() const { return !m_Pending.empty(); }
   /// The buffered part of the incomplete event.
   const std::string &part() const { return m_Pending; }
+  /// Whether a complete event is buffered.
+  bool hasEvent() const { return completeBytes() > 0; }
+  /// Number of buffered bytes after the last complete event; 0 if these are
+  /// line ends only, which belong to no event.
+  std::size_t partialBytes() const;
   void clear() {
     m_Pending.clear();
     m_Searched = 0;
   }
 
 private:
+  std::size_t completeBytes() const;
+
   std::string m_Pending;
   std::size_t m_Searched = 0; ///< leading bytes without an end of an event
 };
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -218,6 +218,8 @@
   /// far as is known: the request may have crashed it. An intermediary may
   /// accept connections for an instance that is gone.
   bool lost(const InstanceId &Id, TimePoint Sent, TimePoint Now);
+  /// Whether the instance was found to be gone at that time or later.
+  bool wasLostSince(const InstanceId &Id, TimePoint Since) const;
   /// Records that the address now belongs to another incarnation: the instance
   /// gets no more requests.
   void replaced(const InstanceId &Id);
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -1,9 +1,11 @@
 // One attempt at a request: sends it to an instance and forwards the answer.
+#include "daemon/sleep.h"
 #include "direct/entry-call.h"
 #include "direct/rate-limit-log.h"
 #include "net/log.h"
 #include "net/metrics.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio.hpp>
 
 #include <algorithm>
@@ -32,6 +34,17 @@
 /// Least time between two log lines about rate limits that are not numbers.
 constexpr Duration UnreadableLogInterval = std::chrono::seconds(1);
 
+/// Within this time of a crash its other connections end here too.
+constexpr milliseconds CrashDetectionTime{15};
+
+/// Whether the body consists of events: a stream's route may also be answered
+/// with one document.
+bool isEventStream(const net::HttpStream &Body) {
+  const std::string_view Type = Body.headers().find("Content-Type");
+  return Type.empty() ||
+         boost::algorithm::istarts_with(Type, "text/event-stream");
+}
+
 /// Name of a framing for log lines.
 const char *framingName(net::BodyFraming Value) {
   return Value == net::BodyFraming::UntilClose ? "close" : "delimited";
@@ -267,7 +280,7 @@
     C.m_Status = Body.status();
     C.m_Headers = m_Adapter.toCaller(Body.headers());
   }
-  if (C.isStream() && isSuccess(Body.status())) {
+  if (C.isStream() && isSuccess(Body.status()) && isEventStream(Body)) {
     const AttemptOutcome How = co_await forwardEvents(C, Body);
     C.m_Abort = nullptr;
     co_return How;
@@ -349,6 +362,24 @@
   co_return co_await C.m_Answer.write(Ready);
 }
 
+/// Whether a stream that its instance has ended was broken off. One that ends
+/// inside an event was, whatever its framing. If the end of the connection is
+/// its only end, it also was if it has no event at all, or if the instance is
+/// found to be gone at the same moment: a crash ends all connections.
+asio::awaitable<bool> EntryRequests::endsIncomplete(Call &C) {
+  C.m_PartialBytes = C.m_Events.partialBytes();
+  if (C.m_PartialBytes > 0)
+    co_return true;
+  if (C.m_Framing == net::BodyFraming::Delimited)
+    co_return false;
+  const bool HasEvents = C.m_EventCount > 0 || C.m_Events.hasEvent();
+  if (!HasEvents)
+    co_return true;
+  const TimePoint Ended = now();
+  co_await daemon::sleepFor(CrashDetectionTime);
+  co_return m_Instances.wasLostSince(C.m_Instance, Ended - CrashDetectionTime);
+}
+
 asio::awaitable<EntryRequests::AttemptOutcome>
 EntryRequests::forwardEvents(Call &C, net::HttpStream &Body) {
   while (true) {
@@ -358,6 +389,12 @@
     Body.setReadTimeout(Left);
     auto Piece = co_await Body.read();
     const bool IsEnd = Piece && Piece->empty();
+    const bool IsBrokenOff = IsEnd && co_await endsIncomplete(C);
+    if (IsBrokenOff) {
+      C.m_IsPeerEnd = !C.m_IsMoving;
+      co_return C.m_Answer.started() ? AttemptOutcome::Broken
+                                     : AttemptOutcome::Lost;
+    }
     if (Piece && C.m_Handover)
       co_await limitHandover(C, IsEnd);
     // The answer is complete, whatever the other instance has begun.
@@ -380,7 +417,7 @@
       continue;
     std::string Ready = takeNewEvents(C);
     if (IsEnd) {
-      C.m_PartialBytes = C.m_Events.part().size();
+      // Line ends after the last event, if anything.
       Ready += C.m_Events.part();
       C.m_Events.clear();
     }
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -115,6 +115,7 @@
                                            const InstanceChoice &Chosen);
   asio::awaitable<AttemptOutcome> readWhole(Call &C, net::HttpStream &Body);
   asio::awaitable<AttemptOutcome> forwardEvents(Call &C, net::HttpStream &Body);
+  asio::awaitable<bool> endsIncomplete(Call &C);
   void recordFirstByte(Call &C);
   void recordLoss(const Call &C, const InstanceId &At, TimePoint Sent);
   void recordEnd(const InstanceId &At, InstanceTable::End Outcome,
--- a/src/kernel/event-stream.cc
+++ b/src/kernel/event-stream.cc
@@ -28,11 +28,31 @@
   return std::nullopt;
 }
 
+/// The blank line after an event, with the end of the line before it.
+constexpr std::string_view Ends[] = {"\n\n", "\n\r\n"};
+constexpr std::size_t LongestEnd = 3;
+
 } // namespace
 
+/// Number of buffered bytes up to the end of the last complete event.
+std::size_t EventStreamSplitter::completeBytes() const {
+  std::size_t Last = 0;
+  for (const std::string_view End : Ends) {
+    const std::size_t At = m_Pending.rfind(End);
+    if (At != std::string::npos)
+      Last = std::max(Last, At + End.size());
+  }
+  return Last;
+}
+
+std::size_t EventStreamSplitter::partialBytes() const {
+  const std::size_t Complete = completeBytes();
+  const bool HasText =
+      m_Pending.find_first_not_of("\r\n", Complete) != std::string::npos;
+  return HasText ? m_Pending.size() - Complete : 0;
+}
+
 std::optional<StreamEvent> EventStreamSplitter::next() {
-  constexpr std::string_view Ends[] = {"\n\n", "\n\r\n"};
-  constexpr std::size_t LongestEnd = 3;
   std::size_t Cut = std::string::npos;
   for (const std::string_view End : Ends) {
     const std::size_t At = m_Pending.find(End, m_Searched);
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -285,6 +285,12 @@
   return IsReportedAlive || !engineOf(Known.m_Listed.m_Service);
 }
 
+bool InstanceTable::wasLostSince(const InstanceId &Id, TimePoint Since) const {
+  const auto Found = m_Instances.find(Id);
+  return Found != m_Instances.end() && Found->second.m_LostAt &&
+         *Found->second.m_LostAt >= Since;
+}
+
 bool InstanceTable::leaving(const InstanceId &Id) {
   const auto Found = m_Instances.find(Id);
   if (Found == m_Instances.end())
--- a/support/fuzz/events-target.cc
+++ b/support/fuzz/events-target.cc
@@ -33,6 +33,10 @@
     takeComplete(Splitter, Out);
   }
   Out.m_Part = Splitter.part();
+  require(!Splitter.hasEvent(), "no complete event is left");
+  require(Splitter.partialBytes() == 0 ||
+              Splitter.partialBytes() == Out.m_Part.size(),
+          "bytes are left only after the last event");
   require(Splitter.hasPartialEvent() == !Out.m_Part.empty(),
           "a part is held if and only if an event is incomplete");
   return Out;
--- a/test/event-stream-test.cc
+++ b/test/event-stream-test.cc
@@ -43,6 +43,28 @@
   EXPECT_FALSE(Splitter.hasPartialEvent());
 }
 
+TEST(EventStream, PartialBytesAreThoseAfterTheLastEvent) {
+  EventStreamSplitter Splitter;
+  EXPECT_EQ(Splitter.partialBytes(), 0U);
+  EXPECT_FALSE(Splitter.hasEvent());
+  Splitter.add("data: a\r\n\r");
+  EXPECT_EQ(Splitter.partialBytes(), 10U);
+  EXPECT_FALSE(Splitter.hasEvent());
+  Splitter.add("\n");
+  EXPECT_EQ(Splitter.partialBytes(), 0U);
+  EXPECT_TRUE(Splitter.hasEvent());
+  Splitter.add("data: b\n\nid");
+  EXPECT_EQ(Splitter.partialBytes(), 2U);
+}
+
+TEST(EventStream, LineEndsAfterAnEventAreNoPartOfAnother) {
+  EventStreamSplitter Splitter;
+  Splitter.add("data: a\n\n\r\n");
+  EXPECT_EQ(Splitter.partialBytes(), 0U);
+  EXPECT_TRUE(Splitter.next());
+  EXPECT_EQ(Splitter.partialBytes(), 0U);
+}
+
 TEST(EventStream, EventWithoutNumericIdHasNoId) {
   EXPECT_EQ(cut("id: x\n\n", 3).front().m_Id, std::nullopt);
   EXPECT_EQ(cut("data: id: 4\n\n", 3).front().m_Id, std::nullopt);
