Send clients of HTTP/1.0 streams without chunks, and break these off with a reset

The server sent chunks to every client. One of HTTP/1.0, which knows none, took their sizes for the body, and a stream that broke off looked complete to it.

Such a client now gets the bytes alone and a closed connection at the end, a reset if the stream breaks off.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -41,9 +41,9 @@
 class Responder final : public HttpResponder {
 public:
   Responder(Connection &Conn, std::chrono::milliseconds WriteTimeout,
-            bool KeepAlive, bool AcceptsInterim = false)
+            bool KeepAlive, bool IsHttp11 = false)
       : m_Conn(Conn), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive),
-        m_AcceptsInterim(AcceptsInterim) {}
+        m_IsHttp11(IsHttp11) {}
 
   asio::awaitable<bool> send(HttpResponse Response) override {
     if (m_Started || m_Failed)
@@ -73,8 +73,10 @@
     Message.version(11);
     Message.result(Status);
     setHeaders(Message.base(), Headers);
+    // HTTP/1.0 has no chunks: the end of the connection ends the body.
+    m_KeepAlive = m_KeepAlive && m_IsHttp11;
     Message.keep_alive(m_KeepAlive);
-    Message.chunked(true);
+    Message.chunked(m_IsHttp11);
     http::response_serializer<http::empty_body> Serializer(Message);
     m_Conn.m_Deadline.expiresAfter(m_WriteTimeout);
     auto [Ec, Bytes] = co_await http::async_write_header(
@@ -89,6 +91,8 @@
       co_return false;
     if (Data.empty())
       co_return true;
+    if (!m_IsHttp11)
+      co_return co_await sendAll(Data);
     m_Frame.clear();
     std::array<char, 16> Size;
     const auto End =
@@ -101,14 +105,17 @@
   asio::awaitable<bool> end() override {
     if (!m_Started || m_Ended || m_Failed)
       co_return false;
-    m_Ended = co_await sendAll("0\r\n\r\n");
+    m_Ended = !m_IsHttp11 || co_await sendAll("0\r\n\r\n");
     co_return m_Ended;
   }
 
   void abort() override {
     m_Failed = true;
     beast::error_code Ignored;
-    m_Conn.m_Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+    if (m_IsHttp11)
+      m_Conn.m_Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+    else
+      reset();
   }
 
   bool started() const override { return m_Started; }
@@ -119,7 +126,7 @@
   /// Sends an interim response to check whether the client is still there.
   /// Returns false if there is no need for further probes.
   bool probe() {
-    if (m_Started || m_Failed || !m_AcceptsInterim)
+    if (m_Started || m_Failed || !m_IsHttp11)
       return false;
     boost::system::error_code Ec;
     const std::size_t Sent = m_Conn.m_Socket.write_some(
@@ -137,9 +144,18 @@
     if (auto Callback = std::exchange(m_OnDisconnect, nullptr))
       Callback();
   }
-  bool isComplete() const { return m_Ended && !m_Failed; }
+  /// Whether the connection can serve another request.
+  bool keepsConnection() const { return m_Ended && !m_Failed && m_KeepAlive; }
 
 private:
+  /// Closes the connection with a reset: a client that knows no chunks would
+  /// take another end for that of the response.
+  void reset() {
+    beast::error_code Ignored;
+    m_Conn.m_Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    m_Conn.m_Socket.close(Ignored);
+  }
+
   /// Writes without waiting as much as the socket accepts, and waits only for
   /// the remainder.
   asio::awaitable<bool> sendAll(std::string_view Bytes) {
@@ -164,7 +180,7 @@
   std::string m_Frame; ///< reused, to avoid an allocation for each chunk
   std::chrono::milliseconds m_WriteTimeout;
   bool m_KeepAlive;
-  bool m_AcceptsInterim;
+  bool m_IsHttp11;
   bool m_Started = false;
   bool m_Ended = false;
   bool m_Failed = false;
@@ -301,10 +317,10 @@
                             std::string(Field.value()));
     const bool KeepAlive =
         Message.keep_alive() && !m_Draining && !m_ClosesAfterAnswers;
-    const bool AcceptsInterim = Message.version() >= Http11;
+    const bool IsHttp11 = Message.version() >= Http11;
     Request.m_Body = std::move(Message.body());
     auto Answer = std::make_shared<Responder>(*Conn, m_Limits.m_WriteTimeout,
-                                              KeepAlive, AcceptsInterim);
+                                              KeepAlive, IsHttp11);
     watchForClose(Conn, Answer, Buffer);
     bool Threw = false;
     try {
@@ -317,7 +333,7 @@
     else if (!Answer->started())
       co_await Answer->send(
           jsonResponse(500, R"({"error":"no answer was given"})"));
-    co_return Answer->isComplete() && KeepAlive;
+    co_return Answer->keepsConnection();
   }
 
   /// Detects a client that disconnects while its request is being handled.
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -65,12 +65,13 @@
   /// Sends a complete response.
   virtual asio::awaitable<bool> send(HttpResponse Response) = 0;
   /// Starts a chunked response, which is continued with write() and finished
-  /// with end().
+  /// with end(). A client of HTTP/1.0 gets no chunks: the end of the connection
+  /// is the end of its response.
   virtual asio::awaitable<bool> begin(unsigned Status, HttpHeaders Headers) = 0;
   virtual asio::awaitable<bool> write(std::string_view Data) = 0;
   virtual asio::awaitable<bool> end() = 0;
   /// Shuts the connection down, so that the client detects an incomplete
-  /// response.
+  /// response; with a reset if the client knows no chunks.
   virtual void abort() = 0;
   virtual bool started() const = 0;
   /// Sets the callback that is invoked, at most once, if the client disconnects
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -42,6 +42,8 @@
   asio::awaitable<void> answer(HttpRequest Request, HttpResponder &Answer) {
     if (Request.path() == "/stream")
       co_await stream(Answer);
+    else if (Request.path() == "/broken")
+      co_await breakOff(Answer);
     else if (Request.path() == "/wait")
       co_await waitForRelease(Answer);
     else if (Request.path() == "/throw")
@@ -64,6 +66,13 @@
     co_await Answer.end();
   }
 
+  asio::awaitable<void> breakOff(HttpResponder &Answer) {
+    HttpHeaders None;
+    co_await Answer.begin(200, std::move(None));
+    co_await Answer.write("one");
+    Answer.abort();
+  }
+
   asio::awaitable<void> waitForRelease(HttpResponder &Answer) {
     Answer.onDisconnect([this] { ++m_Disconnects; });
     ++m_Waiting;
@@ -171,6 +180,29 @@
                 "HTTP/1.1 500 "}),
     [](const auto &Info) { return std::string(Info.param.m_Name); });
 
+/// A client that knows no chunks took their sizes for the body.
+TEST_F(HttpServerContract, AnHttp10ClientGetsAStreamWithoutChunks) {
+  RawConnection Client(m_Address);
+  Client.send("GET /stream HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  const std::string Answer = Client.readToEnd();
+  EXPECT_TRUE(Answer.ends_with("\r\n\r\nonetwo")) << Answer;
+  EXPECT_EQ(Answer.find("chunked"), std::string::npos) << Answer;
+}
+
+/// Without chunks, a stream that is broken off looked complete.
+TEST_F(HttpServerContract, AnHttp10ClientSeesThatAStreamBrokeOff) {
+  RawConnection Client(m_Address);
+  Client.send("GET /broken HTTP/1.0\r\n\r\n");
+  EXPECT_TRUE(Client.endsWithReset());
+}
+
+TEST_F(HttpServerContract, AnHttp11ClientSeesThatAStreamBrokeOff) {
+  RawConnection Client(m_Address);
+  Client.send("GET /broken HTTP/1.1\r\n\r\n");
+  const std::string Answer = Client.readToEnd();
+  EXPECT_TRUE(Answer.ends_with("one\r\n")) << Answer;
+}
+
 TEST_F(HttpServerContract, ReportsAClientThatDisconnects) {
   RawConnection Client(m_Address);
   Client.send("GET /wait HTTP/1.1\r\n\r\n");
--- a/test/raw-connection.h
+++ b/test/raw-connection.h
@@ -65,6 +65,15 @@
     return std::exchange(m_Received, {});
   }
 
+  /// Reads to the end of the stream. Returns whether that was a reset.
+  bool endsWithReset() {
+    boost::system::error_code Ec;
+    std::string Sink(4096, '\0');
+    while (!Ec)
+      m_Socket.read_some(boost::asio::buffer(Sink), Ec);
+    return Ec == boost::asio::error::connection_reset;
+  }
+
 private:
   bool readSome() {
     std::string Piece(4096, '\0');
