--- a/support/soak/proxy.py
+++ b/support/soak/proxy.py
@@ -1,6 +1,17 @@
 """A loopback proxy for TCP that can be told to misbehave."""
 
 import asyncio
+import socket
+import struct
+
+
+def reset(writer):
+    """Ends a connection with a reset: a plain close looks like the end of an
+    answer that has neither a length nor chunks."""
+    own = writer.get_extra_info("socket")
+    if own is not None and own.fileno() >= 0:
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 class Proxy:
@@ -19,16 +30,16 @@
 
     def reset_all(self):
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _accept(self, reader, writer):
         if self.mode == "refuse":
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             up_reader, up_writer = await asyncio.open_connection(*self._to)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         born = self.mode
         pair = {writer, up_writer}
@@ -59,4 +70,4 @@
                 await writer.drain()
             writer.write_eof()
         except (ConnectionError, OSError, RuntimeError):
-            writer.transport.abort()
+            reset(writer)
