Read the parts of prompts and log them with each attempt

All parts but the last are decoded once, in the adapter, at most 16 of them; what cannot be read is passed over. No decision changes.

--- a/include/deckpitch/request-fingerprint.h
+++ b/include/deckpitch/request-fingerprint.h
@@ -27,7 +27,23 @@
 };
 
 RequestFingerprint fingerprintOf(const RequestParts &Parts);
+
+/// A part of a prompt that several requests may have in common: a number that
+/// their callers give it.
+struct PromptPart {
+  std::uint64_t m_Id = 0;
+
+  friend auto operator<=>(const PromptPart &, const PromptPart &) = default;
+};
+
+/// The fingerprint that all requests with the part share. Its first half is
+/// zero, which that of a whole request practically never is.
+RequestFingerprint fingerprintOf(PromptPart Part);
+/// Whether the fingerprint is one of a prompt's part.
+bool isPromptPart(const RequestFingerprint &Value);
 /// Formats a fingerprint for log lines as 32 hexadecimal digits.
 std::string textOf(const RequestFingerprint &Value);
+/// Formats a part for log lines as a hexadecimal number.
+std::string textOf(PromptPart Part);
 
 } // namespace deckpitch
--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -6,6 +6,7 @@
 #include "deckpitch/event-stream.h"
 #include "deckpitch/fleet.h"
 #include "deckpitch/instance-table.h"
+#include "deckpitch/request-fingerprint.h"
 #include "deckpitch/time.h"
 #include "net/http.h"
 
@@ -19,6 +20,9 @@
 
 namespace deckpitch::direct {
 
+/// Parts of a prompt that are kept track of; further ones are passed over.
+inline constexpr std::size_t MaxSharedParts = 16;
+
 /// What a caller states about its request besides method, path and body.
 struct CallerTerms {
   std::string m_AttemptId; ///< identifies this attempt of the caller
@@ -30,6 +34,9 @@
   std::uint32_t m_PromptTokens = 0;
   std::uint32_t m_AnswerTokens = 0; ///< maximum
   std::uint32_t m_LikelyTokens = 0; ///< the caller's estimate; 0: none
+  /// The parts of the prompt that other requests may share, each once: all but
+  /// the last. At most MaxSharedParts.
+  std::vector<PromptPart> m_SharedParts;
 
   friend bool operator==(const CallerTerms &, const CallerTerms &) = default;
 };
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -45,6 +45,14 @@
          boost::algorithm::istarts_with(Type, "text/event-stream");
 }
 
+/// The parts of a prompt for log lines: hexadecimal, separated by commas.
+std::string partsText(const std::vector<PromptPart> &Parts) {
+  std::string Out;
+  for (const PromptPart &Each : Parts)
+    Out += (Out.empty() ? "" : ",") + textOf(Each);
+  return Out;
+}
+
 /// Name of a framing for log lines.
 const char *framingName(net::BodyFraming Value) {
   return Value == net::BodyFraming::UntilClose ? "close" : "delimited";
@@ -107,6 +115,7 @@
             {"status", std::uint64_t{C.m_Status}},
             {"instance", Chosen.m_Instance.m_Text},
             {"fingerprint", textOf(C.m_Fingerprint)},
+            {"parts", partsText(C.m_Terms.m_SharedParts)},
             {"closedThere", std::uint64_t{C.m_IsPeerEnd}},
             {"framing", framingName(C.m_Framing)},
             {"partialBytes", C.m_PartialBytes},
--- a/src/kernel/request-fingerprint.cc
+++ b/src/kernel/request-fingerprint.cc
@@ -26,6 +26,10 @@
   return {Combined.high64, Combined.low64};
 }
 
+RequestFingerprint fingerprintOf(PromptPart Part) { return {0, Part.m_Id}; }
+
+bool isPromptPart(const RequestFingerprint &Value) { return Value.m_High == 0; }
+
 std::string textOf(const RequestFingerprint &Value) {
   std::array<char, 33> Text{};
   std::snprintf(Text.data(), Text.size(), "%016llx%016llx",
@@ -34,4 +38,11 @@
   return Text.data();
 }
 
+std::string textOf(PromptPart Part) {
+  std::array<char, 17> Text{};
+  std::snprintf(Text.data(), Text.size(), "%llx",
+                static_cast<unsigned long long>(Part.m_Id));
+  return Text.data();
+}
+
 } // namespace deckpitch
