Refuse requests by the part of their prompts that crashes instances

Cause: an entry recognised a harmful request only by the request as a whole. Of these no two are alike, so that each started at no losses and cost as many instances as its route allows attempts.

Change: the parts of a prompt that requests may share are counted like requests, under fingerprints of their own, through the same exchange, store and log lines. A part is cleared by an answer that has gone on for half a second or is complete; three losses one after the other refuse it. A refused part whose losses all occurred under another refused one is no reason against a request that does not have that other one: of two parts that always came together the sound one is cleared by its first request alone, and the harmful one alone costs one instance more at most. The memory of answers ends after five forgiven losses, so that a part that becomes harmful by a change of the weights is found. After two losses under a part no request with it is repeated; suspects run apart. Hellos carry suspects up to 5,000 bytes instead of 24 of them, parts first.

--- a/include/deckpitch/harmful-requests.h
+++ b/include/deckpitch/harmful-requests.h
@@ -1,5 +1,6 @@
-// Detects requests that crash the instances that run them ("queries of death")
-// and distinguishes them from requests that were merely in flight there.
+// Detects requests that crash the instances that run them ("queries of death"),
+// alone or by a part of their prompts, and distinguishes them from requests
+// that were merely in flight there.
 #pragma once
 
 #include "deckpitch/id.h"
@@ -35,6 +36,15 @@
                          const SuspectRequest &) = default;
 };
 
+/// Why a request is refused.
+struct HarmRefusal {
+  RequestFingerprint m_Cause; ///< of the request, or of a part of its prompt
+  TimePoint m_Until{};
+  std::size_t m_Losses = 0;
+
+  friend bool operator==(const HarmRefusal &, const HarmRefusal &) = default;
+};
+
 /// Counts for each request the successive losses of instances that had it since
 /// it was last answered completely.
 ///
@@ -45,6 +55,13 @@
 /// sent after the previous loss. A request that was answered here shortly
 /// before is harmless.
 ///
+/// A part of a prompt is counted like a request, under a fingerprint of its
+/// own: a harmful one crashes instances by requests of which no two are alike.
+/// All parts of those requests are suspect at first; the sound ones are
+/// answered in others. One that always came with the harmful one is refused
+/// only together with it, so that a request that has it alone can show that it
+/// is sound.
+///
 /// Updates of several processes can be merged in any order and repeatedly; the
 /// result does not depend on comparing their clocks.
 class HarmfulRequests {
@@ -68,6 +85,12 @@
   /// When the refusal of the request ends; nullopt if it is not refused.
   std::optional<TimePoint> refusedUntil(const RequestFingerprint &Request,
                                         TimePoint Now) const;
+  /// Why a request with these fingerprints, its own and those of its prompt's
+  /// parts, is refused; nullopt if it is not. One whose losses all occurred
+  /// under another refused one, which this request does not have, is no reason.
+  std::optional<HarmRefusal>
+  refusalOf(const std::vector<RequestFingerprint> &Carried,
+            TimePoint Now) const;
   /// The number of successive losses.
   std::size_t lossCount(const RequestFingerprint &Request) const;
 
@@ -84,8 +107,11 @@
   struct Suspect {
     std::vector<InstanceLoss> m_Losses; ///< one for each instance
     TimePoint m_Changed{};
+    /// Losses since the last complete answer that did not count because of it.
+    std::size_t m_Forgiven = 0;
 
     std::size_t count() const;
+    bool includes(const Suspect &Other) const;
     std::optional<TimePoint> refusedUntil(TimePoint Now) const;
     bool add(const InstanceLoss &Update);
     void dropLeastRelevant();
@@ -95,6 +121,11 @@
 
   void evictSuspects(TimePoint Now);
 
+  bool isExplained(const RequestFingerprint &Which,
+                   const std::vector<RequestFingerprint> &Carried,
+                   TimePoint Now) const;
+  void forgive(const RequestFingerprint &Request, Suspect &Known,
+               TimePoint Now);
   bool wasAnsweredRecently(const RequestFingerprint &Request,
                            TimePoint Now) const;
 
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -34,6 +34,9 @@
 /// Least time between two log lines about rate limits that are not numbers.
 constexpr Duration UnreadableLogInterval = std::chrono::seconds(1);
 
+/// An answer that has gone on for this long does not crash its instance any
+/// more by what its prompt holds.
+constexpr milliseconds SoundAfter{500};
 /// Within this time of a crash its other connections end here too.
 constexpr milliseconds CrashDetectionTime{15};
 
@@ -65,6 +68,7 @@
   const bool IsBegun = C.m_NextAnswer.m_Body != nullptr;
   C.m_Instance = Chosen.m_Instance;
   C.m_IsAnswering = false;
+  C.m_IsSound = false;
   C.m_IsPeerEnd = false;
   C.m_Framing = net::BodyFraming::Delimited;
   C.m_PartialBytes = 0;
@@ -98,6 +102,8 @@
     recordLoss(C, Chosen.m_Instance, C.m_Sent);
   if (How == AttemptOutcome::Delivered || How == AttemptOutcome::Failed)
     m_Harmful.answered(C.m_Fingerprint);
+  if (How == AttemptOutcome::Delivered)
+    recordSound(C);
   using End = InstanceTable::End;
   const bool IsBad =
       How == AttemptOutcome::Unreachable || How == AttemptOutcome::Lost ||
@@ -328,8 +334,20 @@
 
 void EntryRequests::recordLoss(const Call &C, const InstanceId &At,
                                TimePoint Sent) {
-  if (m_Instances.lost(At, Sent, now()))
-    m_Harmful.lost(C.m_Fingerprint, At, Sent, C.m_Terms.m_AttemptId);
+  if (!m_Instances.lost(At, Sent, now()))
+    return;
+  const std::vector<RequestFingerprint> Whole{C.m_Fingerprint};
+  m_Harmful.lost(C.m_IsSound ? Whole : C.m_Carried, At, Sent,
+                 C.m_Terms.m_AttemptId);
+}
+
+/// Records that the parts of the request's prompt are sound. A harmful one
+/// crashes its instance when that begins to answer.
+void EntryRequests::recordSound(Call &C) {
+  if (std::exchange(C.m_IsSound, true))
+    return;
+  for (const PromptPart &Each : C.m_Terms.m_SharedParts)
+    m_Harmful.answered(fingerprintOf(Each));
 }
 
 void EntryRequests::recordEnd(const InstanceId &At, InstanceTable::End Outcome,
@@ -341,6 +359,7 @@
 
 void EntryRequests::recordFirstByte(Call &C) {
   C.m_IsAnswering = true;
+  C.m_AnswerStart = now();
   m_Instances.answerStarted(C.m_Instance);
   m_Instances.firstToken(C.m_Query, now() - C.m_Sent);
 }
@@ -418,6 +437,8 @@
     C.m_LastActivity = now();
     if (!C.m_IsAnswering)
       recordFirstByte(C);
+    if (now() - C.m_AnswerStart > SoundAfter)
+      recordSound(C);
     if (!IsEnd)
       C.m_Events.add(*Piece);
     // Events are held back: the other instance continues after the last one
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace deckpitch::direct {
 
@@ -45,6 +46,8 @@
   const ServiceRoute *m_Route = nullptr;
   const OrganisationKeys *m_Organisation = nullptr;
   RequestFingerprint m_Fingerprint;
+  /// m_Fingerprint and those of its prompt's parts that others may share.
+  std::vector<RequestFingerprint> m_Carried;
   ChoiceQuery m_Query;
   TimePoint m_Start;
   TimePoint m_Deadline;
@@ -75,8 +78,12 @@
   TimePoint m_Sent{};         ///< start of the current attempt
   TimePoint m_LastActivity{}; ///< last byte received, or start of the attempt
   bool m_IsAnswering = false; ///< the current attempt has its first byte
-  bool m_IsPeerEnd = false;   ///< the instance closed the connection
-  InstanceNotice m_Notice;    ///< from the head of the current answer
+  TimePoint m_AnswerStart{};  ///< arrival of that byte
+  /// The current attempt has been answered for so long that its prompt's parts
+  /// are sound.
+  bool m_IsSound = false;
+  bool m_IsPeerEnd = false; ///< the instance closed the connection
+  InstanceNotice m_Notice;  ///< from the head of the current answer
   /// When the search for an instance for a stream's remainder began.
   std::optional<TimePoint> m_SearchStart;
   const char *m_LastOutcome = ""; ///< for logs: how the last attempt ended
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -77,6 +77,13 @@
   return "";
 }
 
+std::string reasonOf(const HarmRefusal &Refusal) {
+  if (!isPromptPart(Refusal.m_Cause))
+    return "crashes its instances";
+  return "part " + textOf(PromptPart{Refusal.m_Cause.m_Low}) +
+         " of its prompt crashes its instances";
+}
+
 } // namespace
 
 net::Counter &answers(const char *Outcome) {
@@ -187,9 +194,12 @@
       {C.m_Organisation ? C.m_Organisation->m_Organisation.m_Text : "",
        C.m_Request.m_Headers.find("Host"), C.m_Request.m_Method,
        C.m_Request.m_Target, C.m_Request.m_Body});
-  if (const auto RefusedFor = m_Harmful.refusedFor(C.m_Fingerprint))
-    co_return co_await refuse(C, StatusUnavailable, "crashes its instances",
-                              *RefusedFor);
+  C.m_Carried = {C.m_Fingerprint};
+  for (const PromptPart &Each : C.m_Terms.m_SharedParts)
+    C.m_Carried.push_back(fingerprintOf(Each));
+  if (const auto Refusal = m_Harmful.refusalOf(C.m_Carried))
+    co_return co_await refuse(C, StatusUnavailable, reasonOf(*Refusal),
+                              Refusal->m_Until - now());
   const ServiceId *Service = chooseService(*C.m_Route, m_Random());
   if (!Service)
     co_return co_await refuse(C, StatusUnavailable, "route without service",
@@ -289,7 +299,9 @@
   if (Outcome == AttemptOutcome::Unreachable)
     return ++C.m_Unreachable < MaxUnreachable;
   const bool MayRun = Outcome == AttemptOutcome::NotRun || C.isRepeatable();
-  if (!MayRun || !C.hasAttemptsLeft() || m_Harmful.isRefused(C.m_Fingerprint))
+  const bool IsHarmful =
+      m_Harmful.isRefused(C.m_Carried) || m_Harmful.hasSuspectPart(C.m_Carried);
+  if (!MayRun || !C.hasAttemptsLeft() || IsHarmful)
     return false;
   return takeRetry(C);
 }
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -117,6 +117,7 @@
   asio::awaitable<AttemptOutcome> forwardEvents(Call &C, net::HttpStream &Body);
   asio::awaitable<bool> endsIncomplete(Call &C);
   void recordFirstByte(Call &C);
+  void recordSound(Call &C);
   void recordLoss(const Call &C, const InstanceId &At, TimePoint Sent);
   void recordEnd(const InstanceId &At, InstanceTable::End Outcome,
                  bool WasAnswering);
--- a/src/direct/harmful-request-tracker.cc
+++ b/src/direct/harmful-request-tracker.cc
@@ -15,8 +15,12 @@
 namespace {
 
 /// Suspects in one hello, which must fit into a datagram of 8 KB together with
-/// its summary of the store: each takes up to 220 bytes.
-constexpr std::size_t MaxHelloSuspects = 24;
+/// its summary of the store: most have one loss and take 50 bytes, some 220.
+constexpr std::size_t MaxHelloSuspects = 100;
+constexpr std::size_t MaxHelloSuspectBytes = 5'000;
+/// Losses under a part of a prompt after which no request that has the part is
+/// repeated or moved by itself.
+constexpr std::size_t LossesToStopRepeats = 2;
 /// Suspects in one stored object: each takes some 150 bytes.
 constexpr std::size_t MaxStoredSuspects = 64;
 /// Older losses are ignored, which also bounds the effect of a wrong clock.
@@ -91,13 +95,30 @@
   m_Known.answered(Request, now());
 }
 
-std::optional<Duration>
-HarmfulRequestTracker::refusedFor(const RequestFingerprint &Request) const {
-  const TimePoint Now = now();
-  const auto Until = m_Known.refusedUntil(Request, Now);
-  if (!Until)
-    return std::nullopt;
-  return *Until - Now;
+void HarmfulRequestTracker::lost(const std::vector<RequestFingerprint> &Carried,
+                                 const InstanceId &At, TimePoint Sent,
+                                 const std::string &AttemptId) {
+  for (const RequestFingerprint &Each : Carried)
+    lost(Each, At, Sent, AttemptId);
+}
+
+bool HarmfulRequestTracker::isSuspect(
+    const std::vector<RequestFingerprint> &Carried) const {
+  return std::any_of(Carried.begin(), Carried.end(), [this](const auto &Each) {
+    return m_Known.lossCount(Each) > 0;
+  });
+}
+
+bool HarmfulRequestTracker::hasSuspectPart(
+    const std::vector<RequestFingerprint> &Carried) const {
+  return std::any_of(Carried.begin(), Carried.end(), [this](const auto &Each) {
+    return isPromptPart(Each) && m_Known.lossCount(Each) >= LossesToStopRepeats;
+  });
+}
+
+std::optional<HarmRefusal> HarmfulRequestTracker::refusalOf(
+    const std::vector<RequestFingerprint> &Carried) const {
+  return m_Known.refusalOf(Carried, now());
 }
 
 void HarmfulRequestTracker::receive(const wire::EntryHello &Received,
@@ -159,9 +180,16 @@
 
 void HarmfulRequestTracker::addTo(wire::EntryHello &To) const {
   const TimePoint Now = now();
+  std::size_t Bytes = 0;
   for (const SuspectRequest &Each :
-       m_Known.updatesToSend(MaxHelloSuspects, Now))
-    write(Each, Now, *To.add_suspects());
+       m_Known.updatesToSend(MaxHelloSuspects, Now)) {
+    wire::SuspectRequestState State;
+    write(Each, Now, State);
+    Bytes += State.ByteSizeLong();
+    if (Bytes > MaxHelloSuspectBytes)
+      break;
+    *To.add_suspects() = std::move(State);
+  }
 }
 
 bool HarmfulRequestTracker::takeNewFinding() {
@@ -171,7 +199,7 @@
 void HarmfulRequestTracker::removeExpired() {
   m_Known.forgetOld(now());
   std::erase_if(m_Refused, [this](const RequestFingerprint &Each) {
-    if (isRefused(Each))
+    if (m_Known.refusedUntil(Each, now()))
       return false;
     net::log(Event::RequestNoLongerRefused, {{"fingerprint", textOf(Each)}});
     return true;
--- a/src/direct/harmful-request-tracker.h
+++ b/src/direct/harmful-request-tracker.h
@@ -16,21 +16,25 @@
 /// Tracks harmful requests at one entry. All calls must be on one event loop.
 class HarmfulRequestTracker {
 public:
-  /// Records that an instance was lost while it ran the request.
-  void lost(const RequestFingerprint &Request, const InstanceId &At,
-            TimePoint Sent, const std::string &AttemptId);
-  /// Records that an instance answered the request.
+  /// Records that an instance was lost while it ran a request with these
+  /// fingerprints: its own and those of its prompt's parts.
+  void lost(const std::vector<RequestFingerprint> &Carried,
+            const InstanceId &At, TimePoint Sent, const std::string &AttemptId);
+  /// Records that an instance answered a request with this fingerprint.
   void answered(const RequestFingerprint &Request);
-  bool isRefused(const RequestFingerprint &Request) const {
-    return refusedFor(Request).has_value();
-  }
-  /// Whether an instance was lost while it ran the request, and the request has
-  /// not been answered since.
-  bool isSuspect(const RequestFingerprint &Request) const {
-    return m_Known.lossCount(Request) > 0;
+  /// Whether an instance was lost while it ran a request with one of these
+  /// fingerprints, and none with that one has been answered since.
+  bool isSuspect(const std::vector<RequestFingerprint> &Carried) const;
+  /// Whether instances were lost one after the other under a part of the
+  /// request's prompt: it is not sent to a further one by itself.
+  bool hasSuspectPart(const std::vector<RequestFingerprint> &Carried) const;
+  bool isRefused(const std::vector<RequestFingerprint> &Carried) const {
+    return refusalOf(Carried).has_value();
   }
-  /// Returns how much longer the request is refused; nullopt if it is not.
-  std::optional<Duration> refusedFor(const RequestFingerprint &Request) const;
+  /// Returns why a request with these fingerprints is refused now; nullopt if
+  /// it is not.
+  std::optional<HarmRefusal>
+  refusalOf(const std::vector<RequestFingerprint> &Carried) const;
 
   /// Merges the suspects that another entry's hello reports.
   void receive(const wire::EntryHello &Received, const std::string &From);
@@ -51,6 +55,8 @@
 
 private:
   void receive(const SuspectRequest &Received, const std::string &From);
+  void lost(const RequestFingerprint &Request, const InstanceId &At,
+            TimePoint Sent, const std::string &AttemptId);
   void recordRefusal(const RequestFingerprint &Request,
                      const std::string &From);
 
--- a/src/kernel/harmful-requests.cc
+++ b/src/kernel/harmful-requests.cc
@@ -23,6 +23,9 @@
 /// Answers are remembered for one to two of these periods.
 constexpr Duration AnsweredPeriod = std::chrono::seconds(30);
 constexpr std::size_t MaxAnswered = 4'096;
+/// Losses of a part that was answered lately which do not count: it may have
+/// become harmful since, by a change of the weights.
+constexpr std::size_t MaxForgiven = 5;
 /// Evicted in one batch, so that a flood of suspects costs little.
 constexpr std::size_t EvictionBatch = MaxSuspects / 4;
 
@@ -31,8 +34,10 @@
 }
 
 /// Orders suspects for eviction (lowest first) and sending (highest first).
-template <typename Suspect> auto rankOf(const Suspect &Value) {
-  return std::pair(Value.count(), Value.m_Changed);
+/// Many requests share a part, and each entry knows only some of its losses.
+template <typename Entry> auto rankOf(const Entry &Value) {
+  return std::tuple(Value.second.count(), isPromptPart(Value.first),
+                    Value.second.m_Changed);
 }
 
 } // namespace
@@ -126,6 +131,48 @@
   return Found->second.refusedUntil(Now);
 }
 
+/// Whether each loss that counts for the other one counts for this one too.
+bool HarmfulRequests::Suspect::includes(const Suspect &Other) const {
+  const auto IsOwn = [this](const InstanceLoss &Loss) {
+    return std::any_of(
+        m_Losses.begin(), m_Losses.end(), [&](const InstanceLoss &Each) {
+          return !Each.m_IsCleared && Each.m_Instance == Loss.m_Instance;
+        });
+  };
+  return std::all_of(Other.m_Losses.begin(), Other.m_Losses.end(),
+                     [&](const InstanceLoss &Each) {
+                       return Each.m_IsCleared || IsOwn(Each);
+                     });
+}
+
+/// Whether another refused suspect, which the request does not carry, was there
+/// at all losses of this one.
+bool HarmfulRequests::isExplained(
+    const RequestFingerprint &Which,
+    const std::vector<RequestFingerprint> &Carried, TimePoint Now) const {
+  const Suspect &Known = m_Suspects.at(Which);
+  return std::any_of(
+      m_Suspects.begin(), m_Suspects.end(), [&](const auto &Each) {
+        const bool IsCarried = std::find(Carried.begin(), Carried.end(),
+                                         Each.first) != Carried.end();
+        return !IsCarried && Each.second.refusedUntil(Now) &&
+               Each.second.includes(Known);
+      });
+}
+
+std::optional<HarmRefusal>
+HarmfulRequests::refusalOf(const std::vector<RequestFingerprint> &Carried,
+                           TimePoint Now) const {
+  std::optional<HarmRefusal> Out;
+  for (const RequestFingerprint &Each : Carried) {
+    const auto Until = refusedUntil(Each, Now);
+    const bool IsLongest = Until && (!Out || *Until > Out->m_Until);
+    if (IsLongest && !isExplained(Each, Carried, Now))
+      Out = {Each, *Until, lossCount(Each)};
+  }
+  return Out;
+}
+
 std::size_t
 HarmfulRequests::lossCount(const RequestFingerprint &Request) const {
   const auto Found = m_Suspects.find(Request);
@@ -144,7 +191,7 @@
   const auto End = All.begin() + static_cast<long>(EvictionBatch);
   std::nth_element(All.begin(), End, All.end(),
                    [](const Entry &One, const Entry &Other) {
-                     return rankOf(One->second) < rankOf(Other->second);
+                     return rankOf(*One) < rankOf(*Other);
                    });
   std::for_each(All.begin(), End,
                 [this](const Entry &Each) { m_Suspects.erase(Each); });
@@ -165,10 +212,27 @@
   }
   m_Answered.insert(Request);
   const auto Found = m_Suspects.find(Request);
-  if (Found != m_Suspects.end() && Found->second.clear())
+  if (Found == m_Suspects.end())
+    return;
+  Found->second.m_Forgiven = 0;
+  if (Found->second.clear())
     Found->second.m_Changed = Now;
 }
 
+/// Clears losses of a suspect that was answered shortly before. After several
+/// of them the answer of a part no longer proves anything.
+void HarmfulRequests::forgive(const RequestFingerprint &Request, Suspect &Known,
+                              TimePoint Now) {
+  if (!Known.clear())
+    return;
+  Known.m_Changed = Now;
+  if (!isPromptPart(Request) || ++Known.m_Forgiven < MaxForgiven)
+    return;
+  m_Answered.erase(Request);
+  m_AnsweredBefore.erase(Request);
+  Known.m_Forgiven = 0;
+}
+
 bool HarmfulRequests::wasAnsweredRecently(const RequestFingerprint &Request,
                                           TimePoint Now) const {
   const Duration Age = Now - m_AnsweredSince;
@@ -185,8 +249,8 @@
   for (const InstanceLoss &Each : Update.m_Losses)
     if (Now - Each.m_At < LossRetention && Known.add(Each))
       Known.m_Changed = Now;
-  if (wasAnsweredRecently(Update.m_Request, Now) && Known.clear())
-    Known.m_Changed = Now;
+  if (wasAnsweredRecently(Update.m_Request, Now))
+    forgive(Update.m_Request, Known, Now);
   return !WasRefused && Known.refusedUntil(Now);
 }
 
@@ -199,7 +263,7 @@
   const std::size_t Count = std::min(MaxCount, Due.size());
   std::partial_sort(Due.begin(), Due.begin() + static_cast<long>(Count),
                     Due.end(), [](const auto *One, const auto *Other) {
-                      return rankOf(One->second) > rankOf(Other->second);
+                      return rankOf(*One) > rankOf(*Other);
                     });
   std::vector<SuspectRequest> Out;
   for (std::size_t I = 0; I < Count; ++I)
--- a/test/harmful-requests-test.cc
+++ b/test/harmful-requests-test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <vector>
+
 using namespace deckpitch;
 using namespace std::chrono_literals;
 
@@ -184,4 +186,87 @@
   EXPECT_EQ(All.size(), 0U);
 }
 
+const RequestFingerprint HarmfulPart = fingerprintOf(PromptPart{0xbad});
+const RequestFingerprint OtherPart = fingerprintOf(PromptPart{0xa1});
+
+/// Records losses of requests of which no two are alike, one second apart.
+void loseParts(HarmfulRequests &At,
+               const std::vector<RequestFingerprint> &Parts, int First,
+               int Count) {
+  for (int I = First; I < First + Count; ++I)
+    for (const RequestFingerprint &Each : Parts)
+      lose(At, Each, instance(I), Start + I * 1s);
+}
+
+TEST(HarmfulPrompts, RefusesAPartUnderWhichThreeInstancesWereLost) {
+  HarmfulRequests All;
+  loseParts(All, {HarmfulPart}, 0, 3);
+  const auto Refusal = All.refusalOf({Harmless, HarmfulPart}, Start + 2s);
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(*Refusal,
+            (HarmRefusal{HarmfulPart,
+                         Start + 2s + HarmfulRequests::RefusalPeriod, 3}));
+  EXPECT_FALSE(All.refusalOf({Harmless, OtherPart}, Start + 2s));
+}
+
+/// The other part was in all requests that crashed instances: without the
+/// harmful one it must get the chance to be answered.
+TEST(HarmfulPrompts, PartWhoseLossesAnotherExplainsIsNoReasonAlone) {
+  HarmfulRequests All;
+  loseParts(All, {HarmfulPart, OtherPart}, 0, 3);
+  EXPECT_TRUE(All.refusalOf({HarmfulPart, OtherPart}, Start + 2s));
+  EXPECT_FALSE(All.refusalOf({OtherPart}, Start + 2s));
+  All.answered(OtherPart, Start + 3s);
+  EXPECT_TRUE(All.refusalOf({HarmfulPart}, Start + 3s));
+  EXPECT_FALSE(All.refusalOf({OtherPart}, Start + 3s));
+}
+
+/// Of two parts that always came together, the harmful one alone crashes one
+/// more instance at most.
+TEST(HarmfulPrompts, HarmfulPartAloneIsRefusedAfterOneMoreLoss) {
+  HarmfulRequests All;
+  loseParts(All, {HarmfulPart, OtherPart}, 0, 3);
+  EXPECT_FALSE(All.refusalOf({HarmfulPart}, Start + 3s));
+  loseParts(All, {HarmfulPart}, 4, 1);
+  EXPECT_TRUE(All.refusalOf({HarmfulPart}, Start + 4s));
+  EXPECT_FALSE(All.refusalOf({OtherPart}, Start + 4s));
+}
+
+TEST(HarmfulPrompts, TwoHarmfulPartsAreRefusedAtOnce) {
+  HarmfulRequests All;
+  loseParts(All, {HarmfulPart}, 0, 3);
+  loseParts(All, {OtherPart}, 10, 3);
+  EXPECT_TRUE(All.refusalOf({HarmfulPart}, Start + 13s));
+  EXPECT_TRUE(All.refusalOf({OtherPart}, Start + 13s));
+}
+
+/// The part of a large route is in flight at most instances that a series of
+/// failures ends, and is answered by others all the time.
+TEST(HarmfulPrompts, PartThatIsAnsweredAllTheTimeIsNotRefused) {
+  HarmfulRequests All;
+  for (int I = 0; I < 50; ++I) {
+    All.answered(OtherPart, Start + I * 1s - 700ms);
+    loseParts(All, {OtherPart}, I, 1);
+    EXPECT_FALSE(All.refusalOf({OtherPart}, Start + I * 1s)) << I;
+  }
+}
+
+/// A part that was answered lately became harmful by a change of the weights;
+/// the memory of its answers protected it for up to a minute.
+TEST(HarmfulPrompts, PartThatBecomesHarmfulIsRefused) {
+  HarmfulRequests All;
+  All.answered(HarmfulPart, Start);
+  loseParts(All, {HarmfulPart}, 1, 8);
+  EXPECT_TRUE(All.refusalOf({HarmfulPart}, Start + 8s));
+}
+
+TEST(HarmfulPrompts, PartsAreSentBeforeRequestsWithAsManyLosses) {
+  HarmfulRequests All;
+  lose(All, HarmfulPart, instance(1), Start);
+  lose(All, Harmless, instance(1), Start + 1s);
+  const auto Updates = All.updatesToSend(1, Start + 1s);
+  ASSERT_EQ(Updates.size(), 1U);
+  EXPECT_EQ(Updates[0].m_Request, HarmfulPart);
+}
+
 } // namespace
