Let the soak send prompts with a harmful part, and check that sound requests are not refused with it

Streams name the parts of their prompts; one in three of the requests that crash instances does so by a part, and no two of these are alike. HARMFUL counts these together, SOUND finds a refusal of a request that has no harmful part.

--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+import zlib
 from collections import Counter
 from pathlib import Path
 
@@ -31,6 +32,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_KNOWN_S = 1.0  # until an entry keeps what an answer said, on a busy machine
 HARMFUL_SHARE = 0.02  # of the callers' requests, once any fault may come
+PART = 2  # harmful by a part of its prompt, after two by the whole request
 SETTLE_S = 60.0  # only a run that fails waits so long
 MOST_MEMORY_MB = 128
 KEY = "k1"
@@ -86,6 +88,10 @@
         elif answer.status in (401, 404):
             self.violate(f"DENIED {attempt} ({kind}) {answer.status}")
 
+    def sound_answered(self, attempt, answer):
+        if answer is not None and b"crashes its instances" in answer.body:
+            self.violate(f"SOUND {attempt} is refused as harmful: {answer.body[:80]!r}")
+
     def _refusal(self, kind, attempt):
         self.refused.add(attempt)
         if kind == "once" and self.runs[attempt]:
@@ -147,6 +153,8 @@
 
     @staticmethod
     def _name_of(request):
+        if request.body != standins.HARMFUL_BODY:
+            return standins.HARMFUL_PART
         return request.path.split("~")[0]
 
     def reached(self, attempt, request, instance):
@@ -159,7 +167,7 @@
             rest[1] += 1
             if rest[1] > 2 and self.is_calm(entry, rest[0]):
                 self._violate(f"HEED {attempt} reaches {instance.id}, which told {entry} to wait")
-        if request.body == standins.HARMFUL_BODY:
+        if standins.is_harmful(request):
             self._harmful_reached(attempt, request, entry, now)
 
     def _harmful_reached(self, attempt, request, entry, now):
@@ -358,9 +366,13 @@
         headers = {"Attempt-Id": attempt, "Deadline-Ms": "6000", "Authorization": f"Token {KEY}"}
         if kind == "stream":
             headers |= {"Model": standins.MODEL, "Token-Counts": "10,12"}
+            middle = standins.HARMFUL_PART if harmful == PART else "b2:3"
+            headers["Prompt-Prefix"] = f"a1:5,{middle},{zlib.crc32(attempt.encode()):x}:2"
         self.record.heed.sent(attempt, host)
         path, body = f"/{kind}/x", b"asked"
-        if harmful is not None:
+        if harmful == PART:
+            body = attempt.encode()  # No two of them are alike.
+        elif harmful is not None:
             path, body = f"/{kind}/harmful-{harmful}", standins.HARMFUL_BODY
             if self.record.sabotage == "deaf":  # Looks like another one each time.
                 path += f"~{attempt}"
@@ -396,9 +408,11 @@
         count += 1
         attempt = f"c{number}-{count}"
         is_harmful = not system.record.is_planned_only and choose.random() < HARMFUL_SHARE
-        kind, harmful = ("stream", choose.randrange(2)) if is_harmful else (kind, None)
+        kind, harmful = ("stream", choose.randrange(PART + 1)) if is_harmful else (kind, None)
         answer = await system.request(choose.choice(addresses), kind, attempt, harmful)
         system.record.answered(kind, attempt, answer)
+        if harmful is None:
+            system.record.sound_answered(attempt, answer)
         if answer is None:
             addresses = []
         await asyncio.sleep(0.02)
