Deliver answers of a known length without a type whole on streams' routes

Their instance answers a stream's route with a body that has a length and no Content-Type; the fix took it for a stream that ends inside an event. Such a body is a document now and is read whole, as one with another type is.

Also names a call's fingerprints for what they are.

--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -33,11 +33,13 @@
 constexpr Duration UnreadableLogInterval = std::chrono::seconds(1);
 
 /// Whether the body consists of events: a stream's route may also be answered
-/// with one document.
+/// with one document. Without a type, a body whose length is known beforehand
+/// is a document.
 bool isEventStream(const net::HttpStream &Body) {
   const std::string_view Type = Body.headers().find("Content-Type");
-  return Type.empty() ||
-         boost::algorithm::istarts_with(Type, "text/event-stream");
+  if (Type.empty())
+    return Body.headers().find("Content-Length").empty();
+  return boost::algorithm::istarts_with(Type, "text/event-stream");
 }
 
 /// The parts of a prompt for log lines: hexadecimal, separated by commas.
@@ -304,7 +306,7 @@
   if (!m_Instances.lost(At, Sent, now()))
     return;
   const std::vector<RequestFingerprint> Whole{C.m_Fingerprint};
-  m_Harmful.lost(C.m_IsSound ? Whole : C.m_Carried, At, Sent,
+  m_Harmful.lost(C.m_IsSound ? Whole : C.m_Fingerprints, At, Sent,
                  C.m_Terms.m_AttemptId);
 }
 
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -46,8 +46,8 @@
   const ServiceRoute *m_Route = nullptr;
   const OrganisationKeys *m_Organisation = nullptr;
   RequestFingerprint m_Fingerprint;
-  /// m_Fingerprint and those of its prompt's parts that others may share.
-  std::vector<RequestFingerprint> m_Carried;
+  /// Its own, and those of its prompt's parts that others may share.
+  std::vector<RequestFingerprint> m_Fingerprints;
   ChoiceQuery m_Query;
   TimePoint m_Start;
   TimePoint m_Deadline;
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -53,7 +53,7 @@
 bool EntryRequests::mayMove(const Call &C) const {
   return C.isStream() && C.isRepeatable() && !C.m_IsMoving && !C.m_Handover &&
          !C.m_IsGone && C.m_Abort && C.hasAttemptsLeft() &&
-         !m_Harmful.isRefused(C.m_Carried);
+         !m_Harmful.isRefused(C.m_Fingerprints);
 }
 
 /// Finds another instance for a request and hands the request over. The request
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -194,10 +194,10 @@
       {C.m_Organisation ? C.m_Organisation->m_Organisation.m_Text : "",
        C.m_Request.m_Headers.find("Host"), C.m_Request.m_Method,
        C.m_Request.m_Target, C.m_Request.m_Body});
-  C.m_Carried = {C.m_Fingerprint};
+  C.m_Fingerprints = {C.m_Fingerprint};
   for (const PromptPart &Each : C.m_Terms.m_SharedParts)
-    C.m_Carried.push_back(fingerprintOf(Each));
-  if (const auto Refusal = m_Harmful.refusalOf(C.m_Carried))
+    C.m_Fingerprints.push_back(fingerprintOf(Each));
+  if (const auto Refusal = m_Harmful.refusalOf(C.m_Fingerprints))
     co_return co_await refuse(C, StatusUnavailable, reasonOf(*Refusal),
                               Refusal->m_Until - now());
   const ServiceId *Service = chooseService(*C.m_Route, m_Random());
@@ -299,8 +299,8 @@
   if (Outcome == AttemptOutcome::Unreachable)
     return ++C.m_Unreachable < MaxUnreachable;
   const bool MayRun = Outcome == AttemptOutcome::NotRun || C.isRepeatable();
-  const bool IsHarmful =
-      m_Harmful.isRefused(C.m_Carried) || m_Harmful.hasSuspectPart(C.m_Carried);
+  const bool IsHarmful = m_Harmful.isRefused(C.m_Fingerprints) ||
+                         m_Harmful.hasSuspectPart(C.m_Fingerprints);
   if (!MayRun || !C.hasAttemptsLeft() || IsHarmful)
     return false;
   return takeRetry(C);
--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -126,11 +126,11 @@
 std::set<InstanceId>
 EntryRequests::instancesOfOtherSuspects(const Call &C) const {
   std::set<InstanceId> Out;
-  if (!m_Harmful.isSuspect(C.m_Carried))
+  if (!m_Harmful.isSuspect(C.m_Fingerprints))
     return Out;
   for (const auto &[Id, Calls] : m_AtInstance)
     if (std::any_of(Calls.begin(), Calls.end(), [&](const Call *Each) {
-          return Each != &C && m_Harmful.isSuspect(Each->m_Carried);
+          return Each != &C && m_Harmful.isSuspect(Each->m_Fingerprints);
         }))
       Out.insert(Id);
   return Out;
--- a/src/direct/harmful-request-tracker.cc
+++ b/src/direct/harmful-request-tracker.cc
@@ -19,7 +19,7 @@
 constexpr std::size_t MaxHelloSuspects = 100;
 constexpr std::size_t MaxHelloSuspectBytes = 5'000;
 /// Losses under a part of a prompt after which no request that has the part is
-/// repeated or moved by itself.
+/// repeated: each repeat may cost an instance.
 constexpr std::size_t LossesToStopRepeats = 2;
 /// Suspects in one stored object: each takes some 150 bytes.
 constexpr std::size_t MaxStoredSuspects = 64;
--- a/src/direct/harmful-request-tracker.h
+++ b/src/direct/harmful-request-tracker.h
@@ -22,8 +22,8 @@
             const InstanceId &At, TimePoint Sent, const std::string &AttemptId);
   /// Records that an instance answered a request with this fingerprint.
   void answered(const RequestFingerprint &Request);
-  /// Whether an instance was lost while it ran a request with one of these
-  /// fingerprints, and none with that one has been answered since.
+  /// Whether instances were lost under one of these fingerprints since it was
+  /// last answered.
   bool isSuspect(const std::vector<RequestFingerprint> &Carried) const;
   /// Whether instances were lost one after the other under a part of the
   /// request's prompt: it is not sent to a further one by itself.
