--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -102,7 +102,9 @@
     Body.setReadTimeout(Left);
     auto Piece = co_await Body.read();
     const bool IsEnd = Piece && Piece->empty();
-    const bool IsBrokenOff = IsEnd && co_await endsIncomplete(C);
+    bool IsBrokenOff = false;
+    if (IsEnd)
+      IsBrokenOff = co_await endsIncomplete(C);
     if (IsBrokenOff) {
       C.m_IsPeerEnd = !C.m_IsMoving;
       co_return C.m_Answer.started() ? AttemptOutcome::Broken
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -105,8 +105,11 @@
   asio::awaitable<bool> end() override {
     if (!m_Started || m_Ended || m_Failed)
       co_return false;
-    m_Ended = !m_IsHttp11 || co_await sendAll("0\r\n\r\n");
-    co_return m_Ended;
+    bool IsSent = true;
+    if (m_IsHttp11)
+      IsSent = co_await sendAll("0\r\n\r\n");
+    m_Ended = IsSent;
+    co_return IsSent;
   }
 
   void abort() override {
