Send nothing to data centres that operators evacuate

One entry of each group watches the evacuations and sends the whole set, by revision, with its updates and hellos. Every choice of an instance leaves evacuated data centres out; streams that still run there after half of the bound are moved within the retry budget and are never cut off. An entry sends nothing before it knows the set. Off unless the settings hold bounds.evacuateMs, including the watch.

Moving all streams at once was ruled out: each counts against the retry budget.

--- a/include/deckpitch/direct-settings.h
+++ b/include/deckpitch/direct-settings.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,9 @@
   std::chrono::milliseconds m_Grace{8'000};
   /// Time until all instances serve newly declared weights.
   std::chrono::milliseconds m_Version{8'000};
+  /// Time until nothing is sent to a data centre that operators evacuate;
+  /// nothing: evacuations are not followed.
+  std::optional<std::chrono::milliseconds> m_Evacuate;
   RetryShare m_Retries;
   /// How long callers may cache the entries' addresses.
   std::chrono::milliseconds m_AddressLifetime{2'000};
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -75,6 +75,7 @@
   Chosen,
   NoInstance,  ///< no instance is listed, or all were tried
   NotAllowed,  ///< there are instances, but none in an allowed region
+  Evacuated,   ///< there are instances, but only in evacuated data centres
   NoWeights,   ///< no instance serves the declared weights yet
   Full,        ///< no instance could start the request in time
   BackingOff,  ///< all that could take it have asked for a back-off
@@ -140,6 +141,9 @@
   void setServices(const std::vector<ServiceDeclaration> &Services);
   void setInstances(const std::vector<FleetInstance> &Listed, TimePoint Now);
   void setWeights(const std::vector<DeclaredWeights> &Declared, TimePoint Now);
+  /// Sets the data centres whose instances get no more requests. Those that
+  /// were evacuated before keep the time since when they are.
+  void setEvacuated(const std::set<DataCentreId> &DataCentres, TimePoint Now);
   /// Sets the number of entries that share the instances, this one included.
   void setEntries(std::size_t Count) {
     m_Entries = std::max<std::size_t>(Count, 1);
@@ -191,6 +195,9 @@
   /// Returns instances with requests under way that have accepted no new ones
   /// for longer than Length, because they are to load other weights.
   std::vector<InstanceId> swappingFor(Duration Length, TimePoint Now) const;
+  /// Returns instances with requests under way whose data centre has been
+  /// evacuated for longer than Length.
+  std::vector<InstanceId> evacuatedFor(Duration Length, TimePoint Now) const;
   /// Records that this incarnation of the instance announced that it is
   /// leaving. This is final: an instance list that says otherwise later may be
   /// older. Returns true if it was not known yet.
@@ -234,6 +241,8 @@
   /// usually holds; 0: not known.
   std::uint32_t tokensPerEvent(const ServiceId &Service) const;
   std::size_t size() const { return m_Instances.size(); }
+  /// Returns the number of listed instances of the data centre.
+  std::size_t countIn(const DataCentreId &DataCentre) const;
   const FleetInstance *find(const InstanceId &Id) const;
   /// Returns the addresses of the listed instances of services with engines.
   std::vector<std::string> engineAddresses() const;
@@ -288,6 +297,7 @@
     std::optional<TimePoint> m_FirstBackOffEnd;
     bool m_LacksWeights = false;
     bool m_HasElsewhere = false; ///< some are in a region that is not allowed
+    bool m_HasEvacuated = false; ///< some are in an evacuated data centre
   };
 
   bool isUsable(const InstanceId &Id, const Instance &Each,
@@ -318,6 +328,7 @@
 
   DataCentreId m_Own;
   RegionMap m_Regions;
+  std::map<DataCentreId, TimePoint> m_EvacuatedSince;
   std::size_t m_Entries = 1;
   Duration m_VersionBound = std::chrono::seconds(8);
   std::map<InstanceId, Instance> m_Instances;
--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -91,6 +91,8 @@
   std::string m_Declarations; ///< one object, the whole declaration
   std::string m_Instances;    ///< one object for each instance incarnation
   std::string m_Weights;      ///< one object for each model
+  /// One object, named after it, for each data centre that is evacuated.
+  std::string m_Evacuations;
 };
 
 /// Implemented in platform/, where the implementation registers itself.
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -200,6 +200,12 @@
                     [](const Call &Each) { return Each.m_IsAnswering; });
 }
 
+void EntryRequests::moveStreamsFromEvacuated(Duration Length, TimePoint Now) {
+  for (const InstanceId &Id : m_Instances.evacuatedFor(Length, Now))
+    moveStreamsFrom(Id, "data centre is evacuated",
+                    [](const Call &) { return true; });
+}
+
 /// An instance may be paused, or load other weights first, for longer than any
 /// margin kept when a request is sent to it: requests that had waited there for
 /// 2.3 s began up to 60 ms after the bound.
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -61,6 +61,8 @@
     return "no instance";
   case ChoiceOutcome::NotAllowed:
     return "no instance in an allowed region";
+  case ChoiceOutcome::Evacuated:
+    return "data centre is evacuated";
   case ChoiceOutcome::NoWeights:
     return "no weights";
   case ChoiceOutcome::Full:
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -68,6 +68,10 @@
   /// before they load other weights.
   void moveStreamsFromSwapping(TimePoint Now);
 
+  /// Moves streams away from data centres that have been evacuated for longer
+  /// than Length.
+  void moveStreamsFromEvacuated(Duration Length, TimePoint Now);
+
   std::size_t open() const { return m_Open; }
 
 private:
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -14,11 +14,13 @@
 #include "direct/store-relay.h"
 #include "net/adapters.h"
 #include "net/log.h"
+#include "net/metrics.h"
 
 #include <boost/asio.hpp>
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,6 +47,10 @@
                                       1'000,
                                       true};
 
+/// Share of an evacuation's bound after which streams that still run in the
+/// data centre are moved: most have ended by then.
+constexpr double EvacuationDrainShare = 0.5;
+
 /// Most lines that one declaration may log about its regions.
 constexpr std::size_t MaxRegionProblems = 20;
 
@@ -84,6 +90,10 @@
   asio::awaitable<void> tick();
   asio::awaitable<void> waitUntilDrained(std::function<void()> OnDone);
   void noteReadiness();
+  StoreFreshness listFreshness();
+  void setEvacuated(const std::set<DataCentreId> &DataCentres);
+  void moveStreamsFromEvacuated(TimePoint Now);
+  boost::json::array evacuatedNames() const;
   void logListFreshness();
   bool isReady() const;
   static EntryAddress ownAddress(const DirectSettings &Settings);
@@ -107,6 +117,7 @@
   net::HttpServer m_CallerServer;
   net::HttpServer m_ReadyServer;
   net::HttpServer m_DirectoryServer;
+  std::set<DataCentreId> m_Evacuated;
   bool m_Leaving = false;
   bool m_WasReady = false;
   bool m_WasListOutdated = false; ///< the instance list
@@ -127,7 +138,8 @@
       m_RateLimits(m_Instances, m_Peers), m_Relay(Context.m_Threads),
       m_Follower(m_Io, m_Http, *m_Store, m_Adapter,
                  {Context.m_Settings.m_Bounds.m_Apply,
-                  Context.m_Settings.m_Bounds.m_Drain},
+                  Context.m_Settings.m_Bounds.m_Drain,
+                  Context.m_Settings.m_Bounds.m_Evacuate},
                  followerCalls(), &m_Relay),
       m_Link(m_Io, Context.m_Incarnation, Context.m_Settings.m_AgentLinkPort,
              {m_Instances, m_Peers, m_RateLimits, m_Harmful, m_Follower,
@@ -160,7 +172,7 @@
           },
           SmallLimits) {
   m_Requests.setFreshness([this] { return m_Follower.declarationFreshness(); },
-                          [this] { return m_Follower.instancesFreshness(); });
+                          [this] { return listFreshness(); });
   m_Instances.setRegions(Context.m_Settings.m_Regions);
   m_Directory.setRegions(Context.m_Settings.m_Regions);
   m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
@@ -205,6 +217,10 @@
     m_Link.setDeclared(Declared);
     m_Registration.setDeclared(m_Follower.seenDeclarations());
   };
+  Calls.m_OnEvacuations = [this](const std::set<DataCentreId> &DataCentres) {
+    setEvacuated(DataCentres);
+    noteReadiness();
+  };
   Calls.m_OnUpdate = [this](const wire::StoreNews &News, UpdateReach Reach) {
     m_Link.publish(News, Reach, now());
   };
@@ -234,7 +250,44 @@
 
 bool Entry::isReady() const {
   return !m_Leaving && m_Follower.knowsDeclaration() &&
-         m_Follower.knowsInstances();
+         m_Follower.knowsInstances() && m_Follower.knowsEvacuations();
+}
+
+/// Until the evacuations are known, any data centre may be evacuated, and
+/// nothing is sent.
+StoreFreshness Entry::listFreshness() {
+  StoreFreshness Out = m_Follower.instancesFreshness();
+  Out.m_IsOutdated = Out.m_IsOutdated || !m_Follower.knowsEvacuations();
+  return Out;
+}
+
+void Entry::setEvacuated(const std::set<DataCentreId> &DataCentres) {
+  const auto Log = [this](Event What, const DataCentreId &Each) {
+    const bool IsKnown = !m_Context.m_Settings.m_Regions.regionOf(Each).empty();
+    net::log(What, {{"dataCentre", Each.m_Text},
+                    {"known", std::uint64_t{IsKnown}},
+                    {"instances", std::uint64_t{m_Instances.countIn(Each)}}});
+  };
+  for (const DataCentreId &Each : DataCentres)
+    if (!m_Evacuated.contains(Each))
+      Log(Event::EvacuationStarted, Each);
+  for (const DataCentreId &Each : m_Evacuated)
+    if (!DataCentres.contains(Each))
+      Log(Event::EvacuationEnded, Each);
+  m_Evacuated = DataCentres;
+  m_Instances.setEvacuated(DataCentres, now());
+  net::metrics()
+      .gauge("deckpitch_evacuated_data_centres")
+      .set(static_cast<std::int64_t>(DataCentres.size()));
+}
+
+void Entry::moveStreamsFromEvacuated(TimePoint Now) {
+  const auto &Bound = m_Context.m_Settings.m_Bounds.m_Evacuate;
+  if (!Bound)
+    return;
+  const auto Wait = static_cast<Duration::rep>(
+      EvacuationDrainShare * static_cast<double>(Duration(*Bound).count()));
+  m_Requests.moveStreamsFromEvacuated(Duration(Wait), Now);
 }
 
 void Entry::noteReadiness() {
@@ -273,6 +326,7 @@
     m_RateLimits.update(Now);
     m_Requests.checkSilence(Now);
     m_Requests.moveStreamsFromSwapping(Now);
+    moveStreamsFromEvacuated(Now);
     m_Requests.withdrawOverdue(Now);
     Timer.expires_after(TickInterval);
     co_await Timer.async_wait(UseAwaitable);
@@ -318,12 +372,20 @@
   m_DirectoryServer.stop();
 }
 
+boost::json::array Entry::evacuatedNames() const {
+  boost::json::array Out;
+  for (const DataCentreId &Each : m_Evacuated)
+    Out.emplace_back(Each.m_Text);
+  return Out;
+}
+
 boost::json::object Entry::dump() const {
   return {{"ready", isReady()},
           {"leaving", m_Leaving},
           {"entries", m_Peers.liveCount(now())},
           {"instances", m_Instances.size()},
           {"inFlight", m_Instances.inFlight()},
+          {"evacuated", evacuatedNames()},
           {"refusedAsHarmful", m_Harmful.refusedCount()},
           {"rateLimited", m_RateLimits.dump(now())},
           {"openRequests", m_CallerServer.openRequests()},
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -54,7 +54,8 @@
       MaxRelianceShare * static_cast<double>(Bound.count())));
 }
 
-ReadingPlan planFor(Duration Bound, Duration Every) {
+/// A plan in which the first process reads at the given interval.
+ReadingPlan planWith(Duration Bound, Duration Every) {
   const Duration TakeOver = maxReliance(Bound);
   return {Every, TakeOver, RankDelay, MaxRankDelay, TakeOver + StaleMargin};
 }
@@ -83,8 +84,7 @@
       m_Kinds(Adapter.kinds()),
       m_Declarations{
           m_Kinds.m_Declarations,
-          SharedReading(
-              planFor(Bounds.m_Apply, maxReliance(Bounds.m_Apply) / 2)),
+          SharedReading(planFor(Bounds.m_Apply)),
           {},
           asio::steady_timer(Io),
           false,
@@ -101,8 +101,7 @@
           [this] { return fetchAnnounced(); }},
       m_WeightVersions{
           m_Kinds.m_Weights,
-          SharedReading(
-              planFor(Bounds.m_Apply, maxReliance(Bounds.m_Apply) / 2)),
+          SharedReading(planFor(Bounds.m_Apply)),
           {},
           asio::steady_timer(Io),
           false,
@@ -116,12 +115,19 @@
             Update.set_is_relayed(m_WeightVersions.m_Reading.isRelayed());
           },
           nullptr},
-      m_Instances(planFor(Bounds.m_Drain, Bounds.m_Drain / ListsPerDrain)),
+      m_Evacuations(followedEvacuations()),
+      m_Instances(planWith(Bounds.m_Drain, Bounds.m_Drain / ListsPerDrain)),
       m_InstancesWake(Io) {}
 
+ReadingPlan FleetFollower::planFor(Duration Bound) {
+  return planWith(Bound, maxReliance(Bound) / 2);
+}
+
 void FleetFollower::start() {
   asio::co_spawn(m_Io, follow(m_Declarations), asio::detached);
   asio::co_spawn(m_Io, follow(m_WeightVersions), asio::detached);
+  if (m_Bounds.m_Evacuate)
+    asio::co_spawn(m_Io, follow(m_Evacuations), asio::detached);
   asio::co_spawn(m_Io, pollInstances(), asio::detached);
 }
 
@@ -129,12 +135,14 @@
   m_Stopped = true;
   m_Declarations.m_Wake.cancel();
   m_WeightVersions.m_Wake.cancel();
+  m_Evacuations.m_Wake.cancel();
   m_InstancesWake.cancel();
 }
 
 void FleetFollower::setRank(ReadRank Turn) {
   m_Declarations.m_Reading.setRank(Turn);
   m_WeightVersions.m_Reading.setRank(Turn);
+  m_Evacuations.m_Reading.setRank(Turn);
   m_Instances.setRank(Turn);
 }
 
@@ -232,7 +240,7 @@
 /// received no update for a while kept links between regions full for 10 s and
 /// more.
 asio::awaitable<bool> FleetFollower::refreshOnce(FollowedKind &Kind) {
-  if (Kind.m_Seen.m_Value == 0)
+  if (Kind.m_Seen.m_Value == 0 || Kind.m_ApplyList)
     co_return co_await listOnce(Kind);
   const TimePoint Asked = now();
   const auto Changed = co_await m_Store.changes(Kind.m_Kind, Kind.m_Seen);
@@ -255,6 +263,17 @@
     m_Declarations.m_Reading.noteBehind(now(), Duration::zero());
 }
 
+void FleetFollower::apply(FollowedKind &Kind, const net::PlatformList &Read) {
+  if (!Kind.m_ApplyList) {
+    for (const net::PlatformObject &Each : Read.m_Items)
+      Kind.m_Apply(Each);
+    return;
+  }
+  // A list that was overtaken by an update must not bring back what it holds.
+  if (Read.m_Revision >= Kind.m_Seen)
+    Kind.m_ApplyList(Read);
+}
+
 bool FleetFollower::handleRead(FollowedKind &Kind,
                                const Outcome<net::PlatformList> &Read,
                                TimePoint Asked, const std::string &Call) {
@@ -266,8 +285,7 @@
   // other data centres too.
   const UpdateReach Reach =
       Kind.m_Reading.isBehind() ? UpdateReach::Local : UpdateReach::All;
-  for (const net::PlatformObject &Each : Read->m_Items)
-    Kind.m_Apply(Each);
+  apply(Kind, *Read);
   Kind.m_Seen = std::max(Kind.m_Seen, Read->m_Revision);
   Kind.m_MustRead = false;
   Kind.m_Reading.confirm(Asked);
@@ -287,6 +305,9 @@
         logStoreAvailability("watch " + Kind.m_Kind, std::nullopt);
         if (Update.m_Type == net::PlatformEvent::Type::Put)
           Kind.m_Apply(Update.m_Object);
+        if (Update.m_Type == net::PlatformEvent::Type::Delete &&
+            Kind.m_ApplyDeleted)
+          Kind.m_ApplyDeleted(Update.m_Object);
         if (Update.m_Type == net::PlatformEvent::Type::Bookmark) {
           Kind.m_Seen = std::max(Kind.m_Seen, Update.m_Object.m_Revision);
           Kind.m_Reading.confirm(now() - Update.m_Age);
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
 struct FollowerBounds {
   Duration m_Apply = std::chrono::seconds(2); ///< for a declaration
   Duration m_Drain = std::chrono::seconds(2); ///< for a leaving instance
+  /// For an evacuation; nothing: evacuations are not followed.
+  std::optional<Duration> m_Evacuate;
   /// Whether instances that expired during an outage of the store count as
   /// listed for a while.
   bool m_KeepsExpired = true;
@@ -62,6 +65,7 @@
     std::function<void(const FleetDeclaration &)> m_OnDeclaration;
     std::function<void(const std::vector<FleetInstance> &)> m_OnInstances;
     std::function<void(const std::vector<DatedWeights> &)> m_OnWeights;
+    std::function<void(const std::set<DataCentreId> &)> m_OnEvacuations;
     /// Sends an update to the entries in reach; may be empty.
     std::function<void(const wire::StoreNews &, UpdateReach)> m_OnUpdate;
   };
@@ -108,6 +112,10 @@
     return m_WeightVersions.m_Reading.asOf() != TimePoint{};
   }
   bool knowsInstances() const { return m_KnowsInstances; }
+  /// Whether the evacuations are known or are not followed.
+  bool knowsEvacuations() const {
+    return !m_Bounds.m_Evacuate || m_KnowsEvacuations;
+  }
 
 private:
   /// A newer declaration that another entry holds.
@@ -132,10 +140,14 @@
     Revision m_Seen{}; ///< revision to watch from; 0: list first
     asio::steady_timer m_Wake;
     bool m_MustRead = false; ///< a watch failed and may have missed changes
-    std::function<void(const net::PlatformObject &)> m_Apply;
-    std::function<void(wire::StoreNews &)> m_FillUpdate;
+    std::function<void(const net::PlatformObject &)> m_Apply = nullptr;
+    std::function<void(wire::StoreNews &)> m_FillUpdate = nullptr;
     /// Fetches a newer object from another entry; false if none has it.
-    std::function<asio::awaitable<bool>()> m_FetchAnnounced;
+    std::function<asio::awaitable<bool>()> m_FetchAnnounced = nullptr;
+    /// Set for a kind whose objects are deleted too: it is listed rather than
+    /// asked for changes, and the list replaces what was known.
+    std::function<void(const net::PlatformList &)> m_ApplyList = nullptr;
+    std::function<void(const net::PlatformObject &)> m_ApplyDeleted = nullptr;
   };
 
   asio::awaitable<void> follow(FollowedKind &Kind);
@@ -144,6 +156,7 @@
   asio::awaitable<bool> refreshOnce(FollowedKind &Kind);
   asio::awaitable<bool> listOnce(FollowedKind &Kind);
   asio::awaitable<bool> fetchAnnounced();
+  static void apply(FollowedKind &Kind, const net::PlatformList &Read);
   bool handleRead(FollowedKind &Kind, const Outcome<net::PlatformList> &Read,
                   TimePoint Asked, const std::string &Call);
   asio::awaitable<void> pollInstances();
@@ -171,6 +184,12 @@
                        TimePoint Now);
   void onInstancesUpdate(const wire::InstancesNews &News,
                          const UpdateSource &From, TimePoint Now);
+  void onEvacuationsUpdate(const wire::EvacuationsNews &News,
+                           const UpdateSource &From, TimePoint Now);
+  void setEvacuations(std::set<DataCentreId> DataCentres);
+  FollowedKind followedEvacuations();
+  /// The plan of reading what must be in force within the bound.
+  static ReadingPlan planFor(Duration Bound);
   void setWeights(const DatedWeights &Received);
   void stayBehindAnnounced();
   void applyDeclaration(const net::PlatformObject &Object,
@@ -213,6 +232,9 @@
   bool m_KnowsInstances = false;
   FollowedKind m_Declarations;
   FollowedKind m_WeightVersions;
+  std::set<DataCentreId> m_Evacuated;
+  bool m_KnowsEvacuations = false;
+  FollowedKind m_Evacuations;
   SharedReading m_Instances;
   asio::steady_timer m_InstancesWake;
   ExpiredInstances m_Expired;
--- a/src/direct/fleet-updates.cc
+++ b/src/direct/fleet-updates.cc
@@ -39,6 +39,8 @@
     m_Declarations.m_FillUpdate(Out);
   if (knowsWeights())
     m_WeightVersions.m_FillUpdate(Out);
+  if (m_KnowsEvacuations)
+    m_Evacuations.m_FillUpdate(Out);
   if (!m_KnowsInstances || instancesFreshness().m_IsUnconfirmed)
     return Out;
   wire::InstancesNews &Announced = *Out.mutable_instances();
@@ -64,6 +66,8 @@
     onDeclarationUpdate(News.declaration(), From, Now);
   if (News.has_weights())
     onWeightsUpdate(News.weights(), From, Now);
+  if (News.has_evacuations())
+    onEvacuationsUpdate(News.evacuations(), From, Now);
   if (News.has_instances())
     onInstancesUpdate(News.instances(), From, Now);
 }
--- a/src/kernel/direct-settings.cc
+++ b/src/kernel/direct-settings.cc
@@ -46,6 +46,9 @@
   Reader.optional("applyMs", Out.m_Apply, milliseconds(1), Hour);
   Reader.optional("graceMs", Out.m_Grace, milliseconds(1), Hour);
   Reader.optional("versionMs", Out.m_Version, milliseconds(1), Hour);
+  if (Reader.has("evacuateMs"))
+    Reader.optional("evacuateMs", Out.m_Evacuate.emplace(), milliseconds(1),
+                    Hour);
   RetryShare &Retries = Out.m_Retries;
   Reader.optional("retryShare", Retries.m_Share, 0.0, 1.0);
   Reader.optional("retrySlack", Retries.m_Slack, 0, 1'000'000);
--- a/src/kernel/instance-choice.cc
+++ b/src/kernel/instance-choice.cc
@@ -117,6 +117,10 @@
       Out.m_HasElsewhere = true;
       continue;
     }
+    if (m_EvacuatedSince.contains(Each.m_Listed.m_DataCentre)) {
+      Out.m_HasEvacuated = true;
+      continue;
+    }
     const bool Serves = Query.m_Model.empty() ||
                         (Each.m_TakesRequests && serves(Each, Query, Now));
     Out.m_LacksWeights = Out.m_LacksWeights || !Serves;
@@ -196,6 +200,7 @@
     return Out;
   }
   Out.m_Outcome = All.m_LacksWeights   ? ChoiceOutcome::NoWeights
+                  : All.m_HasEvacuated ? ChoiceOutcome::Evacuated
                   : All.m_HasElsewhere ? ChoiceOutcome::NotAllowed
                                        : ChoiceOutcome::NoInstance;
   Out.m_RetryAfter = RetryAfterNothing;
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -43,6 +43,15 @@
     Each.m_Region = m_Regions.regionOf(Each.m_Listed.m_DataCentre);
 }
 
+void InstanceTable::setEvacuated(const std::set<DataCentreId> &DataCentres,
+                                 TimePoint Now) {
+  std::erase_if(m_EvacuatedSince, [&](const auto &Each) {
+    return !DataCentres.contains(Each.first);
+  });
+  for (const DataCentreId &Each : DataCentres)
+    m_EvacuatedSince.try_emplace(Each, Now);
+}
+
 void InstanceTable::setServices(
     const std::vector<ServiceDeclaration> &Services) {
   m_Services.clear();
@@ -460,6 +469,20 @@
   return Out;
 }
 
+std::vector<InstanceId> InstanceTable::evacuatedFor(Duration Length,
+                                                    TimePoint Now) const {
+  std::vector<InstanceId> Out;
+  if (m_EvacuatedSince.empty())
+    return Out;
+  for (const auto &[Id, Each] : m_Instances) {
+    const auto Since = m_EvacuatedSince.find(Each.m_Listed.m_DataCentre);
+    if (Each.m_Own > 0 && Since != m_EvacuatedSince.end() &&
+        Now - Since->second > Length)
+      Out.push_back(Id);
+  }
+  return Out;
+}
+
 std::vector<InstanceId> InstanceTable::replacedWithRequests() const {
   std::vector<InstanceId> Out;
   for (const auto &[Id, Each] : m_Instances) {
@@ -477,6 +500,14 @@
   return Found == m_Instances.end() ? nullptr : &Found->second.m_Listed;
 }
 
+std::size_t InstanceTable::countIn(const DataCentreId &DataCentre) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_Instances.begin(), m_Instances.end(), [&](const auto &Each) {
+        return Each.second.m_IsListed &&
+               Each.second.m_Listed.m_DataCentre == DataCentre;
+      }));
+}
+
 std::vector<std::string> InstanceTable::engineAddresses() const {
   std::vector<std::string> Out;
   for (const auto &[Id, Each] : m_Instances) {
--- a/test/direct-settings-test.cc
+++ b/test/direct-settings-test.cc
@@ -62,7 +62,7 @@
     EXPECT_NE(Faults.find(Each), std::string::npos) << Each << "\n" << Faults;
 }
 
-std::string filled(const std::string &Path) {
+std::string filled(const std::string &Path, bool HasOptional) {
   std::ifstream File(Path);
   std::stringstream Text;
   Text << File.rdbuf();
@@ -70,6 +70,8 @@
   const auto Fill = [&Out](const std::string &Pattern, const char *Value) {
     Out = std::regex_replace(Out, std::regex(Pattern), Value);
   };
+  const std::string Section = R"(\{\{#([^}]*)\}\}(.*)\{\{/\1\}\})";
+  Fill(Section, HasOptional ? "$2" : "");
   Fill(R"(\{\{zones\|json\}\})", R"({"a": "north"})");
   Fill(R"(\{\{[^}]*\|json\}\})", "\"127.0.0.1:1\"");
   Fill(R"(\{\{[^}]*retryRatio\}\})", "0.2");
@@ -83,12 +85,15 @@
 /// The settings templates that the deploy file refers to must give valid
 /// settings.
 TEST(DirectSettings, AcceptsFilledTemplates) {
-  for (const char *Name : {"entry", "agent"}) {
-    const std::string Text = filled(std::string(DECKPITCH_SOURCE_DIR) +
-                                    "/platform/" + Name + ".settings.json");
-    ASSERT_FALSE(Text.empty());
-    EXPECT_EQ(faultsOf(Text), "") << Text;
-  }
+  for (const char *Name : {"entry", "agent"})
+    for (const bool HasOptional : {false, true}) {
+      const std::string Text =
+          filled(std::string(DECKPITCH_SOURCE_DIR) + "/platform/" + Name +
+                     ".settings.json",
+                 HasOptional);
+      ASSERT_FALSE(Text.empty());
+      EXPECT_EQ(faultsOf(Text), "") << Text;
+    }
 }
 
 } // namespace
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -64,6 +64,32 @@
   EXPECT_FALSE(m_Table.leaving({"unknown"}));
 }
 
+TEST_F(InstanceTableTest, NoRequestsToAnEvacuatedDataCentre) {
+  list({listed("near"), listed("far", "b")});
+  m_Table.setEvacuated({{"a"}}, Start);
+  EXPECT_EQ(chosen(), "far");
+  m_Table.setEvacuated({{"a"}, {"b"}}, Start + 1s);
+  EXPECT_EQ(outcome(), ChoiceOutcome::Evacuated);
+  m_Table.setEvacuated({{"b"}}, Start + 2s);
+  EXPECT_EQ(chosen(), "near");
+}
+
+/// Streams are moved some time after their own data centre was evacuated, not
+/// after the last change of what is evacuated.
+TEST_F(InstanceTableTest, RequestsInAnEvacuatedDataCentreAreFoundAfterAWhile) {
+  list({listed("near"), listed("far", "b"), listed("idle")});
+  m_Table.started({"near"}, Start);
+  m_Table.started({"far"}, Start);
+  m_Table.setEvacuated({{"a"}}, Start);
+  m_Table.setEvacuated({{"a"}, {"b"}}, Start + 1s);
+  EXPECT_TRUE(m_Table.evacuatedFor(2s, Start + 2s).empty());
+  EXPECT_EQ(m_Table.evacuatedFor(2s, Start + 2'001ms),
+            std::vector<InstanceId>{{"near"}});
+  EXPECT_EQ(m_Table.evacuatedFor(2s, Start + 3'001ms).size(), 2U);
+  m_Table.setEvacuated({}, Start + 4s);
+  EXPECT_TRUE(m_Table.evacuatedFor(2s, Start + 9s).empty());
+}
+
 /// An intermediary accepted connections for an instance that was gone and
 /// closed them at once, so that every request sent there seemed to have crashed
 /// it.
