Exchange hellos within a data centre, and across by two entries of each

Each entry sent hellos to each other at an interval that grew with their number: 5.5 s at 547 entries, so that a dead one counted as live for 22 s, and the directory named it till then. Suspected requests reached other data centres as late, where 4 s are allowed.

Beyond the size at which one entry reads the store for all, hellos go to the entries of the own data centre; the two of the smallest ids also send them to the other data centres. So the interval follows the entries of one data centre: 1.1 s at 110, known after 4.4 s. A hello states its interval, as data centres differ in size, and how many entries its sender knows, which the shares of the retry budget need. Duties for an instance go to the first entry of its data centre, which all entries know. Agents of a data centre without live entries are told of weights by the relays of others.

Entries list all records of the store once, and the first of each data centre each 20 s for the others; 547 entries listed three pages each 20 s.

Not reached: 2 s until a dead entry is known. That needs suspicion by several entries rather than four missed hellos.

--- a/src/direct/entry-link.cc
+++ b/src/direct/entry-link.cc
@@ -17,6 +17,8 @@
 /// Interval of hellos to each agent, which sends its state for several of these
 /// intervals after one.
 constexpr Duration SubscribeInterval = milliseconds(1'000);
+/// Time after the start in which the first hellos of other entries arrive.
+constexpr Duration UnattendedDelay = milliseconds(5'000);
 /// An update from another entry that is late by more than this, against its
 /// usual delay, is logged, at most once per interval.
 constexpr Duration LateUpdateThreshold = milliseconds(200);
@@ -164,6 +166,11 @@
   Hello.set_data_centre(Own.m_DataCentre.m_Text);
   Hello.set_callers(Own.m_Callers);
   Hello.set_takes_callers(m_State.m_Status().m_IsReady);
+  const auto IntervalMs =
+      std::chrono::duration_cast<milliseconds>(m_State.m_Peers.helloInterval());
+  Hello.set_interval_ms(static_cast<std::uint32_t>(IntervalMs.count()));
+  Hello.set_known_entries(
+      static_cast<std::uint32_t>(m_State.m_Peers.knownCount()));
   return Message;
 }
 
@@ -207,6 +214,19 @@
       write(Each, *Hello.add_sources());
   for (const std::string &Address : m_State.m_Instances.subscribedAddresses())
     m_Link.send(agentOf(Address), Message);
+  for (const std::string &Address : unattendedAgents(Now))
+    m_Link.send(agentOf(Address), Message);
+}
+
+/// Instances in data centres without a live entry: their agents learn of new
+/// weights from the first entries of the other data centres.
+std::vector<std::string> EntryLink::unattendedAgents(TimePoint Now) const {
+  const bool IsStarting = Now - m_Start < UnattendedDelay;
+  if (IsStarting || !m_State.m_Peers.isRelay(Now))
+    return {};
+  const std::set<DataCentreId> Attended = m_State.m_Peers.liveCentres(Now);
+  return m_State.m_Instances.agentAddressesWhere(
+      [&](const DataCentreId &At) { return !Attended.contains(At); });
 }
 
 } // namespace deckpitch::direct
--- a/src/direct/entry-link.h
+++ b/src/direct/entry-link.h
@@ -2,6 +2,7 @@
 // state and slot questions with agents.
 #pragma once
 
+#include "daemon/clock.h"
 #include "deckpitch/instance-table.h"
 #include "deckpitch/link-delay.h"
 #include "direct/entry-peers.h"
@@ -87,6 +88,7 @@
   std::string agentOf(const std::string &InstanceAddress) const;
   wire::LinkMessage ownHello() const;
   void sendToAgents(wire::LinkMessage Message, TimePoint Now);
+  std::vector<std::string> unattendedAgents(TimePoint Now) const;
 
   StateLink m_Link;
   SlotClient m_SlotClient;
@@ -97,6 +99,7 @@
   std::map<std::string, LinkOrder> m_StateOrder; ///< by instance address
   std::map<std::string, Sender> m_Senders;       ///< by link address
   TimePoint m_NextSubscribe{};
+  const TimePoint m_Start = daemon::now();
 };
 
 } // namespace deckpitch::direct
--- a/src/direct/entry-peers.cc
+++ b/src/direct/entry-peers.cc
@@ -4,6 +4,8 @@
 #include "net/log.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace deckpitch::direct {
@@ -15,6 +17,9 @@
 /// Interval per known entry, so that each receives at most a hundred hellos a
 /// second.
 constexpr Duration HelloIntervalPerEntry = std::chrono::milliseconds(10);
+/// Bounds on what another entry tells of itself.
+constexpr Duration MaxHelloInterval = std::chrono::seconds(10);
+constexpr std::uint32_t MaxToldEntries = 100'000;
 /// An entry counts as gone after this many hello intervals without one.
 constexpr int MaxMissedHellos = 4;
 /// Between two hellos to an entry that has become silent: it may be gone for
@@ -24,10 +29,10 @@
 /// does in each data centre, since it sends a datagram to each of the others
 /// after each read.
 constexpr std::size_t MaxGroupSize = 64;
-/// Number of entries of a data centre that send the digest to others: more than
-/// one, since one may just have failed; few, since each message crosses the
-/// link between regions.
-constexpr std::size_t RemoteDigestSenders = 2;
+/// Number of entries of a data centre that send hellos with the digest to
+/// others: more than one, since one may just have failed; few, since each
+/// message crosses the link between regions.
+constexpr std::size_t RelaysPerDataCentre = 2;
 /// Number of entries in the caller's data centre that suffices: one of them may
 /// just have failed.
 constexpr std::size_t SufficientLocalEntries = 2;
@@ -40,7 +45,30 @@
   Peer &Known = m_Peers[Listed.m_Id];
   // An entry's own hello is newer than its object in the store.
   if (!Known.m_HasHello)
-    Known.m_Address = Listed;
+    setAddress(Known, Listed);
+}
+
+void EntryPeers::setAddress(Peer &Of, const EntryAddress &Address) {
+  const bool IsSameCentre = Of.m_Address.m_DataCentre == Address.m_DataCentre;
+  Of.m_Address = Address;
+  if (!IsSameCentre)
+    countCorrespondents();
+}
+
+/// Counts the entries that send hellos here: those of the group, and the relays
+/// of other data centres.
+void EntryPeers::countCorrespondents() {
+  std::size_t Local = 0;
+  std::set<DataCentreId> Others;
+  for (const auto &[Id, Each] : m_Peers) {
+    if (isLocal(Each))
+      ++Local;
+    else
+      Others.insert(Each.m_Address.m_DataCentre);
+  }
+  m_Correspondents = sharesReadsWithAll()
+                         ? m_Peers.size()
+                         : Local + RelaysPerDataCentre * Others.size();
 }
 
 void EntryPeers::onHello(const wire::LinkMessage &Message,
@@ -63,25 +91,33 @@
   // would stay at that interval.
   if (!isLive(Known, Now))
     Known.m_NextHello = Now;
-  Known.m_Address = {Id, DataCentreId{Hello.data_centre()}, From,
-                     Hello.callers()};
+  setAddress(Known,
+             {Id, DataCentreId{Hello.data_centre()}, From, Hello.callers()});
+  if (Hello.interval_ms() != 0)
+    Known.m_Interval =
+        std::clamp<Duration>(std::chrono::milliseconds(Hello.interval_ms()),
+                             MinHelloInterval, MaxHelloInterval);
+  m_ToldCount = std::max<std::size_t>(
+      m_ToldCount, std::min(Hello.known_entries(), MaxToldEntries));
   Known.m_LastHello = Now;
   Known.m_HasHello = true;
   Known.m_TakesCallers = Hello.takes_callers();
 }
 
 Duration EntryPeers::helloInterval() const {
-  const auto Count = static_cast<Duration::rep>(m_Peers.size());
+  const auto Count = static_cast<Duration::rep>(m_Correspondents);
   return std::max(MinHelloInterval, HelloIntervalPerEntry * Count);
 }
 
 bool EntryPeers::isLive(const Peer &Each, TimePoint Now) const {
   return Each.m_HasHello &&
-         Now - Each.m_LastHello < MaxMissedHellos * helloInterval();
+         Now - Each.m_LastHello <
+             MaxMissedHellos * Each.m_Interval.value_or(helloInterval());
 }
 
 DueHellos EntryPeers::dueHellos(TimePoint Now) {
-  const bool SendsRemoteDigest = ownRank(Now).m_Near < RemoteDigestSenders;
+  const bool IsRelay = isRelay(Now);
+  const bool SharesReads = sharesReadsWithAll();
   DueHellos Due;
   for (auto &[Id, Each] : m_Peers) {
     const bool IsLive = isLive(Each, Now);
@@ -90,9 +126,16 @@
                {{"entry", Id.m_Text}, {"callers", Each.m_Address.m_Callers}});
       Each.m_TakesCallers = false;
     }
-    if (Now < Each.m_NextHello)
+    const bool IsPartner = IsRelay || SharesReads || isLocal(Each);
+    if (Now < Each.m_NextHello || !IsPartner)
+      continue;
+    // Who the relays are shows after the first hellos within a data centre.
+    const bool IsFirst = Each.m_NextHello == TimePoint{};
+    if (IsFirst && !SharesReads && !isLocal(Each)) {
+      Each.m_NextHello = Now + helloInterval();
       continue;
-    const bool IncludesDigest = SendsRemoteDigest || isLocal(Each);
+    }
+    const bool IncludesDigest = IsRelay || isLocal(Each);
     (IncludesDigest ? Due.m_WithDigest : Due.m_WithoutDigest)
         .push_back(Each.m_Address.m_Link);
     Each.m_NextHello =
@@ -112,7 +155,7 @@
 }
 
 bool EntryPeers::isInGroup(const Peer &Each, TimePoint Now) const {
-  return isLive(Each, Now) && (isLocal(Each) || m_Peers.size() < MaxGroupSize);
+  return isLive(Each, Now) && (isLocal(Each) || sharesReadsWithAll());
 }
 
 std::vector<std::string> EntryPeers::group(TimePoint Now,
@@ -135,6 +178,18 @@
   return Out;
 }
 
+bool EntryPeers::isRelay(TimePoint Now) const {
+  return ownRank(Now).m_Near < RelaysPerDataCentre;
+}
+
+std::set<DataCentreId> EntryPeers::liveCentres(TimePoint Now) const {
+  std::set<DataCentreId> Out{m_Own.m_DataCentre};
+  for (const auto &[Id, Each] : m_Peers)
+    if (isLive(Each, Now))
+      Out.insert(Each.m_Address.m_DataCentre);
+  return Out;
+}
+
 bool EntryPeers::isLocal(const Peer &Each) const {
   return Each.m_Address.m_DataCentre == m_Own.m_DataCentre;
 }
@@ -176,9 +231,33 @@
   return Out;
 }
 
+bool EntryPeers::sharesReadsWithAll() const {
+  return m_Peers.size() < MaxGroupSize;
+}
+
+/// The live entry of the data centre with the smallest id: it is a relay, which
+/// the entries of all data centres know. Null if there is none.
+const EntryAddress *EntryPeers::firstIn(const DataCentreId &At, bool IncludeOwn,
+                                        TimePoint Now) const {
+  const EntryAddress *First =
+      IncludeOwn && At == m_Own.m_DataCentre ? &m_Own : nullptr;
+  for (const auto &[Id, Each] : m_Peers) {
+    const bool IsCandidate = isLive(Each, Now) && Each.m_TakesCallers &&
+                             Each.m_Address.m_DataCentre == At;
+    if (IsCandidate)
+      return First && First->m_Id < Id ? First : &Each.m_Address;
+  }
+  return First;
+}
+
 const EntryAddress &EntryPeers::responsibleFor(const std::string &Duty,
+                                               const DataCentreId &At,
                                                bool IncludeOwn,
                                                TimePoint Now) const {
+  const EntryAddress *First =
+      sharesReadsWithAll() ? nullptr : firstIn(At, IncludeOwn, Now);
+  if (First)
+    return *First;
   const EntryAddress *Best = &m_Own;
   std::uint64_t BestWeight =
       IncludeOwn ? randomWeight(Duty, m_Own.m_Id.m_Text) : 0;
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -7,9 +7,12 @@
 #include "deckpitch/time.h"
 #include "direct/state-link.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,8 +34,8 @@
 /// Link addresses of entries to which hellos are due.
 struct DueHellos {
   /// Hellos that include the digest of the store. All entries send it within
-  /// their data centre, and the first entries of each to those of others, so
-  /// that a lost update is noticed within a few hellos.
+  /// their data centre, and the relays of each to those of others, so that a
+  /// lost update is noticed within a few hellos.
   std::vector<std::string> m_WithDigest;
   std::vector<std::string> m_WithoutDigest;
 
@@ -51,21 +54,33 @@
   void onHello(const wire::LinkMessage &Message, const std::string &From,
                TimePoint Now);
 
-  /// The hellos that are due now. Intervals grow with the number of entries, so
-  /// that each receives at most a hundred a second.
+  /// The hellos that are due now. Those to other data centres are sent by the
+  /// first entries of each, unless the fleet is so small that one entry reads
+  /// the store for all.
   DueHellos dueHellos(TimePoint Now);
 
   /// Number of live entries that accept callers, counting this one.
   std::size_t liveCount(TimePoint Now) const;
-  /// Number of entries ever listed or received from, including this one: an
-  /// entry cut off by a network failure may still accept callers.
-  std::size_t knownCount() const { return 1 + m_Peers.size(); }
+  /// Number of entries ever listed or received from, including this one, here
+  /// or at an entry that sends hellos: an entry cut off by a network failure
+  /// may still accept callers.
+  std::size_t knownCount() const {
+    return std::max(1 + m_Peers.size(), m_ToldCount);
+  }
+  /// Interval of this entry's hellos. It grows with the number of entries that
+  /// send hellos here, so that each receives at most a hundred a second.
+  Duration helloInterval() const;
   /// Link addresses of the live entries that share one reader of the store with
   /// this one, or of those among them in this data centre.
   std::vector<std::string> group(TimePoint Now, UpdateReach Reach) const;
   /// Number of entries of the group that read the store before this one: those
   /// that accept callers and have a smaller id.
   ReadRank ownRank(TimePoint Now) const;
+  /// Whether this entry is one of the first of its data centre, which exchange
+  /// hellos with the entries of other data centres.
+  bool isRelay(TimePoint Now) const;
+  /// The data centres of the live entries, its own included.
+  std::set<DataCentreId> liveCentres(TimePoint Now) const;
   /// Whether the entry with that link address is in this data centre.
   bool isLocal(const std::string &Link) const;
   /// Addresses for a caller in a data centre: the entries there if there are
@@ -76,9 +91,10 @@
   std::vector<std::string>
   addressesWhere(const std::function<bool(const DataCentreId &)> &Holds,
                  bool IncludeOwn, TimePoint Now) const;
-  /// The entry that all entries which know the same live ones choose for the
-  /// duty; this one if there is no other.
-  const EntryAddress &responsibleFor(const std::string &Duty, bool IncludeOwn,
+  /// The entry that all entries choose for a duty in the data centre: one of
+  /// those that all of them know to be live; this one if there is no other.
+  const EntryAddress &responsibleFor(const std::string &Duty,
+                                     const DataCentreId &At, bool IncludeOwn,
                                      TimePoint Now) const;
   const EntryAddress &own() const { return m_Own; }
 
@@ -90,15 +106,25 @@
     bool m_HasHello = false;
     bool m_TakesCallers = false;
     TimePoint m_NextHello{};
+    /// Between two of its hellos, as it says; nothing: it does not say.
+    std::optional<Duration> m_Interval;
   };
 
+  void setAddress(Peer &Of, const EntryAddress &Address);
+  void countCorrespondents();
+
+  /// Whether one entry reads the store for all, so that all know each other.
+  bool sharesReadsWithAll() const;
+  const EntryAddress *firstIn(const DataCentreId &At, bool IncludeOwn,
+                              TimePoint Now) const;
   bool isLive(const Peer &Each, TimePoint Now) const;
   bool isInGroup(const Peer &Each, TimePoint Now) const;
   bool isLocal(const Peer &Each) const;
-  Duration helloInterval() const;
 
   EntryAddress m_Own;
   std::map<InstanceId, Peer> m_Peers;
+  std::size_t m_Correspondents = 0; ///< entries that send hellos here
+  std::size_t m_ToldCount = 0;      ///< the most that another entry knows
 };
 
 } // namespace deckpitch::direct
--- a/src/direct/entry-rate-limits.h
+++ b/src/direct/entry-rate-limits.h
@@ -21,7 +21,10 @@
   /// The entry that counts the requests of all entries to the instance.
   const EntryAddress &grantorOf(const InstanceId &Id, bool IncludeOwn,
                                 TimePoint Now) const {
-    return m_Peers.responsibleFor(Id.m_Text, IncludeOwn, Now);
+    const FleetInstance *Known = m_Instances.find(Id);
+    return m_Peers.responsibleFor(Id.m_Text,
+                                  Known ? Known->m_DataCentre : DataCentreId{},
+                                  IncludeOwn, Now);
   }
   /// Decides on a question of this entry or of another one.
   SlotReply decide(const SlotQuestion &Question, TimePoint Now);
--- a/src/direct/entry-registration.cc
+++ b/src/direct/entry-registration.cc
@@ -126,6 +126,14 @@
   co_return true;
 }
 
+/// An entry lists all others once, and then learns of new ones from their own
+/// hellos. The first of each data centre lists them again, for all the others:
+/// hellos may be lost.
+bool EntryRegistration::mustList() const {
+  const TimePoint Now = now();
+  return !m_HasListed || m_Peers.ownRank(Now).m_All == 0;
+}
+
 asio::awaitable<void> EntryRegistration::run() {
   TimePoint NextList{};
   while (!m_Stopped) {
@@ -134,9 +142,11 @@
       const bool IsDone = co_await writeOwnRecord();
       m_IsWritten = m_IsWritten && IsDone;
     }
-    if (now() >= NextList) {
+    if (now() >= NextList && mustList()) {
       const bool IsListed = co_await listRecords();
       NextList = now() + (IsListed ? ListInterval : RetryInterval);
+    } else if (now() >= NextList) {
+      NextList = now() + ListInterval;
     }
     m_Wake.expires_after(m_IsWritten ? NextList - now() : RetryInterval);
     co_await m_Wake.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/direct/entry-registration.h
+++ b/src/direct/entry-registration.h
@@ -45,6 +45,7 @@
   asio::awaitable<void> run();
   asio::awaitable<bool> writeOwnRecord();
   asio::awaitable<bool> listRecords();
+  bool mustList() const;
   std::string ownRecord() const;
   void addListed(const net::PlatformObject &Record);
   bool addDeclared(const StoredDeclaration &Seen);
--- a/test/entry-peers-test.cc
+++ b/test/entry-peers-test.cc
@@ -39,6 +39,13 @@
     Message.mutable_hello()->set_data_centre(Own.m_DataCentre.m_Text);
     Message.mutable_hello()->set_callers(Own.m_Callers);
     Message.mutable_hello()->set_takes_callers(true);
+    Message.mutable_hello()->set_interval_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            From.m_Peers.helloInterval())
+            .count()));
+    Message.mutable_hello()->set_known_entries(
+        static_cast<std::uint32_t>(From.m_Peers.knownCount()));
+    ++m_Sent;
     for (const auto &Each : m_Entries)
       if (!m_IsCut && Each->m_Peers.own().m_Link == To)
         Each->m_Peers.onHello(Message, Own.m_Link, m_Now);
@@ -66,6 +73,7 @@
   std::vector<std::unique_ptr<Entry>> m_Entries;
   TimePoint m_Now{1h};
   bool m_IsCut = false;
+  std::size_t m_Sent = 0; ///< hellos
 };
 
 TEST_F(EntryHellos, EntriesAreLiveAgainAfterACut) {
@@ -126,4 +134,58 @@
   EXPECT_EQ(m_Entries[1]->m_Peers.ownRank(m_Now), (ReadRank{0, 0}));
 }
 
+/// Hellos from each entry to each other, at intervals that grew with their
+/// number, left an entry of a fleet of 547 counted as live for 22 s after its
+/// death.
+TEST_F(EntryHellos, HellosOfAnEntryDoNotGrowWithOtherDataCentres) {
+  constexpr int OfEach = 30;
+  constexpr int DataCentres = 5;
+  for (int Centre = 0; Centre < DataCentres; ++Centre)
+    for (int I = 0; I < OfEach; ++I)
+      add(std::to_string(Centre) + "-" + std::to_string(I),
+          std::to_string(Centre));
+  run(5s);
+  m_Sent = 0;
+  run(10s);
+  const std::size_t Local = 10 * m_Entries.size() * (OfEach - 1) * 10 / 3;
+  EXPECT_LT(m_Sent, Local + Local / 5);
+  // All entries know the local ones and two of each other data centre.
+  for (const auto &Each : m_Entries) {
+    EXPECT_EQ(Each->m_Peers.liveCount(m_Now), OfEach + 2U * (DataCentres - 1));
+    EXPECT_EQ(Each->m_Peers.liveCentres(m_Now).size(), DataCentres);
+    EXPECT_EQ(Each->m_Peers.knownCount(), m_Entries.size());
+  }
+}
+
+/// The entry that counts the requests to an instance must be the same for all.
+TEST_F(EntryHellos, EntriesOfAllDataCentresChooseTheSameForADuty) {
+  constexpr int OfEach = 40;
+  for (int I = 0; I < OfEach; ++I) {
+    add("a" + std::to_string(I), "a");
+    add("b" + std::to_string(I), "b");
+  }
+  run(5s);
+  for (const auto &Each : m_Entries) {
+    EXPECT_EQ(Each->m_Peers.responsibleFor("i", {"a"}, true, m_Now).m_Id.m_Text,
+              "a0");
+    EXPECT_EQ(Each->m_Peers.responsibleFor("i", {"b"}, true, m_Now).m_Id.m_Text,
+              "b0");
+  }
+}
+
+/// A data centre with few entries sends hellos more often than one with many,
+/// which counted it as lost in between.
+TEST_F(EntryHellos, RelaysOfUnequalDataCentresStayLive) {
+  for (int I = 0; I < 100; ++I)
+    add("a" + std::to_string(I), "a");
+  for (int I = 0; I < 3; ++I)
+    add("b" + std::to_string(I), "b");
+  run(6s);
+  for (int I = 0; I < 20; ++I) {
+    run(500ms);
+    EXPECT_EQ(m_Entries.back()->m_Peers.liveCount(m_Now), 5U);
+    EXPECT_EQ(m_Entries.front()->m_Peers.liveCount(m_Now), 102U);
+  }
+}
+
 } // namespace
