Take over reading one after the other, and back off in agents

All ranks after the fifth of a data centre took over at the same moment: with 110 entries behind a full link, a hundred read the store together, and none got an answer. Agents without a source of weights read the whole declaration every three seconds, all at once.

Ranks after the fourth now wait 20 ms more each, without a common limit, so the last of 110 reads within the bound. Agents wait 3 to 6 s before their first read of the declaration, and up to 24 s between further ones.

A check of the rank delay's limit is replaced by one of the new delay, and a test that no two of 110 processes read at the same time is added; it fails with the limit.

--- a/include/deckpitch/shared-reading.h
+++ b/include/deckpitch/shared-reading.h
@@ -17,7 +17,10 @@
   Duration m_Interval{};    ///< between two reads of the first process
   Duration m_TakeOverAge{}; ///< age after which the next processes read
   Duration m_RankDelay{};   ///< additional delay for each process ranked before
-  Duration m_MaxRankDelay{}; ///< maximum of these additional delays
+  /// Ranks after this one add less, so that the last of many still reads within
+  /// the bound, yet not all at once.
+  std::size_t m_FullDelayRanks = 0;
+  Duration m_LateRankDelay{}; ///< additional delay for each of these
   Duration m_StaleAge{}; ///< age after which the store counts as unavailable
 
   friend bool operator==(const ReadingPlan &, const ReadingPlan &) = default;
@@ -110,8 +113,10 @@
   /// Returns how long this process waits for those ranked before it in its data
   /// centre to read.
   Duration rankDelay() const {
-    const auto Before = static_cast<Duration::rep>(m_Rank.m_Near);
-    return std::min(m_Plan.m_RankDelay * Before, m_Plan.m_MaxRankDelay);
+    const std::size_t Full = std::min(m_Rank.m_Near, m_Plan.m_FullDelayRanks);
+    const std::size_t Late = m_Rank.m_Near - Full;
+    return m_Plan.m_RankDelay * static_cast<Duration::rep>(Full) +
+           m_Plan.m_LateRankDelay * static_cast<Duration::rep>(Late);
   }
   /// Returns when this process must read; at once while nothing is known.
   TimePoint due() const {
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -1,6 +1,7 @@
 // The agent of one instance: supplies it with the declared weights and reports
 // its state to the entries.
 #include "daemon/clock.h"
+#include "deckpitch/back-off.h"
 #include "deckpitch/instance-grants.h"
 #include "direct/adapter.h"
 #include "direct/fleet-follower.h"
@@ -38,7 +39,7 @@
 constexpr Duration RepeatInterval = milliseconds(240);
 /// Least time between states to an entry of another data centre. Such entries
 /// send here only what their own data centre cannot serve and need no fresher
-/// counts, and all agents send to all entries.
+/// counts.
 constexpr Duration RemoteInterval = milliseconds(200);
 /// An entry without a hello for this long is dropped.
 constexpr Duration SubscriptionLifetime = std::chrono::seconds(4);
@@ -49,6 +50,9 @@
 /// full for five seconds.
 constexpr Duration DeclarationTimeout = milliseconds(3'000);
 constexpr Duration PeersInterval = milliseconds(1'000);
+/// Longest wait between reads of the store in place of an entry: many agents
+/// without an entry read it at the same time.
+constexpr Duration MaxStoreInterval = std::chrono::seconds(24);
 /// Share of the instance's link for weights; the rest is for requests, whose
 /// tokens must not queue behind chunks.
 constexpr double LinkShare = 0.95;
@@ -211,20 +215,29 @@
 /// Reads the declaration if no entry announces the source of weights, and the
 /// list of peers during a copy.
 asio::awaitable<void> Agent::storeLoop() {
-  TimePoint NextDeclaration = now() + DeclarationTimeout;
+  Duration DeclarationWait = 2 * DeclarationTimeout;
+  Duration ListWait = PeersInterval;
+  TimePoint NextDeclaration = now() + jittered(DeclarationWait, m_Random);
   TimePoint NextPeers{};
+  TimePoint NextList{};
   while (!m_Stopped) {
     if (!m_Weights.hasSource() && now() >= NextDeclaration) {
-      NextDeclaration = now() + DeclarationTimeout;
+      DeclarationWait = std::min(2 * DeclarationWait, MaxStoreInterval);
+      NextDeclaration = now() + jittered(DeclarationWait, m_Random);
       co_await m_Follower.readDeclarations();
     }
     if (m_Weights.isCopying() && now() >= NextPeers) {
       NextPeers = now() + PeersInterval;
-      // A stale list is enough: peers that have left are detected by their
-      // connections.
       const bool Succeeded = co_await fetchPeers();
-      if (!Succeeded)
+      if (Succeeded) {
+        ListWait = PeersInterval;
+      } else if (now() >= NextList) {
+        ListWait = std::min(2 * ListWait, MaxStoreInterval);
+        NextList = now() + jittered(ListWait, m_Random);
+        // A stale list is enough: peers that have left are detected by their
+        // connections.
         co_await m_Follower.listOldInstances();
+      }
     }
     co_await sleepFor(StepInterval);
   }
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -44,8 +44,10 @@
 /// Reads that take longer than their bound divided by this are logged: links or
 /// the store are so slow that the bound may be missed.
 constexpr int SlowReadDivisor = 8;
-/// Delay of all ranks after the fifth in a data centre, which read together.
-constexpr Duration MaxRankDelay = milliseconds(600);
+/// Ranks of a data centre that wait so long for each before them, and the delay
+/// of each further one: several of them read at a time, but never all.
+constexpr std::size_t FullDelayRanks = 4;
+constexpr Duration LateRankDelay = milliseconds(20);
 /// Logged as the source of a declaration.
 const std::string StoreSource = "store";
 
@@ -57,7 +59,8 @@
 /// A plan in which the first process reads at the given interval.
 ReadingPlan planWith(Duration Bound, Duration Every) {
   const Duration TakeOver = maxReliance(Bound);
-  return {Every, TakeOver, RankDelay, MaxRankDelay, TakeOver + StaleMargin};
+  return {Every,          TakeOver,      RankDelay,
+          FullDelayRanks, LateRankDelay, TakeOver + StaleMargin};
 }
 
 std::uint32_t ageMs(TimePoint Since) { return direct::ageMs(Since, now()); }
--- a/test/shared-reading-test.cc
+++ b/test/shared-reading-test.cc
@@ -5,12 +5,14 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 using namespace deckpitch;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr ReadingPlan Plan{500ms, 840ms, 40ms, 280ms, 1'400ms};
+constexpr ReadingPlan Plan{500ms, 840ms, 40ms, 7, 10ms, 1'400ms};
 constexpr TimePoint Start{1h};
 
 SharedReading readingOf(ReadRank Turn) {
@@ -34,7 +36,7 @@
   for (const Row &Each :
        {Row{{0, 0}, 500ms}, Row{{1, 0}, 840ms}, Row{{1, 1}, 880ms},
         Row{{12, 0}, 840ms}, Row{{13, 1}, 880ms}, Row{{19, 7}, 1'120ms},
-        Row{{41, 41}, 1'120ms}}) {
+        Row{{41, 41}, 1'460ms}}) {
     SharedReading Subject = readingOf(Each.m_Turn);
     Subject.confirm(Start);
     EXPECT_EQ(Subject.due() - Start, Each.m_Due)
@@ -42,6 +44,19 @@
   }
 }
 
+/// All of a hundred processes after the fifth read at the same moment, and
+/// filled the link between two regions so that none got an answer.
+TEST(SharedReading, NoTwoOfManyProcessesReadAtTheSameTime) {
+  std::set<TimePoint> Due;
+  for (std::size_t Rank = 1; Rank <= 110; ++Rank) {
+    SharedReading Subject(Plan);
+    Subject.confirm(Start);
+    Subject.setRank({Rank, Rank});
+    Due.insert(Subject.due());
+  }
+  EXPECT_EQ(Due.size(), 110U);
+}
+
 TEST(SharedReading, OlderUpdateDoesNotDelayRead) {
   SharedReading Subject = readingOf({1, 1});
   Subject.confirm(Start);
--- a/test/store-freshness-test.cc
+++ b/test/store-freshness-test.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr ReadingPlan Plan{500ms, 840ms, 40ms, 280ms, 1'400ms};
+constexpr ReadingPlan Plan{500ms, 840ms, 40ms, 7, 10ms, 1'400ms};
 constexpr TimePoint Start{1h};
 constexpr Duration Bound = 3s;
 
