Keep what cold instances accept over all entries together

An instance that has just started accepts coldPerS requests a second and crashes well above that; no file read it. All entries together send it more, since it has the fewest requests of all.

The list says how long an instance is cold; entries pass this on with each question for a slot, and its agent, or the entry that counts where no agent reports, grants what the operators' bound allows in any second, also if the counting process changes. An instance that is cold and whose grantor does not answer gets nothing. Off unless the settings hold coldBurst or coldSlack.

A rate limit with an end was weighed: its burst of one second exceeds this bound from nine requests a second on.

--- a/include/deckpitch/direct-settings.h
+++ b/include/deckpitch/direct-settings.h
@@ -1,6 +1,7 @@
 // Settings of direct mode, in which the entries call the instances directly.
 #pragma once
 
+#include "deckpitch/cold-start.h"
 #include "deckpitch/error.h"
 #include "deckpitch/id.h"
 #include "deckpitch/membership.h"
@@ -40,6 +41,8 @@
   /// Time until nothing is sent to a data centre that operators evacuate;
   /// nothing: evacuations are not followed.
   std::optional<std::chrono::milliseconds> m_Evacuate;
+  /// Nothing: instances are never treated as cold.
+  std::optional<ColdStartBound> m_ColdStart;
   RetryShare m_Retries;
   /// How long callers may cache the entries' addresses.
   std::chrono::milliseconds m_AddressLifetime{2'000};
--- a/include/deckpitch/fleet.h
+++ b/include/deckpitch/fleet.h
@@ -68,6 +68,9 @@
 struct ServiceDeclaration {
   ServiceId m_Id;
   std::uint32_t m_MaxConnections = 0; ///< per instance, from all callers
+  /// Requests a second that an instance accepts while it is cold, from all
+  /// callers; 0: any number.
+  double m_ColdPerSecond = 0;
   std::optional<EngineProfile> m_Engine;
   std::string m_Origin;    ///< address; set only for an origin of weights
   double m_OriginMbps = 0; ///< of the origin's link; 0: unknown
@@ -151,6 +154,8 @@
   DataCentreId m_DataCentre;
   std::uint32_t m_Slots = 1;
   bool m_IsLeaving = false;
+  /// How much longer it was cold when the platform wrote this.
+  std::chrono::milliseconds m_ColdLeft{};
   std::vector<HeldWeights> m_Weights;
 
   friend bool operator==(const FleetInstance &,
--- a/include/deckpitch/instance-grants.h
+++ b/include/deckpitch/instance-grants.h
@@ -1,7 +1,8 @@
 // Admission of all entries' requests to one instance, decided beside it: by its
-// slots, and by its rate limit if it has one.
+// slots, by its rate limit if it has one, and by what it accepts while cold.
 #pragma once
 
+#include "deckpitch/cold-start.h"
 #include "deckpitch/id.h"
 #include "deckpitch/rate-limit.h"
 #include "deckpitch/slot-ledger.h"
@@ -16,7 +17,7 @@
 /// does not have the rate limit of the former one.
 class InstanceGrants {
 public:
-  explicit InstanceGrants(TimePoint Now) : m_Limit(Now) {}
+  explicit InstanceGrants(TimePoint Now) : m_Limit(Now), m_ColdStart(Now) {}
 
   /// Records the number of requests that the instance reports.
   void reported(std::uint32_t Held, TimePoint Now) {
@@ -25,6 +26,9 @@
   /// Records what an entry knows of an incarnation's rate limit. Returns true
   /// if the limit is another one than before.
   bool noteRateLimit(const RateLimitReport &Known, TimePoint Now);
+  /// Records that an incarnation is cold, as an entry knows it.
+  void noteColdStart(const InstanceId &Incarnation, const ColdStartLimit &Known,
+                     TimePoint Now);
   /// Returns whether the request may be sent, and counts it if so; see
   /// SlotLedger::grant().
   bool grant(const PlaceQuery &Query, const InstanceId &Incarnation,
@@ -41,6 +45,8 @@
   SlotLedger m_Slots;
   InstanceId m_Limited; ///< the incarnation that m_Limit is about
   CountedRateLimit m_Limit;
+  InstanceId m_Cold; ///< the incarnation that m_ColdStart is about
+  ColdStartGrants m_ColdStart;
 };
 
 } // namespace deckpitch
--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -2,6 +2,7 @@
 // instance that takes the next request.
 #pragma once
 
+#include "deckpitch/cold-start.h"
 #include "deckpitch/declared-history.h"
 #include "deckpitch/engine-model.h"
 #include "deckpitch/fleet.h"
@@ -99,6 +100,7 @@
   PlaceQuery m_Place; ///< for an agent
   /// Nothing: the instance never named a rate limit.
   std::optional<RateLimitReport> m_RateLimit;
+  std::optional<ColdStartLimit> m_ColdStart; ///< nothing: it is not cold
   SlotGrantor m_Grantor = SlotGrantor::Agent;
 
   friend bool operator==(const SlotQuestion &, const SlotQuestion &) = default;
@@ -145,6 +147,10 @@
   /// Sets the data centres whose instances get no more requests. Those that
   /// were evacuated before keep the time since when they are.
   void setEvacuated(const std::set<DataCentreId> &DataCentres, TimePoint Now);
+  /// Sets the bound for cold instances; nothing: there are none.
+  void setColdStartBound(std::optional<ColdStartBound> Bound) {
+    m_ColdStartBound = Bound;
+  }
   /// Sets the number of entries that share the instances, this one included.
   void setEntries(std::size_t Count) {
     m_Entries = std::max<std::size_t>(Count, 1);
@@ -220,8 +226,10 @@
   std::vector<LimitedInstance> takeReportedLimits();
   /// Returns the instances that limit their requests.
   std::vector<LimitedInstance> limitedInstances(TimePoint Now) const;
-  /// Whether the instance limits its requests.
-  bool isRateLimited(const InstanceId &Id) const;
+  /// Whether the instance limits its requests, or is cold.
+  bool isRateLimited(const InstanceId &Id, TimePoint Now) const;
+  /// Returns the number of instances that are cold.
+  std::size_t coldCount(TimePoint Now) const;
   /// Whether the instance limits its requests and none can be granted now.
   bool isAtRateLimit(const InstanceId &Id, TimePoint Now) const;
   /// Whether the instance's own agent reports to this entry.
@@ -276,6 +284,7 @@
     /// Announced by itself, whatever the list says.
     bool m_HasAnnouncedLeaving = false;
     TimePoint m_BackOffUntil{};
+    TimePoint m_ColdUntil{};
     ObservedRateLimit m_RateLimit;
     /// Until then whoever counts its requests grants none.
     TimePoint m_NextGrant{};
@@ -339,6 +348,8 @@
   bool isLocal(const Instance &Each) const {
     return Each.m_Listed.m_DataCentre == m_Own;
   }
+  std::optional<ColdStartLimit> coldStartOf(const Instance &Each,
+                                            TimePoint Now) const;
   bool isOnlyListed(const Instance &Each, TimePoint Now) const;
   bool needsAgentQuery(const Instance &Each, TimePoint Now) const;
   double loadOf(const Instance &Each, TimePoint Now) const;
@@ -350,6 +361,7 @@
   DataCentreId m_Own;
   RegionMap m_Regions;
   std::map<DataCentreId, TimePoint> m_EvacuatedSince;
+  std::optional<ColdStartBound> m_ColdStartBound;
   std::size_t m_Entries = 1;
   Duration m_VersionBound = std::chrono::seconds(8);
   std::map<InstanceId, Instance> m_Instances;
--- a/include/deckpitch/rate-limit.h
+++ b/include/deckpitch/rate-limit.h
@@ -1,6 +1,7 @@
 // The rate of requests that an instance accepts from all entries together.
 #pragma once
 
+#include "deckpitch/cold-start.h"
 #include "deckpitch/id.h"
 #include "deckpitch/time.h"
 
@@ -121,8 +122,11 @@
 public:
   /// Records what an entry knows of an instance's limit.
   void note(const RateLimitReport &Known, TimePoint Now);
+  /// Records that an instance is cold, as an entry knows it.
+  void noteColdStart(const InstanceId &Id, const ColdStartLimit &Known,
+                     TimePoint Now);
   /// Returns whether a request may be sent, and counts it if so. Nothing is
-  /// granted to an instance whose limit no entry has reported.
+  /// granted to an instance of which no entry has reported a limit.
   bool grant(const InstanceId &Id, TimePoint Now);
   /// Returns what entries are to know of an instance's limit.
   std::optional<RateLimitReport> report(const InstanceId &Id, TimePoint Now);
@@ -132,8 +136,12 @@
 
 private:
   struct Counted {
+    explicit Counted(TimePoint Now)
+        : m_Limit(Now), m_ColdStart(Now), m_LastAsked(Now) {}
+
     CountedRateLimit m_Limit;
-    TimePoint m_LastAsked{};
+    ColdStartGrants m_ColdStart;
+    TimePoint m_LastAsked;
   };
 
   std::map<InstanceId, Counted> m_Limits;
--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -292,6 +292,9 @@
   const TimePoint Now = now();
   if (Query.has_rate_limit())
     noteRateLimit(Query.rate_limit(), Now);
+  const auto ColdStart = Query.has_cold() ? read(Query.cold()) : std::nullopt;
+  if (ColdStart)
+    m_Grants.noteColdStart({Query.instance()}, *ColdStart, Now);
   wire::LinkMessage Message;
   wire::PlaceAnswer &Answer = *Message.mutable_place_answer();
   Answer.set_id(Query.id());
--- a/src/direct/entry-rate-limits.cc
+++ b/src/direct/entry-rate-limits.cc
@@ -33,6 +33,8 @@
     return Out;
   if (Question.m_RateLimit)
     m_Grants.note(*Question.m_RateLimit, Now);
+  if (Question.m_ColdStart)
+    m_Grants.noteColdStart(Id, *Question.m_ColdStart, Now);
   Out.m_IsGranted = m_Grants.grant(Id, Now);
   grants(Out.m_IsGranted).add();
   Out.m_RateLimit = m_Grants.report(Id, Now);
@@ -48,6 +50,8 @@
   Question.m_Grantor = SlotGrantor::Entry;
   if (Query.has_rate_limit())
     Question.m_RateLimit = read(Query.rate_limit(), Now);
+  if (Query.has_cold())
+    Question.m_ColdStart = read(Query.cold());
   const SlotReply Reply = decide(Question, Now);
   wire::PlaceAnswer Out;
   Out.set_id(Query.id());
@@ -64,6 +68,9 @@
   net::metrics()
       .gauge("deckpitch_rate_limited_instances")
       .set(static_cast<std::int64_t>(m_Instances.limitedInstances(Now).size()));
+  net::metrics()
+      .gauge("deckpitch_cold_instances")
+      .set(static_cast<std::int64_t>(m_Instances.coldCount(Now)));
 }
 
 boost::json::array EntryRateLimits::dump(TimePoint Now) const {
--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -91,7 +91,7 @@
     if (!Reply)
       m_Instances.unanswered(Chosen.m_Instance, now());
     const bool MayLive = m_Instances.isConfirmed(Chosen.m_Instance, now());
-    const bool IsLimited = m_Instances.isRateLimited(Chosen.m_Instance);
+    const bool IsLimited = m_Instances.isRateLimited(Chosen.m_Instance, now());
     if (!Reply && MayLive && !IsLimited) {
       if (!Unanswered && Chosen.m_Load < Chosen.m_Limit - Query.m_AskedBeyond)
         Unanswered = std::move(Chosen);
@@ -116,7 +116,7 @@
   InstanceChoice Last = m_Instances.choose(Query, now());
   if (Last.m_Outcome != ChoiceOutcome::Chosen)
     co_return Last;
-  if (m_Instances.isRateLimited(Last.m_Instance))
+  if (m_Instances.isRateLimited(Last.m_Instance, now()))
     Last.m_Outcome = ChoiceOutcome::RateLimited;
   else if (!m_Instances.isConfirmed(Last.m_Instance, now()))
     co_return unconfirmed(std::move(Last));
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -139,7 +139,8 @@
       m_Follower(m_Io, m_Http, *m_Store, m_Adapter,
                  {Context.m_Settings.m_Bounds.m_Apply,
                   Context.m_Settings.m_Bounds.m_Drain,
-                  Context.m_Settings.m_Bounds.m_Evacuate},
+                  Context.m_Settings.m_Bounds.m_Evacuate,
+                  Context.m_Settings.m_Bounds.m_ColdStart.has_value()},
                  followerCalls(), &m_Relay),
       m_Link(m_Io, Context.m_Incarnation, Context.m_Settings.m_AgentLinkPort,
              {m_Instances, m_Peers, m_RateLimits, m_Harmful, m_Follower,
@@ -175,6 +176,7 @@
                           [this] { return listFreshness(); });
   m_Instances.setRegions(Context.m_Settings.m_Regions);
   m_Directory.setRegions(Context.m_Settings.m_Regions);
+  m_Instances.setColdStartBound(Context.m_Settings.m_Bounds.m_ColdStart);
   m_Instances.setVersionBound(Context.m_Settings.m_Bounds.m_Version);
   m_Directory.setLifetime(Context.m_Settings.m_Bounds.m_AddressLifetime);
 }
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -45,6 +45,8 @@
   Duration m_Drain = std::chrono::seconds(2); ///< for a leaving instance
   /// For an evacuation; nothing: evacuations are not followed.
   std::optional<Duration> m_Evacuate;
+  /// Whether the list tells which instances are cold.
+  bool m_FollowsColdStarts = false;
   /// Whether instances that expired during an outage of the store count as
   /// listed for a while.
   bool m_KeepsExpired = true;
--- a/src/direct/fleet-instances.cc
+++ b/src/direct/fleet-instances.cc
@@ -151,6 +151,8 @@
       continue;
     }
     Parsed->m_Registration = Each.m_Created;
+    if (!m_Bounds.m_FollowsColdStarts)
+      Parsed->m_ColdLeft = {};
     Out.emplace(Parsed->m_Id, std::move(*Parsed));
   }
   logUnreadable(std::move(Unreadable));
@@ -212,6 +214,9 @@
     const bool IsNew = Known == m_Listed.end();
     const bool StartsToLeave =
         Each.m_IsLeaving && (IsNew || !Known->second.m_IsLeaving);
+    const bool WasCold = !IsNew && Known->second.m_ColdLeft.count() != 0;
+    if (Each.m_ColdLeft.count() != 0 && !WasCold)
+      Log(Event::InstanceCold, Each);
     if (StartsToLeave)
       Log(Event::InstanceLeaving, Each);
     else if (IsNew)
--- a/src/direct/slot-client.cc
+++ b/src/direct/slot-client.cc
@@ -90,6 +90,23 @@
   return Out;
 }
 
+void write(const ColdStartLimit &From, wire::ColdStartState &To) {
+  To.set_per_second(From.m_PerSecond);
+  To.set_burst(From.m_Burst);
+  To.set_left_us(microsOf(From.m_Left));
+}
+
+std::optional<ColdStartLimit> read(const wire::ColdStartState &From) {
+  const auto IsCount = [](double Value) {
+    return std::isfinite(Value) && Value >= 0;
+  };
+  if (!IsCount(From.per_second()) || !IsCount(From.burst()))
+    return std::nullopt;
+  const auto Left =
+      microseconds(std::min<std::uint64_t>(From.left_us(), MaxTime.count()));
+  return ColdStartLimit{From.per_second(), From.burst(), Left};
+}
+
 asio::awaitable<std::optional<wire::PlaceAnswer>>
 SlotClient::ask(const std::string &Grantor, const SlotQuestion &Question) {
   const std::uint64_t Id = ++m_LastId;
@@ -104,6 +121,8 @@
   Asked.set_instance(Question.m_Instance.m_Text);
   if (Question.m_RateLimit)
     write(*Question.m_RateLimit, daemon::now(), *Asked.mutable_rate_limit());
+  if (Question.m_ColdStart)
+    write(*Question.m_ColdStart, *Asked.mutable_cold());
   m_Link.send(Grantor, std::move(Message));
   co_await At->second.m_Limit.async_wait(UseAwaitable);
   std::optional<wire::PlaceAnswer> Answer = std::move(At->second.m_Answer);
--- a/src/direct/slot-client.h
+++ b/src/direct/slot-client.h
@@ -47,6 +47,9 @@
 /// Times become ages, as processes do not share a clock.
 void write(const RateLimitReport &From, TimePoint Now,
            wire::RateLimitState &To);
+void write(const ColdStartLimit &From, wire::ColdStartState &To);
+/// Returns nothing if a value is not a number of requests.
+std::optional<ColdStartLimit> read(const wire::ColdStartState &From);
 /// Returns nothing for a rate that is not a number of requests.
 std::optional<RateLimitReport> read(const wire::RateLimitState &From,
                                     TimePoint Now);
--- a/src/direct/store-updates.cc
+++ b/src/direct/store-updates.cc
@@ -52,6 +52,9 @@
   To.set_data_centre(From.m_DataCentre.m_Text);
   To.set_slots(From.m_Slots);
   To.set_is_leaving(From.m_IsLeaving);
+  To.set_cold_left_ms(
+      static_cast<std::uint32_t>(std::min<std::chrono::milliseconds::rep>(
+          From.m_ColdLeft.count(), UINT32_MAX)));
   for (const HeldWeights &Each : From.m_Weights)
     direct::write(Each, *To.add_weights());
 }
@@ -66,6 +69,7 @@
   Out.m_DataCentre.m_Text = From.data_centre();
   Out.m_Slots = From.slots();
   Out.m_IsLeaving = From.is_leaving();
+  Out.m_ColdLeft = std::chrono::milliseconds(From.cold_left_ms());
   for (const wire::HeldWeightsState &Each : From.weights())
     Out.m_Weights.push_back(direct::read(Each));
   return Out;
--- a/src/kernel/direct-settings.cc
+++ b/src/kernel/direct-settings.cc
@@ -49,6 +49,11 @@
   if (Reader.has("evacuateMs"))
     Reader.optional("evacuateMs", Out.m_Evacuate.emplace(), milliseconds(1),
                     Hour);
+  if (Reader.has("coldBurst") || Reader.has("coldSlack")) {
+    ColdStartBound &Cold = Out.m_ColdStart.emplace();
+    Reader.optional("coldBurst", Cold.m_Factor, 0.0, 1'000.0);
+    Reader.optional("coldSlack", Cold.m_Slack, 0.0, 1e6);
+  }
   RetryShare &Retries = Out.m_Retries;
   Reader.optional("retryShare", Retries.m_Share, 0.0, 1.0);
   Reader.optional("retrySlack", Retries.m_Slack, 0, 1'000'000);
--- a/src/kernel/instance-grants.cc
+++ b/src/kernel/instance-grants.cc
@@ -17,6 +17,15 @@
   return m_Limit.note(Known, Now);
 }
 
+void InstanceGrants::noteColdStart(const InstanceId &Incarnation,
+                                   const ColdStartLimit &Known, TimePoint Now) {
+  if (Incarnation != m_Cold) {
+    m_Cold = Incarnation;
+    m_ColdStart = ColdStartGrants(Now);
+  }
+  m_ColdStart.note(Known, Now);
+}
+
 bool InstanceGrants::grant(const PlaceQuery &Query,
                            const InstanceId &Incarnation, TimePoint Now,
                            TimePoint Closes) {
@@ -26,8 +35,13 @@
   const double ReservedShare = Query.m_Reserve / std::max(1U, Query.m_Slots);
   if (IsLimited && !m_Limit.canTake(ReservedShare, Now))
     return false;
+  const bool IsCold = Incarnation == m_Cold && m_ColdStart.isCold(Now);
+  if (IsCold && !m_ColdStart.canTake(Now))
+    return false;
   if (!m_Slots.grant(Query, Now, Closes))
     return false;
+  if (IsCold)
+    m_ColdStart.take();
   if (IsLimited)
     m_Limit.take();
   return true;
--- a/src/kernel/instance-list.cc
+++ b/src/kernel/instance-list.cc
@@ -36,6 +36,9 @@
   add(Text, Each.m_DataCentre.m_Text);
   add(Text, Each.m_Slots);
   add(Text, std::uint64_t{Each.m_IsLeaving});
+  // Left out where it is zero, as in the lists of releases without it.
+  if (Each.m_ColdLeft.count() != 0)
+    add(Text, static_cast<std::uint64_t>(Each.m_ColdLeft.count()));
   add(Text, Each.m_Weights.size());
   for (const HeldWeights &Held : Each.m_Weights) {
     add(Text, Held.m_Model);
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -79,6 +79,9 @@
       Known.m_LastActivity = Now;
       Known.m_ListedAt = Now;
     }
+    // The list repeats a value until the platform writes the next one.
+    if (IsNew || Each.m_ColdLeft != Known.m_Listed.m_ColdLeft)
+      Known.m_ColdUntil = Now + Each.m_ColdLeft;
     if (!isFresh(Known, Now) && !Known.m_HasOtherIncarnation)
       Known.m_Weights = Each.m_Weights;
     Known.m_Listed = Each;
@@ -349,9 +352,29 @@
                                 Now - Report.m_Newest.m_Sent, Report.m_NextIn});
 }
 
-bool InstanceTable::isRateLimited(const InstanceId &Id) const {
+bool InstanceTable::isRateLimited(const InstanceId &Id, TimePoint Now) const {
   const auto Found = m_Instances.find(Id);
-  return Found != m_Instances.end() && Found->second.m_RateLimit.perSecond();
+  return Found != m_Instances.end() && (Found->second.m_RateLimit.perSecond() ||
+                                        coldStartOf(Found->second, Now));
+}
+
+std::optional<ColdStartLimit> InstanceTable::coldStartOf(const Instance &Each,
+                                                         TimePoint Now) const {
+  if (!m_ColdStartBound || Each.m_ColdUntil <= Now)
+    return std::nullopt;
+  const auto Service = m_Services.find(Each.m_Listed.m_Service);
+  const double PerSecond =
+      Service == m_Services.end() ? 0 : Service->second.m_ColdPerSecond;
+  if (PerSecond <= 0)
+    return std::nullopt;
+  return limitFor(PerSecond, *m_ColdStartBound, Each.m_ColdUntil - Now);
+}
+
+std::size_t InstanceTable::coldCount(TimePoint Now) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_Instances.begin(), m_Instances.end(), [&](const auto &Each) {
+        return coldStartOf(Each.second, Now).has_value();
+      }));
 }
 
 bool InstanceTable::awaitsGrant(const Instance &Each, TimePoint Now) {
@@ -440,8 +463,9 @@
   Out.m_Address = Each.m_Listed.m_Address;
   if (const auto Newest = Each.m_RateLimit.newest())
     Out.m_RateLimit = {Id, *Newest, Each.m_RateLimit.isFirstHand(), {}};
+  Out.m_ColdStart = coldStartOf(Each, Now);
   if (!needsAgentQuery(Each, Now)) {
-    if (!Each.m_RateLimit.perSecond())
+    if (!Each.m_RateLimit.perSecond() && !Out.m_ColdStart)
       return std::nullopt;
     Out.m_Grantor = SlotGrantor::Entry;
     return Out;
--- a/src/kernel/rate-limit.cc
+++ b/src/kernel/rate-limit.cc
@@ -123,22 +123,27 @@
 }
 
 void RateGrants::note(const RateLimitReport &Known, TimePoint Now) {
-  const auto At =
-      m_Limits
-          .try_emplace(Known.m_Instance, Counted{CountedRateLimit(Now), Now})
-          .first;
+  const auto At = m_Limits.try_emplace(Known.m_Instance, Now).first;
   At->second.m_Limit.note(Known, Now);
 }
 
+void RateGrants::noteColdStart(const InstanceId &Id,
+                               const ColdStartLimit &Known, TimePoint Now) {
+  const auto At = m_Limits.try_emplace(Id, Now).first;
+  At->second.m_ColdStart.note(Known, Now);
+}
+
 bool RateGrants::grant(const InstanceId &Id, TimePoint Now) {
   const auto Found = m_Limits.find(Id);
   if (Found == m_Limits.end())
     return false;
   Found->second.m_LastAsked = Now;
   CountedRateLimit &Limit = Found->second.m_Limit;
-  if (!Limit.canTake(0, Now))
+  ColdStartGrants &ColdStart = Found->second.m_ColdStart;
+  if (!Limit.canTake(0, Now) || !ColdStart.canTake(Now))
     return false;
   Limit.take();
+  ColdStart.take();
   return true;
 }
 
@@ -148,6 +153,8 @@
   if (Found == m_Limits.end())
     return std::nullopt;
   CountedRateLimit &Limit = Found->second.m_Limit;
+  if (!Limit.newest())
+    return std::nullopt;
   return RateLimitReport{Id, *Limit.newest(), true, Limit.timeUntilNext(Now)};
 }
 
--- a/support/fuzz/link-times-target.cc
+++ b/support/fuzz/link-times-target.cc
@@ -55,6 +55,23 @@
           "exactly the granted slots are counted as held");
 }
 
+void checkColdStart(ColdStartGrants &Grants, const wire::ColdStartState &State,
+                    TimePoint Now) {
+  const auto Received = direct::read(State);
+  if (!Received)
+    return;
+  require(Received->m_PerSecond >= 0 && Received->m_Burst >= 0 &&
+              Received->m_Left >= Duration::zero(),
+          "no limit of a cold instance is negative");
+  wire::ColdStartState Again;
+  direct::write(*Received, Again);
+  require(direct::read(Again) == Received,
+          "a limit of a cold instance survives a round trip");
+  Grants.note(*Received, Now);
+  if (Grants.canTake(Now))
+    Grants.take();
+}
+
 void checkRateLimit(CountedRateLimit &Limit, const wire::RateLimitState &State,
                     TimePoint Now) {
   const auto Received = direct::read(State, Now);
@@ -77,12 +94,14 @@
   LinkDelay Delay;
   SlotLedger Ledger;
   CountedRateLimit Limit(Begin);
+  ColdStartGrants ColdStart(Begin);
   TimePoint Now = Begin;
   for (const wire::LinkMessage &Message : messagesIn(Input)) {
     checkAge(Delay, Message, Now);
     if (Message.has_state())
       Ledger.reported(Message.state().running(), Now);
     checkSlotQuery(Ledger, Message.place_query(), Now);
+    checkColdStart(ColdStart, Message.place_query().cold(), Now);
     checkRateLimit(Limit, Message.place_query().rate_limit(), Now);
     checkRateLimit(Limit, Message.state().rate_limit(), Now);
     Now += Step;
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -64,6 +64,59 @@
   EXPECT_FALSE(m_Table.leaving({"unknown"}));
 }
 
+class ColdInstances : public InstanceTableTest {
+protected:
+  ColdInstances() {
+    ServiceDeclaration Service;
+    Service.m_Id = Pool;
+    Service.m_ColdPerSecond = 10;
+    m_Table.setServices({Service});
+    m_Table.setColdStartBound(ColdStartBound{1.5, 5});
+  }
+  static FleetInstance cold(std::chrono::milliseconds Left) {
+    FleetInstance Out = listed("i");
+    Out.m_ColdLeft = Left;
+    return Out;
+  }
+  std::optional<ColdStartLimit> limitAt(TimePoint Now) const {
+    const auto Question = m_Table.slotQuestion({"i"}, m_Query, Now);
+    return Question ? Question->m_ColdStart : std::nullopt;
+  }
+};
+
+TEST_F(ColdInstances, EntryAsksBeforeItSendsToOne) {
+  list({cold(3s)});
+  ASSERT_TRUE(limitAt(Start));
+  EXPECT_EQ(limitAt(Start)->m_PerSecond, 10);
+  EXPECT_EQ(limitAt(Start + 1s)->m_Left, 2s);
+  EXPECT_TRUE(m_Table.isRateLimited({"i"}, Start));
+  EXPECT_EQ(m_Table.coldCount(Start), 1U);
+  EXPECT_FALSE(limitAt(Start + 3s));
+}
+
+/// The list is read again before the platform has written another value.
+TEST_F(ColdInstances, SameListDoesNotProlongIt) {
+  list({cold(3s)});
+  m_Table.setInstances({cold(3s)}, Start + 2s);
+  EXPECT_FALSE(limitAt(Start + 3s));
+}
+
+/// An instance may become cold again at any moment.
+TEST_F(ColdInstances, MayBecomeColdAgain) {
+  list({cold(0s)});
+  EXPECT_FALSE(limitAt(Start));
+  m_Table.setInstances({cold(2s)}, Start + 1s);
+  EXPECT_TRUE(limitAt(Start + 1s));
+  m_Table.setInstances({cold(0s)}, Start + 2s);
+  EXPECT_FALSE(limitAt(Start + 2s));
+}
+
+TEST_F(ColdInstances, WithoutABoundThereAreNone) {
+  m_Table.setColdStartBound(std::nullopt);
+  list({cold(3s)});
+  EXPECT_FALSE(limitAt(Start));
+}
+
 /// Agents report to the entries of their own data centre only.
 TEST_F(InstanceTableTest, RemoteInstanceIsChosenOnlyIfLocalOnesAreFull) {
   list({listed("near"), listed("far", "b")});
@@ -726,11 +779,11 @@
   ASSERT_EQ(m_Table.limitedInstances(Start + 1s).size(), 1U);
   EXPECT_EQ(m_Table.limitedInstances(Start + 1s)[0].m_Age, 1s);
   EXPECT_TRUE(answered(std::nullopt, Start + 2s));
-  EXPECT_FALSE(m_Table.isRateLimited({"first"}));
+  EXPECT_FALSE(m_Table.isRateLimited({"first"}, Start));
   EXPECT_TRUE(m_Table.limitedInstances(Start + 2s).empty());
   // The agent does not know yet that the limit has ended.
   report(m_First, Start + 3s, limit(0.5, 10s));
-  EXPECT_FALSE(m_Table.isRateLimited({"first"}));
+  EXPECT_FALSE(m_Table.isRateLimited({"first"}, Start));
   m_Query.m_Tried = {{"second"}};
   EXPECT_EQ(chosen(Start + 3s), "first");
   EXPECT_EQ(m_Table.slotQuestion({"first"}, m_Query, Start + 3s)
@@ -743,10 +796,10 @@
   FleetInstance Next = m_First;
   Next.m_Id = {"first~2"};
   list({Next, m_Second});
-  EXPECT_FALSE(m_Table.isRateLimited(Next.m_Id));
+  EXPECT_FALSE(m_Table.isRateLimited(Next.m_Id, Start));
   // The agent still reports the limit of the former incarnation.
   report(Next, Start, limit(0, 10s));
-  EXPECT_FALSE(m_Table.isRateLimited(Next.m_Id));
+  EXPECT_FALSE(m_Table.isRateLimited(Next.m_Id, Start));
 }
 
 } // namespace
