Check what an agent has told before a request is sent without its answer

An instance of another data centre was chosen by the list alone; its agent, behind a full link, answered too late, and a report that arrived in those 20 ms made it count as an instance that reports but does not answer, which is used as a last resort. Its weights were checked only before the question.

An instance can now take a request only if what its agent has told says so, checked after the question, with or without an answer; one of which nothing but the list is known cannot. The kernel test fails without the change; the tests of a real entry check the property and passed before, since they do not produce the late answer.

--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -77,7 +77,9 @@
       co_return outdatedChoice();
     const bool IsListedLife = Reply && applyReply(*Question, *Reply);
     const bool IsGranted = IsListedLife && Reply->m_IsGranted;
-    if (IsGranted && m_Instances.canTake(Chosen.m_Instance, Query, now())) {
+    // A report may have arrived meanwhile, with or without an answer.
+    const bool CanTake = m_Instances.canTake(Chosen.m_Instance, Query, now());
+    if (IsGranted && CanTake) {
       Chosen.m_GrantedBy = Question->m_Grantor;
       co_return Chosen;
     }
@@ -92,7 +94,7 @@
       m_Instances.unanswered(Chosen.m_Instance, now());
     const bool MayLive = m_Instances.isConfirmed(Chosen.m_Instance, now());
     const bool IsLimited = m_Instances.isRateLimited(Chosen.m_Instance, now());
-    if (!Reply && MayLive && !IsLimited) {
+    if (!Reply && MayLive && CanTake && !IsLimited) {
       if (!Unanswered && Chosen.m_Load < Chosen.m_Limit - Query.m_AskedBeyond)
         Unanswered = std::move(Chosen);
       continue;
--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -490,8 +490,10 @@
   if (Found == m_Instances.end() || !isUsable(Id, Found->second, Query))
     return false;
   const Instance &Each = Found->second;
-  return Query.m_Model.empty() ||
-         (Each.m_TakesRequests && serves(Each, Query, Now));
+  if (Query.m_Model.empty())
+    return true;
+  return !isOnlyListed(Each, Now) && Each.m_TakesRequests &&
+         serves(Each, Query, Now);
 }
 
 void InstanceTable::unanswered(const InstanceId &Id, TimePoint Now) {
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -153,6 +153,7 @@
   list({listed("far", "b")});
   m_Table.setWeights({{"m", 2}}, Start - 1h);
   EXPECT_EQ(chosen(), "far");
+  EXPECT_FALSE(m_Table.canTake({"far"}, m_Query, Start));
   InstanceReport Answer;
   Answer.m_Weights = {{"m", 1, true}};
   m_Table.report(listed("far").m_Address, Answer, Start);
