--- a/include/deckpitch/instance-table.h
+++ b/include/deckpitch/instance-table.h
@@ -180,7 +180,7 @@
                                            TimePoint Now) const;
   /// Records the time from sending a request for a model to its first token.
   void firstToken(const ChoiceQuery &Query, Duration After);
-  /// Whether the instance can take the request by what its agent has told, which
+  /// Whether the instance can take the request by what its agent told, which
   /// may differ from what was known when the instance was chosen.
   bool canTake(const InstanceId &Id, const ChoiceQuery &Query,
                TimePoint Now) const;
