Take the agents' waits between reads of the store from one tested piece

The waits between reads of the declaration and of the list were written out twice in the agent's loop and had no test. GrowingWait holds them; its test replays 352 agents that start together. The times are the same as before.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -1,7 +1,7 @@
 // The agent of one instance: supplies it with the declared weights and reports
 // its state to the entries.
 #include "daemon/clock.h"
-#include "deckpitch/back-off.h"
+#include "deckpitch/growing-wait.h"
 #include "deckpitch/instance-grants.h"
 #include "direct/adapter.h"
 #include "direct/fleet-follower.h"
@@ -215,25 +215,22 @@
 /// Reads the declaration if no entry announces the source of weights, and the
 /// list of peers during a copy.
 asio::awaitable<void> Agent::storeLoop() {
-  Duration DeclarationWait = 2 * DeclarationTimeout;
-  Duration ListWait = PeersInterval;
-  TimePoint NextDeclaration = now() + jittered(DeclarationWait, m_Random);
+  GrowingWait DeclarationWait(2 * DeclarationTimeout, MaxStoreInterval);
+  GrowingWait ListWait(2 * PeersInterval, MaxStoreInterval);
   TimePoint NextPeers{};
-  TimePoint NextList{};
+  DeclarationWait.begin(now(), m_Random);
   while (!m_Stopped) {
-    if (!m_Weights.hasSource() && now() >= NextDeclaration) {
-      DeclarationWait = std::min(2 * DeclarationWait, MaxStoreInterval);
-      NextDeclaration = now() + jittered(DeclarationWait, m_Random);
+    if (!m_Weights.hasSource() && DeclarationWait.isOver(now())) {
+      DeclarationWait.begin(now(), m_Random);
       co_await m_Follower.readDeclarations();
     }
     if (m_Weights.isCopying() && now() >= NextPeers) {
       NextPeers = now() + PeersInterval;
       const bool Succeeded = co_await fetchPeers();
       if (Succeeded) {
-        ListWait = PeersInterval;
-      } else if (now() >= NextList) {
-        ListWait = std::min(2 * ListWait, MaxStoreInterval);
-        NextList = now() + jittered(ListWait, m_Random);
+        ListWait.reset();
+      } else if (ListWait.isOver(now())) {
+        ListWait.begin(now(), m_Random);
         // A stale list is enough: peers that have left are detected by their
         // connections.
         co_await m_Follower.listOldInstances();
