Split what is known of an instance by job, and the tests with it

The limits that all entries keep together and the versions that an instance serves are files of their own now; the tests of limits, of other data centres and of restarts too, with one fixture.

--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -1,7 +1,5 @@
 #include "deckpitch/instance-table.h"
 
-#include "deckpitch/weights-plan.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -14,9 +12,6 @@
 /// Age from which a report no longer shows how many requests other entries have
 /// there: several times the interval between two reports.
 constexpr Duration ReportLifetime = std::chrono::milliseconds(800);
-/// Time by which a stream may run past the start of the swap to other weights.
-/// The swap waits for it, and nothing else may begin there meanwhile.
-constexpr Duration SwapOverrun = std::chrono::milliseconds(250);
 /// Time for which an instance whose agent did not answer is passed over while
 /// others answer: about the queueing delay of a question on a full link.
 constexpr Duration UnansweredBackOff = std::chrono::milliseconds(100);
@@ -160,68 +155,6 @@
   return true;
 }
 
-/// Returns the estimated time until a request that is sent now begins there.
-Duration InstanceTable::timeUntilBegin(const Instance &Each,
-                                       TimePoint Now) const {
-  const EngineProfile *Engine = engineOf(Each.m_Listed.m_Service);
-  return Engine ? expectedStartDelay(*Engine, loadOf(Each, Now))
-                : Duration::zero();
-}
-
-bool InstanceTable::serves(const Instance &Each, const ChoiceQuery &Query,
-                           TimePoint Now) const {
-  const std::string &Model = Query.m_Model;
-  const auto Wanted = m_Wanted.find(Model);
-  const bool IsFresh = isFresh(Each, Now);
-  // The agent knows its own instance's link, but no process knows the link
-  // between data centres, which weights may fill: requests arrived there 1.3 s
-  // after they were sent.
-  const bool IsSound = IsFresh && Each.m_HasSoundLink && isLocal(Each);
-  const Duration Grace =
-      m_VersionBound - versionMargin(IsSound) - timeUntilBegin(Each, Now);
-  return std::any_of(
-      Each.m_Weights.begin(), Each.m_Weights.end(),
-      [&](const HeldWeights &Held) {
-        if (Held.m_Model != Model || !Held.m_IsComplete)
-          return false;
-        if (Query.m_Version != 0 && Held.m_Version != Query.m_Version)
-          return false;
-        const auto Behind = Wanted == m_Wanted.end()
-                                ? std::nullopt
-                                : Wanted->second.behindSince(Held.m_Version);
-        return !Behind || Now - *Behind < Grace;
-      });
-}
-
-std::optional<TimePoint>
-InstanceTable::latestBegin(const InstanceId &Id,
-                           const std::string &Model) const {
-  const auto Found = m_Instances.find(Id);
-  const auto Wanted = m_Wanted.find(Model);
-  if (Found == m_Instances.end() || Wanted == m_Wanted.end())
-    return std::nullopt;
-  const Instance &Each = Found->second;
-  std::uint64_t Begins = Each.m_Loading;
-  for (const HeldWeights &Held : Each.m_Weights)
-    if (Held.m_Model == Model && Held.m_IsComplete)
-      Begins = std::max(Begins, Held.m_Version);
-  const auto Behind = Wanted->second.behindSince(Begins);
-  if (!Behind)
-    return std::nullopt;
-  return *Behind + m_VersionBound;
-}
-
-/// Returns whether the request would end before the instance loads other
-/// weights, or overrun by less than SwapOverrun.
-bool InstanceTable::endsBeforeSwap(const Instance &Each,
-                                   const ChoiceQuery &Query,
-                                   TimePoint Now) const {
-  const EngineProfile *Engine = engineOf(Each.m_Listed.m_Service);
-  if (!Each.m_SwapAt || !Engine)
-    return true;
-  return Now + streamTime(*Engine, Query.m_Size) < *Each.m_SwapAt + SwapOverrun;
-}
-
 const EngineProfile *InstanceTable::engineOf(const ServiceId &Service) const {
   const auto Found = m_Services.find(Service);
   const bool HasEngine = Found != m_Services.end() && Found->second.m_Engine;
@@ -335,73 +268,6 @@
   return IsChange;
 }
 
-bool InstanceTable::rateObserved(const InstanceId &Id,
-                                 const RateObservation &Answer) {
-  const auto Found = m_Instances.find(Id);
-  return Found != m_Instances.end() && Found->second.m_RateLimit.note(Answer);
-}
-
-void InstanceTable::rateReported(const RateLimitReport &Report, TimePoint Now) {
-  const auto Found = m_Instances.find(Report.m_Instance);
-  if (Found == m_Instances.end())
-    return;
-  Instance &Known = Found->second;
-  Known.m_NextGrant = Now + Report.m_NextIn;
-  if (Known.m_RateLimit.reported(Report.m_Newest))
-    m_ReportedLimits.push_back({Report.m_Instance, Report.m_Newest.m_PerSecond,
-                                Now - Report.m_Newest.m_Sent, Report.m_NextIn});
-}
-
-bool InstanceTable::isRateLimited(const InstanceId &Id, TimePoint Now) const {
-  const auto Found = m_Instances.find(Id);
-  return Found != m_Instances.end() && (Found->second.m_RateLimit.perSecond() ||
-                                        coldStartOf(Found->second, Now));
-}
-
-std::optional<ColdStartLimit> InstanceTable::coldStartOf(const Instance &Each,
-                                                         TimePoint Now) const {
-  if (!m_ColdStartBound || Each.m_ColdUntil <= Now)
-    return std::nullopt;
-  const auto Service = m_Services.find(Each.m_Listed.m_Service);
-  const double PerSecond =
-      Service == m_Services.end() ? 0 : Service->second.m_ColdPerSecond;
-  if (PerSecond <= 0)
-    return std::nullopt;
-  return limitFor(PerSecond, *m_ColdStartBound, Each.m_ColdUntil - Now);
-}
-
-std::size_t InstanceTable::coldCount(TimePoint Now) const {
-  return static_cast<std::size_t>(std::count_if(
-      m_Instances.begin(), m_Instances.end(), [&](const auto &Each) {
-        return coldStartOf(Each.second, Now).has_value();
-      }));
-}
-
-bool InstanceTable::awaitsGrant(const Instance &Each, TimePoint Now) {
-  return Each.m_RateLimit.perSecond() && Each.m_NextGrant > Now;
-}
-
-bool InstanceTable::isAtRateLimit(const InstanceId &Id, TimePoint Now) const {
-  const auto Found = m_Instances.find(Id);
-  return Found != m_Instances.end() && awaitsGrant(Found->second, Now);
-}
-
-std::vector<LimitedInstance> InstanceTable::takeReportedLimits() {
-  return std::exchange(m_ReportedLimits, {});
-}
-
-std::vector<LimitedInstance>
-InstanceTable::limitedInstances(TimePoint Now) const {
-  std::vector<LimitedInstance> Out;
-  for (const auto &[Id, Each] : m_Instances) {
-    const std::optional<RateObservation> Newest = Each.m_RateLimit.newest();
-    if (Newest && Newest->m_PerSecond)
-      Out.push_back({Id, Newest->m_PerSecond, Now - Newest->m_Sent,
-                     std::max(Each.m_NextGrant - Now, Duration::zero())});
-  }
-  return Out;
-}
-
 bool InstanceTable::hasFreshReport(const InstanceId &Id, TimePoint Now) const {
   const auto Found = m_Instances.find(Id);
   return Found != m_Instances.end() && isFresh(Found->second, Now);
@@ -422,17 +288,6 @@
   return Out;
 }
 
-std::uint64_t InstanceTable::versionAt(const InstanceId &Id,
-                                       const std::string &Model) const {
-  const auto Found = m_Instances.find(Id);
-  if (Found == m_Instances.end())
-    return 0;
-  for (const HeldWeights &Each : Found->second.m_Weights)
-    if (Each.m_Model == Model && Each.m_IsComplete)
-      return Each.m_Version;
-  return 0;
-}
-
 bool InstanceTable::isConfirmed(const InstanceId &Id, TimePoint Now) const {
   const auto Found = m_Instances.find(Id);
   return Found != m_Instances.end() && isAlive(Found->second, Now) &&
@@ -507,16 +362,6 @@
   return Engine ? Engine->m_StepsPerPass : 0;
 }
 
-std::vector<InstanceId> InstanceTable::swappingFor(Duration Length,
-                                                   TimePoint Now) const {
-  std::vector<InstanceId> Out;
-  for (const auto &[Id, Each] : m_Instances)
-    if (Each.m_Own > 0 && !Each.m_TakesRequests &&
-        Now - Each.m_ClosedAt > Length)
-      Out.push_back(Id);
-  return Out;
-}
-
 std::vector<InstanceId> InstanceTable::evacuatedFor(Duration Length,
                                                     TimePoint Now) const {
   std::vector<InstanceId> Out;
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -1,58 +1,15 @@
-#include "deckpitch/instance-table.h"
+#include "instance-table-fixture.h"
 
 #include "deckpitch/weights-plan.h"
 
 #include <gtest/gtest.h>
 
 using namespace deckpitch;
+using namespace deckpitch::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr TimePoint Start{1'000s};
-const ServiceId Pool{"pool"};
-
-FleetInstance listed(const std::string &Id, const std::string &Centre = "a",
-                     std::uint64_t Version = 1) {
-  FleetInstance Out;
-  Out.m_Id = {Id};
-  Out.m_Service = Pool;
-  Out.m_Address =
-      "10.0.0.1:" + std::to_string(std::hash<std::string>{}(Id) % 60'000);
-  Out.m_DataCentre = {Centre};
-  Out.m_Slots = 4;
-  Out.m_Weights = {{"m", Version, true}};
-  return Out;
-}
-
-class InstanceTableTest : public testing::Test {
-protected:
-  InstanceTableTest() {
-    ServiceDeclaration Service;
-    Service.m_Id = Pool;
-    Service.m_Engine = EngineProfile{.m_Slots = 4};
-    m_Table.setServices({Service});
-    m_Query.m_Service = Pool;
-    m_Query.m_Model = "m";
-    m_Query.m_Objective = 1ms; // No queue besides the slots.
-  }
-
-  void list(std::vector<FleetInstance> List) {
-    m_Table.setInstances(List, Start);
-  }
-  ChoiceOutcome outcome(TimePoint Now = Start) {
-    return m_Table.choose(m_Query, Now).m_Outcome;
-  }
-  std::string chosen(TimePoint Now = Start) {
-    const InstanceChoice Choice = m_Table.choose(m_Query, Now);
-    return Choice.m_Outcome == ChoiceOutcome::Chosen ? Choice.m_Instance.m_Text
-                                                     : "none";
-  }
-
-  InstanceTable m_Table{DataCentreId{"a"}};
-  ChoiceQuery m_Query;
-};
-
 /// The next instance list may be older than the instance's own announcement.
 TEST_F(InstanceTableTest, NoRequestsAfterItsOwnLeaveAnnouncement) {
   list({listed("i")});
@@ -64,108 +21,6 @@
   EXPECT_FALSE(m_Table.leaving({"unknown"}));
 }
 
-class ColdInstances : public InstanceTableTest {
-protected:
-  ColdInstances() {
-    ServiceDeclaration Service;
-    Service.m_Id = Pool;
-    Service.m_ColdPerSecond = 10;
-    m_Table.setServices({Service});
-    m_Table.setColdStartBound(ColdStartBound{1.5, 5});
-  }
-  static FleetInstance cold(std::chrono::milliseconds Left) {
-    FleetInstance Out = listed("i");
-    Out.m_ColdLeft = Left;
-    return Out;
-  }
-  std::optional<ColdStartLimit> limitAt(TimePoint Now) const {
-    const auto Question = m_Table.slotQuestion({"i"}, m_Query, Now);
-    return Question ? Question->m_ColdStart : std::nullopt;
-  }
-};
-
-TEST_F(ColdInstances, EntryAsksBeforeItSendsToOne) {
-  list({cold(3s)});
-  ASSERT_TRUE(limitAt(Start));
-  EXPECT_EQ(limitAt(Start)->m_PerSecond, 10);
-  EXPECT_EQ(limitAt(Start + 1s)->m_Left, 2s);
-  EXPECT_TRUE(m_Table.isRateLimited({"i"}, Start));
-  EXPECT_EQ(m_Table.coldCount(Start), 1U);
-  EXPECT_FALSE(limitAt(Start + 3s));
-}
-
-/// The list is read again before the platform has written another value.
-TEST_F(ColdInstances, SameListDoesNotProlongIt) {
-  list({cold(3s)});
-  m_Table.setInstances({cold(3s)}, Start + 2s);
-  EXPECT_FALSE(limitAt(Start + 3s));
-}
-
-/// An instance may become cold again at any moment.
-TEST_F(ColdInstances, MayBecomeColdAgain) {
-  list({cold(0s)});
-  EXPECT_FALSE(limitAt(Start));
-  m_Table.setInstances({cold(2s)}, Start + 1s);
-  EXPECT_TRUE(limitAt(Start + 1s));
-  m_Table.setInstances({cold(0s)}, Start + 2s);
-  EXPECT_FALSE(limitAt(Start + 2s));
-}
-
-TEST_F(ColdInstances, WithoutABoundThereAreNone) {
-  m_Table.setColdStartBound(std::nullopt);
-  list({cold(3s)});
-  EXPECT_FALSE(limitAt(Start));
-}
-
-/// Agents report to the entries of their own data centre only.
-TEST_F(InstanceTableTest, RemoteInstanceIsChosenOnlyIfLocalOnesAreFull) {
-  list({listed("near"), listed("far", "b")});
-  for (int I = 0; I < 20; ++I)
-    EXPECT_EQ(chosen(), "near");
-  InstanceReport Full;
-  Full.m_Running = 4;
-  Full.m_Weights = {{"m", 1, true}};
-  m_Table.report(listed("near").m_Address, Full, Start);
-  EXPECT_EQ(chosen(), "far");
-}
-
-TEST_F(InstanceTableTest, RemoteInstanceIsChosenAfterARefusal) {
-  list({listed("near"), listed("also"), listed("far", "b")});
-  m_Query.m_Full = {{"near"}};
-  m_Table.started({"also"}, Start);
-  m_Table.started({"also"}, Start);
-  EXPECT_EQ(chosen(), "far");
-}
-
-TEST_F(InstanceTableTest, RemoteInstanceIsAskedHoweverLongItIsListed) {
-  list({listed("far", "b")});
-  EXPECT_TRUE(m_Table.slotQuestion({"far"}, m_Query, Start + 1h));
-  EXPECT_FALSE(m_Table.isConfirmed({"far"}, Start + 1h));
-  EXPECT_TRUE(m_Table.subscribedAddresses().empty());
-  m_Table.started({"far"}, Start);
-  EXPECT_EQ(m_Table.subscribedAddresses(),
-            std::vector{listed("far", "b").m_Address});
-}
-
-/// An entry that knows another data centre's instance from the list only must
-/// not send there what its agent's answer rules out.
-TEST_F(InstanceTableTest, AnswerOfARemoteAgentDecidesWhatItCanTake) {
-  list({listed("far", "b")});
-  m_Table.setWeights({{"m", 2}}, Start - 1h);
-  EXPECT_EQ(chosen(), "far");
-  EXPECT_FALSE(m_Table.canTake({"far"}, m_Query, Start));
-  InstanceReport Answer;
-  Answer.m_Weights = {{"m", 1, true}};
-  m_Table.report(listed("far").m_Address, Answer, Start);
-  EXPECT_FALSE(m_Table.canTake({"far"}, m_Query, Start));
-  Answer.m_Weights = {{"m", 2, true}};
-  m_Table.report(listed("far").m_Address, Answer, Start);
-  EXPECT_TRUE(m_Table.canTake({"far"}, m_Query, Start));
-  Answer.m_TakesRequests = false;
-  m_Table.report(listed("far").m_Address, Answer, Start);
-  EXPECT_FALSE(m_Table.canTake({"far"}, m_Query, Start));
-}
-
 TEST_F(InstanceTableTest, NoRequestsToAnEvacuatedDataCentre) {
   list({listed("near"), listed("far", "b")});
   m_Table.setEvacuated({{"a"}}, Start);
@@ -358,95 +213,6 @@
   EXPECT_GT(m_Table.choose(m_Query, Start).m_RetryAfter, Duration::zero());
 }
 
-/// The first incarnation holds weights and is full; the second has the same
-/// name and address and nothing else.
-class RestartedInstance : public InstanceTableTest {
-protected:
-  RestartedInstance() {
-    m_First.m_Start = 100;
-    m_Second.m_Start = 90; // The instance's clock was set back.
-    m_Second.m_Weights.clear();
-    list({m_First});
-    report(100, 4, {{"m", 1, true}});
-  }
-
-  static FleetInstance incarnation(const std::string &Id) {
-    FleetInstance Out = listed(Id);
-    Out.m_Address = "10.0.0.1:80";
-    return Out;
-  }
-  void report(std::uint64_t ReportedStart, std::uint32_t Running,
-              std::vector<HeldWeights> Weights) {
-    InstanceReport Report{Running, 0, true, true, std::move(Weights)};
-    Report.m_Start = ReportedStart;
-    m_Table.report(m_First.m_Address, Report, Start);
-  }
-
-  FleetInstance m_First = incarnation("i~100");
-  FleetInstance m_Second = incarnation("i~90");
-};
-
-TEST_F(RestartedInstance, EarlierIncarnationStateIsDropped) {
-  EXPECT_EQ(outcome(), ChoiceOutcome::Full);
-  list({m_Second});
-  EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
-  report(90, 0, {{"m", 1, true}});
-  EXPECT_EQ(chosen(), "i~90");
-}
-
-TEST_F(RestartedInstance, EarlierIncarnationReportIsIgnored) {
-  list({m_Second});
-  report(90, 0, {{"m", 1, true}});
-  report(100, 0, {{"m", 1, true}});
-  EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
-  report(90, 0, {{"m", 1, true}});
-  EXPECT_EQ(chosen(), "i~90");
-}
-
-TEST_F(RestartedInstance, NewIncarnationReportOverridesList) {
-  report(100, 0, {{"m", 1, true}});
-  EXPECT_EQ(chosen(), "i~100");
-  report(90, 0, {});
-  EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
-}
-
-TEST_F(RestartedInstance, ReportWithoutStartCountsForListedIncarnation) {
-  list({m_Second});
-  report(0, 0, {{"m", 1, true}});
-  EXPECT_EQ(chosen(), "i~90");
-}
-
-TEST_F(RestartedInstance, SameIncarnationIsKeptAfterRelisting) {
-  list({});
-  list({m_First});
-  report(100, 0, {{"m", 1, true}});
-  EXPECT_EQ(chosen(), "i~100");
-}
-
-/// The next list still named the earlier incarnation and everything it served.
-TEST_F(RestartedInstance, ReplacedIncarnationStaysUnused) {
-  report(90, 0, {});
-  list({m_First});
-  EXPECT_EQ(outcome(), ChoiceOutcome::NoWeights);
-  report(100, 0, {{"m", 1, true}});
-  EXPECT_EQ(chosen(), "i~100");
-}
-
-/// Entries that had just started sent requests to every instance in the store's
-/// list, including ones already gone.
-TEST_F(RestartedInstance, UnconfirmedInstanceIsAskedFirst) {
-  EXPECT_TRUE(m_Table.isConfirmed(m_First.m_Id, Start));
-  list({m_Second});
-  EXPECT_FALSE(m_Table.isConfirmed(m_Second.m_Id, Start));
-  EXPECT_TRUE(m_Table.slotQuestion(m_Second.m_Id, m_Query, Start));
-  report(0, 0, {});
-  EXPECT_FALSE(m_Table.isConfirmed(m_Second.m_Id, Start));
-  report(100, 0, {});
-  EXPECT_FALSE(m_Table.isConfirmed(m_Second.m_Id, Start));
-  report(90, 0, {});
-  EXPECT_TRUE(m_Table.isConfirmed(m_Second.m_Id, Start));
-}
-
 TEST_F(InstanceTableTest, InstanceIsConfirmedAfterListedLongEnough) {
   FleetInstance One = listed("i");
   One.m_Start = 100;
@@ -469,16 +235,6 @@
   EXPECT_TRUE(m_Table.isConfirmed({"i"}, Start));
 }
 
-TEST_F(RestartedInstance, RequestsAtEarlierIncarnationAreReportedAtOnce) {
-  m_Table.started(m_First.m_Id, Start);
-  EXPECT_TRUE(m_Table.replacedWithRequests().empty());
-  list({m_Second});
-  EXPECT_EQ(m_Table.replacedWithRequests(),
-            std::vector<InstanceId>{m_First.m_Id});
-  m_Table.ended(m_First.m_Id, InstanceTable::End::Failed, false, Start);
-  EXPECT_TRUE(m_Table.replacedWithRequests().empty());
-}
-
 TEST_F(InstanceTableTest, OlderVersionServesLongerOverSoundLink) {
   m_Table.setVersionBound(8s);
   list({listed("old", "a", 1)});
@@ -684,123 +440,4 @@
               0.086, 0.003);
 }
 
-/// Two instances whose agents report them as idle; the first limits its
-/// requests.
-class RateLimitedInstance : public InstanceTableTest {
-protected:
-  RateLimitedInstance() {
-    list({m_First, m_Second});
-    m_Query.m_Objective = 300ms;
-    report(m_First, Start);
-    report(m_Second, Start);
-  }
-
-  void report(const FleetInstance &Of, TimePoint Now,
-              std::optional<RateLimitReport> Limit = {}) {
-    InstanceReport Report{0, 0, true, true, Of.m_Weights};
-    Report.m_RateLimit = std::move(Limit);
-    m_Table.report(Of.m_Address, std::move(Report), Now);
-  }
-  /// The first instance's answer, to a request that took a millisecond.
-  bool answered(std::optional<double> PerSecond, TimePoint Now) {
-    return m_Table.rateObserved({"first"}, {PerSecond, Now - 1ms, Now});
-  }
-  static RateLimitReport limit(double PerSecond, Duration NextIn) {
-    return {{"first"}, {PerSecond, Start, Start + 1ms}, true, NextIn};
-  }
-
-  const FleetInstance m_First = listed("first");
-  const FleetInstance m_Second = listed("second");
-};
-
-/// While the agent's next grant was 2 s away, each request asked it in vain.
-TEST_F(RateLimitedInstance, IsPassedOverUntilItsNextGrant) {
-  report(m_First, Start, limit(0.5, 400ms));
-  for (int I = 0; I < 20; ++I)
-    EXPECT_EQ(chosen(Start + 100ms), "second");
-  m_Query.m_Tried = {{"second"}};
-  const InstanceChoice None = m_Table.choose(m_Query, Start + 100ms);
-  EXPECT_EQ(None.m_Outcome, ChoiceOutcome::RateLimited);
-  // It accepts one request in two seconds.
-  EXPECT_EQ(None.m_RetryAfter, 2s);
-  EXPECT_EQ(chosen(Start + 400ms), "first");
-}
-
-/// Callers were told to return within some tens of milliseconds, as to a full
-/// engine.
-TEST_F(RateLimitedInstance, RetryAfterCountsWhatTheLimitsAllow) {
-  report(m_First, Start, limit(2, 100ms));
-  m_Table.rateReported({{"second"}, {3, Start, Start + 1ms}, true, 100ms},
-                       Start);
-  const InstanceChoice None = m_Table.choose(m_Query, Start + 10ms);
-  EXPECT_EQ(None.m_Outcome, ChoiceOutcome::RateLimited);
-  EXPECT_EQ(None.m_RetryAfter, 200ms);
-}
-
-/// A request counts more at an instance that accepts few.
-TEST_F(RateLimitedInstance, IsChosenAsASmallerInstance) {
-  m_Table.started({"first"}, Start);
-  for (int I = 0; I < 2; ++I)
-    m_Table.started({"second"}, Start);
-  EXPECT_EQ(chosen(), "first");
-  report(m_First, Start, limit(0.5, 0ms));
-  EXPECT_EQ(chosen(), "second");
-}
-
-TEST_F(RateLimitedInstance, IsLastChoiceOfRequestsThatRunOnce) {
-  report(m_First, Start, limit(100, 0ms));
-  m_Query.m_AvoidsLimited = true;
-  for (int I = 0; I < 20; ++I)
-    EXPECT_EQ(chosen(), "second");
-  for (int I = 0; I < 50; ++I)
-    m_Table.started({"second"}, Start);
-  EXPECT_EQ(chosen(), "first");
-}
-
-/// An entry that could not reach the agent sent without a question.
-TEST_F(RateLimitedInstance, IsAskedForWithoutAnAgentToo) {
-  const TimePoint Later = Start + 5s;
-  m_Table.dataReceived({"first"}, Start);
-  EXPECT_FALSE(m_Table.slotQuestion({"first"}, m_Query, Later));
-  EXPECT_TRUE(answered(0.5, Later));
-  const auto Question = m_Table.slotQuestion({"first"}, m_Query, Later);
-  ASSERT_TRUE(Question);
-  EXPECT_EQ(Question->m_Grantor, SlotGrantor::Entry);
-  EXPECT_EQ(Question->m_RateLimit->m_Newest.m_PerSecond, 0.5);
-  report(m_First, Later);
-  EXPECT_EQ(m_Table.slotQuestion({"first"}, m_Query, Later)->m_Grantor,
-            SlotGrantor::Agent);
-}
-
-TEST_F(RateLimitedInstance, LimitOfAnotherProcessIsKeptUntilAnswersEndIt) {
-  report(m_First, Start + 100ms, limit(0.5, 10s));
-  ASSERT_EQ(m_Table.takeReportedLimits().size(), 1U);
-  EXPECT_TRUE(m_Table.takeReportedLimits().empty());
-  EXPECT_TRUE(m_Table.isAtRateLimit({"first"}, Start + 1s));
-  ASSERT_EQ(m_Table.limitedInstances(Start + 1s).size(), 1U);
-  EXPECT_EQ(m_Table.limitedInstances(Start + 1s)[0].m_Age, 1s);
-  EXPECT_TRUE(answered(std::nullopt, Start + 2s));
-  EXPECT_FALSE(m_Table.isRateLimited({"first"}, Start));
-  EXPECT_TRUE(m_Table.limitedInstances(Start + 2s).empty());
-  // The agent does not know yet that the limit has ended.
-  report(m_First, Start + 3s, limit(0.5, 10s));
-  EXPECT_FALSE(m_Table.isRateLimited({"first"}, Start));
-  m_Query.m_Tried = {{"second"}};
-  EXPECT_EQ(chosen(Start + 3s), "first");
-  EXPECT_EQ(m_Table.slotQuestion({"first"}, m_Query, Start + 3s)
-                ->m_RateLimit->m_Newest.m_PerSecond,
-            std::nullopt);
-}
-
-TEST_F(RateLimitedInstance, NewIncarnationHasNoLimit) {
-  EXPECT_TRUE(answered(0, Start));
-  FleetInstance Next = m_First;
-  Next.m_Id = {"first~2"};
-  list({Next, m_Second});
-  EXPECT_FALSE(m_Table.isRateLimited(Next.m_Id, Start));
-  // The agent still reports the limit of the former incarnation.
-  report(Next, Start, limit(0, 10s));
-  EXPECT_FALSE(m_Table.isRateLimited(Next.m_Id, Start));
-}
-
 } // namespace
