--- a/src/direct/entry-peers.cc
+++ b/src/direct/entry-peers.cc
@@ -48,9 +48,10 @@
     setAddress(Known, Listed);
 }
 
-void EntryPeers::setAddress(Peer &Of, const EntryAddress &Address) {
-  const bool IsSameCentre = Of.m_Address.m_DataCentre == Address.m_DataCentre;
-  Of.m_Address = Address;
+void EntryPeers::setAddress(Peer &Known, const EntryAddress &Address) {
+  const bool IsSameCentre =
+      Known.m_Address.m_DataCentre == Address.m_DataCentre;
+  Known.m_Address = Address;
   if (!IsSameCentre)
     countCorrespondents();
 }
@@ -237,13 +238,13 @@
 
 /// The live entry of the data centre with the smallest id: it is a relay, which
 /// the entries of all data centres know. Null if there is none.
-const EntryAddress *EntryPeers::firstIn(const DataCentreId &At, bool IncludeOwn,
-                                        TimePoint Now) const {
+const EntryAddress *EntryPeers::firstIn(const DataCentreId &DataCentre,
+                                        bool IncludeOwn, TimePoint Now) const {
   const EntryAddress *First =
-      IncludeOwn && At == m_Own.m_DataCentre ? &m_Own : nullptr;
+      IncludeOwn && DataCentre == m_Own.m_DataCentre ? &m_Own : nullptr;
   for (const auto &[Id, Each] : m_Peers) {
     const bool IsCandidate = isLive(Each, Now) && Each.m_TakesCallers &&
-                             Each.m_Address.m_DataCentre == At;
+                             Each.m_Address.m_DataCentre == DataCentre;
     if (IsCandidate)
       return First && First->m_Id < Id ? First : &Each.m_Address;
   }
@@ -251,11 +252,11 @@
 }
 
 const EntryAddress &EntryPeers::responsibleFor(const std::string &Duty,
-                                               const DataCentreId &At,
+                                               const DataCentreId &DataCentre,
                                                bool IncludeOwn,
                                                TimePoint Now) const {
   const EntryAddress *First =
-      sharesReadsWithAll() ? nullptr : firstIn(At, IncludeOwn, Now);
+      sharesReadsWithAll() ? nullptr : firstIn(DataCentre, IncludeOwn, Now);
   if (First)
     return *First;
   const EntryAddress *Best = &m_Own;
--- a/src/direct/entry-peers.h
+++ b/src/direct/entry-peers.h
@@ -94,8 +94,8 @@
   /// The entry that all entries choose for a duty in the data centre: one of
   /// those that all of them know to be live; this one if there is no other.
   const EntryAddress &responsibleFor(const std::string &Duty,
-                                     const DataCentreId &At, bool IncludeOwn,
-                                     TimePoint Now) const;
+                                     const DataCentreId &DataCentre,
+                                     bool IncludeOwn, TimePoint Now) const;
   const EntryAddress &own() const { return m_Own; }
 
 private:
@@ -110,12 +110,12 @@
     std::optional<Duration> m_Interval;
   };
 
-  void setAddress(Peer &Of, const EntryAddress &Address);
+  void setAddress(Peer &Known, const EntryAddress &Address);
   void countCorrespondents();
 
   /// Whether one entry reads the store for all, so that all know each other.
   bool sharesReadsWithAll() const;
-  const EntryAddress *firstIn(const DataCentreId &At, bool IncludeOwn,
+  const EntryAddress *firstIn(const DataCentreId &DataCentre, bool IncludeOwn,
                               TimePoint Now) const;
   bool isLive(const Peer &Each, TimePoint Now) const;
   bool isInGroup(const Peer &Each, TimePoint Now) const;
