--- a/review/common/web.py
+++ b/review/common/web.py
@@ -125,3 +125,44 @@
         return answer
     finally:
         writer.close()
+
+
+class KeptChannel:
+    """A channel that is used for one request after the other."""
+
+    def __init__(self):
+        self._reader = self._writer = None
+        self.used = 0  # requests answered on it
+
+    @property
+    def is_open(self):
+        return self._writer is not None
+
+    async def open(self, host, port):
+        self._reader, self._writer = await asyncio.open_connection(host, port)
+        self.used = 0
+
+    def close(self):
+        if self._writer:
+            self._writer.close()
+        self._writer = None
+
+    async def call(self, method, target, headers, body):
+        """Returns the answer; None if the channel ends without a complete one."""
+        text = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        self._writer.write(f"{method} {target} HTTP/1.1\r\n{text}Content-Length: {len(body)}\r\n\r\n".encode()
+                           + body)
+        head = await read_head(self._reader)
+        if head is None:
+            self.close()
+            return None
+        answer = Answer(int(head[0].split(" ")[1]), head[1])
+        try:
+            answer.body = await read_body(self._reader, head[1])
+        except (asyncio.IncompleteReadError, ValueError, ConnectionError):
+            self.close()
+            return None
+        self.used += 1
+        if head[1].get("connection", "").lower() == "close":
+            self.close()
+        return answer
