--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENTRIES, REPLICAS, FAULTY = 3, 4, 2  # half of the replicas (garble: share 0.5)
 SPOILT_SHARE = 0.03  # of their answers get a second one (garble extra late: x 0.03)
+SPOILT_S, SOUND_S = 5.0, 5.0  # by turns; the site's garble extra late lasts 5.0 s
 SLOTS, QUEUE, WORK_S = 4, 3, 0.1
-CALLERS, PLAY_S = 50, 60.0
+CALLERS, PLAY_S = 50, 80.0
 KEY, HOST = "k1", "h.example"
 SETTLE_S = 15.0
 
@@ -46,6 +47,11 @@
         self._file.close()
 
 
+def is_spoilt_now():
+    """Whether one of the spans of trouble is under way."""
+    return TROUBLE and time.monotonic() % (SPOILT_S + SOUND_S) < SPOILT_S
+
+
 class Replica:
     """A replica of a plain service as the pages tell it: `slots` requests at once,
     a short queue, 503 with Not-Executed when that is full. A faulty one sends a
@@ -76,7 +82,7 @@
             self._record.counts["second answers"] += 1
             channel.write(late[1].encode())
         answer = await self._work(request, attempt)
-        if self.is_faulty and TROUBLE and self._random.random() < SPOILT_SHARE:
+        if self.is_faulty and is_spoilt_now() and self._random.random() < SPOILT_SHARE:
             self._late[channel] = (attempt, answer)
         return answer
 
@@ -183,7 +189,7 @@
 def main():
     record = Record()
     try:
-        asyncio.run(asyncio.wait_for(play(record), 100))
+        asyncio.run(asyncio.wait_for(play(record), 115))
         code = judge(record)
     finally:
         record.close()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,15 +12,16 @@
 sys.path[:0] = [str(HERE.parent / "common"), str(HERE)]
 
 from deployment import Deployment, fail_to_run  # noqa: E402
-from replica import body_of  # noqa: E402
+from replica import body_of, is_unframed_now  # noqa: E402
 from store import Store  # noqa: E402
 from web import call  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENTRIES, REPLICAS = 3, 6
+UNFRAMED_REPLICAS = 3  # half of them (garble: share 0.5)
 SLOTS, UNFRAMED_SHARE = 6, 0.05
 DOWN_S, PAUSE_S = 1.5, 0.5  # one replica of six is down at a time (srv_crash: 0.17)
-CALLERS, PLAY_S = 40, 60.0
+CALLERS, PLAY_S = 60, 90.0
 KEY, HOST = "k1", "h.example"
 SETTLE_S, HEARTBEAT_S = 15.0, 1.2
 
@@ -68,7 +69,7 @@
         name = f"i-{self._number}-{self._life}"
         self._process = await asyncio.create_subprocess_exec(
             sys.executable, str(HERE / "replica.py"), name, self._host, str(self._port),
-            str(SLOTS), str(UNFRAMED_SHARE), stdout=asyncio.subprocess.PIPE)
+            str(SLOTS), str(self._unframed_share()), stdout=asyncio.subprocess.PIPE)
         if await self._process.stdout.readline() != b"listens\n":
             fail_to_run("a replica does not start")
         self._reader = asyncio.create_task(self._read(name))
@@ -77,6 +78,9 @@
             "slots": SLOTS, "version": "v1", "coldLeftMs": 0, "seq": 1, "state": "ready"})
         return name
 
+    def _unframed_share(self):
+        return UNFRAMED_SHARE if self._number <= UNFRAMED_REPLICAS else 0.0
+
     async def _read(self, name):
         while line := await self._process.stdout.readline():
             _, attempt, framing = line.decode().split()
@@ -136,7 +140,7 @@
         answer = await call(entry.host, deployment.addresses.callers, method, f"/{kind}/x", headers,
                             b"asked" if kind == "once" else b"", 5.0)
         record.answered(attempt, kind, answer)
-        await asyncio.sleep(choose.uniform(0.0, 0.2))
+        await asyncio.sleep(choose.uniform(0.0, 0.1))
 
 
 async def play(record):
@@ -156,7 +160,10 @@
         callers = [asyncio.create_task(caller(i, deployment, record, end)) for i in range(CALLERS)]
         choose = random.Random(17)
         while TROUBLE and time.monotonic() < end - 3 * HEARTBEAT_S:
-            await choose.choice(places).crash()
+            if is_unframed_now():
+                await choose.choice(places[:UNFRAMED_REPLICAS]).crash()
+            else:
+                await asyncio.sleep(0.1)
         await asyncio.gather(*callers)
     finally:
         await deployment.end()
@@ -177,7 +184,7 @@
 def main():
     record = Record()
     try:
-        asyncio.run(asyncio.wait_for(play(record), 110))
+        asyncio.run(asyncio.wait_for(play(record), 115))
         code = judge(record)
     finally:
         record.close()
--- a/review/3/replica.py
+++ b/review/3/replica.py
@@ -1,14 +1,15 @@
 """One replica of a plain service, as a process of its own that can be killed.
 Usage: replica.py ID HOST PORT SLOTS UNFRAMED_SHARE
 
-Answers a request in pieces, as it works on it. A share of the answers has no
-length and ends with its channel. Prints a line when it listens, and one for each
+Answers a request in pieces, as it works on it. By turns of five seconds, a share of
+the answers has no length and ends with its channel. Prints a line when it listens, and one for each
 request that it begins to run."""
 
 import asyncio
 import hashlib
 import random
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common"))
@@ -17,6 +18,11 @@
 
 PIECES, PIECE_S = 10, 0.012
 QUEUE = 24
+UNFRAMED_S, FRAMED_S = 5.0, 5.0  # by turns; the clock is the same in all processes
+
+
+def is_unframed_now():
+    return time.monotonic() % (UNFRAMED_S + FRAMED_S) < UNFRAMED_S
 
 
 def body_of(attempt):
@@ -48,7 +54,7 @@
         return None
 
     async def _run(self, attempt, channel):
-        framed = random.random() >= self._unframed_share
+        framed = not is_unframed_now() or random.random() >= self._unframed_share
         print("run", attempt, "framed" if framed else "unframed", flush=True)
         body = body_of(attempt)
         framing = f"Content-Length: {len(body)}\r\n" if framed else "Connection: close\r\n"
