--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -34,6 +34,7 @@
     auto Piece = co_await Body.read();
     if (!Piece) {
       C.m_IsPeerEnd = Piece.error().m_IsPeerEnd;
+      C.m_ReadError = Piece.error().m_Message;
       co_return AttemptOutcome::Lost;
     }
     if (Piece->empty())
@@ -115,8 +116,10 @@
     // The answer is complete, whatever the other instance has begun.
     if (IsEnd)
       C.m_IsMoving = false;
-    if (!Piece)
+    if (!Piece) {
       C.m_IsPeerEnd = Piece.error().m_IsPeerEnd && !C.m_IsMoving;
+      C.m_ReadError = Piece.error().m_Message;
+    }
     if (!Piece || C.m_IsMoving)
       co_return C.m_Answer.started() ? AttemptOutcome::Broken
                                      : AttemptOutcome::Lost;
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -64,6 +64,7 @@
   C.m_IsAnswering = false;
   C.m_IsSound = false;
   C.m_IsPeerEnd = false;
+  C.m_ReadError.clear();
   C.m_Framing = net::BodyFraming::Delimited;
   C.m_PartialBytes = 0;
   C.m_Notice = {};
@@ -117,6 +118,7 @@
             {"fingerprint", textOf(C.m_Fingerprint)},
             {"parts", partsText(C.m_Terms.m_SharedParts)},
             {"closedThere", std::uint64_t{C.m_IsPeerEnd}},
+            {"readError", C.m_ReadError},
             {"framing", framingName(C.m_Framing)},
             {"partialBytes", C.m_PartialBytes},
             {"saysLeaving", std::uint64_t{C.m_Notice.m_IsLeaving}},
@@ -232,6 +234,7 @@
   }
   if (!Answer) {
     Out.m_IsPeerEnd = Answer.error().m_IsPeerEnd;
+    Out.m_ReadError = Answer.error().m_Message;
     co_return Out;
   }
   net::HttpStream &Body = **Answer;
@@ -279,6 +282,7 @@
     C.m_Abort = nullptr;
   }
   C.m_IsPeerEnd = Begun.m_IsPeerEnd;
+  C.m_ReadError = Begun.m_ReadError;
   C.m_Notice = Begun.m_Notice;
   if (!Begun.m_Body)
     co_return Begun.m_How;
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -83,6 +83,7 @@
   /// are sound.
   bool m_IsSound = false;
   bool m_IsPeerEnd = false; ///< the instance closed the connection
+  std::string m_ReadError;  ///< for logs: why the answer could not be read
   InstanceNotice m_Notice;  ///< from the head of the current answer
   /// When the search for an instance for a stream's remainder began.
   std::optional<TimePoint> m_SearchStart;
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -103,6 +103,7 @@
     std::unique_ptr<net::HttpStream> m_Body;     ///< null without an answer
     AttemptOutcome m_How = AttemptOutcome::Lost; ///< set if m_Body is null
     bool m_IsPeerEnd = false; ///< the instance closed the connection
+    std::string m_ReadError;  ///< for logs: why there is no answer
     InstanceNotice m_Notice;
     TimePoint m_Sent{};
   };
