--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -1,16 +1,11 @@
-#include "net/address.h"
-#include "net/boot-clock.h"
-#include "net/dead-peer.h"
+#include "net/http-connection.h"
 #include "net/http.h"
-#include "net/socket-deadline.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <charconv>
-#include <map>
-#include <mutex>
 #include <optional>
 
 namespace deckpitch::net {
@@ -19,47 +14,16 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+using detail::AbortOnCancel;
+using detail::connect;
+using detail::Connection;
+using detail::PoolKey;
+using detail::UseAwaitable;
+
 namespace {
 
-constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t MaxIdlePerAddress = 256;
-constexpr std::size_t MinReadBytes = std::size_t{4} * 1024;
 constexpr std::size_t MaxReadBytes = std::size_t{64} * 1024;
 
-struct Connection {
-  explicit Connection(const asio::any_io_executor &Executor)
-      : m_Socket(Executor) {}
-  tcp::socket m_Socket;
-  SocketDeadline m_Deadline{m_Socket};
-  beast::flat_buffer m_Buffer;
-  std::size_t m_ReadBytes = MinReadBytes; ///< grows while reads fill the buffer
-  BootClock::time_point m_IdleSince;
-  std::optional<std::chrono::milliseconds>
-      m_ServerKeepAlive; ///< announced idle timeout
-
-  /// Returns false if the server closed the connection, sent data that belongs
-  /// to no request, or may be about to close it, which is assumed after half of
-  /// its announced idle timeout.
-  bool isReusable(std::chrono::milliseconds MaxIdle) {
-    const auto Idle = BootClock::now() - m_IdleSince;
-    const bool IsOld =
-        Idle > MaxIdle || (m_ServerKeepAlive && Idle > *m_ServerKeepAlive / 2);
-    if (IsOld || m_Buffer.size() != 0)
-      return false;
-    char Byte = 0;
-    boost::system::error_code Ec;
-    m_Socket.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Ec);
-    return Ec == asio::error::would_block;
-  }
-};
-
-/// Identifies a pool: idle connections of one event loop to one server.
-struct PoolKey {
-  asio::execution_context *m_Loop;
-  std::string m_Address;
-  friend auto operator<=>(const PoolKey &, const PoolKey &) = default;
-};
-
 /// Parses the idle timeout from the value of a Keep-Alive header.
 std::optional<std::chrono::milliseconds>
 parseKeepAliveTimeout(std::string_view KeepAlive) {
@@ -76,51 +40,15 @@
   return std::chrono::seconds(Seconds);
 }
 
-Error unavailable(const std::string &Address,
-                  const boost::system::error_code &Ec) {
-  return Error{ErrorCode::Unavailable, Address + ": " + Ec.message()};
-}
-
-bool isClosedByPeer(const boost::system::error_code &Ec) {
-  return Ec == asio::error::eof || Ec == asio::error::connection_reset ||
-         Ec == asio::error::broken_pipe || Ec == http::error::end_of_stream ||
-         Ec == http::error::partial_message;
-}
-
 Error outcomeUnknown(const std::string &Address,
                      const boost::system::error_code &Ec) {
   return Error{ErrorCode::Timeout, Address + ": " + Ec.message(),
-               isClosedByPeer(Ec)};
+               detail::isClosedByPeer(Ec)};
 }
 
 } // namespace
 
-struct HttpClient::Impl {
-  std::unique_ptr<Connection> acquireIdle(const PoolKey &Key,
-                                          std::chrono::milliseconds MaxIdle) {
-    std::lock_guard Lock(m_Mutex);
-    auto &Idle = m_Idle[Key];
-    while (!Idle.empty()) {
-      auto Taken = std::move(Idle.back());
-      Idle.pop_back();
-      if (Taken->isReusable(MaxIdle))
-        return Taken;
-    }
-    return nullptr;
-  }
-
-  void release(const PoolKey &Key, std::unique_ptr<Connection> Returned) {
-    Returned->m_Deadline.stop();
-    Returned->m_IdleSince = BootClock::now();
-    std::lock_guard Lock(m_Mutex);
-    auto &Idle = m_Idle[Key];
-    if (Idle.size() < MaxIdlePerAddress)
-      Idle.push_back(std::move(Returned));
-  }
-
-  std::mutex m_Mutex;
-  std::map<PoolKey, std::vector<std::unique_ptr<Connection>>> m_Idle;
-};
+struct HttpClient::Impl : detail::ConnectionPool {};
 
 namespace {
 
@@ -237,48 +165,6 @@
   bool m_Cancelled = false;
 };
 
-/// Lets CallCancel close the connection that the call currently uses.
-class AbortOnCancel {
-public:
-  AbortOnCancel(CallCancel *Cancel, Connection &Conn) : m_Cancel(Cancel) {
-    if (m_Cancel)
-      m_Cancel->onCancel([&Socket = Conn.m_Socket] {
-        boost::system::error_code Ignored;
-        Socket.close(Ignored);
-      });
-  }
-  ~AbortOnCancel() {
-    if (m_Cancel)
-      m_Cancel->onCancel(nullptr);
-  }
-  AbortOnCancel(const AbortOnCancel &) = delete;
-  AbortOnCancel &operator=(const AbortOnCancel &) = delete;
-
-private:
-  CallCancel *m_Cancel;
-};
-
-asio::awaitable<Outcome<std::unique_ptr<Connection>>>
-connect(asio::any_io_executor Executor, const std::string &Address,
-        std::chrono::milliseconds Limit, CallCancel *Cancel) {
-  const auto Endpoint = parseEndpoint(Address);
-  if (!Endpoint)
-    co_return Error{ErrorCode::InvalidInput,
-                    "'" + Address + "' is not ip:port"};
-  auto NewConn = std::make_unique<Connection>(Executor);
-  const AbortOnCancel Abort(Cancel, *NewConn);
-  NewConn->m_Deadline.expiresAfter(Limit);
-  auto [Ec] = co_await NewConn->m_Socket.async_connect(*Endpoint, UseAwaitable);
-  if (NewConn->m_Deadline.expired())
-    Ec = beast::error::timeout;
-  if (Ec)
-    co_return unavailable(Address, Ec);
-  NewConn->m_Socket.set_option(tcp::no_delay(true), Ec);
-  enableDeadPeerDetection(NewConn->m_Socket);
-  NewConn->m_Socket.non_blocking(true, Ec);
-  co_return std::move(NewConn);
-}
-
 } // namespace
 
 HttpClient::HttpClient() : m_Impl(std::make_shared<Impl>()) {}
@@ -307,7 +193,7 @@
   while (!Cancel || !Cancel->cancelled()) {
     std::unique_ptr<Connection> Conn;
     if (const auto LivePool = Pool.lock())
-      Conn = LivePool->acquireIdle(Key, Limits.m_MaxIdle);
+      Conn = LivePool->acquire(Key, Limits.m_MaxIdle);
     const bool IsReused = Conn != nullptr;
     if (!IsReused) {
       auto NewConn =
