Do not take a crash for the end of an answer without a length

Cause: a body that ends with its connection was complete once that had ended, but a kernel ends the connections of a killed process in the same way, without a reset unless bytes were left unread. Ruled out by the entries' logs and the record: an answer of the next incarnation or of another request (the part is the beginning of the right body, the next incarnation starts 1.5 s later), and a wrong length of the instance's (framing=close in each line, while other calls at that instance are lost in the same millisecond).

Change: at such an end HttpStream::read() opens another connection, and returns the end only if the server accepts it. A killed process has lost its listening socket as well, so that it is refused. The connection then takes the place of the ended one in the pool. One place for all users: calls of both kinds, streams that end between two events with nothing else of that entry at the instance (open since the incident of broken-off answers), plain services in the mode with agents in the path, reports, pieces of weights.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -1,5 +1,6 @@
 #include "net/http-connection.h"
 #include "net/http.h"
+#include "net/metrics.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -92,7 +93,9 @@
         co_return Piece;
       if (m_Parser.is_done()) {
         finish();
-        co_return std::string();
+        if (framing() == BodyFraming::UntilClose)
+          co_await confirmEnd();
+        break;
       }
       Connection &From = *m_Connection;
       From.m_Deadline.expiresAfter(m_Limits.m_ReadTimeout);
@@ -110,6 +113,8 @@
       if (Bytes == From.m_ReadBytes)
         From.m_ReadBytes = std::min(2 * Bytes, MaxReadBytes);
     }
+    if (m_EndError)
+      co_return *m_EndError;
     co_return std::string();
   }
 
@@ -118,6 +123,7 @@
   }
 
   void cancel() override {
+    m_ConfirmCancel.cancel();
     if (!m_Connection)
       return;
     m_Cancelled = true;
@@ -146,6 +152,27 @@
     return Piece;
   }
 
+  /// Tells the end of a body that ends with its connection from a crash, which
+  /// ends all connections of the server: only a server that has not crashed
+  /// still accepts one. The pool keeps it in place of the one that has ended.
+  asio::awaitable<void> confirmEnd() {
+    const auto Limit =
+        std::min(m_Limits.m_ConnectTimeout, m_Limits.m_ReadTimeout);
+    auto Confirmed = co_await connect(co_await asio::this_coro::executor,
+                                      m_Key.m_Address, Limit, &m_ConfirmCancel);
+    if (!Confirmed) {
+      metrics().counter("deckpitch_unconfirmed_ends_total").add();
+      m_EndError = Error{ErrorCode::Timeout,
+                         "the end of the body is not confirmed: " +
+                             Confirmed.error().m_Message,
+                         Confirmed.error().m_IsPeerEnd};
+      co_return;
+    }
+    const auto Pool = m_Pool.lock();
+    if (Pool && m_Limits.m_KeepsConnection)
+      Pool->release(m_Key, std::move(*Confirmed));
+  }
+
   void finish() {
     if (m_Connection && m_Limits.m_KeepsConnection &&
         m_Parser.get().keep_alive())
@@ -163,6 +190,8 @@
   http::response_parser<http::buffer_body> m_Parser;
   HttpHeaders m_Headers;
   bool m_Cancelled = false;
+  CallCancel m_ConfirmCancel;
+  std::optional<Error> m_EndError; ///< why the body may not be complete
 };
 
 } // namespace
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -146,7 +146,7 @@
 /// How the end of a response's body is told.
 enum class BodyFraming {
   Delimited, ///< by a length or chunks: a body that breaks off is an error
-  UntilClose ///< by the end of the connection, also if the body breaks off
+  UntilClose ///< by the end of the connection, as a crash ends it too
 };
 
 /// A response whose body is read in pieces. Destroying it before the end of
@@ -158,8 +158,11 @@
   virtual unsigned status() const = 0;
   virtual const HttpHeaders &headers() const = 0;
   virtual BodyFraming framing() const = 0;
-  /// Reads the next piece, which is empty at the end of the response. Only with
-  /// BodyFraming::Delimited is the response certainly complete then.
+  /// Reads the next piece, which is empty at the end of the response. With
+  /// BodyFraming::UntilClose that end is only returned if the server accepts
+  /// another connection afterwards, which shows that it has not crashed; this
+  /// takes one round trip. Errors: Timeout if the response is not complete, or
+  /// may not be.
   virtual asio::awaitable<Outcome<std::string>> read() = 0;
   /// Sets how long each later read waits for data.
   virtual void setReadTimeout(std::chrono::milliseconds Limit) = 0;
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -45,6 +45,30 @@
   std::jthread m_Thread;
 };
 
+void readHeaderAndRespond(tcp::socket &Socket, const std::string &Bytes);
+
+/// Reads one request and sends the bytes. Then it ends as a process that is
+/// killed: its kernel closes the listening socket, and the connection without a
+/// reset.
+class KilledServer {
+public:
+  explicit KilledServer(std::string Sent)
+      : m_Thread([this, Sent = std::move(Sent),
+                  Listening = std::move(m_Acceptor)]() mutable {
+          tcp::socket Socket = Listening.accept();
+          Listening.close();
+          readHeaderAndRespond(Socket, Sent);
+        }) {}
+
+  const std::string &address() const { return m_Address; }
+
+private:
+  asio::io_context m_Io;
+  tcp::acceptor m_Acceptor{m_Io, tcp::endpoint(tcp::v4(), 0)};
+  std::string m_Address = formatEndpoint(m_Acceptor.local_endpoint());
+  std::jthread m_Thread;
+};
+
 /// Reads the header of one request and sends the bytes.
 void readHeaderAndRespond(tcp::socket &Socket, const std::string &Bytes) {
   boost::system::error_code Ec;
@@ -185,6 +209,31 @@
   EXPECT_EQ(Answer->m_Body, "to the end");
 }
 
+/// A crash ends connections as the end of such a body does.
+TEST(HttpClientContract, BodyDelimitedByCloseIsNotCompleteAfterACrash) {
+  KilledServer Server("HTTP/1.1 200 OK\r\n\r\nto the");
+  const auto Answer = callAndWait(Server.address(), {});
+  ASSERT_FALSE(Answer);
+  EXPECT_EQ(Answer.error().m_Code, ErrorCode::Timeout);
+  EXPECT_TRUE(Answer.error().m_IsPeerEnd);
+}
+
+/// The next call uses the connection that showed that the server still runs.
+TEST(HttpClientContract, ABodyDelimitedByCloseCostsNoAdditionalConnection) {
+  ScriptedServer Server({[](tcp::socket &Socket) {
+                           readHeaderAndRespond(
+                               Socket, "HTTP/1.1 200 OK\r\n\r\nto the end");
+                         },
+                         [](tcp::socket &Socket) {
+                           readHeaderAndRespond(Socket, CompleteResponse);
+                         }});
+  const auto Answers = callSequentially(Server.address(), {"POST", "POST"});
+  ASSERT_TRUE(Answers[0]);
+  ASSERT_TRUE(Answers[1]);
+  EXPECT_EQ(Answers[0]->m_Body, "to the end");
+  EXPECT_EQ(Answers[1]->m_Body, "ok");
+}
+
 TEST(HttpClientContract, CancelEndsACallAwaitingItsResponse) {
   std::atomic<bool> RequestReceived{false};
   ScriptedServer Server({[&](tcp::socket &Socket) {
