Ask whose an answer is before what it says

An instance that is full sends a second copy of a rejection, late, where the answer to the next request of the connection is due.

Cause: meaningOf() looked at the status 421 and at the mark "not run" before it compared the answer's id with the request's. Ruled out: bytes left in an idle connection (the pool drops those), and repeats for another reason (none with the copies off).

Change: an answer that names another request is Foreign, whatever it says; one that names none counts only if nothing was sent on its connection before (Unnamed otherwise), as it may be the copy of an earlier one; requests without an id get a new connection. Copies of 421 no longer take a sound instance out of use, and notices in copies don't count.

--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -57,7 +57,8 @@
   Answer,        ///< the request ran; this is its answer
   NotRun,        ///< the instance reports that it did not run the request
   WrongInstance, ///< another instance has the address and did not run it
-  Foreign        ///< the answer belongs to another request
+  Foreign,       ///< the answer names another request
+  Unnamed        ///< it names no request, and may belong to an earlier one
 };
 
 /// What an instance reports about itself in an answer, independently of the
@@ -107,10 +108,15 @@
   /// The request in the form that an instance expects.
   virtual net::HttpRequest toUpstream(const net::HttpRequest &Request,
                                       const UpstreamTerms &Terms) const = 0;
+  /// Returns what the head of an answer says about the request with that id. An
+  /// answer that names no request may still be taken for this one's if nothing
+  /// was sent on its connection before.
   virtual AnswerMeaning meaningOf(unsigned Status,
                                   const net::HttpHeaders &Headers,
-                                  std::string_view AttemptId) const = 0;
-  /// Must not be called for an answer that is WrongInstance or Foreign.
+                                  std::string_view AttemptId,
+                                  bool IsFirstOnConnection) const = 0;
+  /// Must not be called for an answer that is WrongInstance, Foreign or
+  /// Unnamed.
   virtual InstanceNotice noticeOf(unsigned Status,
                                   const net::HttpHeaders &Headers) const = 0;
   /// The headers of an instance's answer that are forwarded to the caller.
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -207,6 +207,9 @@
         std::min(Left, RepeatAfterObjectives * C.m_Route->m_Objective);
   Limits.m_ReadTimeout = Limits.m_FirstByte;
   Limits.m_MaxIdle = IsOnce ? MaxIdleOnce : MaxIdle;
+  // Nothing but the connection tells whose the answer is.
+  if (C.m_Terms.m_AttemptId.empty())
+    Limits.m_MaxIdle = milliseconds::zero();
   Limits.m_RetriesGet = false;
 
   UpstreamTerms Terms;
@@ -241,12 +244,18 @@
   Cancel.onCancel([&Body] { Body.cancel(); });
   m_Instances.dataReceived(Chosen.m_Instance, now());
   const AnswerMeaning Meaning =
-      m_Adapter.meaningOf(Body.status(), Body.headers(), C.m_Terms.m_AttemptId);
-  if (Meaning == AnswerMeaning::Foreign) {
-    net::log(Event::UpstreamAnswerRefused,
-             {{"request", C.m_Terms.m_AttemptId},
-              {"instance", Chosen.m_Instance.m_Text},
-              {"status", std::uint64_t{Body.status()}}});
+      m_Adapter.meaningOf(Body.status(), Body.headers(), C.m_Terms.m_AttemptId,
+                          Body.isFirstOnConnection());
+  const bool IsOthers =
+      Meaning == AnswerMeaning::Foreign || Meaning == AnswerMeaning::Unnamed;
+  if (IsOthers) {
+    net::log(
+        Event::UpstreamAnswerRefused,
+        {{"request", C.m_Terms.m_AttemptId},
+         {"instance", Chosen.m_Instance.m_Text},
+         {"status", std::uint64_t{Body.status()}},
+         {"namesAnother", std::uint64_t{Meaning == AnswerMeaning::Foreign}},
+         {"firstThere", std::uint64_t{Body.isFirstOnConnection()}}});
     Cancel.onCancel(nullptr);
     co_return Out;
   }
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -8,6 +8,7 @@
 
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace deckpitch::net {
 
@@ -58,7 +59,8 @@
   Stream(std::weak_ptr<HttpClient::Impl> Pool, PoolKey Key,
          std::unique_ptr<Connection> Conn, CallLimits Limits)
       : m_Pool(std::move(Pool)), m_Key(std::move(Key)),
-        m_Connection(std::move(Conn)), m_Limits(Limits) {
+        m_Connection(std::move(Conn)), m_Limits(Limits),
+        m_IsFirst(!std::exchange(m_Connection->m_HasCarriedRequest, true)) {
     m_Parser.body_limit(boost::none);
   }
 
@@ -82,6 +84,7 @@
     return m_Parser.need_eof() ? BodyFraming::UntilClose
                                : BodyFraming::Delimited;
   }
+  bool isFirstOnConnection() const override { return m_IsFirst; }
 
   asio::awaitable<Outcome<std::string>> read() override {
     while (m_Connection) {
@@ -187,6 +190,7 @@
   PoolKey m_Key;
   std::unique_ptr<Connection> m_Connection;
   CallLimits m_Limits;
+  bool m_IsFirst;
   http::response_parser<http::buffer_body> m_Parser;
   HttpHeaders m_Headers;
   bool m_Cancelled = false;
@@ -221,7 +225,8 @@
   bool Sent = false;
   while (!Cancel || !Cancel->cancelled()) {
     std::unique_ptr<Connection> Conn;
-    if (const auto LivePool = Pool.lock())
+    const bool MayReuse = Limits.m_MaxIdle > std::chrono::milliseconds::zero();
+    if (const auto LivePool = MayReuse ? Pool.lock() : nullptr)
       Conn = LivePool->acquire(Key, Limits.m_MaxIdle);
     const bool IsReused = Conn != nullptr;
     if (!IsReused) {
--- a/src/net/http-connection.h
+++ b/src/net/http-connection.h
@@ -40,6 +40,7 @@
   SocketDeadline m_Deadline{m_Socket};
   boost::beast::flat_buffer m_Buffer;
   std::size_t m_ReadBytes = MinReadBytes; ///< grows while reads fill the buffer
+  bool m_HasCarriedRequest = false;
   BootClock::time_point m_IdleSince;
   std::optional<std::chrono::milliseconds>
       m_ServerKeepAlive; ///< announced idle timeout
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -133,7 +133,7 @@
   std::size_t m_BodyBytes = std::size_t{64} * 1024 * 1024;
   /// A pooled connection that was idle for longer is not reused: servers close
   /// idle connections, and a request sent on one that was just closed may or
-  /// may not have been processed.
+  /// may not have been processed. Zero: none is reused.
   std::chrono::milliseconds m_MaxIdle{30'000};
   /// Whether the connection is pooled for later calls. Disable it for servers
   /// that accept few connections and have many callers.
@@ -158,6 +158,9 @@
   virtual unsigned status() const = 0;
   virtual const HttpHeaders &headers() const = 0;
   virtual BodyFraming framing() const = 0;
+  /// Whether nothing was sent on the connection before the request. Otherwise
+  /// the response may be a late one to an earlier request.
+  virtual bool isFirstOnConnection() const = 0;
   /// Reads the next piece, which is empty at the end of the response. With
   /// BodyFraming::UntilClose that end is only returned if the server accepts
   /// another connection afterwards, which shows that it has not crashed; this
