Let only a running process confirm the end of an answer

A kernel closes the sockets of a killed process one after the other, the listening socket last, and accepts connections meanwhile. The tests had closed the listening socket first.

Change: checkProcess() opens a connection on which nothing is sent and ends its sending side. A running process closes it in its turn; the kernel of a killed one refuses it, or resets it with the listening socket. One that stays open for 50 ms shows that this socket is still there. A second connection after a reset tells a process at its limit from one that is gone. The connection is not kept any more: each answer of this form costs one.

ABodyDelimitedByCloseCostsNoAdditionalConnection asked for what no longer holds; in its place stands BodyDelimitedByCloseCostsNoAdditionalRequest, and BodyDelimitedByCloseOfABusyServerIsComplete for servers that reset connections.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -1,6 +1,7 @@
 #include "net/http-connection.h"
 #include "net/http.h"
 #include "net/metrics.h"
+#include "net/process-check.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -126,7 +127,7 @@
   }
 
   void cancel() override {
-    m_ConfirmCancel.cancel();
+    m_CheckCancel.cancel();
     if (!m_Connection)
       return;
     m_Cancelled = true;
@@ -156,24 +157,20 @@
   }
 
   /// Tells the end of a body that ends with its connection from a crash, which
-  /// ends all connections of the server: only a server that has not crashed
-  /// still accepts one. The pool keeps it in place of the one that has ended.
+  /// ends the connections of the server's process as well.
   asio::awaitable<void> confirmEnd() {
     const auto Limit =
         std::min(m_Limits.m_ConnectTimeout, m_Limits.m_ReadTimeout);
-    auto Confirmed = co_await connect(co_await asio::this_coro::executor,
-                                      m_Key.m_Address, Limit, &m_ConfirmCancel);
-    if (!Confirmed) {
-      metrics().counter("deckpitch_unconfirmed_ends_total").add();
-      m_EndError = Error{ErrorCode::Timeout,
-                         "the end of the body is not confirmed: " +
-                             Confirmed.error().m_Message,
-                         Confirmed.error().m_IsPeerEnd};
+    const auto Running =
+        co_await detail::checkProcess(co_await asio::this_coro::executor,
+                                      m_Key.m_Address, Limit, &m_CheckCancel);
+    if (Running)
       co_return;
-    }
-    const auto Pool = m_Pool.lock();
-    if (Pool && m_Limits.m_KeepsConnection)
-      Pool->release(m_Key, std::move(*Confirmed));
+    metrics().counter("deckpitch_unconfirmed_ends_total").add();
+    m_EndError = Error{ErrorCode::Timeout,
+                       "the end of the body is not confirmed: " +
+                           Running.error().m_Message,
+                       Running.error().m_IsPeerEnd};
   }
 
   void finish() {
@@ -194,7 +191,7 @@
   http::response_parser<http::buffer_body> m_Parser;
   HttpHeaders m_Headers;
   bool m_Cancelled = false;
-  CallCancel m_ConfirmCancel;
+  CallCancel m_CheckCancel;
   std::optional<Error> m_EndError; ///< why the body may not be complete
 };
 
--- a/src/net/http-connection.cc
+++ b/src/net/http-connection.cc
@@ -88,8 +88,7 @@
   if (NewConn->m_Deadline.expired())
     Ec = beast::error::timeout;
   if (Ec)
-    co_return Error{ErrorCode::Unavailable, Address + ": " + Ec.message(),
-                    Ec == asio::error::connection_refused};
+    co_return Error{ErrorCode::Unavailable, Address + ": " + Ec.message()};
   NewConn->m_Socket.set_option(tcp::no_delay(true), Ec);
   enableDeadPeerDetection(NewConn->m_Socket);
   NewConn->m_Socket.non_blocking(true, Ec);
--- a/src/net/http-connection.h
+++ b/src/net/http-connection.h
@@ -83,7 +83,7 @@
 bool isClosedByPeer(const boost::system::error_code &Ec);
 
 /// Opens a connection to "ip:port". Errors: InvalidInput if the address is no
-/// such pair, else Unavailable, with m_IsPeerEnd if the server refused it.
+/// such pair, else Unavailable.
 asio::awaitable<Outcome<std::unique_ptr<Connection>>>
 connect(asio::any_io_executor Executor, const std::string &Address,
         std::chrono::milliseconds Limit, CallCancel *Cancel);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -162,10 +162,9 @@
   /// the response may be a late one to an earlier request.
   virtual bool isFirstOnConnection() const = 0;
   /// Reads the next piece, which is empty at the end of the response. With
-  /// BodyFraming::UntilClose that end is only returned if the server accepts
-  /// another connection afterwards, which shows that it has not crashed; this
-  /// takes one round trip. Errors: Timeout if the response is not complete, or
-  /// may not be.
+  /// BodyFraming::UntilClose that end is only returned if another connection
+  /// shows that the server's process has not crashed, which takes a round trip.
+  /// Errors: Timeout if the response is not complete, or may not be.
   virtual asio::awaitable<Outcome<std::string>> read() = 0;
   /// Sets how long each later read waits for data.
   virtual void setReadTimeout(std::chrono::milliseconds Limit) = 0;
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -47,17 +47,26 @@
 
 void readHeaderAndRespond(tcp::socket &Socket, const std::string &Bytes);
 
+/// The order in which a kernel closes the sockets of a killed process.
+enum class ClosedFirst { Listener, Connection };
+
 /// Reads one request and sends the bytes. Then it ends as a process that is
 /// killed: its kernel closes the listening socket, and the connection without a
 /// reset.
 class KilledServer {
 public:
-  explicit KilledServer(std::string Sent)
-      : m_Thread([this, Sent = std::move(Sent),
+  KilledServer(std::string Sent, ClosedFirst First)
+      : m_Thread([Sent = std::move(Sent), First,
                   Listening = std::move(m_Acceptor)]() mutable {
-          tcp::socket Socket = Listening.accept();
-          Listening.close();
-          readHeaderAndRespond(Socket, Sent);
+          {
+            tcp::socket Socket = Listening.accept();
+            if (First == ClosedFirst::Listener)
+              Listening.close();
+            readHeaderAndRespond(Socket, Sent);
+          }
+          std::this_thread::sleep_for(5ms);
+          if (First == ClosedFirst::Connection)
+            Listening.close();
         }) {}
 
   const std::string &address() const { return m_Address; }
@@ -209,29 +218,58 @@
   EXPECT_EQ(Answer->m_Body, "to the end");
 }
 
-/// A crash ends connections as the end of such a body does.
-TEST(HttpClientContract, BodyDelimitedByCloseIsNotCompleteAfterACrash) {
-  KilledServer Server("HTTP/1.1 200 OK\r\n\r\nto the");
+class BodyDelimitedByClose : public testing::TestWithParam<ClosedFirst> {};
+
+/// A crash ends connections as the end of such a body does. A kernel may close
+/// the listening socket later, so that a connection is still accepted.
+TEST_P(BodyDelimitedByClose, IsNotCompleteAfterACrash) {
+  KilledServer Server("HTTP/1.1 200 OK\r\n\r\nto the", GetParam());
   const auto Answer = callAndWait(Server.address(), {});
   ASSERT_FALSE(Answer);
   EXPECT_EQ(Answer.error().m_Code, ErrorCode::Timeout);
   EXPECT_TRUE(Answer.error().m_IsPeerEnd);
 }
 
-/// The next call uses the connection that showed that the server still runs.
-TEST(HttpClientContract, ABodyDelimitedByCloseCostsNoAdditionalConnection) {
+INSTANTIATE_TEST_SUITE_P(Order, BodyDelimitedByClose,
+                         testing::Values(ClosedFirst::Listener,
+                                         ClosedFirst::Connection),
+                         [](const auto &Info) {
+                           return Info.param == ClosedFirst::Listener
+                                      ? "ListenerFirst"
+                                      : "ConnectionFirst";
+                         });
+
+/// A server with too many connections resets further ones, and runs.
+TEST(HttpClientContract, BodyDelimitedByCloseOfABusyServerIsComplete) {
+  const auto Reset = [](tcp::socket &Socket) {
+    Socket.set_option(asio::socket_base::linger(true, 0));
+  };
   ScriptedServer Server({[](tcp::socket &Socket) {
                            readHeaderAndRespond(
                                Socket, "HTTP/1.1 200 OK\r\n\r\nto the end");
                          },
-                         [](tcp::socket &Socket) {
-                           readHeaderAndRespond(Socket, CompleteResponse);
-                         }});
-  const auto Answers = callSequentially(Server.address(), {"POST", "POST"});
-  ASSERT_TRUE(Answers[0]);
-  ASSERT_TRUE(Answers[1]);
-  EXPECT_EQ(Answers[0]->m_Body, "to the end");
-  EXPECT_EQ(Answers[1]->m_Body, "ok");
+                         Reset, Reset});
+  const auto Answer = callAndWait(Server.address(), {});
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->m_Body, "to the end");
+}
+
+/// Nothing is sent on the connection that shows that the server runs.
+TEST(HttpClientContract, BodyDelimitedByCloseCostsNoAdditionalRequest) {
+  std::string Received = "not connected";
+  {
+    ScriptedServer Server(
+        {[](tcp::socket &Socket) {
+           readHeaderAndRespond(Socket, "HTTP/1.1 200 OK\r\n\r\nto the end");
+         },
+         [&](tcp::socket &Socket) {
+           boost::system::error_code Ec;
+           Received.clear();
+           asio::read(Socket, asio::dynamic_buffer(Received), Ec);
+         }});
+    EXPECT_TRUE(callAndWait(Server.address(), {}));
+  }
+  EXPECT_EQ(Received, "");
 }
 
 TEST(HttpClientContract, CancelEndsACallAwaitingItsResponse) {
