Read on after an answer that names another request

Cause: an answer of another request ended the attempt and closed the connection, though the answer to the request follows there.

Change: EntryRequests::findOwnAnswer() skips answers that name another request, with HttpStream::readNext(), within the attempt's time. On a connection on which nothing was sent before, such an answer still ends the attempt, as does one that names no request on a used connection. UpstreamAnswerRefused says which (skipped).

--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -189,6 +189,36 @@
                  C.m_Terms.m_AttemptId);
 }
 
+/// Skips answers that name other requests: an instance may send one late, or
+/// twice, before the answer to this request. Returns what the first answer that
+/// names no other one says. Errors: Timeout if it may be another request's.
+asio::awaitable<Outcome<AnswerMeaning>>
+EntryRequests::findOwnAnswer(const Call &C, const InstanceId &From,
+                             net::HttpStream &Answer, TimePoint End) {
+  while (true) {
+    const AnswerMeaning Meaning = m_Adapter.meaningOf(
+        Answer.status(), Answer.headers(), C.m_Terms.m_AttemptId,
+        Answer.isFirstOnConnection());
+    const bool IsForeign = Meaning == AnswerMeaning::Foreign;
+    if (!IsForeign && Meaning != AnswerMeaning::Unnamed)
+      co_return Meaning;
+    // Nothing else was sent on a new connection: its instance is confused.
+    const bool IsSkipped = IsForeign && !Answer.isFirstOnConnection();
+    net::log(Event::UpstreamAnswerRefused,
+             {{"request", C.m_Terms.m_AttemptId},
+              {"instance", From.m_Text},
+              {"status", std::uint64_t{Answer.status()}},
+              {"namesAnother", std::uint64_t{IsForeign}},
+              {"skipped", std::uint64_t{IsSkipped}}});
+    if (!IsSkipped)
+      co_return Error{ErrorCode::Timeout, "the answer is another request's"};
+    const auto Left = std::chrono::duration_cast<milliseconds>(End - now());
+    const auto Next = co_await Answer.readNext(std::max(Left, milliseconds(1)));
+    if (!Next)
+      co_return Next.error();
+  }
+}
+
 /// Sends the request to an instance and reads the head of the answer.
 asio::awaitable<EntryRequests::SendResult>
 EntryRequests::send(Call &C, const InstanceChoice &Chosen,
@@ -243,30 +273,22 @@
   net::HttpStream &Body = **Answer;
   Cancel.onCancel([&Body] { Body.cancel(); });
   m_Instances.dataReceived(Chosen.m_Instance, now());
-  const AnswerMeaning Meaning =
-      m_Adapter.meaningOf(Body.status(), Body.headers(), C.m_Terms.m_AttemptId,
-                          Body.isFirstOnConnection());
-  const bool IsOthers =
-      Meaning == AnswerMeaning::Foreign || Meaning == AnswerMeaning::Unnamed;
-  if (IsOthers) {
-    net::log(
-        Event::UpstreamAnswerRefused,
-        {{"request", C.m_Terms.m_AttemptId},
-         {"instance", Chosen.m_Instance.m_Text},
-         {"status", std::uint64_t{Body.status()}},
-         {"namesAnother", std::uint64_t{Meaning == AnswerMeaning::Foreign}},
-         {"firstThere", std::uint64_t{Body.isFirstOnConnection()}}});
+  const auto Meaning = co_await findOwnAnswer(C, Chosen.m_Instance, Body,
+                                              Out.m_Sent + Limits.m_FirstByte);
+  if (!Meaning) {
+    Out.m_IsPeerEnd = Meaning.error().m_IsPeerEnd;
+    Out.m_ReadError = Meaning.error().m_Message;
     Cancel.onCancel(nullptr);
     co_return Out;
   }
-  if (Meaning != AnswerMeaning::WrongInstance) {
+  if (*Meaning != AnswerMeaning::WrongInstance) {
     Out.m_Notice = m_Adapter.noticeOf(Body.status(), Body.headers());
     applyNotice(Out.m_Notice, Chosen.m_Instance, C, Out.m_Sent);
   }
-  if (Meaning == AnswerMeaning::WrongInstance ||
-      Meaning == AnswerMeaning::NotRun) {
+  if (*Meaning == AnswerMeaning::WrongInstance ||
+      *Meaning == AnswerMeaning::NotRun) {
     --C.m_Runs;
-    if (Meaning == AnswerMeaning::WrongInstance)
+    if (*Meaning == AnswerMeaning::WrongInstance)
       m_Instances.replaced(Chosen.m_Instance);
     // The connection can be reused once its short answer has been read.
     co_await Body.read();
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -62,16 +62,18 @@
       : m_Pool(std::move(Pool)), m_Key(std::move(Key)),
         m_Connection(std::move(Conn)), m_Limits(Limits),
         m_IsFirst(!std::exchange(m_Connection->m_HasCarriedRequest, true)) {
-    m_Parser.body_limit(boost::none);
+    startParser();
   }
 
   asio::awaitable<boost::system::error_code> readHeader() {
+    m_Headers = {};
     m_Connection->m_Deadline.expiresAfter(m_Limits.m_FirstByte);
     auto [Ec, Bytes] = co_await http::async_read_header(
-        m_Connection->m_Socket, m_Connection->m_Buffer, m_Parser, UseAwaitable);
+        m_Connection->m_Socket, m_Connection->m_Buffer, *m_Parser,
+        UseAwaitable);
     if (Ec)
       co_return Ec;
-    for (const auto &Field : m_Parser.get())
+    for (const auto &Field : m_Parser->get())
       m_Headers.add(std::string(Field.name_string()),
                     std::string(Field.value()));
     m_Connection->m_ServerKeepAlive =
@@ -79,11 +81,11 @@
     co_return boost::system::error_code{};
   }
 
-  unsigned status() const override { return m_Parser.get().result_int(); }
+  unsigned status() const override { return m_Parser->get().result_int(); }
   const HttpHeaders &headers() const override { return m_Headers; }
   BodyFraming framing() const override {
-    return m_Parser.need_eof() ? BodyFraming::UntilClose
-                               : BodyFraming::Delimited;
+    return m_Parser->need_eof() ? BodyFraming::UntilClose
+                                : BodyFraming::Delimited;
   }
   bool isFirstOnConnection() const override { return m_IsFirst; }
 
@@ -95,7 +97,9 @@
         co_return outcomeUnknown(m_Key.m_Address, Fault);
       if (!Piece.empty())
         co_return Piece;
-      if (m_Parser.is_done()) {
+      if (m_Parser->is_done() && m_IsDiscarded)
+        break;
+      if (m_Parser->is_done()) {
         finish();
         if (framing() == BodyFraming::UntilClose)
           co_await confirmEnd();
@@ -108,7 +112,7 @@
       if (m_Cancelled)
         Ec = asio::error::operation_aborted;
       else if (Ec == asio::error::eof)
-        m_Parser.put_eof(Ec);
+        m_Parser->put_eof(Ec);
       else if (From.m_Deadline.expired())
         Ec = beast::error::timeout;
       if (Ec)
@@ -122,6 +126,30 @@
     co_return std::string();
   }
 
+  asio::awaitable<Outcome<bool>>
+  readNext(std::chrono::milliseconds Limit) override {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    m_IsDiscarded = true;
+    bool HasMore = true;
+    while (HasMore) {
+      setReadTimeout(timeUntil(End));
+      const auto Piece = co_await read();
+      if (!Piece)
+        co_return Piece.error();
+      HasMore = !Piece->empty();
+    }
+    m_IsDiscarded = false;
+    if (!m_Connection || !m_Parser->get().keep_alive())
+      co_return Error{ErrorCode::Timeout,
+                      m_Key.m_Address + ": no other response can follow", true};
+    startParser();
+    m_Limits.m_FirstByte = timeUntil(End);
+    const auto Ec = co_await readHeader();
+    if (Ec)
+      co_return outcomeUnknown(m_Key.m_Address, Ec);
+    co_return true;
+  }
+
   void setReadTimeout(std::chrono::milliseconds Limit) override {
     m_Limits.m_ReadTimeout = Limit;
   }
@@ -136,17 +164,30 @@
   }
 
 private:
+  /// Time until then, and at least a moment.
+  static std::chrono::milliseconds
+  timeUntil(std::chrono::steady_clock::time_point End) {
+    const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        End - std::chrono::steady_clock::now());
+    return std::max(Left, std::chrono::milliseconds(1));
+  }
+
+  void startParser() {
+    m_Parser.emplace();
+    m_Parser->body_limit(boost::none);
+  }
+
   /// Parses all buffered bytes and returns the body data in them. Several
   /// chunks are merged into one piece.
   std::string consumeBuffered(boost::system::error_code &Fault) {
     beast::flat_buffer &Buffer = m_Connection->m_Buffer;
     std::string Piece(Buffer.size(), '\0');
     std::size_t Taken = 0;
-    while (Buffer.size() > 0 && !m_Parser.is_done()) {
-      m_Parser.get().body().data = Piece.data() + Taken;
-      m_Parser.get().body().size = Piece.size() - Taken;
-      Buffer.consume(m_Parser.put(Buffer.data(), Fault));
-      Taken = Piece.size() - m_Parser.get().body().size;
+    while (Buffer.size() > 0 && !m_Parser->is_done()) {
+      m_Parser->get().body().data = Piece.data() + Taken;
+      m_Parser->get().body().size = Piece.size() - Taken;
+      Buffer.consume(m_Parser->put(Buffer.data(), Fault));
+      Taken = Piece.size() - m_Parser->get().body().size;
       if (Fault)
         break;
     }
@@ -175,7 +216,7 @@
 
   void finish() {
     if (m_Connection && m_Limits.m_KeepsConnection &&
-        m_Parser.get().keep_alive())
+        m_Parser->get().keep_alive())
       if (const auto Pool = m_Pool.lock())
         Pool->release(m_Key, std::move(m_Connection));
     m_Connection.reset();
@@ -188,9 +229,10 @@
   std::unique_ptr<Connection> m_Connection;
   CallLimits m_Limits;
   bool m_IsFirst;
-  http::response_parser<http::buffer_body> m_Parser;
+  std::optional<http::response_parser<http::buffer_body>> m_Parser;
   HttpHeaders m_Headers;
   bool m_Cancelled = false;
+  bool m_IsDiscarded = false; ///< the next response is wanted
   CallCancel m_CheckCancel;
   std::optional<Error> m_EndError; ///< why the body may not be complete
 };
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -166,6 +166,10 @@
   /// shows that the server's process has not crashed, which takes a round trip.
   /// Errors: Timeout if the response is not complete, or may not be.
   virtual asio::awaitable<Outcome<std::string>> read() = 0;
+  /// Discards the rest of the response and reads the head of the next one on
+  /// the connection, within the time. Errors: Timeout if there is none.
+  virtual asio::awaitable<Outcome<bool>>
+  readNext(std::chrono::milliseconds Limit) = 0;
   /// Sets how long each later read waits for data.
   virtual void setReadTimeout(std::chrono::milliseconds Limit) = 0;
   /// Cancels a pending read. Must be called on the thread that reads.
