--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -202,7 +202,7 @@
     const bool IsForeign = Meaning == AnswerMeaning::Foreign;
     if (!IsForeign && Meaning != AnswerMeaning::Unnamed)
       co_return Meaning;
-    // Nothing else was sent on a new connection: its instance is confused.
+    // A new connection has carried no other request, so that none is late.
     const bool IsSkipped = IsForeign && !Answer.isFirstOnConnection();
     net::log(Event::UpstreamAnswerRefused,
              {{"request", C.m_Terms.m_AttemptId},
