Send a request to an address again on a new connection

Cause, from the entry's log: the address of a restarted instance answered 421 (not run); the retry went to the next incarnation at the same address 0 ms later, on the same connection and under the same id; the copy of the 421 came before the answer and was taken for it. The id tells requests apart, not two sends of one.

Change: a request that is sent to an address again gets a new connection, as one without an id does. Such sends are rare: they need a new incarnation at the address within the request's time.

--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -237,8 +237,11 @@
         std::min(Left, RepeatAfterObjectives * C.m_Route->m_Objective);
   Limits.m_ReadTimeout = Limits.m_FirstByte;
   Limits.m_MaxIdle = IsOnce ? MaxIdleOnce : MaxIdle;
-  // Nothing but the connection tells whose the answer is.
-  if (C.m_Terms.m_AttemptId.empty())
+  // A late copy of an answer to the same request, from an earlier incarnation
+  // at that address, would have its id.
+  const bool IsFirstThere = C.m_SentTo.insert(Chosen.m_Address).second;
+  const bool TellsAnswers = IsFirstThere && !C.m_Terms.m_AttemptId.empty();
+  if (!TellsAnswers)
     Limits.m_MaxIdle = milliseconds::zero();
   Limits.m_RetriesGet = false;
 
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -14,6 +14,8 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace deckpitch::direct {
@@ -54,6 +56,7 @@
   std::uint32_t m_Sends = 0; ///< sends that reached an instance, or may have
   std::uint32_t m_Runs = 0;  ///< sends that an instance may have run
   std::uint32_t m_Unreachable = 0; ///< attempts that reached no instance
+  std::set<std::string> m_SentTo;  ///< addresses of instances
   bool m_IsGone = false;
   std::uint64_t m_Number = 0;  ///< unique within this entry
   bool m_IsMoveSought = false; ///< a move to another instance is under way
