--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -78,9 +78,9 @@
 
 /// Whether a stream that its instance has ended was broken off. One that ends
 /// inside an event was, whatever its framing. If the end of the connection is
-/// its only end, it also was if it has no event at all, or if another connection
-/// to the instance breaks off at the same moment: an instance of several
-/// processes still accepts connections after one of them has crashed.
+/// its only end, it also was if it has no event at all, or if another
+/// connection to the instance breaks off at the same moment: an instance of
+/// several processes still accepts connections after one of them has crashed.
 asio::awaitable<bool> EntryRequests::endsIncomplete(Call &C) {
   C.m_PartialBytes = C.m_Events.partialBytes();
   if (C.m_PartialBytes > 0)
