Close the fakes' listening sockets on an event in place of a time

Cause: the fakes of a killed process closed their listening socket 5 ms after the connection, by a sleep and a timer. Beside enough load that could have been later than the 50 ms after which an open connection counts as a sign of life, and the tests would have failed.

Change: they close it once the client has connected again. No check changed.

--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -4,6 +4,8 @@
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include <poll.h>
+
 #include <atomic>
 #include <functional>
 #include <thread>
@@ -64,14 +66,18 @@
               Listening.close();
             readHeaderAndRespond(Socket, Sent);
           }
-          std::this_thread::sleep_for(5ms);
+          // Once the client has connected again.
+          pollfd Pending{Listening.native_handle(), POLLIN, 0};
           if (First == ClosedFirst::Connection)
-            Listening.close();
+            ::poll(&Pending, 1, MaxWaitMs);
+          Listening.close();
         }) {}
 
   const std::string &address() const { return m_Address; }
 
 private:
+  static constexpr int MaxWaitMs = 10'000; ///< only a failing test waits for it
+
   asio::io_context m_Io;
   tcp::acceptor m_Acceptor{m_Io, tcp::endpoint(tcp::v4(), 0)};
   std::string m_Address = formatEndpoint(m_Acceptor.local_endpoint());
