--- a/include/deckpitch/swarm.h
+++ b/include/deckpitch/swarm.h
@@ -117,7 +117,7 @@
   friend bool operator==(const SendChunk &, const SendChunk &) = default;
 };
 
-/// Tells the requester that its chunk will not be sent.
+/// Tells a peer that the chunk it requested will not be sent.
 struct SendRefusal {
   PeerNumber m_Peer;
   std::uint32_t m_Chunk;
--- a/src/daemon/weights-agent.cc
+++ b/src/daemon/weights-agent.cc
@@ -41,8 +41,8 @@
 } // namespace
 
 WeightsAgent::WeightsAgent(Process &In, asio::io_context &Io,
-                           RequestPeers PeerRequester)
-    : m_Process(In), m_Io(Io), m_RequestPeers(std::move(PeerRequester)),
+                           RequestPeers OnPeersWanted)
+    : m_Process(In), m_Io(Io), m_RequestPeers(std::move(OnPeersWanted)),
       m_Context{Io,
                 In.m_Settings,
                 In.m_Incarnation,
--- a/src/daemon/weights-agent.h
+++ b/src/daemon/weights-agent.h
@@ -21,7 +21,7 @@
   /// Sends a request for peers; may be called from any thread.
   using RequestPeers = std::function<void(WeightsId)>;
 
-  WeightsAgent(Process &In, asio::io_context &Io, RequestPeers PeerRequester);
+  WeightsAgent(Process &In, asio::io_context &Io, RequestPeers OnPeersWanted);
 
   /// Binds the bulk port and returns the bound address.
   Result<std::string> listen();
--- a/src/daemon/weights.cc
+++ b/src/daemon/weights.cc
@@ -77,14 +77,14 @@
     if (!Message.has_weights() || !Message.weights().has_peer_request())
       return;
     const auto Members = m_Process.m_Membership.load();
-    const InstanceId Requester{Message.sender()};
-    const auto Found = Members->m_Members.find(Requester);
+    const InstanceId Sender{Message.sender()};
+    const auto Found = Members->m_Members.find(Sender);
     if (Found == Members->m_Members.end())
       return;
     const WeightsId Weights{Message.weights().peer_request().weights()};
     const auto Chosen =
-        choosePeers(*m_Process.m_Declarations.load(), *Members, Requester,
-                    Weights, MaxPeersPerAnswer, m_Answered++);
+        choosePeers(*m_Process.m_Declarations.load(), *Members, Sender, Weights,
+                    MaxPeersPerAnswer, m_Answered++);
     wire::Envelope Answer;
     wire::PeerSet &Set = *Answer.mutable_weights()->mutable_peer_set();
     Set.set_weights(Weights.m_Text);
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -193,7 +193,7 @@
 /// twice, before the answer to this request. Returns what the first answer that
 /// names no other one says. Errors: Timeout if it may be another request's.
 asio::awaitable<Outcome<AnswerMeaning>>
-EntryRequests::findOwnAnswer(const Call &C, const InstanceId &From,
+EntryRequests::findOwnAnswer(const Call &C, const InstanceId &Instance,
                              net::HttpStream &Answer, TimePoint End) {
   while (true) {
     const AnswerMeaning Meaning = m_Adapter.meaningOf(
@@ -206,7 +206,7 @@
     const bool IsSkipped = IsForeign && !Answer.isFirstOnConnection();
     net::log(Event::UpstreamAnswerRefused,
              {{"request", C.m_Terms.m_AttemptId},
-              {"instance", From.m_Text},
+              {"instance", Instance.m_Text},
               {"status", std::uint64_t{Answer.status()}},
               {"namesAnother", std::uint64_t{IsForeign}},
               {"skipped", std::uint64_t{IsSkipped}}});
@@ -237,11 +237,9 @@
         std::min(Left, RepeatAfterObjectives * C.m_Route->m_Objective);
   Limits.m_ReadTimeout = Limits.m_FirstByte;
   Limits.m_MaxIdle = IsOnce ? MaxIdleOnce : MaxIdle;
-  // A late copy of an answer to the same request, from an earlier incarnation
-  // at that address, would have its id.
-  const bool IsFirstThere = C.m_SentTo.insert(Chosen.m_Address).second;
-  const bool TellsAnswers = IsFirstThere && !C.m_Terms.m_AttemptId.empty();
-  if (!TellsAnswers)
+  // A late copy of the answer to an earlier send there would have the same id.
+  const bool WasSentThere = !C.m_SentTo.insert(Chosen.m_Address).second;
+  if (WasSentThere || C.m_Terms.m_AttemptId.empty())
     Limits.m_MaxIdle = milliseconds::zero();
   Limits.m_RetriesGet = false;
 
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -114,10 +114,9 @@
                    const Call &C, TimePoint Sent);
   void noteRateLimit(const InstanceNotice &Notice, const InstanceId &From,
                      const Call &C, TimePoint Sent);
-  asio::awaitable<Outcome<AnswerMeaning>> findOwnAnswer(const Call &C,
-                                                        const InstanceId &From,
-                                                        net::HttpStream &Answer,
-                                                        TimePoint End);
+  asio::awaitable<Outcome<AnswerMeaning>>
+  findOwnAnswer(const Call &C, const InstanceId &Instance,
+                net::HttpStream &Answer, TimePoint End);
   asio::awaitable<SendResult> send(Call &C, const InstanceChoice &Chosen,
                                    net::CallCancel &Cancel);
   asio::awaitable<AttemptOutcome> exchange(Call &C,
