Log what an attempt's answer says, and whose answer it is

The record could not tell a rejection that belongs to another request from one that an instance sent with a status that says more than it knows: an attempt that ends as not run logged neither status nor id.

AttemptEnded names the status of the answer, whether it names this request, whether it is marked as not run, and whether its connection had carried nothing before; UpstreamAnswerRefused the last two; RequestRefused how many sends may have run and how many attempts wrote nothing.

The head of an answer is a value now that the adapter fills (AnswerHead), and meaningOf() decides from it without I/O. The decision is unchanged, but for an answer that names two requests.

--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -2,6 +2,7 @@
 // and lists for the processes of a fleet. It is stateless and holds no policy.
 #pragma once
 
+#include "deckpitch/answer-meaning.h"
 #include "deckpitch/error.h"
 #include "deckpitch/event-stream.h"
 #include "deckpitch/fleet.h"
@@ -52,15 +53,6 @@
                          const UpstreamTerms &) = default;
 };
 
-/// What an upstream's answer says about the request that was sent.
-enum class AnswerMeaning {
-  Answer,        ///< the request ran; this is its answer
-  NotRun,        ///< the instance reports that it did not run the request
-  WrongInstance, ///< another instance has the address and did not run it
-  Foreign,       ///< the answer names another request
-  Unnamed        ///< it names no request, and may belong to an earlier one
-};
-
 /// What an instance reports about itself in an answer, independently of the
 /// request.
 struct InstanceNotice {
@@ -108,13 +100,10 @@
   /// The request in the form that an instance expects.
   virtual net::HttpRequest toUpstream(const net::HttpRequest &Request,
                                       const UpstreamTerms &Terms) const = 0;
-  /// Returns what the head of an answer says about the request with that id. An
-  /// answer that names no request may still be taken for this one's if nothing
-  /// was sent on its connection before.
-  virtual AnswerMeaning meaningOf(unsigned Status,
-                                  const net::HttpHeaders &Headers,
-                                  std::string_view AttemptId,
-                                  bool IsFirstOnConnection) const = 0;
+  /// Reads the head of an answer to the request with that id.
+  virtual AnswerHead readHead(unsigned Status, const net::HttpHeaders &Headers,
+                              std::string_view AttemptId,
+                              bool IsFirstOnConnection) const = 0;
   /// Must not be called for an answer that is WrongInstance, Foreign or
   /// Unnamed.
   virtual InstanceNotice noticeOf(unsigned Status,
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -65,6 +65,7 @@
   C.m_IsSound = false;
   C.m_IsPeerEnd = false;
   C.m_ReadError.clear();
+  C.m_Head = {};
   C.m_Framing = net::BodyFraming::Delimited;
   C.m_PartialBytes = 0;
   C.m_Notice = {};
@@ -115,6 +116,10 @@
             {"outcome", outcomeName(How)},
             {"status", std::uint64_t{C.m_Status}},
             {"instance", Chosen.m_Instance.m_Text},
+            {"answerStatus", std::uint64_t{C.m_Head.m_Status}},
+            {"answerNames", toText(C.m_Head.m_Names)},
+            {"saysNotRun", std::uint64_t{C.m_Head.m_SaysNotRun}},
+            {"firstThere", std::uint64_t{C.m_Head.m_IsFirstOnConnection}},
             {"fingerprint", textOf(C.m_Fingerprint)},
             {"parts", partsText(C.m_Terms.m_SharedParts)},
             {"closedThere", std::uint64_t{C.m_IsPeerEnd}},
@@ -189,19 +194,25 @@
                  C.m_Terms.m_AttemptId);
 }
 
+AnswerHead EntryRequests::readHead(const Call &C,
+                                   const net::HttpStream &Answer) const {
+  return m_Adapter.readHead(Answer.status(), Answer.headers(),
+                            C.m_Terms.m_AttemptId,
+                            Answer.isFirstOnConnection());
+}
+
 /// Skips answers that name other requests: an instance may send one late, or
-/// twice, before the answer to this request. Returns what the first answer that
-/// names no other one says. Errors: Timeout if it may be another request's.
-asio::awaitable<Outcome<AnswerMeaning>>
+/// twice, before the answer to this request. Returns the first head that names
+/// no other one. Errors: Timeout if it may be another request's.
+asio::awaitable<Outcome<AnswerHead>>
 EntryRequests::findOwnAnswer(const Call &C, const InstanceId &Instance,
                              net::HttpStream &Answer, TimePoint End) {
   while (true) {
-    const AnswerMeaning Meaning = m_Adapter.meaningOf(
-        Answer.status(), Answer.headers(), C.m_Terms.m_AttemptId,
-        Answer.isFirstOnConnection());
+    const AnswerHead Head = readHead(C, Answer);
+    const AnswerMeaning Meaning = meaningOf(Head);
     const bool IsForeign = Meaning == AnswerMeaning::Foreign;
     if (!IsForeign && Meaning != AnswerMeaning::Unnamed)
-      co_return Meaning;
+      co_return Head;
     // A new connection has carried no other request, so that none is late.
     const bool IsSkipped = IsForeign && !Answer.isFirstOnConnection();
     net::log(Event::UpstreamAnswerRefused,
@@ -209,6 +220,8 @@
               {"instance", Instance.m_Text},
               {"status", std::uint64_t{Answer.status()}},
               {"namesAnother", std::uint64_t{IsForeign}},
+              {"saysNotRun", std::uint64_t{Head.m_SaysNotRun}},
+              {"firstThere", std::uint64_t{Head.m_IsFirstOnConnection}},
               {"skipped", std::uint64_t{IsSkipped}}});
     if (!IsSkipped)
       co_return Error{ErrorCode::Timeout, "the answer is another request's"};
@@ -274,22 +287,25 @@
   net::HttpStream &Body = **Answer;
   Cancel.onCancel([&Body] { Body.cancel(); });
   m_Instances.dataReceived(Chosen.m_Instance, now());
-  const auto Meaning = co_await findOwnAnswer(C, Chosen.m_Instance, Body,
-                                              Out.m_Sent + Limits.m_FirstByte);
-  if (!Meaning) {
-    Out.m_IsPeerEnd = Meaning.error().m_IsPeerEnd;
-    Out.m_ReadError = Meaning.error().m_Message;
+  const auto Own = co_await findOwnAnswer(C, Chosen.m_Instance, Body,
+                                          Out.m_Sent + Limits.m_FirstByte);
+  if (!Own) {
+    Out.m_Head = readHead(C, Body);
+    Out.m_IsPeerEnd = Own.error().m_IsPeerEnd;
+    Out.m_ReadError = Own.error().m_Message;
     Cancel.onCancel(nullptr);
     co_return Out;
   }
-  if (*Meaning != AnswerMeaning::WrongInstance) {
+  Out.m_Head = *Own;
+  const AnswerMeaning Meaning = meaningOf(Out.m_Head);
+  if (Meaning != AnswerMeaning::WrongInstance) {
     Out.m_Notice = m_Adapter.noticeOf(Body.status(), Body.headers());
     applyNotice(Out.m_Notice, Chosen.m_Instance, C, Out.m_Sent);
   }
-  if (*Meaning == AnswerMeaning::WrongInstance ||
-      *Meaning == AnswerMeaning::NotRun) {
+  if (Meaning == AnswerMeaning::WrongInstance ||
+      Meaning == AnswerMeaning::NotRun) {
     --C.m_Runs;
-    if (*Meaning == AnswerMeaning::WrongInstance)
+    if (Meaning == AnswerMeaning::WrongInstance)
       m_Instances.replaced(Chosen.m_Instance);
     // The connection can be reused once its short answer has been read.
     co_await Body.read();
@@ -315,6 +331,7 @@
   }
   C.m_IsPeerEnd = Begun.m_IsPeerEnd;
   C.m_ReadError = Begun.m_ReadError;
+  C.m_Head = Begun.m_Head;
   C.m_Notice = Begun.m_Notice;
   if (!Begun.m_Body)
     co_return Begun.m_How;
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -87,6 +87,7 @@
   bool m_IsSound = false;
   bool m_IsPeerEnd = false; ///< the instance closed the connection
   std::string m_ReadError;  ///< for logs: why the answer could not be read
+  AnswerHead m_Head;        ///< for logs: of the last answer to an attempt
   InstanceNotice m_Notice;  ///< from the head of the current answer
   /// When the search for an instance for a stream's remainder began.
   std::optional<TimePoint> m_SearchStart;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -371,6 +371,8 @@
             {"declarationAgeMs", msOf(m_DeclarationFreshness().m_Age)},
             {"listAgeMs", msOf(m_ListFreshness().m_Age)},
             {"sends", std::uint64_t{C.m_Sends}},
+            {"mayHaveRun", std::uint64_t{C.m_Runs}},
+            {"unreachable", std::uint64_t{C.m_Unreachable}},
             {"retryAfterMs", msOf(RetryAfter)},
             {"leftMs", msOf(C.m_Deadline - now())},
             {"afterMs", msOf(now() - C.m_Start)}});
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -104,6 +104,7 @@
     AttemptOutcome m_How = AttemptOutcome::Lost; ///< set if m_Body is null
     bool m_IsPeerEnd = false; ///< the instance closed the connection
     std::string m_ReadError;  ///< for logs: why there is no answer
+    AnswerHead m_Head;        ///< of the answer that decided
     InstanceNotice m_Notice;
     TimePoint m_Sent{};
   };
@@ -114,9 +115,11 @@
                    const Call &C, TimePoint Sent);
   void noteRateLimit(const InstanceNotice &Notice, const InstanceId &From,
                      const Call &C, TimePoint Sent);
-  asio::awaitable<Outcome<AnswerMeaning>>
-  findOwnAnswer(const Call &C, const InstanceId &Instance,
-                net::HttpStream &Answer, TimePoint End);
+  AnswerHead readHead(const Call &C, const net::HttpStream &Answer) const;
+  asio::awaitable<Outcome<AnswerHead>> findOwnAnswer(const Call &C,
+                                                     const InstanceId &Instance,
+                                                     net::HttpStream &Answer,
+                                                     TimePoint End);
   asio::awaitable<SendResult> send(Call &C, const InstanceChoice &Chosen,
                                    net::CallCancel &Cancel);
   asio::awaitable<AttemptOutcome> exchange(Call &C,
