Give refusals only with a proof that no send ran

Callers repeat requests after a 503, also those that may run once, so that a 503 must not be sent for a request that may have run. Whether it may was two counters that each place had to keep in step, and any place could answer any status: refuse() took a number.

SendRecord counts the sends and alone makes the NotRunProof that refusal() asks for; own failures take an enumeration without promising statuses, and a refusal without proof becomes 502 or 504.

--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -8,6 +8,7 @@
 #include "deckpitch/fleet.h"
 #include "deckpitch/instance-table.h"
 #include "deckpitch/request-fingerprint.h"
+#include "deckpitch/send-record.h"
 #include "deckpitch/time.h"
 #include "net/http.h"
 
@@ -53,6 +54,24 @@
                          const UpstreamTerms &) = default;
 };
 
+/// A request that was sent to an instance, for the reading of its answer.
+struct SentRequest {
+  std::string m_AttemptId;
+  InstanceId m_Instance;             ///< that it was sent to
+  bool m_IsFirstOnConnection = true; ///< nothing was sent there before
+
+  friend bool operator==(const SentRequest &, const SentRequest &) = default;
+};
+
+/// HTTP statuses of an entry's own failures. None of them tells the caller
+/// whether its request has run.
+enum class FailureStatus : unsigned {
+  Unauthorized = 401,
+  NotFound = 404,
+  BadGateway = 502,
+  GatewayTimeout = 504
+};
+
 /// What an instance reports about itself in an answer, independently of the
 /// request.
 struct InstanceNotice {
@@ -100,20 +119,24 @@
   /// The request in the form that an instance expects.
   virtual net::HttpRequest toUpstream(const net::HttpRequest &Request,
                                       const UpstreamTerms &Terms) const = 0;
-  /// Reads the head of an answer to the request with that id.
   virtual AnswerHead readHead(unsigned Status, const net::HttpHeaders &Headers,
-                              std::string_view AttemptId,
-                              bool IsFirstOnConnection) const = 0;
+                              const SentRequest &Sent) const = 0;
   /// Must not be called for an answer that is WrongInstance, Foreign or
   /// Unnamed.
   virtual InstanceNotice noticeOf(unsigned Status,
                                   const net::HttpHeaders &Headers) const = 0;
   /// The headers of an instance's answer that are forwarded to the caller.
   virtual net::HttpHeaders toCaller(const net::HttpHeaders &Headers) const = 0;
-  /// An answer made by the entry itself. RetryAfter zero: none is sent.
-  virtual net::HttpResponse ownAnswer(unsigned Status, std::string_view Reason,
-                                      std::string_view AttemptId,
-                                      Duration RetryAfter) const = 0;
+  /// The entry's own answer to a request that has not run and will not. A
+  /// RetryAfter of zero: none is sent.
+  virtual net::HttpResponse refusal(const NotRunProof &Proof,
+                                    std::string_view Reason,
+                                    std::string_view AttemptId,
+                                    Duration RetryAfter) const = 0;
+  /// The entry's own answer that promises nothing.
+  virtual net::HttpResponse failure(FailureStatus Status,
+                                    std::string_view Reason,
+                                    std::string_view AttemptId) const = 0;
 
   /// Nothing when the request is no query for addresses.
   virtual std::optional<DirectoryQuery>
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -134,7 +134,7 @@
             {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
             {"reportAgeMs", msOf(Chosen.m_ReportAge)},
             {"listAgeMs", ListAgeMs},
-            {"sends", std::uint64_t{C.m_Sends}},
+            {"sends", std::uint64_t{C.m_Sends.sends()}},
             {"events", C.m_EventCount},
             {"firstMs", msOf(C.m_FirstByte)},
             {"leftMs", msOf(C.m_Deadline - now())},
@@ -194,11 +194,11 @@
                  C.m_Terms.m_AttemptId);
 }
 
-AnswerHead EntryRequests::readHead(const Call &C,
+AnswerHead EntryRequests::readHead(const Call &C, const InstanceId &Instance,
                                    const net::HttpStream &Answer) const {
-  return m_Adapter.readHead(Answer.status(), Answer.headers(),
-                            C.m_Terms.m_AttemptId,
-                            Answer.isFirstOnConnection());
+  return m_Adapter.readHead(
+      Answer.status(), Answer.headers(),
+      {C.m_Terms.m_AttemptId, Instance, Answer.isFirstOnConnection()});
 }
 
 /// Skips answers that name other requests: an instance may send one late, or
@@ -208,7 +208,7 @@
 EntryRequests::findOwnAnswer(const Call &C, const InstanceId &Instance,
                              net::HttpStream &Answer, TimePoint End) {
   while (true) {
-    const AnswerHead Head = readHead(C, Answer);
+    const AnswerHead Head = readHead(C, Instance, Answer);
     const AnswerMeaning Meaning = meaningOf(Head);
     const bool IsForeign = Meaning == AnswerMeaning::Foreign;
     if (!IsForeign && Meaning != AnswerMeaning::Unnamed)
@@ -244,7 +244,7 @@
   // Streams have no such limit: a silent one is moved if another instance can
   // take it, and may still be answered otherwise.
   const bool MayRepeat =
-      !C.isStream() && !IsOnce && C.m_Runs + 1 < C.m_Route->m_Attempts;
+      !C.isStream() && !IsOnce && C.m_Sends.runs() + 1 < C.m_Route->m_Attempts;
   if (MayRepeat && hasAlternative(C, Chosen))
     Limits.m_FirstByte =
         std::min(Left, RepeatAfterObjectives * C.m_Route->m_Objective);
@@ -268,14 +268,12 @@
   // Counted before the send, as mayMove() reads the counts meanwhile. Counted
   // only at the answer's head, a request ran at one instance more than its
   // route allows.
-  ++C.m_Sends;
-  ++C.m_Runs;
+  C.m_Sends.begin();
   auto Answer = co_await m_Http.open(Chosen.m_Address,
                                      m_Adapter.toUpstream(C.m_Request, Terms),
                                      Limits, &Cancel);
   if (!Answer && Answer.error().m_Code == ErrorCode::Unavailable) {
-    --C.m_Sends;
-    --C.m_Runs;
+    C.m_Sends.endUnsent();
     Out.m_How = AttemptOutcome::Unreachable;
     co_return Out;
   }
@@ -290,7 +288,7 @@
   const auto Own = co_await findOwnAnswer(C, Chosen.m_Instance, Body,
                                           Out.m_Sent + Limits.m_FirstByte);
   if (!Own) {
-    Out.m_Head = readHead(C, Body);
+    Out.m_Head = readHead(C, Chosen.m_Instance, Body);
     Out.m_IsPeerEnd = Own.error().m_IsPeerEnd;
     Out.m_ReadError = Own.error().m_Message;
     Cancel.onCancel(nullptr);
@@ -304,13 +302,13 @@
   }
   if (Meaning == AnswerMeaning::WrongInstance ||
       Meaning == AnswerMeaning::NotRun) {
-    --C.m_Runs;
+    Out.m_How = AttemptOutcome::NotRun;
+    C.m_Sends.endRejected();
     if (Meaning == AnswerMeaning::WrongInstance)
       m_Instances.replaced(Chosen.m_Instance);
     // The connection can be reused once its short answer has been read.
     co_await Body.read();
     Cancel.onCancel(nullptr);
-    Out.m_How = AttemptOutcome::NotRun;
     co_return Out;
   }
   Cancel.onCancel(nullptr);
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -4,6 +4,7 @@
 #include "daemon/clock.h"
 #include "deckpitch/event-stream.h"
 #include "deckpitch/request-fingerprint.h"
+#include "deckpitch/send-record.h"
 #include "direct/entry-requests.h"
 #include "net/metrics.h"
 
@@ -53,8 +54,7 @@
   ChoiceQuery m_Query;
   TimePoint m_Start;
   TimePoint m_Deadline;
-  std::uint32_t m_Sends = 0; ///< sends that reached an instance, or may have
-  std::uint32_t m_Runs = 0;  ///< sends that an instance may have run
+  SendRecord m_Sends;
   std::uint32_t m_Unreachable = 0; ///< attempts that reached no instance
   std::set<std::string> m_SentTo;  ///< addresses of instances
   bool m_IsGone = false;
@@ -131,9 +131,9 @@
   bool hasAttemptsLeft() const {
     // A refused send did not run, but counts as an additional arrival.
     std::uint32_t MaxSends = std::max(m_Route->m_Attempts, MinSends);
-    if (m_Runs > 0)
-      MaxSends += std::min(m_Sends - m_Runs, MaxRefusals);
-    return m_Sends < MaxSends && m_Runs < m_Route->m_Attempts;
+    if (m_Sends.runs() > 0)
+      MaxSends += std::min(m_Sends.rejections(), MaxRefusals);
+    return m_Sends.sends() < MaxSends && m_Sends.runs() < m_Route->m_Attempts;
   }
   std::chrono::milliseconds timeLeft() const {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_Deadline -
--- a/src/direct/entry-directory.cc
+++ b/src/direct/entry-directory.cc
@@ -66,8 +66,8 @@
   const std::vector<std::string> Addresses = addressesFor(*Query);
   net::HttpResponse Response =
       Addresses.empty()
-          ? m_Adapter.ownAnswer(StatusUnavailable, "no entry is ready", "",
-                                RetryAfterNoEntry)
+          ? m_Adapter.refusal(*SendRecord().proofOfNotRun(),
+                              "no entry is ready", "", RetryAfterNoEntry)
           : m_Adapter.directoryAnswer(Addresses, m_Lifetime);
   co_await Answer.send(std::move(Response));
 }
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -261,7 +261,7 @@
   for (const auto &[Number, Each] : m_Calls) {
     const bool IsSilent =
         Each->m_Handover && Now - Each->m_Handover->m_Sent > InstanceSilence;
-    if (IsSilent && Each->m_Runs < Each->m_Route->m_Attempts)
+    if (IsSilent && Each->m_Sends.runs() < Each->m_Route->m_Attempts)
       Each->m_Handover->m_Cancel.cancel();
   }
 }
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -46,11 +46,8 @@
 /// requests that reached no entry, and entries that are not known yet.
 constexpr double UsedRetryFraction = 0.7;
 
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusBadGateway = 502;
+/// Status of a refusal, for log lines.
 constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
 
 /// Name of an outcome for log lines and answers.
 const char *reasonOf(ChoiceOutcome Value) {
@@ -174,24 +171,23 @@
 asio::awaitable<void> EntryRequests::serve(Call &C) {
   const RouteIndex &Routes = *C.m_Routes;
   if (Routes.declaration().m_Version == 0)
-    co_return co_await refuse(C, StatusUnavailable, "starting",
-                              RetryAfterStart);
+    co_return co_await refuse(C, "starting", RetryAfterStart);
   const StoreFreshness Freshness = m_DeclarationFreshness();
   if (Freshness.m_IsUnconfirmed)
-    co_return co_await refuse(C, StatusUnavailable,
-                              "stood still, declaration may be old",
+    co_return co_await refuse(C, "stood still, declaration may be old",
                               RetryAfterOutdated);
   if (Freshness.m_IsOutdated)
-    co_return co_await refuse(C, StatusUnavailable, "declaration is replaced",
-                              RetryAfterStart);
+    co_return co_await refuse(C, "declaration is replaced", RetryAfterStart);
   C.m_Route =
       Routes.find(C.m_Request.m_Headers.find("Host"), C.m_Request.path());
   if (!C.m_Route)
-    co_return co_await rejectUnknown(C, StatusNotFound, "no such route");
+    co_return co_await rejectUnknown(C, FailureStatus::NotFound,
+                                     "no such route");
   C.m_Organisation = Routes.organisationOf(C.m_Terms.m_Key);
   const bool NeedsKey = Routes.hasOrganisations() && !C.m_Route->m_IsOpen;
   if (NeedsKey && !C.m_Organisation)
-    co_return co_await rejectUnknown(C, StatusUnauthorized, "unknown key");
+    co_return co_await rejectUnknown(C, FailureStatus::Unauthorized,
+                                     "unknown key");
   C.m_Fingerprint = fingerprintOf(
       {C.m_Organisation ? C.m_Organisation->m_Organisation.m_Text : "",
        C.m_Request.m_Headers.find("Host"), C.m_Request.m_Method,
@@ -200,12 +196,10 @@
   for (const PromptPart &Each : C.m_Terms.m_SharedParts)
     C.m_Fingerprints.push_back(fingerprintOf(Each));
   if (const auto Refusal = m_Harmful.refusalOf(C.m_Fingerprints))
-    co_return co_await refuse(C, StatusUnavailable, reasonOf(*Refusal),
-                              Refusal->m_Until - now());
+    co_return co_await refuse(C, reasonOf(*Refusal), Refusal->m_Until - now());
   const ServiceId *Service = chooseService(*C.m_Route, m_Random());
   if (!Service)
-    co_return co_await refuse(C, StatusUnavailable, "route without service",
-                              RetryAfterStart);
+    co_return co_await refuse(C, "route without service", RetryAfterStart);
   C.m_Query.m_Service = *Service;
   C.m_Query.m_Model = C.m_Terms.m_Model;
   C.m_Query.m_Objective = C.m_Route->m_Objective;
@@ -229,13 +223,13 @@
 /// meanwhile, so the rejection is final only if the cached declaration is
 /// current: entries that could not read the store for 3 s, behind a saturated
 /// link, answered 404 for routes that existed.
-asio::awaitable<void> EntryRequests::rejectUnknown(Call &C, unsigned Status,
+asio::awaitable<void> EntryRequests::rejectUnknown(Call &C,
+                                                   FailureStatus Status,
                                                    std::string Reason) {
   if (m_DeclarationFreshness().m_MayBeStale)
-    co_return co_await refuse(C, StatusUnavailable,
-                              Reason + ", declaration may be old",
+    co_return co_await refuse(C, Reason + ", declaration may be old",
                               RetryAfterStart);
-  co_await refuse(C, Status, std::move(Reason), {});
+  co_await fail(C, Status, std::move(Reason));
 }
 
 asio::awaitable<void> EntryRequests::tryInstances(Call &C) {
@@ -255,7 +249,7 @@
         co_await sleepFor(SearchInterval);
         continue;
       }
-      if (C.m_Sends == 0 && C.m_Unreachable == 0) {
+      if (C.m_Sends.sends() == 0 && C.m_Unreachable == 0) {
         const char *Reason = reasonOf(Chosen.m_Outcome);
         net::log(Event::AttemptEnded,
                  {{"request", C.m_Terms.m_AttemptId},
@@ -264,12 +258,12 @@
                   {"load", static_cast<std::uint64_t>(Chosen.m_Load)},
                   {"limit", static_cast<std::uint64_t>(Chosen.m_Limit)},
                   {"reportAgeMs", msOf(Chosen.m_ReportAge)}});
-        co_return co_await refuse(C, StatusUnavailable, Reason,
-                                  Chosen.m_RetryAfter);
+        co_return co_await refuse(C, Reason, Chosen.m_RetryAfter);
       }
       break;
     }
-    if (C.m_Sends == 0 && C.m_Unreachable == 0 && !C.m_Query.m_Model.empty())
+    if (C.m_Sends.sends() == 0 && C.m_Unreachable == 0 &&
+        !C.m_Query.m_Model.empty())
       m_RouteLoads[C.m_Route->m_Name].m_Sizes.admitted(C.size());
     How = co_await attempt(C, Chosen);
     if (How == AttemptOutcome::Delivered || How == AttemptOutcome::Gone)
@@ -320,7 +314,7 @@
     net::log(Event::StreamBroken, {{"request", C.m_Terms.m_AttemptId},
                                    {"reason", C.m_LastOutcome},
                                    {"events", C.m_EventCount},
-                                   {"sends", std::uint64_t{C.m_Sends}},
+                                   {"sends", std::uint64_t{C.m_Sends.sends()}},
                                    {"afterMs", msOf(now() - C.m_Start)}});
     C.m_Answer.abort();
     co_return;
@@ -337,12 +331,7 @@
     co_await C.m_Answer.send(std::move(Held));
     co_return;
   }
-  if (C.m_Runs == 0)
-    co_return co_await refuse(C, StatusUnavailable, "not run",
-                              retryAfterNotRun(C));
-  const bool IsLate = C.timeLeft() < MinTimeLeft;
-  co_await refuse(C, IsLate ? StatusGatewayTimeout : StatusBadGateway,
-                  "unknown whether it ran", {});
+  co_await refuse(C, "not run", retryAfterNotRun(C));
 }
 
 /// Retry-After for a request that no instance has run, with the instances that
@@ -357,30 +346,56 @@
   return std::max(C.m_RetryAfter, MinRetryAfterNotRun);
 }
 
-asio::awaitable<void> EntryRequests::refuse(Call &C, unsigned Status,
-                                            std::string Reason,
+/// Tells the caller that its request has not run and will not, if the sends
+/// prove it.
+asio::awaitable<void> EntryRequests::refuse(Call &C, std::string Reason,
                                             Duration RetryAfter) {
-  answers(Status == StatusUnavailable ? "refused" : "failed").add();
-  net::log(Status == StatusUnavailable ? Event::RequestRefused
-                                       : Event::RequestFailed,
-           {{"request", C.m_Terms.m_AttemptId},
-            {"status", std::uint64_t{Status}},
-            {"reason", Reason},
-            {"route", C.m_Route ? C.m_Route->m_Name : ""},
-            {"declaration", C.m_Routes->declaration().m_Version},
-            {"declarationAgeMs", msOf(m_DeclarationFreshness().m_Age)},
-            {"listAgeMs", msOf(m_ListFreshness().m_Age)},
-            {"sends", std::uint64_t{C.m_Sends}},
-            {"mayHaveRun", std::uint64_t{C.m_Runs}},
-            {"unreachable", std::uint64_t{C.m_Unreachable}},
-            {"retryAfterMs", msOf(RetryAfter)},
-            {"leftMs", msOf(C.m_Deadline - now())},
-            {"afterMs", msOf(now() - C.m_Start)}});
+  const auto Proof = C.m_Sends.proofOfNotRun();
+  if (!Proof)
+    co_return co_await failUnknown(C, "unknown whether it ran");
+  answers("refused").add();
+  logOwnAnswer(Event::RequestRefused, C, StatusUnavailable, Reason, RetryAfter);
+  net::HttpResponse Response =
+      m_Adapter.refusal(*Proof, Reason, C.m_Terms.m_AttemptId, RetryAfter);
+  co_await C.m_Answer.send(std::move(Response));
+}
+
+/// Answers a request that may have run.
+asio::awaitable<void> EntryRequests::failUnknown(Call &C, std::string Reason) {
+  const bool IsLate = C.timeLeft() < MinTimeLeft;
+  co_await fail(
+      C, IsLate ? FailureStatus::GatewayTimeout : FailureStatus::BadGateway,
+      std::move(Reason));
+}
+
+asio::awaitable<void> EntryRequests::fail(Call &C, FailureStatus Status,
+                                          std::string Reason) {
+  answers("failed").add();
+  logOwnAnswer(Event::RequestFailed, C, static_cast<unsigned>(Status), Reason,
+               {});
   net::HttpResponse Response =
-      m_Adapter.ownAnswer(Status, Reason, C.m_Terms.m_AttemptId, RetryAfter);
+      m_Adapter.failure(Status, Reason, C.m_Terms.m_AttemptId);
   co_await C.m_Answer.send(std::move(Response));
 }
 
+void EntryRequests::logOwnAnswer(Event What, const Call &C, unsigned Status,
+                                 const std::string &Reason,
+                                 Duration RetryAfter) const {
+  net::log(What, {{"request", C.m_Terms.m_AttemptId},
+                  {"status", std::uint64_t{Status}},
+                  {"reason", Reason},
+                  {"route", C.m_Route ? C.m_Route->m_Name : ""},
+                  {"declaration", C.m_Routes->declaration().m_Version},
+                  {"declarationAgeMs", msOf(m_DeclarationFreshness().m_Age)},
+                  {"listAgeMs", msOf(m_ListFreshness().m_Age)},
+                  {"sends", std::uint64_t{C.m_Sends.sends()}},
+                  {"mayHaveRun", std::uint64_t{C.m_Sends.runs()}},
+                  {"unreachable", std::uint64_t{C.m_Unreachable}},
+                  {"retryAfterMs", msOf(RetryAfter)},
+                  {"leftMs", msOf(C.m_Deadline - now())},
+                  {"afterMs", msOf(now() - C.m_Start)}});
+}
+
 const char *EntryRequests::outcomeName(AttemptOutcome Outcome) {
   static constexpr std::array Words{"delivered", "gone",   "unreachable",
                                     "not run",   "failed", "lost",
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -91,7 +91,7 @@
   static const char *outcomeName(AttemptOutcome Outcome);
 
   asio::awaitable<void> serve(Call &C);
-  asio::awaitable<void> rejectUnknown(Call &C, unsigned Status,
+  asio::awaitable<void> rejectUnknown(Call &C, FailureStatus Status,
                                       std::string Reason);
   asio::awaitable<void> tryInstances(Call &C);
   asio::awaitable<InstanceChoice> chooseInstance(ChoiceQuery Query);
@@ -115,7 +115,8 @@
                    const Call &C, TimePoint Sent);
   void noteRateLimit(const InstanceNotice &Notice, const InstanceId &From,
                      const Call &C, TimePoint Sent);
-  AnswerHead readHead(const Call &C, const net::HttpStream &Answer) const;
+  AnswerHead readHead(const Call &C, const InstanceId &Instance,
+                      const net::HttpStream &Answer) const;
   asio::awaitable<Outcome<AnswerHead>> findOwnAnswer(const Call &C,
                                                      const InstanceId &Instance,
                                                      net::HttpStream &Answer,
@@ -153,8 +154,12 @@
                        Condition &&Holds);
   Duration retryAfterNotRun(const Call &C);
   asio::awaitable<void> giveUp(Call &C, AttemptOutcome Outcome);
-  asio::awaitable<void> refuse(Call &C, unsigned Status, std::string Reason,
+  asio::awaitable<void> refuse(Call &C, std::string Reason,
                                Duration RetryAfter);
+  asio::awaitable<void> fail(Call &C, FailureStatus Status, std::string Reason);
+  asio::awaitable<void> failUnknown(Call &C, std::string Reason);
+  void logOwnAnswer(Event What, const Call &C, unsigned Status,
+                    const std::string &Reason, Duration RetryAfter) const;
   RetryWindow &retriesOf(const ServiceId &Service);
   /// Charges one retry to the budget; false if the budget is exhausted.
   bool takeRetry(const Call &C);
