Do not pass an instance's own 503 on as a promise

What callers saw: an instance that runs a request and then answers 408, 429 or 503 of its own made the entry forward that status. To callers it says that the request has not run and never will, so they repeat it, also if it may run once. A 421 counted as a statement by its status alone, so that the entry itself repeated the request.

Cause: the status was taken for the statement. PROTOCOL.md: only the mark says that a request has not run. Now such a status without the mark is Unproven: it counts as a run, is not repeated unless the request is idempotent, and the caller gets 502 of the entry's own, without the instance's seal. A 421 counts if it has the mark, or if the process names itself as another instance than the one that was asked.

PlatformAdapter.ClassifiesAnswers expected an unmarked 503 to be forwarded and an unmarked 421 to be believed; StatusAloneProvesNothing and AnswerMeaning.* replace these two lines by all heads.

--- a/include/deckpitch/answer-meaning.h
+++ b/include/deckpitch/answer-meaning.h
@@ -15,7 +15,13 @@
 struct AnswerHead {
   unsigned m_Status = 0; ///< HTTP status; 0: no head was received
   AnsweredRequest m_Names = AnsweredRequest::None;
-  bool m_SaysNotRun = false;         ///< marked as not run
+  bool m_SaysNotRun = false; ///< marked as not run
+  /// A caller that got this status would take its request for one that has not
+  /// run and will not.
+  bool m_IsPromise = false;
+  /// The process at the address names itself as another instance than the one
+  /// that the request was sent to.
+  bool m_IsFromOther = false;
   bool m_IsFirstOnConnection = true; ///< nothing was sent there before
   bool m_IsRequestNamed = true;      ///< the request itself has an id
 
@@ -27,8 +33,11 @@
   Answer,        ///< the request ran; this is its answer
   NotRun,        ///< the instance reports that it did not run the request
   WrongInstance, ///< another instance has the address and did not run it
-  Foreign,       ///< the answer names another request
-  Unnamed        ///< it names no request, and may belong to an earlier one
+  /// Its status promises that the request did not run, but neither a mark nor
+  /// the name of the instance shows it: the request may have run.
+  Unproven,
+  Foreign, ///< the answer names another request
+  Unnamed  ///< it names no request, and may belong to an earlier one
 };
 
 /// Asks first whose answer it is, and only then what it says: a rejection that
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -96,14 +96,16 @@
     m_AtInstance.erase(At);
   if (C.m_IsPeerEnd)
     recordLoss(C, Chosen.m_Instance, C.m_Sent);
-  if (How == AttemptOutcome::Delivered || How == AttemptOutcome::Failed)
+  if (How == AttemptOutcome::Delivered || How == AttemptOutcome::Failed ||
+      How == AttemptOutcome::Unproven)
     m_Harmful.answered(C.m_Fingerprint);
   if (How == AttemptOutcome::Delivered)
     recordSound(C);
   using End = InstanceTable::End;
   const bool IsBad =
       How == AttemptOutcome::Unreachable || How == AttemptOutcome::Lost ||
-      How == AttemptOutcome::Broken || How == AttemptOutcome::Failed;
+      How == AttemptOutcome::Broken || How == AttemptOutcome::Failed ||
+      How == AttemptOutcome::Unproven;
   recordEnd(Chosen.m_Instance,
             How == AttemptOutcome::Delivered ? End::Good
             : IsBad                          ? End::Failed
@@ -300,10 +302,11 @@
     Out.m_Notice = m_Adapter.noticeOf(Body.status(), Body.headers());
     applyNotice(Out.m_Notice, Chosen.m_Instance, C, Out.m_Sent);
   }
-  if (Meaning == AnswerMeaning::WrongInstance ||
-      Meaning == AnswerMeaning::NotRun) {
-    Out.m_How = AttemptOutcome::NotRun;
-    C.m_Sends.endRejected();
+  if (Meaning != AnswerMeaning::Answer) {
+    Out.m_How = Meaning == AnswerMeaning::Unproven ? AttemptOutcome::Unproven
+                                                   : AttemptOutcome::NotRun;
+    if (Out.m_How == AttemptOutcome::NotRun)
+      C.m_Sends.endRejected();
     if (Meaning == AnswerMeaning::WrongInstance)
       m_Instances.replaced(Chosen.m_Instance);
     // The connection can be reused once its short answer has been read.
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -331,6 +331,11 @@
     co_await C.m_Answer.send(std::move(Held));
     co_return;
   }
+  if (Outcome == AttemptOutcome::Unproven)
+    co_return co_await failUnknown(C, "the instance answered " +
+                                          std::to_string(C.m_Head.m_Status) +
+                                          " without a proof that it did not "
+                                          "run");
   co_await refuse(C, "not run", retryAfterNotRun(C));
 }
 
@@ -398,8 +403,8 @@
 
 const char *EntryRequests::outcomeName(AttemptOutcome Outcome) {
   static constexpr std::array Words{"delivered", "gone",   "unreachable",
-                                    "not run",   "failed", "lost",
-                                    "broken"};
+                                    "not run",   "failed", "unproven",
+                                    "lost",      "broken"};
   return Words[static_cast<std::size_t>(Outcome)];
 }
 
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -83,6 +83,7 @@
     Unreachable, ///< the request never reached the instance
     NotRun,      ///< the instance reported that it did not run it
     Failed,      ///< the instance answered with an error, now buffered
+    Unproven,    ///< its answer promises "not run" without a proof of it
     Lost,        ///< it may have run; nothing was forwarded
     Broken       ///< it stopped after part of the answer was forwarded
   };
--- a/src/kernel/answer-meaning.cc
+++ b/src/kernel/answer-meaning.cc
@@ -15,10 +15,13 @@
   const bool IsNamed = Head.m_Names == AnsweredRequest::This;
   if (!IsNamed && !Head.m_IsFirstOnConnection)
     return AnswerMeaning::Unnamed;
-  if (Head.m_Status == StatusMisdirected)
+  const bool IsMisdirected = Head.m_Status == StatusMisdirected;
+  if (IsMisdirected && (Head.m_SaysNotRun || Head.m_IsFromOther))
     return AnswerMeaning::WrongInstance;
   if (Head.m_SaysNotRun)
     return AnswerMeaning::NotRun;
+  if (Head.m_IsPromise)
+    return AnswerMeaning::Unproven;
   // An instance that cannot parse the request cannot echo its id.
   const bool MayLackId =
       !Head.m_IsRequestNamed || Head.m_Status == StatusBadRequest;
