Bound the bytes and the time of a response by the client

What callers saw: answers without an end took the memory of an entry, which holds those of all its callers, and their requests got nothing until the deadline.

Cause: no read of a response had a bound on bytes, and each read of a piece had its time anew. Now the head (16 KiB), what frames a body (a chunk's line and the trailers, 16 KiB) and a response that is passed over (1 MiB) have a bound in bytes; a read has one time whatever arrives within it; a body has one of its own where its caller sets it, and 120 s where it is read whole. What exceeds a bound ends the connection, counts in deckpitch_endless_answers_total, and is an error that says that the request may have been processed.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -26,27 +26,23 @@
 namespace {
 
 constexpr std::size_t MaxReadBytes = std::size_t{64} * 1024;
+/// Bound on the head of a response.
+constexpr std::uint32_t MaxHeadBytes = 16 * 1024;
+/// Bound on what frames a body: the line before a chunk, or the trailers.
+constexpr std::size_t MaxFramingBytes = std::size_t{16} * 1024;
+/// Bound on a response to another request that is read to get at the next one.
+constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
 
-/// Parses the idle timeout from the value of a Keep-Alive header.
-std::optional<std::chrono::milliseconds>
-parseKeepAliveTimeout(std::string_view KeepAlive) {
-  constexpr std::string_view Field = "timeout=";
-  const std::size_t At = KeepAlive.find(Field);
-  if (At == std::string_view::npos)
-    return std::nullopt;
-  const std::string_view Text = KeepAlive.substr(At + Field.size());
-  unsigned Seconds = 0;
-  const auto Read =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
-  if (Read.ec != std::errc())
-    return std::nullopt;
-  return std::chrono::seconds(Seconds);
+/// Time until then, and at least a moment.
+std::chrono::milliseconds timeUntil(std::chrono::steady_clock::time_point End) {
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      End - std::chrono::steady_clock::now());
+  return std::max(Left, std::chrono::milliseconds(1));
 }
 
-Error outcomeUnknown(const std::string &Address,
-                     const boost::system::error_code &Ec) {
-  return Error{ErrorCode::Timeout, Address + ": " + Ec.message(),
-               detail::isClosedByPeer(Ec)};
+/// Counts a response that exceeds a bound on its bytes or on its time.
+void countEndlessAnswer() {
+  metrics().counter("deckpitch_endless_answers_total").add();
 }
 
 } // namespace
@@ -90,14 +86,17 @@
   bool isFirstOnConnection() const override { return m_IsFirst; }
 
   asio::awaitable<Outcome<std::string>> read() override {
+    const auto End = readEnd();
     while (m_Connection) {
       boost::system::error_code Fault;
       std::string Piece = consumeBuffered(Fault);
       if (Fault)
         co_return outcomeUnknown(m_Key.m_Address, Fault);
+      if (!Piece.empty() && std::chrono::steady_clock::now() > End)
+        co_return tooMuch("the body does not end in time");
       if (!Piece.empty())
         co_return Piece;
-      if (m_Parser->is_done() && m_IsDiscarded)
+      if (m_Parser->is_done() && m_KeepsForNext)
         break;
       if (m_Parser->is_done()) {
         finish();
@@ -106,7 +105,13 @@
         break;
       }
       Connection &From = *m_Connection;
-      From.m_Deadline.expiresAfter(m_Limits.m_ReadTimeout);
+      // Bytes that are there already do not wait for a timer.
+      const auto Now = std::chrono::steady_clock::now();
+      if (Now >= End)
+        co_return tooMuch("the body does not end in time");
+      if (From.m_Buffer.size() > MaxFramingBytes)
+        co_return tooMuch("the framing of the body does not end");
+      From.m_Deadline.expiresAfter(End - Now);
       auto [Ec, Bytes] = co_await From.m_Socket.async_read_some(
           From.m_Buffer.prepare(From.m_ReadBytes), UseAwaitable);
       if (m_Cancelled)
@@ -127,18 +132,31 @@
   }
 
   asio::awaitable<Outcome<bool>>
-  readNext(std::chrono::milliseconds Limit) override {
+  discardRest(std::size_t MaxBytes, std::chrono::milliseconds Limit) override {
     const auto End = std::chrono::steady_clock::now() + Limit;
-    m_IsDiscarded = true;
-    bool HasMore = true;
-    while (HasMore) {
+    std::size_t Discarded = 0;
+    while (true) {
       setReadTimeout(timeUntil(End));
       const auto Piece = co_await read();
       if (!Piece)
         co_return Piece.error();
-      HasMore = !Piece->empty();
+      if (Piece->empty())
+        co_return true;
+      Discarded += Piece->size();
+      if (Discarded > MaxBytes)
+        co_return tooMuch("the body that is discarded is too long");
     }
-    m_IsDiscarded = false;
+  }
+
+  asio::awaitable<Outcome<bool>>
+  readNext(std::chrono::milliseconds Limit) override {
+    const auto End = std::chrono::steady_clock::now() + Limit;
+    m_KeepsForNext = true;
+    const auto Discarded = co_await discardRest(MaxSkippedBytes, Limit);
+    m_KeepsForNext = false;
+    if (!Discarded)
+      co_return Discarded.error();
+    m_BodyEnd.reset();
     if (!m_Connection || !m_Parser->get().keep_alive())
       co_return Error{ErrorCode::Timeout,
                       m_Key.m_Address + ": no other response can follow", true};
@@ -164,19 +182,30 @@
   }
 
 private:
-  /// Time until then, and at least a moment.
-  static std::chrono::milliseconds
-  timeUntil(std::chrono::steady_clock::time_point End) {
-    const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        End - std::chrono::steady_clock::now());
-    return std::max(Left, std::chrono::milliseconds(1));
+  /// When the next read must have ended.
+  std::chrono::steady_clock::time_point readEnd() {
+    const auto Now = std::chrono::steady_clock::now();
+    if (m_Limits.m_BodyTimeout && !m_BodyEnd)
+      m_BodyEnd = Now + *m_Limits.m_BodyTimeout;
+    const auto End = Now + m_Limits.m_ReadTimeout;
+    return m_BodyEnd ? std::min(*m_BodyEnd, End) : End;
   }
 
   void startParser() {
     m_Parser.emplace();
+    m_Parser->header_limit(MaxHeadBytes);
     m_Parser->body_limit(boost::none);
   }
 
+  /// Ends the connection of a response that has no end.
+  Error tooMuch(const char *What) {
+    countEndlessAnswer();
+    m_Connection.reset();
+    m_EndError =
+        Error{ErrorCode::Timeout, m_Key.m_Address + ": " + std::string(What)};
+    return *m_EndError;
+  }
+
   /// Parses all buffered bytes and returns the body data in them. Several
   /// chunks are merged into one piece.
   std::string consumeBuffered(boost::system::error_code &Fault) {
@@ -232,7 +261,9 @@
   std::optional<http::response_parser<http::buffer_body>> m_Parser;
   HttpHeaders m_Headers;
   bool m_Cancelled = false;
-  bool m_IsDiscarded = false; ///< the next response is wanted
+  bool m_KeepsForNext = false; ///< the next response is wanted
+  /// When the body must have been read; set when its reading begins.
+  std::optional<std::chrono::steady_clock::time_point> m_BodyEnd;
   CallCancel m_CheckCancel;
   std::optional<Error> m_EndError; ///< why the body may not be complete
 };
@@ -283,6 +314,8 @@
     auto Answer = std::make_unique<Stream>(Pool, Key, std::move(Conn), Limits);
     if (!Ec)
       Ec = co_await Answer->readHeader();
+    if (Ec == http::error::header_limit)
+      countEndlessAnswer();
     if (!Ec)
       co_return std::unique_ptr<HttpStream>(std::move(Answer));
     const bool Closed =
@@ -296,6 +329,7 @@
 
 asio::awaitable<Outcome<HttpResponse>>
 HttpClient::call(std::string Address, HttpRequest Request, CallLimits Limits) {
+  Limits.m_BodyTimeout = Limits.m_BodyTimeout.value_or(MaxBodyTime);
   auto Opened = co_await open(std::move(Address), std::move(Request), Limits);
   if (!Opened)
     co_return Opened.error();
@@ -309,9 +343,11 @@
       co_return Piece.error();
     if (Piece->empty())
       co_return Response;
-    if (Response.m_Body.size() + Piece->size() > Limits.m_BodyBytes)
+    if (Response.m_Body.size() + Piece->size() > Limits.m_BodyBytes) {
+      countEndlessAnswer();
       co_return Error{ErrorCode::InvalidInput,
                       "the answer is larger than the limit"};
+    }
     Response.m_Body += *Piece;
   }
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -125,11 +126,17 @@
   std::shared_ptr<Impl> m_Impl;
 };
 
+/// Bound on the time of a body that is read whole.
+inline constexpr std::chrono::milliseconds MaxBodyTime{120'000};
+
 struct CallLimits {
   std::chrono::milliseconds m_ConnectTimeout{1'000};
   std::chrono::milliseconds m_FirstByte{
       30'000}; ///< to send the request, and again to read the headers
-  std::chrono::milliseconds m_ReadTimeout{30'000};
+  std::chrono::milliseconds m_ReadTimeout{30'000}; ///< for each piece of a body
+  /// For the whole body, however steadily its pieces arrive. Without a value
+  /// open() sets no bound, and call() sets MaxBodyTime.
+  std::optional<std::chrono::milliseconds> m_BodyTimeout;
   std::size_t m_BodyBytes = std::size_t{64} * 1024 * 1024;
   /// A pooled connection that was idle for longer is not reused: servers close
   /// idle connections, and a request sent on one that was just closed may or
@@ -166,8 +173,14 @@
   /// shows that the server's process has not crashed, which takes a round trip.
   /// Errors: Timeout if the response is not complete, or may not be.
   virtual asio::awaitable<Outcome<std::string>> read() = 0;
+  /// Discards the rest of a short body, so that its connection can be used
+  /// again. Errors: Timeout if the body is longer than the bytes, or does not
+  /// end within the time.
+  virtual asio::awaitable<Outcome<bool>>
+  discardRest(std::size_t MaxBytes, std::chrono::milliseconds Limit) = 0;
   /// Discards the rest of the response and reads the head of the next one on
-  /// the connection, within the time. Errors: Timeout if there is none.
+  /// the connection, within the time. Errors: Timeout if there is none, or if
+  /// the rest is too long.
   virtual asio::awaitable<Outcome<bool>>
   readNext(std::chrono::milliseconds Limit) = 0;
   /// Sets how long each later read waits for data.
