Read on after an interim response

What callers saw: 103 as the status of their answer. An instance may send interim responses (1xx) before the final one, and the first head was taken for the answer: one that named its request was forwarded, and another one made the request count as lost.

Up to 16 interim responses are passed over now, within the time for the head; 101 is none of them.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -32,6 +32,32 @@
 constexpr std::size_t MaxFramingBytes = std::size_t{16} * 1024;
 /// Bound on a response to another request that is read to get at the next one.
 constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
+/// Interim responses before the final one; a server sends one or two.
+constexpr int MaxInterimResponses = 16;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned StatusSwitchingProtocols = 101;
+
+/// Parses the idle timeout from the value of a Keep-Alive header.
+std::optional<std::chrono::milliseconds>
+parseKeepAliveTimeout(std::string_view KeepAlive) {
+  constexpr std::string_view Field = "timeout=";
+  const std::size_t At = KeepAlive.find(Field);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view Text = KeepAlive.substr(At + Field.size());
+  unsigned Seconds = 0;
+  const auto Read =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+Error outcomeUnknown(const std::string &Address,
+                     const boost::system::error_code &Ec) {
+  return Error{ErrorCode::Timeout, Address + ": " + Ec.message(),
+               detail::isClosedByPeer(Ec)};
+}
 
 /// Time until then, and at least a moment.
 std::chrono::milliseconds timeUntil(std::chrono::steady_clock::time_point End) {
@@ -61,14 +87,22 @@
     startParser();
   }
 
+  /// Reads the head of the final response, within one time for all heads.
   asio::awaitable<boost::system::error_code> readHeader() {
     m_Headers = {};
     m_Connection->m_Deadline.expiresAfter(m_Limits.m_FirstByte);
-    auto [Ec, Bytes] = co_await http::async_read_header(
-        m_Connection->m_Socket, m_Connection->m_Buffer, *m_Parser,
-        UseAwaitable);
-    if (Ec)
-      co_return Ec;
+    for (int Interim = 0;; ++Interim) {
+      auto [Ec, Bytes] = co_await http::async_read_header(
+          m_Connection->m_Socket, m_Connection->m_Buffer, *m_Parser,
+          UseAwaitable);
+      if (Ec)
+        co_return Ec;
+      if (status() >= FirstFinalStatus || status() == StatusSwitchingProtocols)
+        break;
+      if (Interim == MaxInterimResponses)
+        co_return http::error::header_limit;
+      startParser();
+    }
     for (const auto &Field : m_Parser->get())
       m_Headers.add(std::string(Field.name_string()),
                     std::string(Field.value()));
--- a/test/endless-response-test.cc
+++ b/test/endless-response-test.cc
@@ -129,4 +129,17 @@
   }
 }
 
+/// An interim response was taken for the response.
+TEST(EndlessResponse, InterimResponsesComeBeforeTheFinalOne) {
+  EndlessServer Server("HTTP/1.1 100 Continue\r\n\r\n"
+                       "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                       "surplus");
+  const auto Answer =
+      callAndWait(Server.address(), HttpRequest{"POST", "/", {}, {}}, Limits);
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->m_Status, 200U);
+  EXPECT_EQ(Answer->m_Body, "ok");
+}
+
 } // namespace
