Do not report a request as unsent after its connection was lost

A GET that was sent on a pooled connection which the server then closed is sent again on a new one. If that was refused, the error said that the request could not have reached the server, so that an agent reported it as not run.

HttpClientContract.ARefusedRetryMayStillHaveReachedTheServer guards it.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -336,6 +336,9 @@
     if (!IsReused) {
       auto NewConn =
           co_await connect(Executor, Address, Limits.m_ConnectTimeout, Cancel);
+      // An earlier attempt on a pooled connection may have been processed.
+      if (!NewConn && Sent)
+        co_return Error{ErrorCode::Timeout, NewConn.error().m_Message};
       if (!NewConn)
         co_return NewConn.error();
       Conn = std::move(*NewConn);
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -141,6 +141,26 @@
   EXPECT_EQ(Answers[1]->m_Body, "ok");
 }
 
+/// The second GET had reached the server, though the connection for its retry
+/// was refused: it was reported as never sent.
+TEST(HttpClientContract, ARefusedRetryMayStillHaveReachedTheServer) {
+  asio::io_context Io;
+  tcp::acceptor Acceptor(Io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  const std::string Address = formatEndpoint(Acceptor.local_endpoint());
+  const std::jthread Server([&Acceptor] {
+    tcp::socket Socket = Acceptor.accept();
+    readHeaderAndRespond(Socket, CompleteResponse);
+    std::string Second;
+    asio::read_until(Socket, asio::dynamic_buffer(Second), "\r\n\r\n");
+    Acceptor.close();
+  });
+  const auto Answers = callSequentially(Address, {"GET", "GET"});
+  ASSERT_TRUE(Answers[0]);
+  ASSERT_FALSE(Answers[1]);
+  EXPECT_EQ(Answers[1].error().m_Code, ErrorCode::Timeout);
+}
+
 TEST(HttpClientContract, NeverRetriesAPost) {
   ScriptedServer Server(
       {respondThenCloseOnNextRequest, [](tcp::socket &Socket) {
