Bound what reports, orders, the origin and the store may send

Each call that reads a whole answer had 64 MiB and a time for each piece only; an agent has 128 MB.

Not tested for each server by itself: EndlessResponse.* tests the client that all of them use.

--- a/src/adapters/engine-http.cc
+++ b/src/adapters/engine-http.cc
@@ -11,9 +11,16 @@
 constexpr const char *StagingRoot = "/v1/engine/staging/";
 /// An engine that does not return its status within this time cannot serve
 /// requests either.
-constexpr CallLimits StatusLimits{std::chrono::milliseconds(1'000),
-                                  std::chrono::milliseconds(2'000),
-                                  std::chrono::milliseconds(2'000)};
+constexpr std::chrono::milliseconds StatusTimeout{2'000};
+/// Bound on a status, and on what an order is answered with.
+constexpr std::size_t MaxStatusBytes = std::size_t{1024} * 1024;
+constexpr CallLimits StatusLimits{.m_ConnectTimeout =
+                                      std::chrono::milliseconds(1'000),
+                                  .m_FirstByte = StatusTimeout,
+                                  .m_ReadTimeout = StatusTimeout,
+                                  .m_BodyTimeout = StatusTimeout,
+                                  .m_BodyBytes = MaxStatusBytes};
+constexpr CallLimits OrderLimits{.m_BodyBytes = MaxStatusBytes};
 
 Error errorOf(const std::string &Call, const HttpResponse &Answer) {
   const std::string Text =
@@ -85,7 +92,8 @@
 asio::awaitable<Outcome<bool>>
 HttpEngine::stage(WeightsId Weights, std::uint32_t Index, std::string Bytes) {
   HttpRequest Request{"PUT", stagingPath(Weights, Index), {}, std::move(Bytes)};
-  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  auto Answer =
+      co_await m_Http.call(m_Address, std::move(Request), OrderLimits);
   if (!Answer)
     co_return Answer.error();
   if (!isSuccess(*Answer))
@@ -108,7 +116,8 @@
 
 asio::awaitable<Outcome<bool>> HttpEngine::dropStaging(WeightsId Weights) {
   HttpRequest Request{"DELETE", StagingRoot + Weights.m_Text};
-  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  auto Answer =
+      co_await m_Http.call(m_Address, std::move(Request), OrderLimits);
   if (!Answer)
     co_return Answer.error();
   if (!isSuccess(*Answer))
@@ -119,7 +128,8 @@
 asio::awaitable<Outcome<bool>> HttpEngine::order(std::string Body) {
   HttpRequest Request{"POST", "/v1/engine/orders", {}, std::move(Body)};
   Request.m_Headers.add("Content-Type", "application/json");
-  auto Answer = co_await m_Http.call(m_Address, std::move(Request));
+  auto Answer =
+      co_await m_Http.call(m_Address, std::move(Request), OrderLimits);
   if (!Answer)
     co_return Answer.error();
   if (!isSuccess(*Answer))
--- a/src/adapters/origin-http.cc
+++ b/src/adapters/origin-http.cc
@@ -10,6 +10,8 @@
 constexpr unsigned NotFound = 404;
 constexpr std::size_t MaxManifestBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::chrono::milliseconds StallTimeout{5'000};
+/// For a manifest or a chunk, at a small share of a narrow link.
+constexpr std::chrono::milliseconds TransferTimeout{600'000};
 
 std::string pathOf(const WeightsId &Weights, const char *Part) {
   return "/v1/weights/" + Weights.m_Text + "/" + Part;
@@ -26,6 +28,7 @@
   CallLimits Limits;
   Limits.m_BodyBytes = Bytes;
   Limits.m_ReadTimeout = StallTimeout;
+  Limits.m_BodyTimeout = TransferTimeout;
   return Limits;
 }
 
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -114,6 +114,7 @@
       attemptTimeout(m_Call.m_Deadline - now(), m_Call.m_Terms.m_Idempotent);
   const net::CallLimits Limits{.m_FirstByte = Limit,
                                .m_ReadTimeout = Limit,
+                               .m_BodyTimeout = Limit,
                                .m_BodyBytes = MaxAnswerBytes};
   auto Got = co_await m_Context.m_Process.m_Http.call(
       To.m_Address, std::move(Request), Limits);
--- a/src/daemon/weights-agent.cc
+++ b/src/daemon/weights-agent.cc
@@ -17,6 +17,8 @@
 constexpr Duration BusyInterval = std::chrono::milliseconds(50);
 constexpr Duration IdleInterval = std::chrono::milliseconds(500);
 constexpr Duration RetryDelay = std::chrono::milliseconds(500);
+constexpr std::chrono::milliseconds HealthTimeout{2'000};
+constexpr std::size_t MaxHealthBytes = std::size_t{64} * 1024;
 constexpr Duration HelloTimeout = std::chrono::seconds(5);
 
 std::vector<InstanceId> holdersOf(const WeightsId &Weights,
@@ -125,8 +127,10 @@
 
 asio::awaitable<bool> WeightsAgent::isServiceHealthy() {
   net::HttpRequest Request{"GET", "/v1/health"};
-  net::CallLimits Limits;
-  Limits.m_FirstByte = std::chrono::milliseconds(2'000);
+  constexpr net::CallLimits Limits{.m_FirstByte = HealthTimeout,
+                                   .m_ReadTimeout = HealthTimeout,
+                                   .m_BodyTimeout = HealthTimeout,
+                                   .m_BodyBytes = MaxHealthBytes};
   const auto Answer = co_await m_Process.m_Http.call(
       m_Process.requestAddress(), std::move(Request), Limits);
   co_return Answer && Answer->m_Status == 200;
--- a/src/direct/store-relay.cc
+++ b/src/direct/store-relay.cc
@@ -28,8 +28,11 @@
 constexpr std::size_t MaxBodyBytes = std::size_t{5} * 1024 * 1024;
 /// A holder compresses 1 MB once, in about 100 ms with a quarter of a core. One
 /// that takes longer is overloaded, and the store is read instead.
-constexpr net::CallLimits FetchLimits{milliseconds(250), milliseconds(600),
-                                      milliseconds(400), MaxBodyBytes};
+constexpr net::CallLimits FetchLimits{.m_ConnectTimeout = milliseconds(250),
+                                      .m_FirstByte = milliseconds(600),
+                                      .m_ReadTimeout = milliseconds(400),
+                                      .m_BodyTimeout = milliseconds(10'000),
+                                      .m_BodyBytes = MaxBodyBytes};
 /// Only other processes of the fleet connect, each with one short request.
 constexpr net::HttpLimits ServeLimits{std::size_t{4} * 1024,
                                       std::size_t{4} * 1024,
