Send each request of an agent's upstream on a connection of its own

In the mode with agents in the path, refusals of engines and answers of plain services name no request. The connections are local to the machine, so each request gets a new one, on which nothing can be late; a GET is no longer sent twice either.

--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -17,6 +17,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds EngineConnectTimeout{500};
+/// Answers of the agent's upstream name no request, so that a late one could be
+/// taken for the next one's. Each request gets a connection of its own, which
+/// is local.
+constexpr std::chrono::milliseconds NoReuse{0};
 constexpr std::size_t MaxServiceAnswerBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t MaxRefusalBytes = std::size_t{64} * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
@@ -86,7 +90,10 @@
   const auto Left = milliseconds(m_Request.m_TimeLeft);
   const net::CallLimits Limits{.m_ConnectTimeout = EngineConnectTimeout,
                                .m_FirstByte = Left,
-                               .m_ReadTimeout = Left};
+                               .m_ReadTimeout = Left,
+                               .m_BodyTimeout = MaxStreamTime,
+                               .m_MaxIdle = NoReuse,
+                               .m_KeepsConnection = false};
   auto Opened = co_await m_Process.m_Http.open(
       m_Process.requestAddress(), engineRequest(), Limits, &m_OpenCancel);
   if (m_CallerGone)
@@ -197,7 +204,10 @@
   const net::CallLimits Limits{.m_ConnectTimeout = EngineConnectTimeout,
                                .m_FirstByte = Left,
                                .m_ReadTimeout = Left,
-                               .m_BodyBytes = MaxServiceAnswerBytes};
+                               .m_BodyTimeout = Left,
+                               .m_BodyBytes = MaxServiceAnswerBytes,
+                               .m_MaxIdle = NoReuse,
+                               .m_KeepsConnection = false};
   co_return co_await In.m_Http.call(In.requestAddress(), std::move(Out),
                                     Limits);
 }
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -202,7 +202,8 @@
   const Duration Left = m_Call.m_Deadline - now();
   const auto Limit = attemptTimeout(Left, m_Call.m_Terms.m_Idempotent);
   const net::CallLimits Limits{.m_FirstByte = Limit,
-                               .m_ReadTimeout = stallTimeoutAt(To)};
+                               .m_ReadTimeout = stallTimeoutAt(To),
+                               .m_BodyTimeout = MaxStreamTime};
   auto Opened = co_await m_Context.m_Process.m_Http.open(
       To.m_Address, std::move(Request), Limits, &m_OpenCancel);
   if (!Opened) {
