Bound what answers may make an entry hold

An answer that is forwarded whole, and an event of a stream, were held until their end, and answers to other requests were passed over without a number. One answer may hold 8 MiB now, and all together 24 MiB beyond 64 KiB each, so that large ones cannot end small ones; what exceeds it counts as lost. Eight answers that name another request are passed over. A rejection is believed without its end: its body is read for 20 ms and 16 KiB, so that its connection can be kept, and the request goes on.

--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -24,13 +24,28 @@
 
 } // namespace
 
+/// Whether the buffered part of the answer is within its bounds. An answer that
+/// exceeds them counts as lost: it may go on without an end.
+bool EntryRequests::mayHoldAnswer(Call &C) {
+  if (C.m_Held->hold(C.m_Body.size() + C.m_Events.part().size()))
+    return true;
+  C.m_ReadError = "the answer exceeds the bound on buffered bytes";
+  net::metrics().counter("deckpitch_endless_answers_total").add();
+  return false;
+}
+
 /// Reads the whole answer before any of it is forwarded, so that the request
 /// can still be retried elsewhere if the answer breaks off.
 asio::awaitable<EntryRequests::AttemptOutcome>
 EntryRequests::readWhole(Call &C, net::HttpStream &Body) {
   C.m_Body.clear();
   while (true) {
-    Body.setReadTimeout(std::max(C.timeLeft(), milliseconds(1)));
+    const milliseconds Left = C.timeLeft();
+    if (Left <= milliseconds::zero()) {
+      C.m_ReadError = "the answer does not end in time";
+      co_return AttemptOutcome::Lost;
+    }
+    Body.setReadTimeout(Left);
     auto Piece = co_await Body.read();
     if (!Piece) {
       C.m_IsPeerEnd = Piece.error().m_IsPeerEnd;
@@ -41,6 +56,8 @@
       break;
     m_Instances.dataReceived(C.m_Instance, now());
     C.m_Body += *Piece;
+    if (!mayHoldAnswer(C))
+      co_return AttemptOutcome::Lost;
   }
   C.m_FirstByte = now() - C.m_Start;
   if (C.m_Status >= StatusServerError)
@@ -132,11 +149,16 @@
       recordSound(C);
     if (!IsEnd)
       C.m_Events.add(*Piece);
+    std::string Ready;
     // Events are held back: the other instance continues after the last one
     // that the caller has.
+    if (!C.m_Handover)
+      Ready = takeNewEvents(C);
+    if (!mayHoldAnswer(C))
+      co_return C.m_Answer.started() ? AttemptOutcome::Broken
+                                     : AttemptOutcome::Lost;
     if (C.m_Handover)
       continue;
-    std::string Ready = takeNewEvents(C);
     if (IsEnd) {
       // Line ends after the last event, if anything.
       Ready += C.m_Events.part();
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -29,6 +29,13 @@
 /// Multiple of its latency objective after which an idempotent call of a
 /// service without streams is repeated at another instance.
 constexpr int RepeatAfterObjectives = 3;
+/// A rejection's body, if any, arrives with its head. The request does not wait
+/// for more of it before it is sent elsewhere.
+constexpr std::size_t MaxRejectionBytes = std::size_t{16} * 1024;
+constexpr milliseconds RejectionTime{20};
+/// Answers to other requests that are passed over for one request. An instance
+/// sends an answer late once.
+constexpr int MaxForeignAnswers = 8;
 /// Least time between two log lines about rate limits that are not numbers.
 constexpr Duration UnreadableLogInterval = std::chrono::seconds(1);
 
@@ -209,14 +216,15 @@
 asio::awaitable<Outcome<AnswerHead>>
 EntryRequests::findOwnAnswer(const Call &C, const InstanceId &Instance,
                              net::HttpStream &Answer, TimePoint End) {
-  while (true) {
+  for (int Foreign = 0;; ++Foreign) {
     const AnswerHead Head = readHead(C, Instance, Answer);
     const AnswerMeaning Meaning = meaningOf(Head);
     const bool IsForeign = Meaning == AnswerMeaning::Foreign;
     if (!IsForeign && Meaning != AnswerMeaning::Unnamed)
       co_return Head;
     // A new connection has carried no other request, so that none is late.
-    const bool IsSkipped = IsForeign && !Answer.isFirstOnConnection();
+    const bool IsSkipped = IsForeign && !Answer.isFirstOnConnection() &&
+                           Foreign < MaxForeignAnswers && now() < End;
     net::log(Event::UpstreamAnswerRefused,
              {{"request", C.m_Terms.m_AttemptId},
               {"instance", Instance.m_Text},
@@ -310,7 +318,7 @@
     if (Meaning == AnswerMeaning::WrongInstance)
       m_Instances.replaced(Chosen.m_Instance);
     // The connection can be reused once its short answer has been read.
-    co_await Body.read();
+    co_await Body.discardRest(MaxRejectionBytes, RejectionTime);
     Cancel.onCancel(nullptr);
     co_return Out;
   }
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -104,6 +104,7 @@
   net::HttpHeaders m_Headers;
   net::BodyFraming m_Framing = net::BodyFraming::Delimited;
   std::string m_Body;
+  std::optional<BudgetShare> m_Held; ///< buffered bytes of the answer
 
   // The part of a stream that the caller has received.
   EventStreamSplitter m_Events;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -32,6 +32,10 @@
 /// without data, and the first token takes some tenths of a second.
 constexpr milliseconds SearchTimeout{1'200};
 constexpr milliseconds DefaultCallerTimeout{30'000};
+/// Bytes that one answer may make this process buffer. The largest answers of
+/// plain services are some kilobytes, and one event of a stream has less.
+constexpr AnswerBounds AnswerLimits{.m_Allowance = std::size_t{64} * 1024,
+                                    .m_Most = std::size_t{8} * 1024 * 1024};
 /// A request whose timeout falls short of the route's longest one by more than
 /// this is taken for a caller's repeated attempt.
 constexpr milliseconds FirstTryTolerance{25};
@@ -152,6 +156,7 @@
 asio::awaitable<void> EntryRequests::handle(net::HttpRequest Request,
                                             net::HttpResponder &Answer) {
   Call C{std::move(Request), Answer, m_Routes};
+  C.m_Held.emplace(m_AnswerBytes, AnswerLimits);
   C.m_Start = now();
   C.m_Terms = m_Adapter.readTerms(C.m_Request);
   Answer.onDisconnect([&C] {
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -2,6 +2,7 @@
 // instance, forwarding of the answer, and retries.
 #pragma once
 
+#include "deckpitch/byte-budget.h"
 #include "deckpitch/event.h"
 #include "deckpitch/instance-table.h"
 #include "deckpitch/retry-window.h"
@@ -31,6 +32,10 @@
   std::optional<RateLimitReport> m_RateLimit; ///< from an entry
 };
 
+/// Bytes that all buffered answers may have together, beyond the allowance of
+/// each. The smallest entries have 112 MB of memory.
+inline constexpr std::size_t MaxAnswerBytes = std::size_t{24} * 1024 * 1024;
+
 /// Serves the callers' requests. All calls must be on one event loop.
 class EntryRequests {
 public:
@@ -73,6 +78,8 @@
   void moveStreamsFromEvacuated(Duration Length, TimePoint Now);
 
   std::size_t open() const { return m_Open; }
+  /// Bytes of buffered answers beyond the allowance of each.
+  std::size_t heldAnswerBytes() const { return m_AnswerBytes.used(); }
 
 private:
   struct Call;
@@ -134,6 +141,7 @@
   void recordLoss(const Call &C, const InstanceId &At, TimePoint Sent);
   void recordEnd(const InstanceId &At, InstanceTable::End Outcome,
                  bool WasAnswering);
+  static bool mayHoldAnswer(Call &C);
   static std::string takeNewEvents(Call &C);
   static asio::awaitable<bool> writeNewEvents(Call &C);
   bool mayRetry(Call &C, AttemptOutcome Outcome);
@@ -196,6 +204,7 @@
   std::map<InstanceId, std::set<Call *>> m_AtInstance;
   std::set<InstanceId> m_Silent; ///< already logged as silent
   TimePoint m_NextUnreadableLog{};
+  ByteBudget m_AnswerBytes{MaxAnswerBytes}; ///< of all answers in progress
   std::size_t m_Entries = 0;
   std::size_t m_Open = 0;
   std::mt19937_64 m_Random{std::random_device{}()};
