--- a/support/soak/overload.py
+++ b/support/soak/overload.py
@@ -58,6 +58,8 @@
         self._random = random.Random(f"{options.seed} {number}")
         self._slots = asyncio.Semaphore(SLOTS)
         self._inside = 0
+        is_slow = number <= options.copying
+        self._work_s = options.work_ms / 1000 * (options.slower if is_slow else 1)
         self._copies = {}  # by connection: the copy that is still to come
         self.server = Server(self._answer)
 
@@ -91,7 +93,7 @@
         try:
             async with self._slots:
                 self._service.runs[attempt] += 1
-                await asyncio.sleep(self._options.work_ms / 1000 * self._random.uniform(0.5, 1.5))
+                await asyncio.sleep(self._work_s * self._random.uniform(0.5, 1.5))
         finally:
             self._inside -= 1
         told["Response-Seal"] = f"seal.{attempt}"
@@ -117,7 +119,8 @@
     return {"mode": "direct", "role": "entry", "instance": f"entry-{number}", "dataCentre": zone,
             "listen": listen, "agents": {"linkPort": soak.LINK, "bulkPort": soak.LINK},
             "store": f"objects://{addresses.store()}:{soak.STORE}", "linkMbps": 200,
-            "bounds": {"drainMs": 3000, "graceMs": 8000, "applyMs": 3000, "versionMs": 10300}}
+            "bounds": {"drainMs": 3000, "graceMs": 8000, "applyMs": 3000, "versionMs": 10300,
+                       "retryShare": 0.2, "retrySlack": 250, "retryWindowMs": 10000}}
 
 
 async def wait_until_ready(count):
@@ -187,6 +190,7 @@
     parser.add_argument("--work-ms", type=float, default=60)
     parser.add_argument("--pause-ms", type=float, default=200, help="of a caller between requests, at most")
     parser.add_argument("--copying", type=int, default=2, help="instances that send copies")
+    parser.add_argument("--slower", type=float, default=1.0, help="how much slower these instances are")
     parser.add_argument("--copies", type=float, default=0.03, help="share of their answers")
     parser.add_argument("--unmarked", type=float, default=0.0,
                         help="share of the requests that run and are answered 503 all the same")
--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -81,10 +81,12 @@
         if answer is None or not answer.whole:
             if self.is_planned_only:
                 self.violate(f"LOST {attempt} ({kind}) though only planned work was under way")
-        elif answer.status in (429, 503):
+        elif answer.status in (408, 421, 429, 503):
             self._refusal(kind, attempt)
         elif answer.status == 200:
             self._success(kind, attempt, answer)
+        elif answer.status < 200:
+            self.violate(f"MIXED {attempt} ({kind}): an interim answer {answer.status}")
         elif answer.status in (401, 404):
             self.violate(f"DENIED {attempt} ({kind}) {answer.status}")
 
