--- a/support/soak/overload.py
+++ b/support/soak/overload.py
@@ -1,9 +1,10 @@
 #!/usr/bin/env python3
 """Overload of a plain service whose requests may run once, while some of its
 instances send second copies of their answers late: where the answer to the next
-request of the connection is due. Real entries; everything else stands in here.
-Counts the requests that ran twice, and those that ran though their callers were
-told that they had not; docs/SOAK.md."""
+request of the connection is due. These may also answer 503 after a run, or
+without an end. Real entries; everything else stands in here. Counts the requests
+that ran twice, and those that ran though their callers were told that they had
+not, and shows what the entries used; docs/SOAK.md."""
 
 import argparse
 import asyncio
@@ -19,6 +20,7 @@
 sys.path[:0] = [str(HERE), str(HERE.parent.parent / "platform" / "test")]
 
 import addresses  # noqa: E402
+import faulty_answers  # noqa: E402
 import soak  # noqa: E402
 import standins  # noqa: E402
 from http_lite import Answer, Server, call, format_answer  # noqa: E402
@@ -37,6 +39,11 @@
         self.runs = Counter()
         self.answers = {}
         self.counts = Counter()
+        self.seconds = []  # until each complete answer
+        self.is_timed = False  # for faulty answers
+
+    def violate(self, what):
+        self.counts[what] += 1
 
     def ran_twice(self):
         return sorted(each for each, count in self.runs.items() if count > 1)
@@ -76,12 +83,12 @@
         if copy:
             self._service.counts["copies sent"] += 1
             writer.write(format_answer(copy))
-        answer = await self._work(request)
+        answer = await self._work(request, writer)
         if self._sends_copies() and self._random.random() < self._options.copies:
             self._copies[writer] = answer
         return answer
 
-    async def _work(self, request):
+    async def _work(self, request, writer):
         attempt = request.headers.get("attempt-id", "")
         told = {"Attempt-Id": attempt}
         if request.headers.get("target-instance") not in (None, self.id):
@@ -97,6 +104,11 @@
         finally:
             self._inside -= 1
         told["Response-Seal"] = f"seal.{attempt}"
+        if self.number <= self._options.copying and self._random.random() < self._options.endless:
+            self._service.counts["endless"] += 1
+            name, begin, repeated = self._random.choice(faulty_answers.endless(told))
+            await faulty_answers.send_endlessly(name, begin, repeated, writer, self._service)
+            raise ConnectionError
         if self._random.random() < self._options.unmarked:
             self._service.counts["unmarked 503"] += 1
             return Answer(503, told)
@@ -145,7 +157,10 @@
             host = addresses.entry(choose.randrange(options.entries) + 1)
             headers = {"Attempt-Id": attempt, "Deadline-Ms": str(DEADLINE_MS),
                        "Authorization": f"Token {soak.KEY}"}
+            begin = time.monotonic()
             answer = await call(host, soak.CALLERS, "POST", "/once/x", headers, b"lot", 3.0)
+            if answer and answer.status == 200:
+                service.seconds.append(time.monotonic() - begin)
             service.answers[attempt] = answer.status if answer and answer.whole else 0
             if service.answers[attempt] not in PROMISES:
                 break
@@ -173,6 +188,10 @@
                                for i in range(options.callers)))
         await asyncio.sleep(2.0)  # for what still runs
         service.counts["entries that ended"] = sum(not each.is_running() for each in daemons)
+        running = [each for each in daemons if each.is_running()]
+        print("memory of the largest entry, MB:", round(max(each.memory_mb() for each in running)))
+        print("processor time of an entry, s:",
+              round(sum(each.processor_s() for each in running) / len(running), 2))
     finally:
         for each in daemons:
             await each.kill()
@@ -194,6 +213,8 @@
     parser.add_argument("--copies", type=float, default=0.03, help="share of their answers")
     parser.add_argument("--unmarked", type=float, default=0.0,
                         help="share of the requests that run and are answered 503 all the same")
+    parser.add_argument("--endless", type=float, default=0.0,
+                        help="share of the requests that these run and answer without an end")
     parser.add_argument("--keep", help="folder for the logs of the processes")
     return parser.parse_args()
 
@@ -206,6 +227,9 @@
     service = asyncio.run(play(options, folder))
     net.close()
     twice, refused = service.ran_twice(), service.ran_though_refused()
+    if service.seconds:
+        at = sorted(service.seconds)
+        print(f"answered after, ms: p50 {1000 * at[len(at) // 2]:.0f}, p95 {1000 * at[len(at) * 19 // 20]:.0f}")
     print("answers", json.dumps(dict(sorted(Counter(service.answers.values()).items()))))
     print("counts", json.dumps(dict(sorted(service.counts.items()))))
     print(f"ran twice: {len(twice)} {twice[:5]}")
--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -259,6 +259,10 @@
     def is_running(self):
         return self._process is not None and self._process.returncode is None
 
+    def processor_s(self):
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().rsplit(") ", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def memory_mb(self):
         text = Path(f"/proc/{self._process.pid}/status").read_text()
         line = next(each for each in text.splitlines() if each.startswith("VmHWM"))
