Split the send of a request into its limits, its terms and its rejections

Its limits, the terms for the instance and the end of a send without an answer to forward have functions of their own now; the order of the steps is the same. mayHoldAnswer() changed the budget and a counter, which its name did not say: reserveBuffered().

Checked by compiling the files alone; no test was run.

--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -24,9 +24,10 @@
 
 } // namespace
 
-/// Whether the buffered part of the answer is within its bounds. An answer that
-/// exceeds them counts as lost: it may go on without an end.
-bool EntryRequests::mayHoldAnswer(Call &C) {
+/// Charges the buffered part of the answer to the budget of this process.
+/// Returns false if that exceeds a bound; the answer counts as lost then, as it
+/// may go on without an end.
+bool EntryRequests::reserveBuffered(Call &C) {
   if (C.m_Held->hold(C.m_Body.size() + C.m_Events.part().size()))
     return true;
   C.m_ReadError = "the answer exceeds the bound on buffered bytes";
@@ -56,7 +57,7 @@
       break;
     m_Instances.dataReceived(C.m_Instance, now());
     C.m_Body += *Piece;
-    if (!mayHoldAnswer(C))
+    if (!reserveBuffered(C))
       co_return AttemptOutcome::Lost;
   }
   C.m_FirstByte = now() - C.m_Start;
@@ -154,7 +155,7 @@
     // that the caller has.
     if (!C.m_Handover)
       Ready = takeNewEvents(C);
-    if (!mayHoldAnswer(C))
+    if (!reserveBuffered(C))
       co_return C.m_Answer.started() ? AttemptOutcome::Broken
                                      : AttemptOutcome::Lost;
     if (C.m_Handover)
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -32,9 +32,10 @@
 /// A rejection's body, if any, arrives with its head. The request does not wait
 /// for more of it before it is sent elsewhere.
 constexpr std::size_t MaxRejectionBytes = std::size_t{16} * 1024;
-constexpr milliseconds RejectionTime{20};
-/// Answers to other requests that are passed over for one request. An instance
-/// sends an answer late once.
+constexpr milliseconds RejectionTimeout{20};
+/// Answers to other requests that are skipped for one request. A correct
+/// instance sends none, a known fault is a second copy of one; more of them are
+/// taken for a sequence without an end.
 constexpr int MaxForeignAnswers = 8;
 /// Least time between two log lines about rate limits that are not numbers.
 constexpr Duration UnreadableLogInterval = std::chrono::seconds(1);
@@ -242,11 +243,12 @@
   }
 }
 
-/// Sends the request to an instance and reads the head of the answer.
-asio::awaitable<EntryRequests::SendResult>
-EntryRequests::send(Call &C, const InstanceChoice &Chosen,
-                    net::CallCancel &Cancel) {
-  const milliseconds Left = C.timeLeft();
+/// Limits of a send that begins now. A send to an address that had the request
+/// before needs a new connection: a late copy of the answer to the earlier send
+/// would have the same id.
+net::CallLimits EntryRequests::limitsFor(const Call &C,
+                                         const InstanceChoice &Chosen,
+                                         milliseconds Left, bool WasSentThere) {
   const bool IsOnce = C.m_Route->m_Kind == RouteKind::NonIdempotent;
   net::CallLimits Limits;
   Limits.m_ConnectTimeout = std::min(ConnectTimeout, Left);
@@ -260,19 +262,47 @@
         std::min(Left, RepeatAfterObjectives * C.m_Route->m_Objective);
   Limits.m_ReadTimeout = Limits.m_FirstByte;
   Limits.m_MaxIdle = IsOnce ? MaxIdleOnce : MaxIdle;
-  // A late copy of the answer to an earlier send there would have the same id.
-  const bool WasSentThere = !C.m_SentTo.insert(Chosen.m_Address).second;
   if (WasSentThere || C.m_Terms.m_AttemptId.empty())
     Limits.m_MaxIdle = milliseconds::zero();
   Limits.m_RetriesGet = false;
+  return Limits;
+}
 
+UpstreamTerms EntryRequests::termsFor(const Call &C, const InstanceId &To,
+                                      milliseconds TimeLeft) {
   UpstreamTerms Terms;
-  Terms.m_TimeLeft = Left;
-  Terms.m_Instance = Chosen.m_Instance;
+  Terms.m_TimeLeft = TimeLeft;
+  Terms.m_Instance = To;
   if (C.m_Organisation)
     Terms.m_Organisation = C.m_Organisation->m_Organisation;
   if (C.m_EventCount > 0)
     Terms.m_LastEventId = C.m_LastEventId;
+  return Terms;
+}
+
+/// Ends a send whose answer is none to forward: a rejection, or a status
+/// without a proof that the request did not run.
+asio::awaitable<EntryRequests::AttemptOutcome>
+EntryRequests::endWithoutAnswer(Call &C, const InstanceId &Instance,
+                                AnswerMeaning Meaning, net::HttpStream &Body) {
+  const bool IsUnproven = Meaning == AnswerMeaning::Unproven;
+  if (!IsUnproven)
+    C.m_Sends.endRejected();
+  if (Meaning == AnswerMeaning::WrongInstance)
+    m_Instances.replaced(Instance);
+  // The connection can be reused once its short answer has been read.
+  co_await Body.discardRest(MaxRejectionBytes, RejectionTimeout);
+  co_return IsUnproven ? AttemptOutcome::Unproven : AttemptOutcome::NotRun;
+}
+
+/// Sends the request to an instance and reads the head of the answer.
+asio::awaitable<EntryRequests::SendResult>
+EntryRequests::send(Call &C, const InstanceChoice &Chosen,
+                    net::CallCancel &Cancel) {
+  const bool WasSentThere = !C.m_SentTo.insert(Chosen.m_Address).second;
+  const milliseconds Left = C.timeLeft();
+  const net::CallLimits Limits = limitsFor(C, Chosen, Left, WasSentThere);
+  const UpstreamTerms Terms = termsFor(C, Chosen.m_Instance, Left);
   SendResult Out;
   Out.m_Sent = now();
   // Counted before the send, as mayMove() reads the counts meanwhile. Counted
@@ -311,14 +341,7 @@
     applyNotice(Out.m_Notice, Chosen.m_Instance, C, Out.m_Sent);
   }
   if (Meaning != AnswerMeaning::Answer) {
-    Out.m_How = Meaning == AnswerMeaning::Unproven ? AttemptOutcome::Unproven
-                                                   : AttemptOutcome::NotRun;
-    if (Out.m_How == AttemptOutcome::NotRun)
-      C.m_Sends.endRejected();
-    if (Meaning == AnswerMeaning::WrongInstance)
-      m_Instances.replaced(Chosen.m_Instance);
-    // The connection can be reused once its short answer has been read.
-    co_await Body.discardRest(MaxRejectionBytes, RejectionTime);
+    Out.m_How = co_await endWithoutAnswer(C, Chosen.m_Instance, Meaning, Body);
     Cancel.onCancel(nullptr);
     co_return Out;
   }
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -336,11 +336,12 @@
     co_await C.m_Answer.send(std::move(Held));
     co_return;
   }
-  if (Outcome == AttemptOutcome::Unproven)
-    co_return co_await failUnknown(C, "the instance answered " +
-                                          std::to_string(C.m_Head.m_Status) +
-                                          " without a proof that it did not "
-                                          "run");
+  if (Outcome == AttemptOutcome::Unproven) {
+    std::string Reason = "the instance answered " +
+                         std::to_string(C.m_Head.m_Status) +
+                         " without a proof that it did not run";
+    co_return co_await failUnknown(C, std::move(Reason));
+  }
   co_await refuse(C, "not run", retryAfterNotRun(C));
 }
 
@@ -356,8 +357,8 @@
   return std::max(C.m_RetryAfter, MinRetryAfterNotRun);
 }
 
-/// Tells the caller that its request has not run and will not, if the sends
-/// prove it.
+/// Tells the caller that its request has not run and will not. Without proof of
+/// that by the sends, it answers as failUnknown().
 asio::awaitable<void> EntryRequests::refuse(Call &C, std::string Reason,
                                             Duration RetryAfter) {
   const auto Proof = C.m_Sends.proofOfNotRun();
@@ -370,7 +371,8 @@
   co_await C.m_Answer.send(std::move(Response));
 }
 
-/// Answers a request that may have run.
+/// Answers a request that may have run: 504 once its deadline has passed, else
+/// 502.
 asio::awaitable<void> EntryRequests::failUnknown(Call &C, std::string Reason) {
   const bool IsLate = C.timeLeft() < MinTimeLeft;
   co_await fail(
@@ -378,6 +380,7 @@
       std::move(Reason));
 }
 
+/// Sends an answer that does not tell whether the request has run.
 asio::awaitable<void> EntryRequests::fail(Call &C, FailureStatus Status,
                                           std::string Reason) {
   answers("failed").add();
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -90,7 +90,7 @@
     Unreachable, ///< the request never reached the instance
     NotRun,      ///< the instance reported that it did not run it
     Failed,      ///< the instance answered with an error, now buffered
-    Unproven,    ///< its answer promises "not run" without a proof of it
+    Unproven,    ///< its status promises "not run", and nothing proves it
     Lost,        ///< it may have run; nothing was forwarded
     Broken       ///< it stopped after part of the answer was forwarded
   };
@@ -129,6 +129,14 @@
                                                      const InstanceId &Instance,
                                                      net::HttpStream &Answer,
                                                      TimePoint End);
+  net::CallLimits limitsFor(const Call &C, const InstanceChoice &Chosen,
+                            std::chrono::milliseconds Left, bool WasSentThere);
+  static UpstreamTerms termsFor(const Call &C, const InstanceId &To,
+                                std::chrono::milliseconds TimeLeft);
+  asio::awaitable<AttemptOutcome> endWithoutAnswer(Call &C,
+                                                   const InstanceId &Instance,
+                                                   AnswerMeaning Meaning,
+                                                   net::HttpStream &Body);
   asio::awaitable<SendResult> send(Call &C, const InstanceChoice &Chosen,
                                    net::CallCancel &Cancel);
   asio::awaitable<AttemptOutcome> exchange(Call &C,
@@ -141,7 +149,7 @@
   void recordLoss(const Call &C, const InstanceId &At, TimePoint Sent);
   void recordEnd(const InstanceId &At, InstanceTable::End Outcome,
                  bool WasAnswering);
-  static bool mayHoldAnswer(Call &C);
+  static bool reserveBuffered(Call &C);
   static std::string takeNewEvents(Call &C);
   static asio::awaitable<bool> writeNewEvents(Call &C);
   bool mayRetry(Call &C, AttemptOutcome Outcome);
