Say in comments what bounds of responses apply to

Names in the HTTP client follow: closeEndless(), m_ExpectsNext. No behaviour changes. Checked by compiling the files alone; no test was run.

--- a/src/adapters/engine-http.cc
+++ b/src/adapters/engine-http.cc
@@ -12,7 +12,7 @@
 /// An engine that does not return its status within this time cannot serve
 /// requests either.
 constexpr std::chrono::milliseconds StatusTimeout{2'000};
-/// Bound on a status, and on what an order is answered with.
+/// Bound on the body of a status, and of the answer to an order.
 constexpr std::size_t MaxStatusBytes = std::size_t{1024} * 1024;
 constexpr CallLimits StatusLimits{.m_ConnectTimeout =
                                       std::chrono::milliseconds(1'000),
--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -17,9 +17,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds EngineConnectTimeout{500};
-/// Answers of the agent's upstream name no request, so that a late one could be
-/// taken for the next one's. Each request gets a connection of its own, which
-/// is local.
+/// Answers of the agent's upstream name no request: on a reused connection, a
+/// late one would be taken for the answer to the next request. Connections to
+/// the upstream are local, so that a new one for each request costs little.
 constexpr std::chrono::milliseconds NoReuse{0};
 constexpr std::size_t MaxServiceAnswerBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t MaxRefusalBytes = std::size_t{64} * 1024;
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -30,9 +30,10 @@
 constexpr std::uint32_t MaxHeadBytes = 16 * 1024;
 /// Bound on what frames a body: the line before a chunk, or the trailers.
 constexpr std::size_t MaxFramingBytes = std::size_t{16} * 1024;
-/// Bound on a response to another request that is read to get at the next one.
+/// Bound on the body of a response that is skipped to read the next one.
 constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
-/// Interim responses before the final one; a server sends one or two.
+/// Bound on the interim responses (1xx) before the final one; a server sends
+/// one or two.
 constexpr int MaxInterimResponses = 16;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned StatusSwitchingProtocols = 101;
@@ -59,7 +60,7 @@
                detail::isClosedByPeer(Ec)};
 }
 
-/// Time until then, and at least a moment.
+/// Time left until End, at least 1 ms.
 std::chrono::milliseconds timeUntil(std::chrono::steady_clock::time_point End) {
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       End - std::chrono::steady_clock::now());
@@ -87,7 +88,8 @@
     startParser();
   }
 
-  /// Reads the head of the final response, within one time for all heads.
+  /// Reads the head of the final response. The time limit covers the interim
+  /// responses before it as well.
   asio::awaitable<boost::system::error_code> readHeader() {
     m_Headers = {};
     m_Connection->m_Deadline.expiresAfter(m_Limits.m_FirstByte);
@@ -127,10 +129,10 @@
       if (Fault)
         co_return outcomeUnknown(m_Key.m_Address, Fault);
       if (!Piece.empty() && std::chrono::steady_clock::now() > End)
-        co_return tooMuch("the body does not end in time");
+        co_return closeEndless("the body does not end in time");
       if (!Piece.empty())
         co_return Piece;
-      if (m_Parser->is_done() && m_KeepsForNext)
+      if (m_Parser->is_done() && m_ExpectsNext)
         break;
       if (m_Parser->is_done()) {
         finish();
@@ -139,12 +141,13 @@
         break;
       }
       Connection &From = *m_Connection;
-      // Bytes that are there already do not wait for a timer.
+      // Received bytes are read without waiting, so that the timer alone would
+      // not end a body whose bytes keep arriving.
       const auto Now = std::chrono::steady_clock::now();
       if (Now >= End)
-        co_return tooMuch("the body does not end in time");
+        co_return closeEndless("the body does not end in time");
       if (From.m_Buffer.size() > MaxFramingBytes)
-        co_return tooMuch("the framing of the body does not end");
+        co_return closeEndless("the framing of the body does not end");
       From.m_Deadline.expiresAfter(End - Now);
       auto [Ec, Bytes] = co_await From.m_Socket.async_read_some(
           From.m_Buffer.prepare(From.m_ReadBytes), UseAwaitable);
@@ -178,16 +181,16 @@
         co_return true;
       Discarded += Piece->size();
       if (Discarded > MaxBytes)
-        co_return tooMuch("the body that is discarded is too long");
+        co_return closeEndless("the body that is discarded is too long");
     }
   }
 
   asio::awaitable<Outcome<bool>>
   readNext(std::chrono::milliseconds Limit) override {
     const auto End = std::chrono::steady_clock::now() + Limit;
-    m_KeepsForNext = true;
+    m_ExpectsNext = true;
     const auto Discarded = co_await discardRest(MaxSkippedBytes, Limit);
-    m_KeepsForNext = false;
+    m_ExpectsNext = false;
     if (!Discarded)
       co_return Discarded.error();
     m_BodyEnd.reset();
@@ -216,7 +219,8 @@
   }
 
 private:
-  /// When the next read must have ended.
+  /// Deadline of a read that begins now: that of the read or, if earlier, that
+  /// of the body, which starts with the first read.
   std::chrono::steady_clock::time_point readEnd() {
     const auto Now = std::chrono::steady_clock::now();
     if (m_Limits.m_BodyTimeout && !m_BodyEnd)
@@ -231,12 +235,13 @@
     m_Parser->body_limit(boost::none);
   }
 
-  /// Ends the connection of a response that has no end.
-  Error tooMuch(const char *What) {
+  /// Closes the connection of a response that exceeds a bound. The reason
+  /// becomes the end of the error's message.
+  Error closeEndless(const char *Reason) {
     countEndlessAnswer();
     m_Connection.reset();
     m_EndError =
-        Error{ErrorCode::Timeout, m_Key.m_Address + ": " + std::string(What)};
+        Error{ErrorCode::Timeout, m_Key.m_Address + ": " + std::string(Reason)};
     return *m_EndError;
   }
 
@@ -295,8 +300,8 @@
   std::optional<http::response_parser<http::buffer_body>> m_Parser;
   HttpHeaders m_Headers;
   bool m_Cancelled = false;
-  bool m_KeepsForNext = false; ///< the next response is wanted
-  /// When the body must have been read; set when its reading begins.
+  bool m_ExpectsNext = false; ///< keeps the connection for the next response
+  /// Deadline of the body; set by its first read.
   std::optional<std::chrono::steady_clock::time_point> m_BodyEnd;
   CallCancel m_CheckCancel;
   std::optional<Error> m_EndError; ///< why the body may not be complete
