--- a/test/answer-meaning-test.cc
+++ b/test/answer-meaning-test.cc
@@ -13,14 +13,17 @@
 
 constexpr unsigned StatusMisdirected = 421;
 
+/// Number of values of the four flags of a head.
+constexpr unsigned FlagCombinations = 16;
+
+/// Heads with one status of each kind, and all values of the other members.
 std::vector<AnswerHead> allHeads() {
   std::vector<AnswerHead> Out;
   for (const unsigned Status :
        {200U, 204U, 301U, 400U, 404U, 408U, 421U, 429U, 500U, 503U, 504U})
     for (const auto Names : {AnsweredRequest::This, AnsweredRequest::Another,
                              AnsweredRequest::None})
-      for (const unsigned Flags : {0U, 1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U, 9U, 10U,
-                                   11U, 12U, 13U, 14U, 15U}) {
+      for (unsigned Flags = 0; Flags < FlagCombinations; ++Flags) {
         AnswerHead Head;
         Head.m_Status = Status;
         Head.m_Names = Names;
@@ -68,6 +71,7 @@
     }
 }
 
+/// A rule that doubts too much would replace sound answers by 502.
 TEST(AnswerMeaning, AnswersOfThisRequestAreForwarded) {
   for (const AnswerHead &Head : allHeads())
     if (Head.m_Names == AnsweredRequest::This && !Head.m_IsPromise &&
--- a/test/byte-budget-test.cc
+++ b/test/byte-budget-test.cc
@@ -1,4 +1,4 @@
-// How much answers may hold together.
+// The common bound on the bytes of many answers.
 #include "deckpitch/byte-budget.h"
 
 #include <gtest/gtest.h>
@@ -23,6 +23,7 @@
   EXPECT_EQ(Budget.used(), 1'500U);
 }
 
+/// Large answers that used up the budget would end small, sound ones.
 TEST(ByteBudget, LargeAnswersLeaveSmallOnesTheirAllowance) {
   ByteBudget Budget(900);
   BudgetShare Large(Budget, Bounds);
@@ -33,6 +34,7 @@
   EXPECT_FALSE(Small.back().hold(101));
 }
 
+/// A single answer could use up the whole budget.
 TEST(ByteBudget, OneAnswerHasABoundOfItsOwn) {
   ByteBudget Budget(1'000'000);
   BudgetShare Share(Budget, Bounds);
@@ -40,6 +42,7 @@
   EXPECT_FALSE(Share.hold(1'001));
 }
 
+/// Bytes that stayed charged would end all answers in the end.
 TEST(ByteBudget, BytesThatWereForwardedAreFreeAgain) {
   ByteBudget Budget(900);
   {
--- a/test/endless-response-test.cc
+++ b/test/endless-response-test.cc
@@ -20,8 +20,9 @@
 namespace {
 
 constexpr std::size_t MiB = std::size_t{1024} * 1024;
-/// What the client reads at most, with what the kernels buffer.
-constexpr std::size_t MostBytes = 16 * MiB;
+/// Bound on what a server can send: the 1 MiB that the client reads, and what
+/// the kernels buffer.
+constexpr std::size_t MaxSentBytes = 16 * MiB;
 constexpr CallLimits Limits{.m_ConnectTimeout = 10s,
                             .m_FirstByte = 60s,
                             .m_ReadTimeout = 60s,
@@ -65,7 +66,8 @@
   std::jthread m_Thread;
 };
 
-std::string many(const std::string &Unit) {
+/// Repeats the unit to 64 KiB.
+std::string repeat(const std::string &Unit) {
   std::string Out;
   while (Out.size() < 64 * 1024)
     Out += Unit;
@@ -75,6 +77,7 @@
 const std::string Chunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// A response that begins once and goes on with the same bytes.
 struct EndlessResponse {
   std::string m_Name;
   std::string m_Begin;
@@ -83,13 +86,13 @@
 
 std::vector<EndlessResponse> endlessResponses() {
   return {
-      {"field", "HTTP/1.1 200 OK\r\nX: ", many("x")},
-      {"fields", "HTTP/1.1 200 OK\r\n", many("X: y\r\n")},
-      {"interim", "", many("HTTP/1.1 100 Continue\r\n\r\n")},
-      {"body", "HTTP/1.1 200 OK\r\n\r\n", many("x")},
-      {"chunks", Chunked, many("1\r\nx\r\n")},
-      {"chunk extension", Chunked + "1;x=", many("x")},
-      {"trailers", Chunked + "1\r\na\r\n0\r\n", many("X: y\r\n")},
+      {"field", "HTTP/1.1 200 OK\r\nX: ", repeat("x")},
+      {"fields", "HTTP/1.1 200 OK\r\n", repeat("X: y\r\n")},
+      {"interim", "", repeat("HTTP/1.1 100 Continue\r\n\r\n")},
+      {"body", "HTTP/1.1 200 OK\r\n\r\n", repeat("x")},
+      {"chunks", Chunked, repeat("1\r\nx\r\n")},
+      {"chunk extension", Chunked + "1;x=", repeat("x")},
+      {"trailers", Chunked + "1\r\na\r\n0\r\n", repeat("X: y\r\n")},
   };
 }
 
@@ -101,7 +104,7 @@
     const auto Answer =
         callAndWait(Server.address(), HttpRequest{"POST", "/", {}, {}}, Limits);
     EXPECT_FALSE(Answer);
-    EXPECT_LT(Server.sentBytes(), MostBytes);
+    EXPECT_LT(Server.sentBytes(), MaxSentBytes);
   }
 }
 
--- a/test/send-record-test.cc
+++ b/test/send-record-test.cc
@@ -47,6 +47,7 @@
       }
 }
 
+/// A request must not be reported as not run while its send is under way.
 TEST(SendRecord, ProvesNothingWhileASendIsOpen) {
   SendRecord Sends;
   EXPECT_TRUE(Sends.proofOfNotRun());
@@ -68,6 +69,7 @@
   EXPECT_EQ(Sends.rejections(), 1U);
 }
 
+/// Attempts that wrote nothing must not use up the sends of a route.
 TEST(SendRecord, CountsOnlySendsThatMayHaveArrived) {
   const SendRecord Sends = recordOf(
       {SendEnd::Unsent, SendEnd::Rejected, SendEnd::Unsent, SendEnd::Unknown});
