--- a/support/soak/overload.py
+++ b/support/soak/overload.py
@@ -27,13 +27,14 @@
 
 SLOTS, QUEUE = 6, 24
 DEADLINE_MS, ROUTE_TIMEOUT_MS = 1500, 800
-TURN_S = 5.0  # copies come in turns, with as long a rest between
+CALL_TIMEOUT_S = 3.0  # longer than each deadline
+COPY_PERIOD_S = 5.0  # copies are sent in every other period
 PROMISES = (408, 421, 429, 503)
-READY_S = 30.0
+READY_TIMEOUT_S = 30.0
 
 
 class Service:
-    """What all instances ran and all callers were told."""
+    """What all instances ran, and the status that each caller got."""
 
     def __init__(self):
         self.runs = Counter()
@@ -75,8 +76,8 @@
                 "version": "v1", "coldLeftMs": 0, "seq": 1, "state": "ready"}
 
     def _sends_copies(self):
-        is_turn = time.monotonic() % (2 * TURN_S) < TURN_S
-        return is_turn and self.number <= self._options.copying
+        is_copy_period = time.monotonic() % (2 * COPY_PERIOD_S) < COPY_PERIOD_S
+        return is_copy_period and self.number <= self._options.copying
 
     async def _answer(self, request, writer):
         copy = self._copies.pop(writer, None)
@@ -90,12 +91,12 @@
 
     async def _work(self, request, writer):
         attempt = request.headers.get("attempt-id", "")
-        told = {"Attempt-Id": attempt}
+        headers = {"Attempt-Id": attempt}
         if request.headers.get("target-instance") not in (None, self.id):
-            return Answer(421, {**told, "Not-Executed": "1"})
+            return Answer(421, {**headers, "Not-Executed": "1"})
         if self._inside >= SLOTS + QUEUE:
             self._service.counts["rejections"] += 1
-            return Answer(503, {**told, "Not-Executed": "1"})
+            return Answer(503, {**headers, "Not-Executed": "1"})
         self._inside += 1
         try:
             async with self._slots:
@@ -103,16 +104,16 @@
                 await asyncio.sleep(self._work_s * self._random.uniform(0.5, 1.5))
         finally:
             self._inside -= 1
-        told["Response-Seal"] = f"seal.{attempt}"
+        headers["Response-Seal"] = f"seal.{attempt}"
         if self.number <= self._options.copying and self._random.random() < self._options.endless:
             self._service.counts["endless"] += 1
-            name, begin, repeated = self._random.choice(faulty_answers.endless(told))
+            name, begin, repeated = self._random.choice(faulty_answers.endless(headers))
             await faulty_answers.send_endlessly(name, begin, repeated, writer, self._service)
             raise ConnectionError
         if self._random.random() < self._options.unmarked:
             self._service.counts["unmarked 503"] += 1
-            return Answer(503, told)
-        return Answer(200, told, f"done {attempt}".encode())
+            return Answer(503, headers)
+        return Answer(200, headers, f"done {attempt}".encode())
 
 
 def config():
@@ -137,7 +138,7 @@
 
 async def wait_until_ready(count):
     for number in range(1, count + 1):
-        end = time.monotonic() + READY_S
+        end = time.monotonic() + READY_TIMEOUT_S
         while True:
             answer = await call(addresses.entry(number), soak.READY, "GET", "/v1/ready", limit=2.0)
             if answer is not None and answer.status == 200:
@@ -148,8 +149,8 @@
 
 
 async def run_caller(number, service, options, end):
-    """Sends one request after the other, each with an id of its own. A refused
-    one comes back once, as callers do: under another id."""
+    """Sends one request after the other, each with an id of its own. Repeats a
+    refused one once, under another id."""
     choose = random.Random(f"{options.seed} caller {number}")
     count = 0
     while time.monotonic() < end:
@@ -158,7 +159,8 @@
             headers = {"Attempt-Id": attempt, "Deadline-Ms": str(DEADLINE_MS),
                        "Authorization": f"Token {soak.KEY}"}
             begin = time.monotonic()
-            answer = await call(host, soak.CALLERS, "POST", "/once/x", headers, b"lot", 3.0)
+            answer = await call(host, soak.CALLERS, "POST", "/once/x", headers, b"lot",
+                                CALL_TIMEOUT_S)
             if answer and answer.status == 200:
                 service.seconds.append(time.monotonic() - begin)
             service.answers[attempt] = answer.status if answer and answer.whole else 0
@@ -186,7 +188,7 @@
         end = time.monotonic() + options.seconds
         await asyncio.gather(*(run_caller(i, service, options, end)
                                for i in range(options.callers)))
-        await asyncio.sleep(2.0)  # for what still runs
+        await asyncio.sleep(2.0)  # longer than the deadline of requests that still run
         service.counts["entries that ended"] = sum(not each.is_running() for each in daemons)
         running = [each for each in daemons if each.is_running()]
         print("memory of the largest entry, MB:", round(max(each.memory_mb() for each in running)))
