Split the log line and the verdict on the instance from attempt()

endOf() names each outcome, so that a new one is not missed by a condition. The order of the steps, the line and the counters are the same.

Checked by compiling the file alone; no test was run.

--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -109,16 +109,37 @@
     m_Harmful.answered(C.m_Fingerprint);
   if (How == AttemptOutcome::Delivered)
     recordSound(C);
-  using End = InstanceTable::End;
-  const bool IsBad =
-      How == AttemptOutcome::Unreachable || How == AttemptOutcome::Lost ||
-      How == AttemptOutcome::Broken || How == AttemptOutcome::Failed ||
-      How == AttemptOutcome::Unproven;
-  recordEnd(Chosen.m_Instance,
-            How == AttemptOutcome::Delivered ? End::Good
-            : IsBad                          ? End::Failed
-                                             : End::Neutral,
-            C.m_IsAnswering);
+  recordEnd(Chosen.m_Instance, endOf(How), C.m_IsAnswering);
+  logAttempt(C, Chosen, How, ListAgeMs);
+  if (How == AttemptOutcome::Delivered)
+    answers("answered").add();
+  if (How == AttemptOutcome::Gone)
+    answers("abandoned").add();
+  co_return How;
+}
+
+/// What the outcome of an attempt says about its instance.
+InstanceTable::End EntryRequests::endOf(AttemptOutcome Outcome) {
+  switch (Outcome) {
+  case AttemptOutcome::Delivered:
+    return InstanceTable::End::Good;
+  case AttemptOutcome::Unreachable:
+  case AttemptOutcome::Failed:
+  case AttemptOutcome::Unproven:
+  case AttemptOutcome::Lost:
+  case AttemptOutcome::Broken:
+    return InstanceTable::End::Failed;
+  case AttemptOutcome::Gone:
+  case AttemptOutcome::NotRun:
+    break;
+  }
+  return InstanceTable::End::Neutral;
+}
+
+/// Logs the end of an attempt. The age of the list of instances is the one at
+/// its begin.
+void EntryRequests::logAttempt(const Call &C, const InstanceChoice &Chosen,
+                               AttemptOutcome How, std::uint64_t ListAgeMs) {
   net::log(How == AttemptOutcome::Delivered ? Event::RequestAnswered
            : How == AttemptOutcome::Gone    ? Event::RequestAbandoned
                                             : Event::AttemptEnded,
@@ -149,11 +170,6 @@
             {"firstMs", msOf(C.m_FirstByte)},
             {"leftMs", msOf(C.m_Deadline - now())},
             {"afterMs", msOf(now() - C.m_Start)}});
-  if (How == AttemptOutcome::Delivered)
-    answers("answered").add();
-  if (How == AttemptOutcome::Gone)
-    answers("abandoned").add();
-  co_return How;
 }
 
 /// Whether another instance could take the request. If none can, ending a slow
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -97,6 +97,9 @@
 
   /// Name of an outcome for log lines.
   static const char *outcomeName(AttemptOutcome Outcome);
+  static InstanceTable::End endOf(AttemptOutcome Outcome);
+  static void logAttempt(const Call &C, const InstanceChoice &Chosen,
+                         AttemptOutcome How, std::uint64_t ListAgeMs);
 
   asio::awaitable<void> serve(Call &C);
   asio::awaitable<void> rejectUnknown(Call &C, FailureStatus Status,
