Count every answer that exceeds a bound, in one place

The deadline of a plain answer, a head past its bound after a skipped answer and more than eight answers to other requests were not counted. The dump shows the bytes of buffered answers (heldAnswerBytes).

--- a/include/deckpitch/answer-meaning.h
+++ b/include/deckpitch/answer-meaning.h
@@ -14,8 +14,8 @@
 /// that was sent has run.
 struct AnswerHead {
   unsigned m_Status = 0; ///< HTTP status; 0: no head was received
-  AnsweredRequest m_Names = AnsweredRequest::None;
-  bool m_SaysNotRun = false; ///< marked as not run
+  AnsweredRequest m_Names = AnsweredRequest::None; ///< as its own request
+  bool m_SaysNotRun = false;                       ///< marked as not run
   /// A caller that got this status would take its request for one that has not
   /// run and will not.
   bool m_IsPromise = false;
@@ -40,8 +40,9 @@
   Unnamed  ///< it names no request, and may belong to an earlier one
 };
 
-/// Asks first whose answer it is, and only then what it says: a rejection that
-/// arrives late, or twice, says nothing about this request.
+/// Returns what an answer with that head says about the request. Whose answer
+/// it is comes first: a rejection that arrives late, or twice, says nothing
+/// about this request.
 AnswerMeaning meaningOf(const AnswerHead &Head);
 
 /// Name of what the answer names, for log lines.
--- a/include/deckpitch/byte-budget.h
+++ b/include/deckpitch/byte-budget.h
@@ -26,7 +26,7 @@
   /// That each answer may hold whatever the others hold, so that large answers
   /// cannot end small ones.
   std::size_t m_Allowance;
-  std::size_t m_Most;
+  std::size_t m_Most; ///< that it may hold altogether
 
   friend bool operator==(const AnswerBounds &, const AnswerBounds &) = default;
 };
@@ -34,8 +34,8 @@
 /// The bytes that one answer holds, as far as they exceed its allowance.
 class BudgetShare {
 public:
-  BudgetShare(ByteBudget &Of, AnswerBounds Bounds)
-      : m_Budget(Of), m_Bounds(Bounds) {}
+  BudgetShare(ByteBudget &Budget, AnswerBounds Bounds)
+      : m_Budget(Budget), m_Bounds(Bounds) {}
   ~BudgetShare() { m_Budget.m_Used -= m_Taken; }
   BudgetShare(const BudgetShare &) = delete;
   BudgetShare &operator=(const BudgetShare &) = delete;
--- a/src/direct/adapter.h
+++ b/src/direct/adapter.h
@@ -63,8 +63,8 @@
   friend bool operator==(const SentRequest &, const SentRequest &) = default;
 };
 
-/// HTTP statuses of an entry's own failures. None of them tells the caller
-/// whether its request has run.
+/// HTTP statuses of an entry's own failures. None of them promises the caller
+/// that its request has not run and will not.
 enum class FailureStatus : unsigned {
   Unauthorized = 401,
   NotFound = 404,
@@ -119,6 +119,8 @@
   /// The request in the form that an instance expects.
   virtual net::HttpRequest toUpstream(const net::HttpRequest &Request,
                                       const UpstreamTerms &Terms) const = 0;
+  /// Reads what the head of an answer to that request says. Never fails: what
+  /// cannot be read is absent.
   virtual AnswerHead readHead(unsigned Status, const net::HttpHeaders &Headers,
                               const SentRequest &Sent) const = 0;
   /// Must not be called for an answer that is WrongInstance, Foreign or
--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -1,6 +1,7 @@
 // Reading of an instance's answer, and forwarding of it to the caller.
 #include "daemon/sleep.h"
 #include "direct/entry-call.h"
+#include "net/endless-answers.h"
 
 #include <boost/asio.hpp>
 
@@ -31,7 +32,7 @@
   if (C.m_Held->hold(C.m_Body.size() + C.m_Events.part().size()))
     return true;
   C.m_ReadError = "the answer exceeds the bound on buffered bytes";
-  net::metrics().counter("deckpitch_endless_answers_total").add();
+  net::countEndlessAnswer();
   return false;
 }
 
@@ -44,6 +45,7 @@
     const milliseconds Left = C.timeLeft();
     if (Left <= milliseconds::zero()) {
       C.m_ReadError = "the answer does not end in time";
+      net::countEndlessAnswer();
       co_return AttemptOutcome::Lost;
     }
     Body.setReadTimeout(Left);
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -1,6 +1,7 @@
 // One attempt at a request: sends it to an instance and forwards the answer.
 #include "direct/entry-call.h"
 #include "direct/rate-limit-log.h"
+#include "net/endless-answers.h"
 #include "net/log.h"
 #include "net/metrics.h"
 
@@ -250,6 +251,8 @@
               {"saysNotRun", std::uint64_t{Head.m_SaysNotRun}},
               {"firstThere", std::uint64_t{Head.m_IsFirstOnConnection}},
               {"skipped", std::uint64_t{IsSkipped}}});
+    if (Foreign == MaxForeignAnswers)
+      net::countEndlessAnswer();
     if (!IsSkipped)
       co_return Error{ErrorCode::Timeout, "the answer is another request's"};
     const auto Left = std::chrono::duration_cast<milliseconds>(End - now());
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -388,6 +388,7 @@
           {"instances", m_Instances.size()},
           {"inFlight", m_Instances.inFlight()},
           {"evacuated", evacuatedNames()},
+          {"heldAnswerBytes", m_Requests.heldAnswerBytes()},
           {"refusedAsHarmful", m_Harmful.refusedCount()},
           {"rateLimited", m_RateLimits.dump(now())},
           {"openRequests", m_CallerServer.openRequests()},
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -1,3 +1,4 @@
+#include "net/endless-answers.h"
 #include "net/http-connection.h"
 #include "net/http.h"
 #include "net/metrics.h"
@@ -67,11 +68,6 @@
   return std::max(Left, std::chrono::milliseconds(1));
 }
 
-/// Counts a response that exceeds a bound on its bytes or on its time.
-void countEndlessAnswer() {
-  metrics().counter("deckpitch_endless_answers_total").add();
-}
-
 } // namespace
 
 struct HttpClient::Impl : detail::ConnectionPool {};
@@ -97,12 +93,17 @@
       auto [Ec, Bytes] = co_await http::async_read_header(
           m_Connection->m_Socket, m_Connection->m_Buffer, *m_Parser,
           UseAwaitable);
+      const bool IsTooLong =
+          Ec == http::error::header_limit ||
+          (!Ec && isInterim() && Interim == MaxInterimResponses);
+      if (IsTooLong) {
+        countEndlessAnswer();
+        co_return http::error::header_limit;
+      }
       if (Ec)
         co_return Ec;
-      if (status() >= FirstFinalStatus || status() == StatusSwitchingProtocols)
+      if (!isInterim())
         break;
-      if (Interim == MaxInterimResponses)
-        co_return http::error::header_limit;
       startParser();
     }
     for (const auto &Field : m_Parser->get())
@@ -219,6 +220,11 @@
   }
 
 private:
+  /// Whether a final response follows this one.
+  bool isInterim() const {
+    return status() < FirstFinalStatus && status() != StatusSwitchingProtocols;
+  }
+
   /// Deadline of a read that begins now: that of the read or, if earlier, that
   /// of the body, which starts with the first read.
   std::chrono::steady_clock::time_point readEnd() {
@@ -356,8 +362,6 @@
     auto Answer = std::make_unique<Stream>(Pool, Key, std::move(Conn), Limits);
     if (!Ec)
       Ec = co_await Answer->readHeader();
-    if (Ec == http::error::header_limit)
-      countEndlessAnswer();
     if (!Ec)
       co_return std::unique_ptr<HttpStream>(std::move(Answer));
     const bool Closed =
