--- a/include/deckpitch/event-stream.h
+++ b/include/deckpitch/event-stream.h
@@ -26,23 +26,31 @@
   void add(std::string_view Bytes) { m_Pending += Bytes; }
   std::optional<StreamEvent> next();
   /// Whether part of an incomplete event is buffered.
-  bool hasPartialEvent() const { return !m_Pending.empty(); }
-  /// The buffered part of the incomplete event.
-  const std::string &part() const { return m_Pending; }
+  bool hasPartialEvent() const { return !part().empty(); }
+  /// The buffered bytes that were not taken: once next() finds no event, the
+  /// part of the incomplete one. Valid until the next call.
+  std::string_view part() const {
+    return std::string_view(m_Pending).substr(m_Taken);
+  }
   /// Whether a complete event is buffered.
-  bool hasEvent() const { return completeBytes() > 0; }
+  bool hasEvent() const { return completeBytes() > m_Taken; }
   /// Number of buffered bytes after the last complete event; 0 if these are
   /// line ends only, which belong to no event.
   std::size_t partialBytes() const;
   void clear() {
     m_Pending.clear();
+    m_Taken = 0;
     m_Searched = 0;
   }
 
 private:
   std::size_t completeBytes() const;
+  std::optional<std::size_t> findEventEnd() const;
 
   std::string m_Pending;
+  /// Leading bytes of events that were taken. They are erased once for all, as
+  /// erasing each event moves the rest of the buffer.
+  std::size_t m_Taken = 0;
   std::size_t m_Searched = 0; ///< leading bytes without an end of an event
 };
 
--- a/src/adapters/platform-http.cc
+++ b/src/adapters/platform-http.cc
@@ -17,9 +17,14 @@
 /// Longer than the interval between the platform's bookmarks, so a watch that
 /// receives nothing for so long is dead.
 constexpr std::chrono::milliseconds WatchTimeout{30'000};
-constexpr CallLimits ExchangeLimits{std::chrono::milliseconds(1'000),
-                                    std::chrono::milliseconds(3'000),
-                                    std::chrono::milliseconds(3'000)};
+/// Bound on a list of objects.
+constexpr std::size_t MaxAnswerBytes = std::size_t{32} * 1024 * 1024;
+constexpr CallLimits ExchangeLimits{
+    .m_ConnectTimeout = std::chrono::milliseconds(1'000),
+    .m_FirstByte = std::chrono::milliseconds(3'000),
+    .m_ReadTimeout = std::chrono::milliseconds(3'000),
+    .m_BodyTimeout = std::chrono::milliseconds(30'000),
+    .m_BodyBytes = MaxAnswerBytes};
 
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusConflict = 409;
--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -27,6 +27,7 @@
 constexpr unsigned WeightsConflict = 409;
 constexpr unsigned QueueFull = 429;
 constexpr unsigned NoWeights = 503;
+constexpr unsigned RequestTimedOut = 408;
 constexpr unsigned FirstServerError = 500;
 
 std::uint64_t firstIndexOf(const std::string &Body) {
@@ -136,7 +137,8 @@
   RequestOutcome Outcome = RequestOutcome::Answered;
   if (provesNotRun(Response.m_Status))
     Outcome = RequestOutcome::NotRun;
-  else if (Response.m_Status >= FirstServerError)
+  else if (Response.m_Status >= FirstServerError ||
+           Response.m_Status == RequestTimedOut)
     Outcome = RequestOutcome::Unknown;
   Response.m_Headers.add(header::ContentType, "application/json");
   Response.m_Headers.add(header::Outcome, std::string(toText(Outcome)));
--- a/src/daemon/call-headers.h
+++ b/src/daemon/call-headers.h
@@ -44,7 +44,7 @@
 namespace deckpitch::daemon {
 
 /// Bound on a stream of tokens from its first one, whatever its deadline.
-inline constexpr std::chrono::milliseconds MaxStreamTime{600'000};
+inline constexpr std::chrono::milliseconds MaxStreamTime{3'600'000};
 
 inline std::chrono::milliseconds milliseconds(Duration Value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value);
--- a/src/daemon/cancel-request.cc
+++ b/src/daemon/cancel-request.cc
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds CancelTimeout{1'000};
+constexpr std::size_t MaxAnswerBytes = std::size_t{64} * 1024;
 
 } // namespace
 
@@ -15,7 +16,9 @@
   Cancel.m_Target = "/v1/requests/" + RequestId;
   const net::CallLimits Limits{.m_ConnectTimeout = CancelTimeout,
                                .m_FirstByte = CancelTimeout,
-                               .m_ReadTimeout = CancelTimeout};
+                               .m_ReadTimeout = CancelTimeout,
+                               .m_BodyTimeout = CancelTimeout,
+                               .m_BodyBytes = MaxAnswerBytes};
   co_await In.m_Http.call(std::move(Address), std::move(Cancel), Limits);
 }
 
--- a/src/daemon/entry-chat.cc
+++ b/src/daemon/entry-chat.cc
@@ -22,6 +22,8 @@
 /// Bytes of the messages whose hash selects an upstream, for prefix caching.
 constexpr std::size_t PrefixBytes = 256;
 constexpr std::size_t MaxForwardedBytes = std::size_t{1024} * 1024;
+/// Bound on the text of an answer that is not streamed.
+constexpr std::size_t MaxContentBytes = std::size_t{8} * 1024 * 1024;
 constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
 
 std::uint64_t prefixHashOf(const boost::json::object &Body) {
@@ -264,7 +266,8 @@
     const bool Delivered = co_await deliver(Step);
     if (!Delivered)
       m_CallerGone = true;
-    if (m_CallerGone || Step.m_Fault != StreamFault::None)
+    const bool IsTooLong = m_Content.size() > MaxContentBytes;
+    if (m_CallerGone || Step.m_Fault != StreamFault::None || IsTooLong)
       co_return AttemptEnd::Lost;
   }
 }
--- a/src/daemon/entry-keyed.cc
+++ b/src/daemon/entry-keyed.cc
@@ -13,9 +13,14 @@
 constexpr std::chrono::milliseconds QueryTimeout{500};
 constexpr std::chrono::milliseconds KeyedRetryAfter{500};
 constexpr std::chrono::seconds MaxTicketAge{5};
+/// For the stored answer of an earlier run, which comes with the reply.
+constexpr std::chrono::milliseconds StoredAnswerTimeout{10'000};
+constexpr std::size_t MaxStoredAnswerBytes = std::size_t{8} * 1024 * 1024;
 constexpr net::CallLimits QueryLimits{.m_ConnectTimeout = QueryTimeout,
                                       .m_FirstByte = QueryTimeout,
-                                      .m_ReadTimeout = QueryTimeout};
+                                      .m_ReadTimeout = QueryTimeout,
+                                      .m_BodyTimeout = StoredAnswerTimeout,
+                                      .m_BodyBytes = MaxStoredAnswerBytes};
 
 KeyedResult resultOf(RequestOutcome Outcome, std::string Reason) {
   return {.m_Outcome = Outcome,
--- a/src/daemon/entry-service.cc
+++ b/src/daemon/entry-service.cc
@@ -115,7 +115,8 @@
   const net::CallLimits Limits{.m_FirstByte = Limit,
                                .m_ReadTimeout = Limit,
                                .m_BodyTimeout = Limit,
-                               .m_BodyBytes = MaxAnswerBytes};
+                               .m_BodyBytes = MaxAnswerBytes,
+                               .m_RetriesGet = false};
   auto Got = co_await m_Context.m_Process.m_Http.call(
       To.m_Address, std::move(Request), Limits);
   if (!Got) {
--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -152,16 +152,16 @@
       recordSound(C);
     if (!IsEnd)
       C.m_Events.add(*Piece);
-    std::string Ready;
-    // Events are held back: the other instance continues after the last one
-    // that the caller has.
-    if (!C.m_Handover)
-      Ready = takeNewEvents(C);
+    // Before any event is taken: another instance continues after the last one
+    // that was.
     if (!reserveBuffered(C))
       co_return C.m_Answer.started() ? AttemptOutcome::Broken
                                      : AttemptOutcome::Lost;
+    // Events are held back: the other instance continues after the last one
+    // that the caller has.
     if (C.m_Handover)
       continue;
+    std::string Ready = takeNewEvents(C);
     if (IsEnd) {
       // Line ends after the last event, if anything.
       Ready += C.m_Events.part();
@@ -176,6 +176,7 @@
       if (!co_await C.m_Answer.write(Ready))
         co_return AttemptOutcome::Gone;
     }
+    reserveBuffered(C); // The written events are free.
     if (IsEnd)
       co_return co_await C.m_Answer.end() ? AttemptOutcome::Delivered
                                           : AttemptOutcome::Gone;
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -110,6 +110,10 @@
     m_Harmful.answered(C.m_Fingerprint);
   if (How == AttemptOutcome::Delivered)
     recordSound(C);
+  // Only a failure's body may still be forwarded.
+  if (How != AttemptOutcome::Failed)
+    C.m_Body = {};
+  C.m_Held->hold(C.m_Body.size() + C.m_Events.part().size());
   recordEnd(Chosen.m_Instance, endOf(How), C.m_IsAnswering);
   logAttempt(C, Chosen, How, ListAgeMs);
   if (How == AttemptOutcome::Delivered)
@@ -347,7 +351,6 @@
   const auto Own = co_await findOwnAnswer(C, Chosen.m_Instance, Body,
                                           Out.m_Sent + Limits.m_FirstByte);
   if (!Own) {
-    Out.m_Head = readHead(C, Chosen.m_Instance, Body);
     Out.m_IsPeerEnd = Own.error().m_IsPeerEnd;
     Out.m_ReadError = Own.error().m_Message;
     Cancel.onCancel(nullptr);
--- a/src/kernel/event-stream.cc
+++ b/src/kernel/event-stream.cc
@@ -34,7 +34,8 @@
 
 } // namespace
 
-/// Number of buffered bytes up to the end of the last complete event.
+/// Number of buffered bytes up to the end of the last complete event, with
+/// those that were taken.
 std::size_t EventStreamSplitter::completeBytes() const {
   std::size_t Last = 0;
   for (const std::string_view End : Ends) {
@@ -46,26 +47,35 @@
 }
 
 std::size_t EventStreamSplitter::partialBytes() const {
-  const std::size_t Complete = completeBytes();
+  const std::size_t Complete = std::max(completeBytes(), m_Taken);
   const bool HasText =
       m_Pending.find_first_not_of("\r\n", Complete) != std::string::npos;
   return HasText ? m_Pending.size() - Complete : 0;
 }
 
+/// Position after the blank line that ends the first event that was not
+/// searched yet.
+std::optional<std::size_t> EventStreamSplitter::findEventEnd() const {
+  const std::string_view All = m_Pending;
+  for (std::size_t At = All.find('\n', m_Searched); At != std::string::npos;
+       At = All.find('\n', At + 1))
+    for (const std::string_view End : Ends)
+      if (All.substr(At).starts_with(End))
+        return At + End.size();
+  return std::nullopt;
+}
+
 std::optional<StreamEvent> EventStreamSplitter::next() {
-  std::size_t Cut = std::string::npos;
-  for (const std::string_view End : Ends) {
-    const std::size_t At = m_Pending.find(End, m_Searched);
-    if (At != std::string::npos)
-      Cut = std::min(Cut, At + End.size());
-  }
-  if (Cut == std::string::npos) {
+  const std::optional<std::size_t> End = findEventEnd();
+  if (!End) {
+    m_Pending.erase(0, m_Taken);
+    m_Taken = 0;
     m_Searched = m_Pending.size() - std::min(m_Pending.size(), LongestEnd - 1);
     return std::nullopt;
   }
-  StreamEvent Event{m_Pending.substr(0, Cut), std::nullopt};
-  m_Pending.erase(0, Cut);
-  m_Searched = 0;
+  StreamEvent Event{m_Pending.substr(m_Taken, *End - m_Taken), std::nullopt};
+  m_Taken = *End;
+  m_Searched = *End;
   Event.m_Id = idOf(Event.m_Bytes);
   return Event;
 }
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -33,9 +33,10 @@
 constexpr std::size_t MaxFramingBytes = std::size_t{16} * 1024;
 /// Bound on the body of a response that is skipped to read the next one.
 constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
-/// Bound on the interim responses (1xx) before the final one; a server sends
-/// one or two.
-constexpr int MaxInterimResponses = 16;
+/// Bound on all interim responses (1xx) before the final one. A server may send
+/// one now and then to show that it is at work.
+constexpr std::size_t MaxInterimBytes = std::size_t{64} * 1024;
+constexpr unsigned FirstInterimStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned StatusSwitchingProtocols = 101;
 
@@ -89,19 +90,23 @@
   asio::awaitable<boost::system::error_code> readHeader() {
     m_Headers = {};
     m_Connection->m_Deadline.expiresAfter(m_Limits.m_FirstByte);
-    for (int Interim = 0;; ++Interim) {
+    std::size_t InterimBytes = 0;
+    while (true) {
       auto [Ec, Bytes] = co_await http::async_read_header(
           m_Connection->m_Socket, m_Connection->m_Buffer, *m_Parser,
           UseAwaitable);
+      InterimBytes += Bytes;
       const bool IsTooLong =
           Ec == http::error::header_limit ||
-          (!Ec && isInterim() && Interim == MaxInterimResponses);
+          (!Ec && isInterim() && InterimBytes > MaxInterimBytes);
       if (IsTooLong) {
         countEndlessAnswer();
         co_return http::error::header_limit;
       }
       if (Ec)
         co_return Ec;
+      if (isMalformed())
+        co_return http::error::bad_status;
       if (!isInterim())
         break;
       startParser();
@@ -174,6 +179,8 @@
     const auto End = std::chrono::steady_clock::now() + Limit;
     std::size_t Discarded = 0;
     while (true) {
+      if (std::chrono::steady_clock::now() >= End)
+        co_return close("the body that is discarded does not end in time");
       setReadTimeout(timeUntil(End));
       const auto Piece = co_await read();
       if (!Piece)
@@ -221,8 +228,12 @@
 
 private:
   /// Whether a final response follows this one.
-  bool isInterim() const {
-    return status() < FirstFinalStatus && status() != StatusSwitchingProtocols;
+  bool isInterim() const { return status() < FirstFinalStatus; }
+
+  /// Whether the status is none, or one that nothing has asked for.
+  bool isMalformed() const {
+    return status() < FirstInterimStatus ||
+           status() == StatusSwitchingProtocols;
   }
 
   /// Deadline of a read that begins now: that of the read or, if earlier, that
@@ -245,6 +256,10 @@
   /// becomes the end of the error's message.
   Error closeEndless(const char *Reason) {
     countEndlessAnswer();
+    return close(Reason);
+  }
+
+  Error close(const char *Reason) {
     m_Connection.reset();
     m_EndError =
         Error{ErrorCode::Timeout, m_Key.m_Address + ": " + std::string(Reason)};
@@ -391,7 +406,7 @@
       co_return Response;
     if (Response.m_Body.size() + Piece->size() > Limits.m_BodyBytes) {
       countEndlessAnswer();
-      co_return Error{ErrorCode::InvalidInput,
+      co_return Error{ErrorCode::Timeout,
                       "the answer is larger than the limit"};
     }
     Response.m_Body += *Piece;
--- a/test/event-stream-test.cc
+++ b/test/event-stream-test.cc
@@ -32,6 +32,19 @@
   }
 }
 
+/// Each event that was taken moved the rest of the buffer, and was searched for
+/// in all of it: 64 KiB of blank lines took an entry 9 s.
+TEST(EventStream, ManySmallEventsTakeTimeInProportionToTheirBytes) {
+  constexpr std::size_t Count = 4'000'000;
+  EventStreamSplitter Splitter;
+  Splitter.add(std::string(2 * Count, '\n'));
+  std::size_t Taken = 0;
+  while (Splitter.next())
+    ++Taken;
+  EXPECT_EQ(Taken, Count);
+  EXPECT_FALSE(Splitter.hasPartialEvent());
+}
+
 TEST(EventStream, BuffersIncompleteEvent) {
   EventStreamSplitter Splitter;
   Splitter.add("id: 1\n\nid: 2\ndata: x");
