Let an agent notice that an entry gave its stream up

When an engine sent comments or blank lines without an end, the caller got its outcome after the entry's stall timeout of 5 s, but the agent kept the request in flight, reading at full speed, for up to 600 s, which also delays a change of weights and the agent's leaving. The agent writes nothing for such input, so no write failed, and it took the entry's close for a half-closed client, which may still read. Entries never close one side alone: agents now treat a half-closed connection as disconnected. Entries treat their callers as before.

The fixture of the request path uses the limits of the role, and can add an agent of a given upstream.

--- a/src/daemon/module.h
+++ b/src/daemon/module.h
@@ -22,6 +22,14 @@
 
 namespace deckpitch::daemon {
 
+/// Whether a client of the request port that closes its sending side is gone.
+/// Only entries call agents, and they never close one side alone. Without this
+/// an agent would see that an entry gave a stream up only at its next write,
+/// and an engine that sends only comments causes none.
+constexpr bool halfCloseIsDisconnect(Role Server) {
+  return Server == Role::Agent;
+}
+
 /// State that the modules of one process share. Each snapshot is written by one
 /// module, named in its comment, and may be read by all.
 struct Process {
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -142,6 +142,7 @@
     }
     net::HttpLimits RequestLimits;
     RequestLimits.m_BodyBytes = Value.m_Requests.m_MaxBodyBytes;
+    RequestLimits.m_HalfCloseIsDisconnect = halfCloseIsDisconnect(Value.m_Role);
     m_Requests = std::make_unique<net::HttpServer>(
         m_Threads, Router(std::move(Requests)), RequestLimits);
     net::HttpLimits OperatorLimits;
--- a/test/request-path-fixture.h
+++ b/test/request-path-fixture.h
@@ -32,7 +32,8 @@
         m_Threads,
         [this](net::HttpRequest Request, net::HttpResponder &Answer) {
           return route(std::move(Request), Answer);
-        });
+        },
+        limitsOf(m_Process.m_Settings.m_Role));
     m_Process.m_Addresses.m_Requests = *m_Server->listen("127.0.0.1:0");
     m_Threads.start();
     onControl([this] { (void)m_Module->start(); });
@@ -74,6 +75,12 @@
   }
 
 private:
+  static net::HttpLimits limitsOf(Role Server) {
+    net::HttpLimits Limits;
+    Limits.m_HalfCloseIsDisconnect = daemon::halfCloseIsDisconnect(Server);
+    return Limits;
+  }
+
   asio::awaitable<void> route(net::HttpRequest Request,
                               net::HttpResponder &Answer) {
     const daemon::Route *Best = nullptr;
@@ -292,7 +299,9 @@
     publish();
   }
 
-  void addAgent() {
+  /// Adds an agent of a new fake upstream, or of the server at the address; the
+  /// fake upstream then only gives the weights.
+  void addAgent(const std::string &UpstreamAddress = "") {
     m_Upstreams.push_back(std::make_unique<FakeUpstream>());
     FakeUpstream &Upstream = *m_Upstreams.back();
     Settings Value;
@@ -300,7 +309,8 @@
     Value.m_Instance = {"agent-" + std::to_string(m_Agents.size())};
     Value.m_DataCentre = {"lahore"};
     Value.m_Upstream.m_Kind = m_Kind;
-    Value.m_Upstream.m_Address = Upstream.address();
+    Value.m_Upstream.m_Address =
+        UpstreamAddress.empty() ? Upstream.address() : UpstreamAddress;
     const Incarnation HostIncarnation{100 + m_Agents.size()};
     m_Agents.push_back(std::make_unique<ModuleHost>(Value, HostIncarnation));
     auto Serving = std::make_shared<ServingReport>(servingOf(Upstream));
