Let only a refusal of an engine allow another run under its key

Any status but 200 below 500 counted as never run, so that a repetition under the same key could run again after a 201 or a 408. Found by the review and by the tests of the mode with agents, by reading; no test of its own.

--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -27,6 +27,7 @@
 constexpr unsigned WeightsConflict = 409;
 constexpr unsigned QueueFull = 429;
 constexpr unsigned NoWeights = 503;
+constexpr unsigned FirstClientError = 400;
 constexpr unsigned RequestTimedOut = 408;
 constexpr unsigned FirstServerError = 500;
 
@@ -124,6 +125,14 @@
          Status == NoWeights;
 }
 
+/// Whether the engine has refused the request, so that a repetition under its
+/// key may run. Other statuses than 200 are none that an engine gives.
+static bool isRefusal(unsigned Status) {
+  return provesNotRun(Status) ||
+         (Status >= FirstClientError && Status < FirstServerError &&
+          Status != RequestTimedOut);
+}
+
 asio::awaitable<ForwardEnd>
 EngineForward::forwardRefusal(net::HttpStream &Stream) {
   net::HttpResponse Response;
@@ -144,8 +153,8 @@
   Response.m_Headers.add(header::Outcome, std::string(toText(Outcome)));
   Response.m_Headers.add(header::RequestId, m_Request.m_Id);
   co_await m_Answer.send(std::move(Response));
-  co_return Outcome == RequestOutcome::Unknown ? ForwardEnd::Lost
-                                               : ForwardEnd::NeverRan;
+  co_return isRefusal(Response.m_Status) ? ForwardEnd::NeverRan
+                                         : ForwardEnd::Lost;
 }
 
 asio::awaitable<ForwardEnd>
