--- a/src/daemon/agent-forward.cc
+++ b/src/daemon/agent-forward.cc
@@ -152,9 +152,9 @@
   Response.m_Headers.add(header::ContentType, "application/json");
   Response.m_Headers.add(header::Outcome, std::string(toText(Outcome)));
   Response.m_Headers.add(header::RequestId, m_Request.m_Id);
+  const bool MayRunAgain = isRefusal(Response.m_Status);
   co_await m_Answer.send(std::move(Response));
-  co_return isRefusal(Response.m_Status) ? ForwardEnd::NeverRan
-                                         : ForwardEnd::Lost;
+  co_return MayRunAgain ? ForwardEnd::NeverRan : ForwardEnd::Lost;
 }
 
 asio::awaitable<ForwardEnd>
--- a/test/agent-upstream-test.cc
+++ b/test/agent-upstream-test.cc
@@ -228,7 +228,7 @@
 
 std::string many(const std::string &Unit) {
   std::string Out;
-  while (Out.size() < 64 * 1024)
+  while (Out.size() < std::size_t{64} * 1024)
     Out += Unit;
   return Out;
 }
--- a/test/endless-response-test.cc
+++ b/test/endless-response-test.cc
@@ -66,10 +66,12 @@
   std::jthread m_Thread;
 };
 
+constexpr std::size_t RepeatedBytes = std::size_t{64} * 1024;
+
 /// Repeats the unit to 64 KiB.
 std::string repeat(const std::string &Unit) {
   std::string Out;
-  while (Out.size() < 64 * 1024)
+  while (Out.size() < RepeatedBytes)
     Out += Unit;
   return Out;
 }
