--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -144,12 +144,13 @@
 /// Logs the end of an attempt. The age of the list of instances is the one at
 /// its begin.
 void EntryRequests::logAttempt(const Call &C, const InstanceChoice &Chosen,
-                               AttemptOutcome How, std::uint64_t ListAgeMs) {
-  net::log(How == AttemptOutcome::Delivered ? Event::RequestAnswered
-           : How == AttemptOutcome::Gone    ? Event::RequestAbandoned
-                                            : Event::AttemptEnded,
+                               AttemptOutcome Outcome,
+                               std::uint64_t ListAgeMs) {
+  net::log(Outcome == AttemptOutcome::Delivered ? Event::RequestAnswered
+           : Outcome == AttemptOutcome::Gone    ? Event::RequestAbandoned
+                                                : Event::AttemptEnded,
            {{"request", C.m_Terms.m_AttemptId},
-            {"outcome", outcomeName(How)},
+            {"outcome", outcomeName(Outcome)},
             {"status", std::uint64_t{C.m_Status}},
             {"instance", Chosen.m_Instance.m_Text},
             {"answerStatus", std::uint64_t{C.m_Head.m_Status}},
@@ -291,11 +292,11 @@
   return Limits;
 }
 
-UpstreamTerms EntryRequests::termsFor(const Call &C, const InstanceId &To,
+UpstreamTerms EntryRequests::termsFor(const Call &C, const InstanceId &Target,
                                       milliseconds TimeLeft) {
   UpstreamTerms Terms;
   Terms.m_TimeLeft = TimeLeft;
-  Terms.m_Instance = To;
+  Terms.m_Instance = Target;
   if (C.m_Organisation)
     Terms.m_Organisation = C.m_Organisation->m_Organisation;
   if (C.m_EventCount > 0)
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -99,7 +99,7 @@
   static const char *outcomeName(AttemptOutcome Outcome);
   static InstanceTable::End endOf(AttemptOutcome Outcome);
   static void logAttempt(const Call &C, const InstanceChoice &Chosen,
-                         AttemptOutcome How, std::uint64_t ListAgeMs);
+                         AttemptOutcome Outcome, std::uint64_t ListAgeMs);
 
   asio::awaitable<void> serve(Call &C);
   asio::awaitable<void> rejectUnknown(Call &C, FailureStatus Status,
@@ -134,7 +134,7 @@
                                                      TimePoint End);
   net::CallLimits limitsFor(const Call &C, const InstanceChoice &Chosen,
                             std::chrono::milliseconds Left, bool WasSentThere);
-  static UpstreamTerms termsFor(const Call &C, const InstanceId &To,
+  static UpstreamTerms termsFor(const Call &C, const InstanceId &Target,
                                 std::chrono::milliseconds TimeLeft);
   asio::awaitable<AttemptOutcome> endWithoutAnswer(Call &C,
                                                    const InstanceId &Instance,
--- a/src/direct/store-relay.h
+++ b/src/direct/store-relay.h
@@ -42,9 +42,10 @@
 std::string formatRelayed(const HeldDeclaration &Value);
 Outcome<HeldDeclaration> parseRelayed(const std::string &Body);
 
-/// The same for a list. Known is the list that the requester holds: if it is
-/// the same, only its revision and age are sent. Asked is when the request was
-/// made; ages count from then, so that transit does not make a list fresher.
+/// The same for a list. Known is the list that the calling process holds: if it
+/// is the same, only its revision and age are sent. Asked is when the request
+/// was made; ages count from then, so that transit does not make a list
+/// fresher.
 std::string formatRelayed(const HeldInstances &Value, std::uint64_t Fingerprint,
                           const std::string &Packed, TimePoint Now);
 std::string packInstances(const InstanceList &List, std::uint64_t Fingerprint);
