--- a/review/common-2/scene.py
+++ b/review/common-2/scene.py
@@ -146,7 +146,7 @@
     channel = Channel(host, port)
     try:
         return await asyncio.wait_for(channel.call(method, path, headers or {}, body), limit)
-    except (OSError, EOFError, asyncio.TimeoutError):
+    except (OSError, EOFError, ValueError, asyncio.TimeoutError):
         return None
     finally:
         channel.close()
