--- a/review/common-2/scene.py
+++ b/review/common-2/scene.py
@@ -635,7 +635,7 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError) as fault:
+    except (Exception, KeyboardInterrupt) as fault:  # Whatever it is, it shows nothing of the rule.
         print(f"the case could not run: {fault!r}")
         sys.exit(2)
     for each in broken:
