--- a/include/deckpitch/direct-settings.h
+++ b/include/deckpitch/direct-settings.h
@@ -5,6 +5,7 @@
 #include "deckpitch/error.h"
 #include "deckpitch/id.h"
 #include "deckpitch/membership.h"
+#include "deckpitch/process-limits.h"
 #include "deckpitch/regions.h"
 #include "deckpitch/retry-window.h"
 
@@ -64,6 +65,7 @@
   double m_LinkMbps = 0;  ///< of this instance, each way; 0: unlimited
   RegionMap m_Regions;    ///< of all data centres; entries only
   DirectBounds m_Bounds;
+  ProcessLimits m_Limits;
 
   friend bool operator==(const DirectSettings &,
                          const DirectSettings &) = default;
--- a/include/deckpitch/settings.h
+++ b/include/deckpitch/settings.h
@@ -5,6 +5,7 @@
 #include "deckpitch/error.h"
 #include "deckpitch/id.h"
 #include "deckpitch/membership.h"
+#include "deckpitch/process-limits.h"
 
 #include <chrono>
 #include <cstdint>
@@ -86,6 +87,7 @@
   WeightsSettings m_Weights;   ///< agents only
   MembershipSettings m_Membership;
   RequestSettings m_Requests;
+  ProcessLimits m_Limits;
 
   friend bool operator==(const Settings &, const Settings &) = default;
 };
--- a/src/kernel/direct-settings.cc
+++ b/src/kernel/direct-settings.cc
@@ -106,6 +106,9 @@
   Reader.object("bounds", [&](JsonObjectReader &Inner) {
     readBounds(Inner, Out.m_Bounds);
   });
+  Reader.object("limits", [&](JsonObjectReader &Inner) {
+    readProcessLimits(Inner, Out.m_Limits);
+  });
   checkRole(Reader, Out);
   Reader.finish();
   if (!Found.m_List.empty())
--- a/test/direct-settings-test.cc
+++ b/test/direct-settings-test.cc
@@ -46,6 +46,20 @@
   EXPECT_NE(faultsOf(Text).find("regions"), std::string::npos);
 }
 
+TEST(DirectSettings, ReadsTheLimitsOfTheMachine) {
+  std::string Text = EntryText;
+  Text.replace(Text.rfind('}'), 1,
+               R"("limits": {"memoryMb": 112, "descriptors": 2870}})");
+  const auto Parsed = outcomeOf([&] { return parseDirectSettings(Text); });
+  ASSERT_TRUE(Parsed) << Parsed.error().m_Message;
+  EXPECT_EQ(Parsed->m_Limits, (ProcessLimits{112, 2'870}));
+  Text.replace(Text.find("112"), 3, "1");
+  Text.replace(Text.find("2870"), 4, "7");
+  const std::string Faults = faultsOf(Text);
+  for (const char *Each : {"limits.memoryMb", "limits.descriptors"})
+    EXPECT_NE(Faults.find(Each), std::string::npos) << Each << "\n" << Faults;
+}
+
 TEST(DirectSettings, RejectsSettingsOfOtherModes) {
   EXPECT_FALSE(areDirectSettings(R"({"role": "entry"})"));
   EXPECT_FALSE(areDirectSettings("not json"));
@@ -76,6 +90,8 @@
   Fill(R"(\{\{[^}]*\|json\}\})", "\"127.0.0.1:1\"");
   Fill(R"(\{\{[^}]*retryRatio\}\})", "0.2");
   Fill(R"(\{\{[^}]*linkMbps\}\})", "9.4");
+  Fill(R"(\{\{[^}]*ramMb\}\})", "128");
+  Fill(R"(\{\{[^}]*maxFds\}\})", "2048");
   Fill(R"(\{\{[^}]*portRange[^}]*\}\})", "7700");
   Fill(R"(\{\{[^}]*(Ip|addr|app)\}\})", "127.0.0.1");
   Fill(R"(\{\{[^}]*\}\})", "8");
