A ledger of what all clients of a process hold together

Each request was bounded alone; nothing bounded connections and bytes of all clients of a process. ClientLedger (kernel, no network) admits clients and charges them: connections by listener with a reserve for each, an allowance for each client, and a common limit beyond it. Its limits come from the machine's.

Who gives way: refused clients, then idle ones, then those that have sent nothing for longest; for bytes, requests that have stalled; never a request that is being handled.

--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -1,5 +1,6 @@
 #include "deckpitch/settings.h"
 
+#include "deckpitch/client-ledger.h"
 #include "deckpitch/json-reader.h"
 
 #include <boost/json.hpp>
@@ -166,6 +167,12 @@
   Reader.object("requests", [&](JsonObjectReader &Inner) {
     readRequests(Inner, Out.m_Requests);
   });
+  Reader.object("limits", [&](JsonObjectReader &Inner) {
+    readProcessLimits(Inner, Out.m_Limits);
+  });
+  if (largestBody(clientLimits(Out.m_Limits)) < Out.m_Requests.m_MaxBodyBytes)
+    Reader.problem("limits.memoryMb",
+                   "at least 12 times requests.maxBodyBytes");
   if (Out.m_Role == Role::Agent && !Reader.has("upstream"))
     Reader.problem("upstream", "the engine or service beside the agent");
   if (Out.m_Role == Role::Agent && Out.m_Entries.empty())
