Bound what clients of the HTTP ports hold together

Callers saw an entry end, or found it without descriptors, because of clients that they had nothing to do with.

Cause: nothing bounded what all requests of a process hold together. Trailers and chunk lines passed through a buffer without a limit; a body was read whole before route and key were known, and stayed in memory while a refusal was sent; listeners took more connections than the machine has descriptors; each connection held a copy of an answer that its client did not read. Ruled out: buffered answers of instances, which have a common bound, and announced lengths.

Change: all HTTP listeners of a process ask one ledger before they admit a connection, read on or answer at length. The buffer of a connection is limited to a head and 8 KiB; trailers are dropped. A body grows as it arrives, and beyond 4 KiB only if its route and key are known. What a refused client sent is freed before it is told. Refusals are 503 with Retry-After where there is no room, and 413, 431, 408 as before; event ClientsRefused (one line a second and reason), counters, levels and limits in metrics and dump. Reading a request moved from http-server.cc to server-connection.cc.

--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -30,7 +30,6 @@
 
 constexpr std::chrono::milliseconds DrainPollInterval{20};
 constexpr std::size_t MaxOperatorBodyBytes = std::size_t{2} * 1024 * 1024;
-constexpr std::size_t MaxOperatorConnections = 256;
 
 struct NamedModule {
   std::string m_Name;
@@ -144,12 +143,13 @@
     RequestLimits.m_BodyBytes = Value.m_Requests.m_MaxBodyBytes;
     RequestLimits.m_HalfCloseIsDisconnect = halfCloseIsDisconnect(Value.m_Role);
     m_Requests = std::make_unique<net::HttpServer>(
-        m_Threads, Router(std::move(Requests)), RequestLimits);
+        m_Threads, Router(std::move(Requests)), RequestLimits,
+        net::HttpAdmission{m_Clients, Listener::Callers, nullptr});
     net::HttpLimits OperatorLimits;
     OperatorLimits.m_BodyBytes = MaxOperatorBodyBytes;
-    OperatorLimits.m_Connections = MaxOperatorConnections;
     m_Operator = std::make_unique<net::HttpServer>(
-        m_Threads, Router(std::move(Operator)), OperatorLimits);
+        m_Threads, Router(std::move(Operator)), OperatorLimits,
+        net::HttpAdmission{m_Clients, Listener::Operator, nullptr});
     m_Bus = std::make_unique<net::ControlBus>(
         Value.m_Instance, m_Process.m_Incarnation,
         [this](wire::Envelope Message) {
@@ -275,6 +275,7 @@
       net::metrics().gauge(Name).set(static_cast<std::int64_t>(Value));
     };
     net::updateProcessUsage();
+    m_Clients->updateMetrics();
     Set("deckpitch_control_sent_bytes", m_Bus->bytesSent());
     Set("deckpitch_control_received_bytes", m_Bus->bytesReceived());
     Set("deckpitch_control_refused_messages", m_Bus->messagesRefused());
@@ -299,6 +300,7 @@
         {"controlBytesSent", m_Bus->bytesSent()},
         {"controlBytesReceived", m_Bus->bytesReceived()},
         {"controlMessagesRefused", m_Bus->messagesRefused()},
+        {"clients", m_Clients->dump()},
         {"modules", std::move(Modules)}};
     return boost::json::serialize(Out);
   }
@@ -307,6 +309,9 @@
   Process m_Process;
   asio::signal_set m_Signals;
   std::vector<NamedModule> m_Modules;
+  const std::shared_ptr<net::Clients> m_Clients =
+      std::make_shared<net::Clients>(
+          clientLimits(m_Process.m_Settings.m_Limits));
   std::unique_ptr<net::HttpServer> m_Requests;
   std::unique_ptr<net::HttpServer> m_Operator;
   std::unique_ptr<net::ControlBus> m_Bus;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -98,12 +98,12 @@
                              const FleetAdapter &Adapter,
                              InstanceTable &Instances,
                              HarmfulRequestTracker &Harmful, RetryShare Retries,
-                             AskSlot Ask)
+                             std::size_t AnswerBytes, AskSlot Ask)
     : m_Io(Io), m_Http(Http), m_Adapter(Adapter), m_Instances(Instances),
       m_Harmful(Harmful), m_Retries{UsedRetryFraction * Retries.m_Share,
                                     UsedRetryFraction * Retries.m_Slack,
                                     Retries.m_Window},
-      m_Start(now()), m_Ask(std::move(Ask)) {}
+      m_Start(now()), m_Ask(std::move(Ask)), m_AnswerBytes(AnswerBytes) {}
 
 void EntryRequests::setEntries(std::size_t Count, TimePoint Now) {
   m_Entries = Count;
@@ -173,6 +173,16 @@
   m_Calls.erase(C.m_Number);
 }
 
+bool EntryRequests::acceptsBody(const net::HttpRequest &Head) const {
+  const RouteIndex &Routes = *m_Routes;
+  const ServiceRoute *Route =
+      Routes.find(Head.m_Headers.find("Host"), Head.path());
+  if (!Route)
+    return false;
+  const bool NeedsKey = Routes.hasOrganisations() && !Route->m_IsOpen;
+  return !NeedsKey || Routes.organisationOf(m_Adapter.readTerms(Head).m_Key);
+}
+
 asio::awaitable<void> EntryRequests::serve(Call &C) {
   const RouteIndex &Routes = *C.m_Routes;
   if (Routes.declaration().m_Version == 0)
@@ -193,6 +203,8 @@
   if (NeedsKey && !C.m_Organisation)
     co_return co_await rejectUnknown(C, FailureStatus::Unauthorized,
                                      "unknown key");
+  if (!C.m_Request.m_IsBodyRead)
+    co_return co_await refuse(C, "route or key just declared", RetryAfterStart);
   C.m_Fingerprint = fingerprintOf(
       {C.m_Organisation ? C.m_Organisation->m_Organisation.m_Text : "",
        C.m_Request.m_Headers.find("Host"), C.m_Request.m_Method,
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -32,10 +32,6 @@
   std::optional<RateLimitReport> m_RateLimit; ///< from an entry
 };
 
-/// Bytes that all buffered answers may have together, beyond the allowance of
-/// each. The smallest entries have 112 MB of memory.
-inline constexpr std::size_t MaxAnswerBytes = std::size_t{24} * 1024 * 1024;
-
 /// Serves the callers' requests. All calls must be on one event loop.
 class EntryRequests {
 public:
@@ -43,10 +39,12 @@
   using AskSlot = std::function<asio::awaitable<std::optional<SlotReply>>(
       SlotQuestion Question)>;
 
+  /// AnswerBytes: what all buffered answers may have together, beyond the
+  /// allowance of each.
   EntryRequests(asio::io_context &Io, net::HttpClient &Http,
                 const FleetAdapter &Adapter, InstanceTable &Instances,
                 HarmfulRequestTracker &Harmful, RetryShare Retries,
-                AskSlot Ask);
+                std::size_t AnswerBytes, AskSlot Ask);
 
   void setDeclaration(std::shared_ptr<const RouteIndex> Routes) {
     m_Routes = std::move(Routes);
@@ -63,6 +61,8 @@
 
   asio::awaitable<void> handle(net::HttpRequest Request,
                                net::HttpResponder &Answer);
+  /// Whether a request with this head may run: its route and its key are known.
+  bool acceptsBody(const net::HttpRequest &Head) const;
   /// Moves streams away from instances that send nothing, and moves single
   /// streams that receive nothing.
   void checkSilence(TimePoint Now);
@@ -215,7 +215,7 @@
   std::map<InstanceId, std::set<Call *>> m_AtInstance;
   std::set<InstanceId> m_Silent; ///< already logged as silent
   TimePoint m_NextUnreadableLog{};
-  ByteBudget m_AnswerBytes{MaxAnswerBytes}; ///< of all answers in progress
+  ByteBudget m_AnswerBytes; ///< of all buffered answers in progress
   std::size_t m_Entries = 0;
   std::size_t m_Open = 0;
   std::mt19937_64 m_Random{std::random_device{}()};
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -39,13 +39,9 @@
 constexpr milliseconds AcceptAfterStop{2'500};
 /// Part of the grace period that is left unused before the process is killed.
 constexpr milliseconds GraceMargin{500};
-constexpr net::HttpLimits SmallLimits{std::size_t{8} * 1024,
-                                      std::size_t{64} * 1024,
-                                      milliseconds(2'000),
-                                      milliseconds(30'000),
-                                      milliseconds(5'000),
-                                      1'000,
-                                      true};
+constexpr net::HttpLimits SmallLimits{
+    std::size_t{8} * 1024, std::size_t{64} * 1024, milliseconds(2'000),
+    milliseconds(30'000),  milliseconds(5'000),    true};
 
 /// Share of an evacuation's bound after which streams that still run in the
 /// data centre are moved: most have ended by then.
@@ -131,11 +127,13 @@
       m_Instances(Context.m_Settings.m_DataCentre),
       m_Requests(m_Io, m_Http, m_Adapter, m_Instances, m_Harmful,
                  Context.m_Settings.m_Bounds.m_Retries,
+                 answerBytes(Context.m_Settings.m_Limits),
                  [this](SlotQuestion Question) {
                    return m_Link.askSlot(std::move(Question));
                  }),
       m_Peers(ownAddress(Context.m_Settings)),
-      m_RateLimits(m_Instances, m_Peers), m_Relay(Context.m_Threads),
+      m_RateLimits(m_Instances, m_Peers),
+      m_Relay(Context.m_Threads, Context.clients()),
       m_Follower(m_Io, m_Http, *m_Store, m_Adapter,
                  {Context.m_Settings.m_Bounds.m_Apply,
                   Context.m_Settings.m_Bounds.m_Drain,
@@ -159,19 +157,23 @@
           [this](net::HttpRequest Request, net::HttpResponder &Answer) {
             return m_Requests.handle(std::move(Request), Answer);
           },
-          callerLimits({})),
+          callerLimits({}),
+          {Context.clients(), Listener::Callers,
+           [this](const net::HttpRequest &Head) {
+             return m_Requests.acceptsBody(Head);
+           }}),
       m_ReadyServer(
           Context.m_Threads,
           [this](net::HttpRequest Request, net::HttpResponder &Answer) {
             return m_Directory.answerReady(std::move(Request), Answer);
           },
-          SmallLimits),
+          SmallLimits, {Context.clients(), Listener::Ready, nullptr}),
       m_DirectoryServer(
           Context.m_Threads,
           [this](net::HttpRequest Request, net::HttpResponder &Answer) {
             return m_Directory.answerAddresses(std::move(Request), Answer);
           },
-          SmallLimits) {
+          SmallLimits, {Context.clients(), Listener::Directory, nullptr}) {
   m_Requests.setFreshness([this] { return m_Follower.declarationFreshness(); },
                           [this] { return listFreshness(); });
   m_Instances.setRegions(Context.m_Settings.m_Regions);
@@ -189,7 +191,9 @@
 net::HttpLimits Entry::callerLimits(const CallerLimits &Declared) const {
   net::HttpLimits Limits;
   Limits.m_HeaderBytes = Declared.m_HeaderBytes;
-  Limits.m_BodyBytes = Declared.m_BodyBytes;
+  Limits.m_BodyBytes = std::min(
+      Declared.m_BodyBytes,
+      largestBody(clientLimits(m_Context.m_Settings.m_Limits)));
   Limits.m_HeaderTimeout = Declared.m_HeaderTimeout;
   Limits.m_IdleTimeout = Declared.m_IdleTimeout;
   Limits.m_HalfCloseIsDisconnect = true;
--- a/src/direct/process.cc
+++ b/src/direct/process.cc
@@ -24,7 +24,9 @@
 
 /// How long a log line may be buffered.
 constexpr std::chrono::milliseconds FlushInterval{100};
-constexpr std::size_t MaxOperatorConnections = 64;
+
+/// Operators only read: their requests have no body.
+constexpr net::HttpLimits OperatorLimits{.m_BodyBytes = std::size_t{64} * 1024};
 
 class Runner {
 public:
@@ -132,21 +134,34 @@
   asio::awaitable<void> answerOperator(net::HttpRequest Request,
                                        net::HttpResponder &Answer) {
     if (Request.path() == "/v1/metrics") {
-      net::updateProcessUsage();
-      net::HttpResponse Response;
-      Response.m_Headers.add("Content-Type",
-                             std::string(net::MetricsContentType));
-      Response.m_Body = net::metrics().text();
-      co_await Answer.send(std::move(Response));
+      co_await sendIfRoom(Answer, metricsResponse());
     } else if (Request.path() == "/v1/dump") {
-      co_await Answer.send(
-          net::jsonResponse(200, boost::json::serialize(m_Role->dump())));
+      boost::json::object Dump = m_Role->dump();
+      Dump["clients"] = m_Context.clients()->dump();
+      co_await sendIfRoom(Answer,
+                          net::jsonResponse(200, boost::json::serialize(Dump)));
     } else {
       co_await Answer.send(
           net::jsonResponse(404, R"({"error":"no such path"})"));
     }
   }
 
+  net::HttpResponse metricsResponse() {
+    net::updateProcessUsage();
+    m_Context.clients()->updateMetrics();
+    net::HttpResponse Out;
+    Out.m_Headers.add("Content-Type", std::string(net::MetricsContentType));
+    Out.m_Body = net::metrics().text();
+    return Out;
+  }
+
+  static asio::awaitable<void> sendIfRoom(net::HttpResponder &Answer,
+                                          net::HttpResponse Response) {
+    if (!Answer.reserve(Response.m_Body.size()))
+      Response = net::noRoomResponse();
+    co_await Answer.send(std::move(Response));
+  }
+
   /// No worker threads: a single loop avoids the cost of hand-over between
   /// threads on small instances.
   net::IoThreads m_Threads{0};
@@ -160,16 +175,11 @@
       [this](net::HttpRequest Request, net::HttpResponder &Answer) {
         return answerOperator(std::move(Request), Answer);
       },
-      operatorLimits()};
+      OperatorLimits,
+      {m_Context.clients(), Listener::Operator, nullptr}};
   std::promise<void> m_Done;
   std::promise<void> m_Stopped;
   bool m_IsLeaving = false;
-
-  static net::HttpLimits operatorLimits() {
-    net::HttpLimits Limits;
-    Limits.m_Connections = MaxOperatorConnections;
-    return Limits;
-  }
 };
 
 } // namespace
--- a/src/direct/role.h
+++ b/src/direct/role.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/direct-settings.h"
+#include "net/clients.h"
 #include "net/http.h"
 #include "net/io-threads.h"
 
@@ -37,6 +38,15 @@
   net::IoThreads &m_Threads;
   DirectSettings m_Settings;
   std::uint64_t m_Incarnation;
+  /// Of all listeners of the process; made from the settings at the first use.
+  std::shared_ptr<net::Clients> m_Clients = nullptr;
+
+  const std::shared_ptr<net::Clients> &clients() {
+    if (!m_Clients)
+      m_Clients =
+          std::make_shared<net::Clients>(clientLimits(m_Settings.m_Limits));
+    return m_Clients;
+  }
 };
 
 std::unique_ptr<DirectRole> makeEntry(DirectContext &Context);
--- a/src/direct/store-relay.cc
+++ b/src/direct/store-relay.cc
@@ -34,13 +34,9 @@
                                       .m_BodyTimeout = milliseconds(10'000),
                                       .m_BodyBytes = MaxBodyBytes};
 /// Only other processes of the fleet connect, each with one short request.
-constexpr net::HttpLimits ServeLimits{std::size_t{4} * 1024,
-                                      std::size_t{4} * 1024,
-                                      milliseconds(2'000),
-                                      milliseconds(30'000),
-                                      milliseconds(5'000),
-                                      1'000,
-                                      true};
+constexpr net::HttpLimits ServeLimits{
+    std::size_t{4} * 1024, std::size_t{4} * 1024, milliseconds(2'000),
+    milliseconds(30'000),  milliseconds(5'000),   true};
 
 std::uint64_t parseNumber(const std::string &Text) {
   std::uint64_t Value = 0;
@@ -167,13 +163,13 @@
   co_return parseRelayedInstances(*Body, Known, Asked);
 }
 
-StoreRelay::StoreRelay(net::IoThreads &Threads)
-    : m_Server(
-          Threads,
-          [this](net::HttpRequest Request, net::HttpResponder &Answer) {
-            return answer(std::move(Request), Answer);
-          },
-          ServeLimits) {}
+StoreRelay::StoreRelay(net::IoThreads &Threads,
+                       std::shared_ptr<net::Clients> Clients)
+    : m_Server(Threads,
+               [this](net::HttpRequest Request, net::HttpResponder &Answer) {
+                 return answer(std::move(Request), Answer);
+               },
+               ServeLimits, {std::move(Clients), Listener::Link, nullptr}) {}
 
 Result<void> StoreRelay::listen(const std::string &Address) {
   BOOST_LEAF_CHECK(m_Server.listen(Address));
@@ -231,7 +227,11 @@
                                        : nullptr;
   const bool HasInstances = IsGet && Request.path() == InstancesPath &&
                             m_Instances.m_Revision.m_Value != 0;
-  if (Declaration)
+  const std::size_t Bytes =
+      Declaration ? Declaration->size() : m_PackedInstances.size();
+  if ((Declaration || HasInstances) && !Answer.reserve(Bytes))
+    Response = net::noRoomResponse();
+  else if (Declaration)
     Response.m_Body = *Declaration;
   else if (HasInstances)
     Response.m_Body = instancesBody(Request);
--- a/src/direct/store-relay.h
+++ b/src/direct/store-relay.h
@@ -5,10 +5,12 @@
 
 #include "deckpitch/instance-list.h"
 #include "deckpitch/time.h"
+#include "net/clients.h"
 #include "net/http.h"
 #include "net/platform.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -64,7 +66,9 @@
 /// Serves what this process holds. Runs on a single event loop.
 class StoreRelay {
 public:
-  explicit StoreRelay(net::IoThreads &Threads);
+  /// Clients: of all listeners of the process; null: no limits.
+  explicit StoreRelay(net::IoThreads &Threads,
+                      std::shared_ptr<net::Clients> Clients = nullptr);
 
   /// Errors: InvalidInput, Unavailable.
   Result<void> listen(const std::string &Address);
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -1,7 +1,7 @@
 #include "net/address.h"
 #include "net/dead-peer.h"
 #include "net/http.h"
-#include "net/socket-deadline.h"
+#include "net/server-connection.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -18,26 +18,25 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using detail::ReceivedRequest;
+using Connection = detail::ServerConnection;
 
 namespace {
 
 constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::string_view InterimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::chrono::seconds ProbeInterval{1};
-constexpr unsigned Http11 = 11;
+constexpr unsigned StatusUnavailable = 503;
+/// What is still read after a refusal, so that the client receives it: closing
+/// a socket with unread data sends a reset, which may overtake the answer.
+constexpr std::chrono::seconds DiscardTime{1};
+constexpr std::size_t DiscardBytes = std::size_t{1024} * 1024;
 
 void setHeaders(http::fields &Fields, const HttpHeaders &Headers) {
   for (const HttpHeader &Header : Headers.m_List)
     Fields.insert(Header.m_Name, Header.m_Value);
 }
 
-struct Connection {
-  explicit Connection(tcp::socket Socket) : m_Socket(std::move(Socket)) {}
-  tcp::socket m_Socket;
-  SocketDeadline m_Deadline{m_Socket};
-  std::atomic<bool> m_Busy{false};
-};
-
 class Responder final : public HttpResponder {
 public:
   Responder(Connection &Conn, std::chrono::milliseconds WriteTimeout,
@@ -122,6 +121,9 @@
   }
 
   bool started() const override { return m_Started; }
+  bool reserve(std::size_t Bytes) override {
+    return m_Conn.holdBuffered(Bytes);
+  }
   void onDisconnect(std::function<void()> Callback) override {
     m_OnDisconnect = std::move(Callback);
   }
@@ -193,9 +195,14 @@
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-  Impl(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits)
+  Impl(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits,
+       HttpAdmission Admission)
       : m_Threads(Threads), m_Acceptor(Threads.control()),
-        m_Handler(std::move(Handler)), m_Limits(Limits) {}
+        m_Handler(std::move(Handler)), m_Limits(Limits),
+        m_Admission(std::move(Admission)) {
+    if (!m_Admission.m_Clients)
+      m_Admission.m_Clients = std::make_shared<Clients>(unlimitedClients());
+  }
 
   asio::awaitable<void> acceptLoop() {
     auto Self = shared_from_this();
@@ -230,113 +237,130 @@
   }
 
   bool add(const std::shared_ptr<Connection> &NewConn) {
-    std::lock_guard Lock(m_Mutex);
-    if (m_Draining || m_Connections.size() >= m_Limits.m_Connections)
+    if (m_Draining || !admit(NewConn))
       return false;
+    std::lock_guard Lock(m_Mutex);
     m_Connections.emplace(NewConn.get(), NewConn);
     return true;
   }
 
-  asio::awaitable<void> refuse(Connection &Conn, unsigned Status,
-                               std::string Message) {
+  bool admit(const std::shared_ptr<Connection> &NewConn) {
+    boost::system::error_code Ec;
+    const auto Remote = NewConn->m_Socket.remote_endpoint(Ec);
+    if (Ec)
+      return false; // The client has gone.
+    const std::weak_ptr<Connection> Weak = NewConn;
+    auto Session = m_Admission.m_Clients->open(
+        m_Admission.m_Listener, formatEndpoint(Remote), [Weak] {
+          if (const auto Conn = Weak.lock())
+            asio::post(Conn->m_Socket.get_executor(),
+                       [Conn] { Conn->evict(); });
+        });
+    if (!Session)
+      return false;
+    NewConn->m_Session.emplace(std::move(*Session));
+    return true;
+  }
+
+  static std::string errorJson(const detail::ReceiveError &Why) {
+    return "{\"error\":\"" + Why.m_Message + "\"}";
+  }
+
+  asio::awaitable<void> refuse(Connection &Conn, detail::ReceiveError Why) {
+    // What was received is not kept while the client is told.
+    Conn.m_Buffer = {};
+    Conn.m_Session->hold(0);
+    Conn.m_Session->enter(ClientPhase::Closing);
+    if (Why.m_Status == 0)
+      co_return;
+    Conn.m_Session->noteRefusal(Why.m_Reason);
+    HttpResponse Response = Why.m_Status == StatusUnavailable
+                                ? noRoomResponse()
+                                : jsonResponse(Why.m_Status, errorJson(Why));
     Responder Answer(Conn, m_Limits.m_WriteTimeout, false);
-    co_await Answer.send(
-        jsonResponse(Status, "{\"error\":\"" + Message + "\"}"));
-    // Drain incoming data for up to 1 s: closing a socket with unread data
-    // sends a reset, which may reach the client before the response.
+    co_await Answer.send(std::move(Response));
+    co_await discardIncoming(Conn);
+  }
+
+  /// Reads on for a while, so that the client receives the last answer.
+  static asio::awaitable<void> discardIncoming(Connection &Conn) {
     beast::error_code Ignored;
     Conn.m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
     std::array<char, 4096> Sink;
-    Conn.m_Deadline.expiresAfter(std::chrono::seconds(1));
-    for (int I = 0; I < 256; ++I) {
+    Conn.m_Deadline.expiresAfter(DiscardTime);
+    for (std::size_t Read = 0; Read < DiscardBytes;) {
       auto [Ec, Bytes] = co_await Conn.m_Socket.async_read_some(
           asio::buffer(Sink), UseAwaitable);
       if (Ec)
         break;
+      Read += Bytes;
     }
   }
 
-  static unsigned statusForError(const beast::error_code &Ec) {
-    if (Ec == http::error::body_limit)
-      return 413;
-    if (Ec == http::error::header_limit)
-      return 431;
-    if (Ec == beast::error::timeout)
-      return 408;
-    return 400;
-  }
-
   asio::awaitable<void> serve(std::shared_ptr<Connection> Conn) {
     auto Self = shared_from_this();
-    tcp::socket &Socket = Conn->m_Socket;
-    SocketDeadline &Deadline = Conn->m_Deadline;
-    beast::flat_buffer Buffer;
-    while (true) {
-      http::request_parser<http::string_body> Parser;
-      Parser.header_limit(static_cast<std::uint32_t>(m_Limits.m_HeaderBytes));
-      Parser.body_limit(m_Limits.m_BodyBytes);
-      if (Buffer.size() == 0) {
-        Deadline.expiresAfter(m_Limits.m_IdleTimeout);
-        auto [Ec, Bytes] =
-            co_await Socket.async_read_some(Buffer.prepare(4096), UseAwaitable);
-        if (Ec)
-          co_return;
-        Buffer.commit(Bytes);
-      }
-      Conn->m_Busy = true;
-      m_OpenRequests.fetch_add(1);
-      Deadline.expiresAfter(m_Limits.m_HeaderTimeout);
-      auto [Ec, Bytes] =
-          co_await http::async_read(Socket, Buffer, Parser, UseAwaitable);
-      Deadline.pause();
-      if (Deadline.expired())
-        Ec = beast::error::timeout;
-      if (Ec) {
-        if (Ec != http::error::end_of_stream &&
-            Ec != asio::error::connection_reset)
-          co_await refuse(*Conn, statusForError(Ec), Ec.message());
-        m_OpenRequests.fetch_sub(1);
-        co_return;
-      }
-      const bool CanReuse = co_await answer(Conn, Parser.release(), Buffer);
-      m_OpenRequests.fetch_sub(1);
-      Conn->m_Busy = false;
-      if (!CanReuse || m_Draining)
-        break;
-    }
+    while (co_await serveNext(Conn))
+      ;
     beast::error_code Ignored;
-    Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+    Conn->m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+    if (Conn->m_IsEvicted)
+      Conn->m_Session->noteRefusal(ClientRefusal::Evicted);
+  }
+
+  /// Serves one request. Returns true if the connection can serve another.
+  asio::awaitable<bool> serveNext(const std::shared_ptr<Connection> &Conn) {
+    const HttpLimits Limits = m_Limits;
+    if (!co_await detail::waitForRequest(*Conn, Limits.m_IdleTimeout))
+      co_return false;
+    Conn->m_IsBusy = true;
+    m_OpenRequests.fetch_add(1);
+    Conn->m_Session->enter(ClientPhase::Receiving);
+    auto Received = co_await detail::receiveRequest(*Conn, Limits,
+                                                    m_Admission.m_AcceptsBody);
+    Conn->m_Deadline.pause();
+    bool CanReuse = false;
+    if (Received.m_Error)
+      co_await refuse(*Conn, std::move(*Received.m_Error));
+    else
+      CanReuse = co_await answer(Conn, std::move(Received));
+    m_OpenRequests.fetch_sub(1);
+    Conn->m_IsBusy = false;
+    co_return CanReuse && !m_Draining && !Conn->m_IsEvicted;
   }
 
   /// Handles one request. Returns true if the connection can serve another.
   asio::awaitable<bool> answer(std::shared_ptr<Connection> Conn,
-                               http::request<http::string_body> Message,
-                               beast::flat_buffer &Buffer) {
-    HttpRequest Request;
-    Request.m_Method = std::string(Message.method_string());
-    Request.m_Target = std::string(Message.target());
-    for (const auto &Field : Message)
-      Request.m_Headers.add(std::string(Field.name_string()),
-                            std::string(Field.value()));
+                               ReceivedRequest Received) {
     const bool KeepAlive =
-        Message.keep_alive() && !m_Draining && !m_ClosesAfterAnswers;
-    const bool IsHttp11 = Message.version() >= Http11;
-    Request.m_Body = std::move(Message.body());
+        Received.m_KeepAlive && !m_Draining && !m_ClosesAfterAnswers;
+    const bool IsBodyRead = Received.m_Request.m_IsBodyRead;
     auto Answer = std::make_shared<Responder>(*Conn, m_Limits.m_WriteTimeout,
-                                              KeepAlive, IsHttp11);
-    watchForClose(Conn, Answer, Buffer);
+                                              KeepAlive, Received.m_IsHttp11);
+    Conn->m_IsAnswering = true;
+    Conn->m_Session->enter(ClientPhase::Answering);
+    watchForClose(Conn, Answer, Conn->m_Buffer);
+    co_await handle(std::move(Received.m_Request), *Answer);
+    Conn->m_IsAnswering = false;
+    Conn->holdBuffered(0);
+    Conn->m_Session->enter(IsBodyRead ? ClientPhase::Idle
+                                      : ClientPhase::Closing);
+    if (!IsBodyRead)
+      co_await discardIncoming(*Conn);
+    co_return Answer->keepsConnection();
+  }
+
+  asio::awaitable<void> handle(HttpRequest Request, Responder &Answer) {
     bool Threw = false;
     try {
-      co_await m_Handler(std::move(Request), *Answer);
+      co_await m_Handler(std::move(Request), Answer);
     } catch (const std::exception &) {
       Threw = true;
     }
-    if (Threw && !Answer->started())
-      co_await Answer->send(jsonResponse(500, R"({"error":"internal error"})"));
-    else if (!Answer->started())
-      co_await Answer->send(
+    if (Threw && !Answer.started())
+      co_await Answer.send(jsonResponse(500, R"({"error":"internal error"})"));
+    else if (!Answer.started())
+      co_await Answer.send(
           jsonResponse(500, R"({"error":"no answer was given"})"));
-    co_return Answer->keepsConnection();
   }
 
   /// Detects a client that disconnects while its request is being handled.
@@ -394,6 +418,7 @@
   tcp::acceptor m_Acceptor;
   HttpHandler m_Handler;
   HttpLimits m_Limits;
+  HttpAdmission m_Admission;
   std::mutex m_Mutex;
   /// Each connection is owned by its serve() coroutine, so that it is destroyed
   /// with its own event loop.
@@ -404,8 +429,9 @@
 };
 
 HttpServer::HttpServer(IoThreads &Threads, HttpHandler Handler,
-                       HttpLimits Limits)
-    : m_Impl(std::make_shared<Impl>(Threads, std::move(Handler), Limits)) {}
+                       HttpLimits Limits, HttpAdmission Admission)
+    : m_Impl(std::make_shared<Impl>(Threads, std::move(Handler), Limits,
+                                    std::move(Admission))) {}
 
 HttpServer::~HttpServer() { stop(); }
 
@@ -448,7 +474,7 @@
       continue;
     asio::post(Open->m_Socket.get_executor(), [Open] {
       boost::system::error_code Ignored;
-      if (!Open->m_Busy)
+      if (!Open->m_IsBusy)
         Open->m_Socket.cancel(Ignored);
     });
   }
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -62,6 +62,21 @@
   return {};
 }
 
+namespace {
+
+constexpr unsigned StatusUnavailable = 503;
+/// By then, stalled requests have given way.
+constexpr const char *RetryAfterSeconds = "1";
+
+} // namespace
+
+HttpResponse noRoomResponse() {
+  HttpResponse Out = jsonResponse(
+      StatusUnavailable, R"({"error":"too many large requests in progress"})");
+  Out.m_Headers.add("Retry-After", RetryAfterSeconds);
+  return Out;
+}
+
 HttpResponse jsonResponse(unsigned Status, std::string Json) {
   HttpResponse Response;
   Response.m_Status = Status;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "deckpitch/error.h"
+#include "net/clients.h"
 #include "net/io-threads.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +43,9 @@
   std::string m_Target = "/";
   HttpHeaders m_Headers;
   std::string m_Body;
+  /// False if the server did not read the body, see HttpAdmission. Such a
+  /// request must be answered without being run.
+  bool m_IsBodyRead = true;
 
   /// Returns the target without its query string.
   std::string_view path() const;
@@ -57,6 +61,9 @@
 };
 
 HttpResponse jsonResponse(unsigned Status, std::string Json);
+/// The answer to a request for which there is no memory, see
+/// HttpResponder::reserve().
+HttpResponse noRoomResponse();
 
 /// Writes the response to one request. Once the client has disconnected, every
 /// call returns false or has no effect.
@@ -75,6 +82,9 @@
   /// response; with a reset if the client knows no chunks.
   virtual void abort() = 0;
   virtual bool started() const = 0;
+  /// Charges the client for an answer of that size until the request has ended.
+  /// False if there is no memory for it: the handler answers with less.
+  virtual bool reserve(std::size_t Bytes) = 0;
   /// Sets the callback that is invoked, at most once, if the client disconnects
   /// before the end of the response.
   virtual void onDisconnect(std::function<void()> Callback) = 0;
@@ -90,18 +100,31 @@
       10'000}; ///< to receive a complete request
   std::chrono::milliseconds m_IdleTimeout{60'000};  ///< between requests
   std::chrono::milliseconds m_WriteTimeout{30'000}; ///< for each write
-  std::size_t m_Connections = 20'000;
   /// Treats a client that closes its sending side as disconnected. Otherwise
   /// the response is still sent, and interim responses (100 Continue) probe
   /// whether the client is still there.
   bool m_HalfCloseIsDisconnect = false;
 };
 
+/// A body of up to this size is read before HttpAdmission::m_AcceptsBody.
+inline constexpr std::size_t SmallBodyBytes = std::size_t{4} * 1024;
+
+/// Which clients a server admits, and whose bodies it reads.
+struct HttpAdmission {
+  /// Shared with the other listeners of the process; null: no limits.
+  std::shared_ptr<Clients> m_Clients;
+  Listener m_Listener = Listener::Callers;
+  /// Whether the body of a request is worth reading, given its head. If not,
+  /// the handler is called without it, and the connection ends with its answer.
+  std::function<bool(const HttpRequest &Head)> m_AcceptsBody;
+};
+
 /// An HTTP/1.1 server. Each connection is served on one worker and processes
 /// one request at a time, so that responses keep the order of their requests.
 class HttpServer {
 public:
-  HttpServer(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits = {});
+  HttpServer(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits = {},
+             HttpAdmission Admission = {});
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
