Bound what connections to an agent's port for weights hold

Operators would have seen an agent end: any number of connections was accepted, and for each the length before its first frame, up to 512 KiB, was allocated.

Cause: a peer is only checked once its hello was read. Change: connections ask the process's ledger; until its hello was read, a peer is charged for 32 KiB, and a longer hello ends the connection.

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -79,7 +79,7 @@
   return Out;
 }
 
-SupplyOptions supplyOptions(const DirectContext &Context) {
+SupplyOptions supplyOptions(DirectContext &Context) {
   const DirectSettings &From = Context.m_Settings;
   SupplyOptions Out;
   Out.m_Copy = copySettings(From);
@@ -88,6 +88,7 @@
   Out.m_Service = From.m_Service;
   Out.m_Bound = From.m_Bounds.m_Version;
   Out.m_Incarnation = {Context.m_Incarnation};
+  Out.m_Clients = Context.clients();
   return Out;
 }
 
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -28,6 +28,8 @@
 /// How long the instance's report may not show a load order yet.
 constexpr Duration LoadOrderSettleTime = milliseconds(700);
 constexpr Duration PeerHelloTimeout = std::chrono::seconds(2);
+/// Longest hello: two bits for each chunk, of 100,000 chunks, and names.
+constexpr std::uint32_t MaxHelloBytes = 32 * 1024;
 /// Slower peers finish an older version within this time; after that its chunks
 /// only use memory.
 constexpr Duration PreviousCopyLifetime = std::chrono::seconds(5);
@@ -455,20 +457,52 @@
     }
     net::tuneBulkSocket(Socket);
     auto Connection = std::make_shared<BulkConnection>(std::move(Socket));
+    auto Session = admit(Connection);
+    if (!Session)
+      continue;
     Connection->start();
-    asio::co_spawn(m_Io, acceptHello(std::move(Connection)), asio::detached);
+    asio::co_spawn(m_Io,
+                   acceptHello(std::move(Connection), std::move(*Session)),
+                   asio::detached);
+  }
+}
+
+/// Admits a peer that is to send its hello; nothing if there is no room for it.
+std::optional<net::ClientSession>
+WeightsSupply::admit(const std::shared_ptr<BulkConnection> &Connection) {
+  boost::system::error_code Ec;
+  const auto Remote = Connection->socket().remote_endpoint(Ec);
+  if (Ec)
+    return std::nullopt; // The peer has gone.
+  const std::weak_ptr<BulkConnection> Weak = Connection;
+  auto Session = m_Options.m_Clients->open(
+      Listener::Peers, net::formatEndpoint(Remote), [this, Weak] {
+        if (const auto Evicted = Weak.lock())
+          asio::post(m_Io, [Evicted] { Evicted->close(); });
+      });
+  if (!Session)
+    return std::nullopt;
+  Session->enter(ClientPhase::Receiving);
+  if (!Session->hold(MaxHelloBytes)) {
+    Session->noteRefusal(net::ClientRefusal::NoBytes);
+    return std::nullopt;
   }
+  return Session;
 }
 
+/// The session is kept until the connection has ended.
 asio::awaitable<void>
-WeightsSupply::acceptHello(std::shared_ptr<BulkConnection> Connection) {
+WeightsSupply::acceptHello(std::shared_ptr<BulkConnection> Connection,
+                           net::ClientSession Session) {
   asio::steady_timer Limit(m_Io, PeerHelloTimeout);
   Limit.async_wait([Connection](const boost::system::error_code &Ec) {
     if (!Ec)
       Connection->close();
   });
-  auto First = co_await net::readBulk(Connection->socket());
+  auto First = co_await net::readBulk(Connection->socket(), MaxHelloBytes);
   Limit.cancel();
+  Session.enter(ClientPhase::Answering);
+  Session.hold(0);
   if (First && First->m_Header.has_hello()) {
     const std::string &Weights = First->m_Header.hello().weights();
     for (const Copy *Each : {&m_Current, &m_Previous}) {
--- a/src/direct/weights-supply.h
+++ b/src/direct/weights-supply.h
@@ -7,6 +7,7 @@
 #include "deckpitch/instance-table.h"
 #include "deckpitch/weights-plan.h"
 #include "direct/staging-cache.h"
+#include "net/clients.h"
 #include "net/engine.h"
 #include "net/http.h"
 
@@ -28,6 +29,7 @@
   std::string m_Service;       ///< service whose instances are peers
   Duration m_Bound{};          ///< longest time from declared to served
   Incarnation m_Incarnation{}; ///< of this process
+  std::shared_ptr<net::Clients> m_Clients;
 };
 
 /// Runs on a single event loop. A complete version is still served to peers for
@@ -87,7 +89,10 @@
   Result<void> listen();
   boost::asio::awaitable<void> acceptPeers();
   boost::asio::awaitable<void>
-  acceptHello(std::shared_ptr<daemon::BulkConnection> Connection);
+  acceptHello(std::shared_ptr<daemon::BulkConnection> Connection,
+              net::ClientSession Session);
+  std::optional<net::ClientSession>
+  admit(const std::shared_ptr<daemon::BulkConnection> &Connection);
   boost::asio::awaitable<void> startCopy();
   boost::asio::awaitable<void> orderLoad(const Copy &C);
   bool mayStartCopy() const;
--- a/src/net/bulk.cc
+++ b/src/net/bulk.cc
@@ -18,13 +18,14 @@
 
 } // namespace
 
-Result<std::uint32_t> parseBulkLength(std::string_view Prefix) {
+Result<std::uint32_t> parseBulkLength(std::string_view Prefix,
+                                      std::uint32_t MaxBytes) {
   if (Prefix.size() != PrefixBytes)
     return fail(ErrorCode::InvalidInput, "bulk frame length must be 4 bytes");
   std::uint32_t Length = 0;
   for (char Each : Prefix)
     Length = Length << 8 | static_cast<unsigned char>(Each);
-  if (Length == 0 || Length > MaxBulkHeaderBytes)
+  if (Length == 0 || Length > MaxBytes)
     return fail(ErrorCode::InvalidInput,
                 "bulk frame header length is zero or exceeds the limit");
   return Length;
@@ -50,14 +51,15 @@
   return Out + Body;
 }
 
-asio::awaitable<Outcome<BulkMessage>> readBulk(asio::ip::tcp::socket &Socket) {
+asio::awaitable<Outcome<BulkMessage>> readBulk(asio::ip::tcp::socket &Socket,
+                                               std::uint32_t MaxHeaderBytes) {
   std::array<char, PrefixBytes> Prefix{};
   auto [PrefixEc, PrefixRead] =
       co_await asio::async_read(Socket, asio::buffer(Prefix), UseAwaitable);
   if (PrefixEc)
     co_return connectionError(PrefixEc);
   const auto Length = outcomeOf([&] {
-    return parseBulkLength({Prefix.data(), Prefix.size()});
+    return parseBulkLength({Prefix.data(), Prefix.size()}, MaxHeaderBytes);
   });
   if (!Length)
     co_return Length.error();
--- a/src/net/bulk.h
+++ b/src/net/bulk.h
@@ -28,16 +28,20 @@
 constexpr std::uint32_t MaxBulkPieceBytes = 256 * 1024;
 
 /// Decodes the four-byte length that precedes a header. Errors: InvalidInput if
-/// the length is zero or exceeds MaxBulkHeaderBytes.
-Result<std::uint32_t> parseBulkLength(std::string_view Prefix);
+/// the length is zero or exceeds the limit.
+Result<std::uint32_t>
+parseBulkLength(std::string_view Prefix,
+                std::uint32_t MaxBytes = MaxBulkHeaderBytes);
 /// Parses a header. Errors: InvalidInput if it is malformed or its piece
 /// exceeds MaxBulkPieceBytes.
 Result<wire::BulkFrame> parseBulkHeader(std::string_view Bytes);
 std::string formatBulkHeader(const wire::BulkFrame &Header);
 
-/// Reads the next frame. Errors: Unavailable if the connection ends,
-/// InvalidInput if the frame is malformed.
-asio::awaitable<Outcome<BulkMessage>> readBulk(asio::ip::tcp::socket &Socket);
+/// Reads the next frame, with a header of at most that size. Errors:
+/// Unavailable if the connection ends, InvalidInput if the frame is malformed.
+asio::awaitable<Outcome<BulkMessage>>
+readBulk(asio::ip::tcp::socket &Socket,
+         std::uint32_t MaxHeaderBytes = MaxBulkHeaderBytes);
 asio::awaitable<bool> writeBulk(asio::ip::tcp::socket &Socket,
                                 wire::BulkFrame Header, std::string_view Bytes);
 
