Return large freed blocks to the system at once

A process is ended by what is resident, freed or not. The C library raises the size from which it returns blocks after the first large one that is freed, so that the memory of bodies that were refused could stay with the process. Both thresholds are now fixed at 128 KiB.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -15,6 +15,8 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include <malloc.h>
+
 #include <iostream>
 #include <optional>
 #include <sstream>
@@ -76,6 +78,11 @@
   return *Parsed;
 }
 
+/// Blocks of this size and more are returned to the system when they are freed.
+/// Otherwise the C library raises the threshold after the first large block,
+/// and freed memory still counts towards the process's limit.
+constexpr int ReturnedBlockBytes = 128 * 1024;
+
 /// Runs a process of a direct deployment, in which entries send requests
 /// straight to the instances.
 int runDirectProcess(const std::string &Path, const std::string &Text,
@@ -97,6 +104,8 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, ReturnedBlockBytes);
   absl::SetProgramUsageMessage(
       "runs one process of deckpitch\n"
       "  deckpitchd --settings=FILE            runs until a stop signal\n"
