--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -191,9 +191,9 @@
 net::HttpLimits Entry::callerLimits(const CallerLimits &Declared) const {
   net::HttpLimits Limits;
   Limits.m_HeaderBytes = Declared.m_HeaderBytes;
-  Limits.m_BodyBytes = std::min(
-      Declared.m_BodyBytes,
-      largestBody(clientLimits(m_Context.m_Settings.m_Limits)));
+  Limits.m_BodyBytes =
+      std::min(Declared.m_BodyBytes,
+               largestBody(clientLimits(m_Context.m_Settings.m_Limits)));
   Limits.m_HeaderTimeout = Declared.m_HeaderTimeout;
   Limits.m_IdleTimeout = Declared.m_IdleTimeout;
   Limits.m_HalfCloseIsDisconnect = true;
