Handle requests on kept connections by the limits in force when they begin

Cause: the limits of the next request were taken when the server began to wait for it, however long ago. Change: they are taken once its first bytes have arrived.

Evidence: HttpServerLimits.ApplyToTheNextRequestOfAKeptConnection failed before (no answer "read" on the kept connection) and passes now, with the 21 other tests of the server.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -309,9 +309,10 @@
 
   /// Serves one request. Returns true if the connection can serve another.
   asio::awaitable<bool> serveNext(const std::shared_ptr<Connection> &Conn) {
-    const HttpLimits Limits = m_Limits;
-    if (!co_await detail::waitForRequest(*Conn, Limits.m_IdleTimeout))
+    if (!co_await detail::waitForRequest(*Conn, m_Limits.m_IdleTimeout))
       co_return false;
+    // Those in force when the request begins: they may have changed meanwhile.
+    const HttpLimits Limits = m_Limits;
     Conn->m_IsBusy = true;
     m_OpenRequests.fetch_add(1);
     Conn->m_Session->enter(ClientPhase::Receiving);
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -282,4 +282,38 @@
   EXPECT_EQ(Client.readToEnd(), "");
 }
 
+/// A kept connection handled its next request by the limits that were in force
+/// when its last answer ended.
+TEST(HttpServerLimits, ApplyToTheNextRequestOfAKeptConnection) {
+  IoThreads Threads(0);
+  HttpServer Server(
+      Threads,
+      [](HttpRequest, HttpResponder &Answer) -> asio::awaitable<void> {
+        HttpResponse Response;
+        Response.m_Body = "read";
+        co_await Answer.send(std::move(Response));
+      },
+      smallLimits());
+  const auto Bound = outcomeOf([&] { return Server.listen("127.0.0.1:0"); });
+  ASSERT_TRUE(Bound);
+  Threads.start();
+  const auto SendTo = [](RawConnection &Client, std::size_t Bytes) {
+    Client.send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(Bytes) +
+                "\r\n\r\n" + std::string(Bytes, 'x'));
+    return Client.readUntil("read");
+  };
+  RawConnection Kept(*Bound);
+  EXPECT_NE(SendTo(Kept, 1'000), "");
+  HttpLimits Raised = smallLimits();
+  Raised.m_BodyBytes = 2'000;
+  Server.setLimits(Raised);
+  EXPECT_TRUE(eventually([&] {
+    RawConnection New(*Bound);
+    return SendTo(New, 1'500) != "";
+  }));
+  EXPECT_NE(SendTo(Kept, 1'500), "");
+  Server.stop();
+  Threads.stop();
+}
+
 } // namespace
