Close clients that gave way as soon as they were told

A client that is evicted is counted no longer, but its descriptor was kept for up to a second, and up to 30 s if it did not read: under a flood, more than the ledger allows. It has stalled, so there is nothing to read on for. All refusals are now written within a second, and an eviction is counted once.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -30,6 +30,8 @@
 /// What is still read after a refusal, so that the client receives it: closing
 /// a socket with unread data sends a reset, which may overtake the answer.
 constexpr std::chrono::seconds DiscardTime{1};
+/// In which a refusal is written, or the client does not read.
+constexpr std::chrono::seconds RefusalTime{1};
 constexpr std::size_t DiscardBytes = std::size_t{1024} * 1024;
 
 void setHeaders(http::fields &Fields, const HttpHeaders &Headers) {
@@ -273,13 +275,18 @@
     Conn.m_Session->enter(ClientPhase::Closing);
     if (Why.m_Status == 0)
       co_return;
-    Conn.m_Session->noteRefusal(Why.m_Reason);
+    const bool IsEvicted = Why.m_Reason == ClientRefusal::Evicted;
+    if (!IsEvicted) // Noted at the end of the connection.
+      Conn.m_Session->noteRefusal(Why.m_Reason);
     HttpResponse Response = Why.m_Status == StatusUnavailable
                                 ? noRoomResponse()
                                 : jsonResponse(Why.m_Status, errorJson(Why));
-    Responder Answer(Conn, m_Limits.m_WriteTimeout, false);
+    Responder Answer(Conn, RefusalTime, false);
     co_await Answer.send(std::move(Response));
-    co_await discardIncoming(Conn);
+    // One that was evicted has stalled: nothing more is on its way, and its
+    // descriptor is counted no longer.
+    if (!IsEvicted)
+      co_await discardIncoming(Conn);
   }
 
   /// Reads on for a while, so that the client receives the last answer.
--- a/src/net/server-connection.cc
+++ b/src/net/server-connection.cc
@@ -27,6 +27,7 @@
 /// A body in a string that grows as data arrives: the length that a client
 /// announces takes no memory.
 struct GrowingBody {
+  // NOLINTBEGIN(readability-identifier-naming): Beast's names for a body.
   using value_type = std::string;
 
   class reader {
@@ -53,6 +54,7 @@
   private:
     value_type &m_Body;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 using Parser = http::request_parser<GrowingBody>;
