Log what an entry and an agent wait for, and outages of each kind apart

An entry that does not get ready logged nothing, so that the log could not tell a missing list from a missing declaration, nor why it was missing. The availability of the store was one flag for all kinds: while the list of instances failed and the declaration was read, each read turned it over and logged a line.

StoreSubjects is the one place that says what readiness needs, what of it is lacking and how its reads end. ReadinessPending (1009) names it once a second until the entry is ready, ProcessReady tells how long the start took, the dump lists it, and 5000/5001 are logged for each kind, with the length of the outage. An agent logs what an instance without weights waits for (WeightsPending, 3016).

--- a/src/direct/agent.cc
+++ b/src/direct/agent.cc
@@ -53,6 +53,8 @@
 /// Longest wait between reads of the store in place of an entry: many agents
 /// without an entry read it at the same time.
 constexpr Duration MaxStoreInterval = std::chrono::seconds(24);
+/// Between two lines about an instance that serves no weights.
+constexpr Duration PendingLogInterval = std::chrono::seconds(2);
 /// Share of the instance's link for weights; the rest is for requests, whose
 /// tokens must not queue behind chunks.
 constexpr double LinkShare = 0.95;
@@ -115,6 +117,7 @@
   asio::awaitable<void> stepLoop();
   asio::awaitable<void> storeLoop();
   asio::awaitable<void> readReport();
+  void logPending(TimePoint Now);
   asio::awaitable<bool> fetchPeers();
   asio::awaitable<bool> listPeers();
   std::optional<std::string> someLocalEntry();
@@ -151,6 +154,8 @@
   std::map<std::string, Subscriber> m_Entries; ///< by link address
   std::minstd_rand m_Random{std::random_device{}()};
 
+  TimePoint m_ServedAt = now(); ///< when the instance last served weights
+  TimePoint m_NextPendingLog{};
   bool m_Stopped = false;
 };
 
@@ -341,10 +346,30 @@
   m_Grants.reported(Read->m_Running + Read->m_Waiting, now());
 }
 
+/// Logs what an instance without weights waits for.
+void Agent::logPending(TimePoint Now) {
+  const auto &Held = m_Report.m_Weights;
+  const bool Serves = m_HasReport && std::any_of(Held.begin(), Held.end(),
+                                                 [](const auto &Each) {
+                                                   return Each.m_IsComplete;
+                                                 });
+  if (Serves)
+    m_ServedAt = Now;
+  const bool IsDue = Now - m_ServedAt >= PendingLogInterval;
+  if (!IsDue || Now < m_NextPendingLog)
+    return;
+  m_NextPendingLog = Now + PendingLogInterval;
+  net::log(Event::WeightsPending,
+           {{"lacks", m_HasReport ? m_Weights.missingStep() : "report"},
+            {"forMs", deckpitch::msOf(Now - m_ServedAt)},
+            {"entries", std::uint64_t{m_Entries.size()}}});
+}
+
 asio::awaitable<void> Agent::reportLoop() {
   while (!m_Stopped) {
     co_await readReport();
     const TimePoint Now = now();
+    logPending(Now);
     std::erase_if(m_Entries, [Now](const auto &Each) {
       return Now - Each.second.m_LastHello > SubscriptionLifetime;
     });
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -47,6 +47,9 @@
 /// data centre are moved: most have ended by then.
 constexpr double EvacuationDrainShare = 0.5;
 
+/// Between two lines about what an entry that is not ready waits for.
+constexpr Duration LackingLogInterval = milliseconds(1'000);
+
 /// Most lines that one declaration may log about its regions.
 constexpr std::size_t MaxRegionProblems = 20;
 
@@ -86,6 +89,8 @@
   asio::awaitable<void> tick();
   asio::awaitable<void> waitUntilDrained(std::function<void()> OnDone);
   void noteReadiness();
+  void logLacking(TimePoint Now);
+  boost::json::array lackingNames() const;
   StoreFreshness listFreshness();
   void setEvacuated(const std::set<DataCentreId> &DataCentres);
   void moveStreamsFromEvacuated(TimePoint Now);
@@ -116,6 +121,8 @@
   std::set<DataCentreId> m_Evacuated;
   bool m_Leaving = false;
   bool m_WasReady = false;
+  TimePoint m_Start = now();
+  TimePoint m_NextLackingLog = m_Start + LackingLogInterval;
   bool m_WasListOutdated = false; ///< the instance list
   bool m_Stopped = false;
 };
@@ -254,10 +261,7 @@
   m_Directory.setLifetime(Settings.m_Bounds.m_AddressLifetime);
 }
 
-bool Entry::isReady() const {
-  return !m_Leaving && m_Follower.knowsDeclaration() &&
-         m_Follower.knowsInstances() && m_Follower.knowsEvacuations();
-}
+bool Entry::isReady() const { return !m_Leaving && m_Follower.isComplete(); }
 
 /// Until the evacuations are known, any data centre may be evacuated, and
 /// nothing is sent.
@@ -301,7 +305,28 @@
     return;
   m_WasReady = true;
   net::log(Event::ProcessReady,
-           {{"instances", std::uint64_t{m_Instances.size()}}});
+           {{"instances", std::uint64_t{m_Instances.size()}},
+            {"startMs", std::uint64_t{msOf(now() - m_Start)}}});
+}
+
+/// Logs what the entry waits for until it is ready for the first time.
+void Entry::logLacking(TimePoint Now) {
+  if (m_WasReady || m_Leaving || Now < m_NextLackingLog)
+    return;
+  m_NextLackingLog = Now + LackingLogInterval;
+  for (const LackingSubject &Each : m_Follower.lacking())
+    net::log(Event::ReadinessPending,
+             {{"lacks", Each.m_Subject},
+              {"forMs", std::uint64_t{msOf(Each.m_For)}},
+              {"failures", std::uint64_t{Each.m_Failures}},
+              {"error", Each.m_Error}});
+}
+
+boost::json::array Entry::lackingNames() const {
+  boost::json::array Out;
+  for (const LackingSubject &Each : m_Follower.lacking())
+    Out.emplace_back(Each.m_Subject);
+  return Out;
 }
 
 /// Logs when the cached instance list becomes too old to send requests by, and
@@ -329,6 +354,7 @@
     m_Requests.setEntries(m_Registration.entriesThatRetry(), Now);
     m_Follower.setRank(m_Peers.ownRank(Now));
     logListFreshness();
+    logLacking(Now);
     m_RateLimits.update(Now);
     m_Requests.checkSilence(Now);
     m_Requests.moveStreamsFromSwapping(Now);
@@ -387,6 +413,7 @@
 
 boost::json::object Entry::dump() const {
   return {{"ready", isReady()},
+          {"lacks", lackingNames()},
           {"leaving", m_Leaving},
           {"entries", m_Peers.liveCount(now())},
           {"instances", m_Instances.size()},
--- a/src/direct/fleet-evacuations.cc
+++ b/src/direct/fleet-evacuations.cc
@@ -68,6 +68,7 @@
 void FleetFollower::setEvacuations(std::set<DataCentreId> DataCentres) {
   const bool IsChange = !m_KnowsEvacuations || DataCentres != m_Evacuated;
   m_KnowsEvacuations = true;
+  m_Subjects.received(m_Kinds.m_Evacuations);
   m_Evacuated = std::move(DataCentres);
   if (IsChange && m_Calls.m_OnEvacuations)
     m_Calls.m_OnEvacuations(m_Evacuated);
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -120,7 +120,12 @@
           nullptr},
       m_Evacuations(followedEvacuations()),
       m_Instances(planWith(Bounds.m_Drain, Bounds.m_Drain / ListsPerDrain)),
-      m_InstancesWake(Io) {}
+      m_InstancesWake(Io), m_Subjects(now()) {
+  m_Subjects.require(m_Kinds.m_Declarations);
+  m_Subjects.require(m_Kinds.m_Instances);
+  if (m_Bounds.m_Evacuate)
+    m_Subjects.require(m_Kinds.m_Evacuations);
+}
 
 ReadingPlan FleetFollower::planFor(Duration Bound) {
   return planWith(Bound, maxReliance(Bound) / 2);
@@ -168,20 +173,29 @@
   return jittered(std::min(backOff(Failures), MaxRetryDelay), m_Random);
 }
 
-/// Logs once when the store becomes unavailable and once when it is back.
-void FleetFollower::logStoreAvailability(const std::string &Call,
-                                         std::optional<Error> Fault) {
+/// Records the outcome of a read. Logs once for each kind when its reads begin
+/// to fail and once when they succeed again: that of one kind may keep failing
+/// while the others are read.
+void FleetFollower::noteRead(const std::string &Call, const std::string &Kind,
+                             const std::optional<Error> &Fault) {
+  const std::string Name = Call + " " + Kind;
   // A revision that the store no longer has is no outage.
-  const bool IsAway = Fault && Fault->m_Code != ErrorCode::NotFound;
-  if (IsAway == m_IsStoreAway)
-    return;
-  m_IsStoreAway = IsAway;
-  if (IsAway) {
-    net::log(Event::PlatformUnavailable,
-             {{"call", Call}, {"error", Fault->m_Message}});
+  if (Fault && Fault->m_Code != ErrorCode::NotFound) {
+    if (m_Subjects.failed(Kind, *Fault, now()))
+      net::log(Event::PlatformUnavailable,
+               {{"call", Name}, {"error", Fault->m_Message}});
     return;
   }
-  net::log(Event::PlatformAvailable, {{"call", Call}});
+  const EndedOutage Ended = m_Subjects.succeeded(Kind, now());
+  if (Ended.m_Failures != 0)
+    net::log(Event::PlatformAvailable,
+             {{"call", Name},
+              {"failures", std::uint64_t{Ended.m_Failures}},
+              {"awayMs", std::uint64_t{msOf(Ended.m_Length)}}});
+}
+
+std::vector<LackingSubject> FleetFollower::lacking() const {
+  return m_Subjects.lacking(now());
 }
 
 void FleetFollower::logTakeOver(const std::string &Kind,
@@ -248,7 +262,7 @@
   const TimePoint Asked = now();
   const auto Changed = co_await m_Store.changes(Kind.m_Kind, Kind.m_Seen);
   if (Changed || Changed.error().m_Code != ErrorCode::NotFound)
-    co_return handleRead(Kind, Changed, Asked, "changes of ");
+    co_return handleRead(Kind, Changed, Asked, "changes of");
   Kind.m_Seen = {};
   co_return co_await listOnce(Kind);
 }
@@ -257,7 +271,7 @@
 asio::awaitable<bool> FleetFollower::listOnce(FollowedKind &Kind) {
   const TimePoint Asked = now();
   const auto List = co_await m_Store.list(Kind.m_Kind);
-  co_return handleRead(Kind, List, Asked, "list ");
+  co_return handleRead(Kind, List, Asked, "list");
 }
 
 /// Another version may have been announced while an older one was in transit.
@@ -280,7 +294,7 @@
 bool FleetFollower::handleRead(FollowedKind &Kind,
                                const Outcome<net::PlatformList> &Read,
                                TimePoint Asked, const std::string &Call) {
-  logStoreAvailability(Call + Kind.m_Kind, detail::faultOf(Read));
+  noteRead(Call, Kind.m_Kind, detail::faultOf(Read));
   logSlowRead(Kind.m_Kind, Asked, m_Bounds.m_Apply, Read ? bytesOf(*Read) : 0);
   if (!Read)
     return false;
@@ -305,7 +319,7 @@
 asio::awaitable<bool> FleetFollower::watchOnce(FollowedKind &Kind) {
   const std::function<bool(net::PlatformEvent)> OnEvent =
       [&](const net::PlatformEvent &Update) {
-        logStoreAvailability("watch " + Kind.m_Kind, std::nullopt);
+        noteRead("watch", Kind.m_Kind, std::nullopt);
         if (Update.m_Type == net::PlatformEvent::Type::Put)
           Kind.m_Apply(Update.m_Object);
         if (Update.m_Type == net::PlatformEvent::Type::Delete &&
@@ -328,7 +342,7 @@
     Kind.m_Seen = {};
     co_return true;
   }
-  logStoreAvailability("watch " + Kind.m_Kind, End);
+  noteRead("watch", Kind.m_Kind, End);
   co_return false;
 }
 
@@ -369,6 +383,7 @@
   if (Parsed->m_Version <= m_Version)
     return;
   m_Version = Parsed->m_Version;
+  m_Subjects.received(m_Kinds.m_Declarations);
   net::log(Event::DeclarationAccepted,
            {{"version", Parsed->m_Version},
             {"revision", Object.m_Revision.m_Value},
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -8,6 +8,7 @@
 #include "deckpitch/instance-list.h"
 #include "deckpitch/shared-reading.h"
 #include "deckpitch/store-freshness.h"
+#include "deckpitch/store-subjects.h"
 #include "deckpitch/time.h"
 #include "direct/adapter.h"
 #include "direct/entry-peers.h"
@@ -113,11 +114,15 @@
   bool knowsWeights() const {
     return m_WeightVersions.m_Reading.asOf() != TimePoint{};
   }
-  bool knowsInstances() const { return m_KnowsInstances; }
   /// Whether the evacuations are known or are not followed.
   bool knowsEvacuations() const {
     return !m_Bounds.m_Evacuate || m_KnowsEvacuations;
   }
+  /// Whether all that an entry needs before it accepts callers was received:
+  /// the declaration, the instances and, if they are followed, the evacuations.
+  bool isComplete() const { return m_Subjects.isComplete(); }
+  /// What of that was not received yet, and why.
+  std::vector<LackingSubject> lacking() const;
 
 private:
   /// A newer declaration that another entry holds.
@@ -205,8 +210,8 @@
   void logUnreadable(std::map<std::string, std::string> Unreadable);
   void applyInstances(InstanceList Listed);
   void logChanges(const InstanceList &Now);
-  void logStoreAvailability(const std::string &Call,
-                            std::optional<Error> Fault);
+  void noteRead(const std::string &Call, const std::string &Kind,
+                const std::optional<Error> &Fault);
   Duration retryDelay(unsigned Failures);
 
   asio::io_context &m_Io;
@@ -242,7 +247,7 @@
   ExpiredInstances m_Expired;
   bool m_HasListFailed = false; ///< since the last list that was received
   PauseDetector m_PauseDetector;
-  bool m_IsStoreAway = false;
+  StoreSubjects m_Subjects;
   bool m_Stopped = false;
   std::minstd_rand m_Random{std::random_device{}()};
 };
--- a/src/direct/fleet-instances.cc
+++ b/src/direct/fleet-instances.cc
@@ -84,7 +84,7 @@
 
 bool FleetFollower::handleInstances(const Outcome<net::PlatformList> &List,
                                     TimePoint AsOf) {
-  logStoreAvailability("list " + m_Kinds.m_Instances, detail::faultOf(List));
+  noteRead("list", m_Kinds.m_Instances, detail::faultOf(List));
   // A time-out that passed while this process was paused is no outage of the
   // store: otherwise instances that left meanwhile would be kept.
   const bool IsOwnPause = m_Bounds.m_KeepsExpired && wasPausedSince(AsOf);
@@ -188,6 +188,7 @@
   logChanges(Listed);
   m_Listed = std::move(Listed);
   m_KnowsInstances = true;
+  m_Subjects.received(m_Kinds.m_Instances);
   std::vector<FleetInstance> All;
   for (const auto &[Id, Each] : m_Listed)
     All.push_back(Each);
--- a/src/direct/weights-supply.cc
+++ b/src/direct/weights-supply.cc
@@ -196,6 +196,18 @@
   return m_Current.m_Copy && !m_Current.m_Copy->swarm().complete();
 }
 
+const char *WeightsSupply::missingStep() const {
+  if (!hasSource())
+    return "source";
+  if (m_Wanted.m_Version == 0)
+    return "declared version";
+  if (!m_Current.m_Copy)
+    return "manifest or list of peers";
+  if (!m_Current.m_CompleteAt)
+    return "chunks";
+  return m_IsLoadPending ? "load" : "load order";
+}
+
 /// Keeps the verdict of an earlier copy: a new copy gives none until its first
 /// chunks have arrived.
 void WeightsSupply::observeLink(const Swarm &S) {
--- a/src/direct/weights-supply.h
+++ b/src/direct/weights-supply.h
@@ -70,6 +70,9 @@
     return m_IsLoadPending ? m_PendingVersion : 0;
   }
   bool isCopying() const;
+  /// What is still missing before the instance serves the declared weights, for
+  /// log lines.
+  const char *missingStep() const;
   /// Whether chunks do not queue on the link to this instance, nor requests
   /// behind them.
   bool hasSoundLink() const { return m_HasSoundLink; }
