Answer the last requests of a server before it closes their connections

Callers saw, in planned stops: an answer that announced a kept connection, which was then closed; the second of two requests in one packet, read and not answered; resets of requests that had arrived on an idle connection or in the queue of the port at the moment of the close; requests still being received that were cut without an answer.

Causes: whether a connection is kept was decided when its request began, not when the answer's head is written, and without a look at what had arrived behind the request; drain() closed the port and the idle connections without a look at unread bytes; nothing ended the receiving of a request but the close.

Now the decision is made with the head of the answer, and the last of the requests that have arrived announces the close. drain() accepts the connections that wait in the queue of the port, and leaves idle connections on which bytes have arrived to be answered. refuseUnread() answers requests that are still being received with 503, and requests that begin later get 0.1 s to arrive.

--- a/src/net/clients.cc
+++ b/src/net/clients.cc
@@ -20,8 +20,8 @@
 
 const char *nameOf(ClientRefusal Reason) {
   static constexpr std::array Names{
-      "no connection",  "evicted",  "no bytes", "body too large",
-      "head too large", "too slow", "malformed"};
+      "no connection",  "evicted",  "no bytes",  "body too large",
+      "head too large", "too slow", "malformed", "stopping"};
   static_assert(Names.size() == ClientRefusalCount);
   return Names[static_cast<std::size_t>(Reason)];
 }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -25,10 +25,11 @@
   BodyTooLarge,
   HeadTooLarge, ///< or its trailers, or the line that begins a chunk
   TooSlow,      ///< its request was not complete in time
-  Malformed
+  Malformed,
+  Stopping ///< its request was not complete when the process was to end
 };
 
-inline constexpr std::size_t ClientRefusalCount = 7;
+inline constexpr std::size_t ClientRefusalCount = 8;
 
 class Clients;
 
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -41,15 +41,19 @@
 
 class Responder final : public HttpResponder {
 public:
+  /// IsClosing: whether the server closes connections after their answers;
+  /// null: it does.
   Responder(Connection &Conn, std::chrono::milliseconds WriteTimeout,
-            bool KeepAlive, bool IsHttp11 = false)
+            bool KeepAlive, bool IsHttp11 = false,
+            const std::atomic<bool> *IsClosing = nullptr)
       : m_Conn(Conn), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive),
-        m_IsHttp11(IsHttp11) {}
+        m_IsHttp11(IsHttp11), m_IsClosing(IsClosing) {}
 
   asio::awaitable<bool> send(HttpResponse Response) override {
     if (m_Started || m_Failed)
       co_return false;
     m_Started = true;
+    decideKeepAlive();
     http::response<http::string_body> Message;
     Message.version(11);
     Message.result(Response.m_Status);
@@ -70,6 +74,7 @@
     if (m_Started || m_Failed)
       co_return false;
     m_Started = true;
+    decideKeepAlive();
     http::response<http::empty_body> Message;
     Message.version(11);
     Message.result(Status);
@@ -155,6 +160,13 @@
   bool keepsConnection() const { return m_Ended && !m_Failed && m_KeepAlive; }
 
 private:
+  /// Decided with the answer's head, which tells the client. A request that has
+  /// arrived by then is still answered on the connection.
+  void decideKeepAlive() {
+    const bool IsClosing = !m_IsClosing || *m_IsClosing;
+    m_KeepAlive = m_KeepAlive && (!IsClosing || m_Conn.hasMore());
+  }
+
   /// Closes the connection with a reset: a client that knows no chunks would
   /// take another end for that of the response.
   void reset() {
@@ -188,6 +200,7 @@
   std::chrono::milliseconds m_WriteTimeout;
   bool m_KeepAlive;
   bool m_IsHttp11;
+  const std::atomic<bool> *m_IsClosing;
   bool m_Started = false;
   bool m_Ended = false;
   bool m_Failed = false;
@@ -220,27 +233,67 @@
         co_await Pause.async_wait(UseAwaitable);
         continue;
       }
-      Socket.set_option(tcp::no_delay(true), Ec);
-      enableDeadPeerDetection(Socket);
-      Socket.non_blocking(true, Ec);
-      auto NewConn = std::make_shared<Connection>(std::move(Socket));
-      if (!add(NewConn))
-        continue;
-      asio::co_spawn(NewConn->m_Socket.get_executor(), serve(NewConn),
-                     [Self, NewConn](std::exception_ptr) {
-                       // Pending operations hold a reference to the connection
-                       // and would keep its socket open.
-                       boost::system::error_code Ignored;
-                       NewConn->m_Socket.close(Ignored);
-                       std::lock_guard Lock(Self->m_Mutex);
-                       Self->m_Connections.erase(NewConn.get());
-                     });
+      begin(std::move(Socket));
+    }
+  }
+
+  /// Serves a connection that was accepted.
+  void begin(tcp::socket Socket) {
+    boost::system::error_code Ec;
+    Socket.set_option(tcp::no_delay(true), Ec);
+    enableDeadPeerDetection(Socket);
+    Socket.non_blocking(true, Ec);
+    auto NewConn = std::make_shared<Connection>(std::move(Socket));
+    if (!add(NewConn))
+      return;
+    asio::co_spawn(NewConn->m_Socket.get_executor(), serve(NewConn),
+                   [Self = shared_from_this(), NewConn](std::exception_ptr) {
+                     // Pending operations hold a reference to the connection
+                     // and would keep its socket open.
+                     boost::system::error_code Ignored;
+                     NewConn->m_Socket.close(Ignored);
+                     std::lock_guard Lock(Self->m_Mutex);
+                     Self->m_Connections.erase(NewConn.get());
+                   });
+  }
+
+  /// Serves the connections that wait to be accepted, and closes the port.
+  void endAccepting() {
+    boost::system::error_code Ec;
+    m_Acceptor.non_blocking(true, Ec);
+    while (!Ec && m_Acceptor.is_open()) {
+      tcp::socket Socket = m_Acceptor.accept(m_Threads.nextWorker(), Ec);
+      if (!Ec)
+        begin(std::move(Socket));
     }
+    m_Acceptor.close(Ec);
+  }
+
+  /// Closes connections without a request, but for those on which one has
+  /// arrived.
+  void closeIdle() {
+    m_Draining = true;
+    forEachConnection([](Connection &Conn) {
+      boost::system::error_code Ignored;
+      if (!Conn.m_IsBusy && !Conn.hasMore())
+        Conn.m_Socket.cancel(Ignored);
+    });
+  }
+
+  /// Applies the function to each connection on its own event loop.
+  template <typename Function> void forEachConnection(Function Apply) {
+    std::lock_guard Lock(m_Mutex);
+    for (auto &[Key, Each] : m_Connections)
+      if (const auto Open = Each.lock())
+        asio::post(Open->m_Socket.get_executor(),
+                   [Open, Apply] { Apply(*Open); });
   }
 
   bool add(const std::shared_ptr<Connection> &NewConn) {
-    if (m_Draining || !admit(NewConn))
+    // One that was accepted just before the port was closed is still served.
+    if (m_Stopped || !admit(NewConn))
       return false;
+    NewConn->m_IsStopping = m_RefusesUnread;
     std::lock_guard Lock(m_Mutex);
     m_Connections.emplace(NewConn.get(), NewConn);
     return true;
@@ -268,6 +321,14 @@
     return "{\"error\":\"" + Why.m_Message + "\"}";
   }
 
+  static HttpResponse responseTo(const detail::ReceiveError &Why) {
+    if (Why.m_Reason == ClientRefusal::Stopping)
+      return stoppingResponse();
+    return Why.m_Status == StatusUnavailable
+               ? noRoomResponse()
+               : jsonResponse(Why.m_Status, errorJson(Why));
+  }
+
   asio::awaitable<void> refuse(Connection &Conn, detail::ReceiveError Why) {
     // What was received is not kept while the client is told.
     Conn.m_Buffer = {};
@@ -278,9 +339,7 @@
     const bool IsEvicted = Why.m_Reason == ClientRefusal::Evicted;
     if (!IsEvicted) // Noted at the end of the connection.
       Conn.m_Session->noteRefusal(Why.m_Reason);
-    HttpResponse Response = Why.m_Status == StatusUnavailable
-                                ? noRoomResponse()
-                                : jsonResponse(Why.m_Status, errorJson(Why));
+    HttpResponse Response = responseTo(Why);
     Responder Answer(Conn, RefusalTime, false);
     co_await Answer.send(std::move(Response));
     // One that was evicted has stalled: nothing more is on its way, and its
@@ -312,6 +371,10 @@
     Conn->m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
     if (Conn->m_IsEvicted)
       Conn->m_Session->noteRefusal(ClientRefusal::Evicted);
+    else if (m_ClosesAfterAnswers) {
+      Conn->m_Session->enter(ClientPhase::Closing);
+      co_await discardIncoming(*Conn);
+    }
   }
 
   /// Serves one request. Returns true if the connection can serve another.
@@ -333,17 +396,17 @@
       CanReuse = co_await answer(Conn, std::move(Received));
     m_OpenRequests.fetch_sub(1);
     Conn->m_IsBusy = false;
-    co_return CanReuse && !m_Draining && !Conn->m_IsEvicted;
+    co_return CanReuse && (!m_Draining || Conn->hasMore()) &&
+        !Conn->m_IsEvicted;
   }
 
   /// Handles one request. Returns true if the connection can serve another.
   asio::awaitable<bool> answer(std::shared_ptr<Connection> Conn,
                                ReceivedRequest Received) {
-    const bool KeepAlive =
-        Received.m_KeepAlive && !m_Draining && !m_ClosesAfterAnswers;
     const bool IsBodyRead = Received.m_Request.m_IsBodyRead;
-    auto Answer = std::make_shared<Responder>(*Conn, m_Limits.m_WriteTimeout,
-                                              KeepAlive, Received.m_IsHttp11);
+    auto Answer = std::make_shared<Responder>(
+        *Conn, m_Limits.m_WriteTimeout, Received.m_KeepAlive,
+        Received.m_IsHttp11, &m_ClosesAfterAnswers);
     Conn->m_IsAnswering = true;
     Conn->m_Session->enter(ClientPhase::Answering);
     watchForClose(Conn, Answer, Conn->m_Buffer);
@@ -431,8 +494,10 @@
   /// Each connection is owned by its serve() coroutine, so that it is destroyed
   /// with its own event loop.
   std::unordered_map<Connection *, std::weak_ptr<Connection>> m_Connections;
-  std::atomic<bool> m_Draining{false};
+  std::atomic<bool> m_Draining{false}; ///< closes idle connections
+  std::atomic<bool> m_Stopped{false};
   std::atomic<bool> m_ClosesAfterAnswers{false};
+  std::atomic<bool> m_RefusesUnread{false};
   std::atomic<std::size_t> m_OpenRequests{0};
 };
 
@@ -469,38 +534,30 @@
 
 void HttpServer::closeAfterAnswers() { m_Impl->m_ClosesAfterAnswers = true; }
 
+void HttpServer::refuseUnread() {
+  m_Impl->m_RefusesUnread = true;
+  m_Impl->forEachConnection([](Connection &Conn) { Conn.refuseUnread(); });
+}
+
 void HttpServer::drain() {
-  m_Impl->m_Draining = true;
+  m_Impl->m_ClosesAfterAnswers = true;
   asio::post(m_Impl->m_Acceptor.get_executor(), [Impl = m_Impl] {
-    boost::system::error_code Ignored;
-    Impl->m_Acceptor.close(Ignored);
+    Impl->endAccepting();
+    Impl->closeIdle();
   });
-  std::lock_guard Lock(m_Impl->m_Mutex);
-  for (auto &[Key, Each] : m_Impl->m_Connections) {
-    const auto Open = Each.lock();
-    if (!Open)
-      continue;
-    asio::post(Open->m_Socket.get_executor(), [Open] {
-      boost::system::error_code Ignored;
-      if (!Open->m_IsBusy)
-        Open->m_Socket.cancel(Ignored);
-    });
-  }
 }
 
 void HttpServer::stop() {
   m_Impl->m_Draining = true;
+  m_Impl->m_Stopped = true;
   asio::post(m_Impl->m_Acceptor.get_executor(), [Impl = m_Impl] {
     boost::system::error_code Ignored;
     Impl->m_Acceptor.close(Ignored);
   });
-  std::lock_guard Lock(m_Impl->m_Mutex);
-  for (auto &[Key, Each] : m_Impl->m_Connections)
-    if (const auto Open = Each.lock())
-      asio::post(Open->m_Socket.get_executor(), [Open] {
-        boost::system::error_code Ignored;
-        Open->m_Socket.close(Ignored);
-      });
+  m_Impl->forEachConnection([](Connection &Conn) {
+    boost::system::error_code Ignored;
+    Conn.m_Socket.close(Ignored);
+  });
 }
 
 std::size_t HttpServer::openRequests() const {
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -67,6 +67,8 @@
 constexpr unsigned StatusUnavailable = 503;
 /// By then, stalled requests have given way.
 constexpr const char *RetryAfterSeconds = "1";
+/// Other processes can take the request at once.
+constexpr const char *StoppingRetryAfter = "0.050";
 
 } // namespace
 
@@ -77,6 +79,13 @@
   return Out;
 }
 
+HttpResponse stoppingResponse() {
+  HttpResponse Out = jsonResponse(StatusUnavailable,
+                                  R"({"error":"this process is stopping"})");
+  Out.m_Headers.add("Retry-After", StoppingRetryAfter);
+  return Out;
+}
+
 HttpResponse jsonResponse(unsigned Status, std::string Json) {
   HttpResponse Response;
   Response.m_Status = Status;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -64,6 +64,8 @@
 /// The answer to a request for which there is no memory, see
 /// HttpResponder::reserve().
 HttpResponse noRoomResponse();
+/// The answer to a request that was not received before the end of the process.
+HttpResponse stoppingResponse();
 
 /// Writes the response to one request. Once the client has disconnected, every
 /// call returns false or has no effect.
@@ -133,11 +135,15 @@
   Result<std::string> listen(const std::string &Address);
   /// Sets the limits for requests received from now on.
   void setLimits(HttpLimits Limits);
-  /// Closes each connection after its next response; new connections are still
-  /// accepted.
+  /// From now on, closes each connection with its next response that no further
+  /// request has arrived after; new connections are still accepted.
   void closeAfterAnswers();
+  /// Refuses requests that are still being received, and later ones that do not
+  /// arrive at once.
+  void refuseUnread();
   /// Refuses new connections and closes each open one after its current
-  /// response, or at once if it is idle.
+  /// response, or at once if it is idle. Requests that have arrived are
+  /// answered, also on connections that were not accepted yet.
   void drain();
   /// Closes the listening socket and all connections immediately.
   void stop();
--- a/src/net/server-connection.cc
+++ b/src/net/server-connection.cc
@@ -18,6 +18,10 @@
 /// receive. A line or trailers that do not fit end the request.
 constexpr std::size_t BufferSlack = std::size_t{8} * 1024;
 
+/// To receive a request that begins once unread ones are refused: in the same
+/// packets, or hardly later.
+constexpr std::chrono::milliseconds StoppingReceiveTime{100};
+
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusTimeout = 408;
 constexpr unsigned StatusTooLarge = 413;
@@ -69,10 +73,17 @@
           "too many large requests in progress"};
 }
 
+ReceiveError stoppingError() {
+  return {ClientRefusal::Stopping, StatusUnavailable,
+          "not received before the end of the process"};
+}
+
 ReceiveError errorOf(const ServerConnection &Conn,
                      const beast::error_code &Ec) {
   if (Conn.m_IsEvicted)
     return evictedError();
+  if (Conn.m_IsStopping)
+    return stoppingError();
   if (Conn.m_Deadline.expired())
     return {ClientRefusal::TooSlow, StatusTimeout,
             "the request was not complete in time"};
@@ -110,6 +121,8 @@
     HeadBytes += Bytes;
     if (Ec)
       co_return errorOf(Conn, Ec);
+    if (Conn.m_IsStopping && !Into.is_header_done())
+      co_return stoppingError();
     if (!Conn.holdBuffered(2 * HeadBytes)) // as parsed, and in the request
       co_return noBytesError();
   }
@@ -125,6 +138,18 @@
     m_Socket.cancel(Ignored);
 }
 
+void ServerConnection::refuseUnread() {
+  m_IsStopping = true;
+  boost::system::error_code Ignored;
+  if (m_IsBusy && !m_IsAnswering)
+    m_Socket.cancel(Ignored);
+}
+
+bool ServerConnection::hasMore() const {
+  boost::system::error_code Ec;
+  return m_Buffer.size() != 0 || (m_Socket.available(Ec) != 0 && !Ec);
+}
+
 asio::awaitable<bool> waitForRequest(ServerConnection &Conn,
                                      std::chrono::milliseconds IdleTimeout) {
   if (Conn.m_Buffer.size() != 0)
@@ -149,7 +174,9 @@
   Into.body_limit(Limits.m_BodyBytes);
   Conn.m_Buffer.max_size(std::max(Limits.m_HeaderBytes, Conn.m_Buffer.size()) +
                          BufferSlack);
-  Conn.m_Deadline.expiresAfter(Limits.m_HeaderTimeout);
+  Conn.m_Deadline.expiresAfter(
+      Conn.m_IsStopping ? std::min(Limits.m_HeaderTimeout, StoppingReceiveTime)
+                        : Limits.m_HeaderTimeout);
   ReceivedRequest Out;
   std::size_t HeadBytes = 0;
   Out.m_Error = co_await readHead(Conn, Into, HeadBytes);
@@ -167,6 +194,8 @@
         Conn.m_Socket, Conn.m_Buffer, Into, UseAwaitable);
     if (Ec)
       Out.m_Error = errorOf(Conn, Ec);
+    else if (Conn.m_IsStopping && !Into.is_done())
+      Out.m_Error = stoppingError();
     else if (!Conn.holdBuffered(2 * HeadBytes + bytesOf(Body)))
       Out.m_Error = noBytesError();
     if (Out.m_Error)
--- a/src/net/server-connection.h
+++ b/src/net/server-connection.h
@@ -24,6 +24,10 @@
   /// Ends the connection in favour of another client's: at once, or after the
   /// answer in progress.
   void evict();
+  /// Refuses the request that is being received, if any.
+  void refuseUnread();
+  /// Whether bytes after the current request have arrived.
+  bool hasMore() const;
   /// Charges the client for the received bytes that the buffer holds, and for
   /// others. False if that is refused.
   bool holdBuffered(std::size_t Others) {
@@ -37,6 +41,7 @@
   std::atomic<bool> m_IsBusy{false}; ///< a request has begun
   bool m_IsAnswering = false;
   bool m_IsEvicted = false;
+  bool m_IsStopping = false; ///< receives no request to its end any more
 };
 
 /// A request that was not received completely.
