Take no request in a stop that may be cut, and answer what is

Callers saw, in planned stops of one entry with nothing else disturbed: requests taken late in the grace were sent to instances with all their time and cut at its end without an answer, among them requests that may not be repeated; requests that still ran from before were cut in the same way; and after the first 2.5 s the port was closed while the process still ran, so that requests were reset.

Causes: a stop decided nothing about requests. In the first 2.5 s all were taken, with their full deadline; then the port and idle connections were closed at once; at the end of the grace the connections were closed whatever was open.

Now a StopPlan (kernel, no clock) decides for each request, when it has been received and before each send: served if it ends within the grace; served within what is left of it if it may be repeated; else refused at once with the promise that it has not run. After 2.5 s all are refused. 0.8 s before the end of the grace what still runs is ended: 503 if nothing was sent or all was rejected, else 502; streams that have begun are broken off, so that they do not look complete and can be resumed. EntryDrain, out of entry.cc, runs the stop, keeps the port and idle connections open until nothing is open, and logs what was served, refused and ended (EntryDrained). docs/design/stops.md has the reasons.

The whole suite was not run.

--- a/src/direct/entry-answers.cc
+++ b/src/direct/entry-answers.cc
@@ -42,6 +42,8 @@
 EntryRequests::readWhole(Call &C, net::HttpStream &Body) {
   C.m_Body.clear();
   while (true) {
+    if (C.m_IsEnded)
+      co_return AttemptOutcome::Lost;
     const milliseconds Left = C.timeLeft();
     if (Left <= milliseconds::zero()) {
       C.m_ReadError = "the answer does not end in time";
@@ -119,8 +121,9 @@
 EntryRequests::forwardEvents(Call &C, net::HttpStream &Body) {
   while (true) {
     const milliseconds Left = C.timeLeft();
-    if (Left <= milliseconds::zero())
-      co_return AttemptOutcome::Broken;
+    if (C.m_IsEnded || Left <= milliseconds::zero())
+      co_return C.m_Answer.started() ? AttemptOutcome::Broken
+                                     : AttemptOutcome::Lost;
     Body.setReadTimeout(Left);
     auto Piece = co_await Body.read();
     const bool IsEnd = Piece && Piece->empty();
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -40,6 +40,13 @@
 
 inline bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
+/// Whether the route's requests may run more than once.
+inline bool isRepeatable(const ServiceRoute &Route) {
+  if (Route.m_Kind == RouteKind::Stream)
+    return Route.m_IsResumable;
+  return Route.m_Kind == RouteKind::Idempotent;
+}
+
 /// State of one request from its arrival until its answer has ended.
 struct EntryRequests::Call {
   net::HttpRequest m_Request;
@@ -58,6 +65,10 @@
   std::uint32_t m_Unreachable = 0; ///< attempts that reached no instance
   std::set<std::string> m_SentTo;  ///< addresses of instances
   bool m_IsGone = false;
+  /// The stop of this entry leaves less time than the request has.
+  bool m_IsCutShort = false;
+  /// The stop of this entry has ended it; nothing more is sent.
+  bool m_IsEnded = false;
   std::uint64_t m_Number = 0;  ///< unique within this entry
   bool m_IsMoveSought = false; ///< a move to another instance is under way
   /// The current attempt is being ended so that the request continues at
@@ -124,9 +135,7 @@
   }
   /// Whether another instance may run the request after one may have run it.
   bool isRepeatable() const {
-    if (isStream())
-      return m_Route->m_IsResumable;
-    return m_Route->m_Kind == RouteKind::Idempotent;
+    return m_Route && direct::isRepeatable(*m_Route);
   }
   /// Whether the route allows one more send and one more run.
   bool hasAttemptsLeft() const {
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -52,7 +52,7 @@
 /// it is: silence alone ends no answer.
 bool EntryRequests::mayMove(const Call &C) const {
   return C.isStream() && C.isRepeatable() && !C.m_IsMoving && !C.m_Handover &&
-         !C.m_IsGone && C.m_Abort && C.hasAttemptsLeft() &&
+         !C.m_IsGone && !C.m_IsEnded && C.m_Abort && C.hasAttemptsLeft() &&
          !m_Harmful.isRefused(C.m_Fingerprints);
 }
 
@@ -104,8 +104,8 @@
   m_Instances.started(Next.m_Instance, now());
   SendResult Begun = co_await send(C, Next, Pending->m_Cancel);
   const Duration Asked = now() - Pending->m_Sent;
-  const bool IsTaken =
-      Begun.m_Body && isSuccess(Begun.m_Body->status()) && !C.m_IsGone;
+  const bool IsTaken = Begun.m_Body && isSuccess(Begun.m_Body->status()) &&
+                       !C.m_IsGone && !C.m_IsEnded;
   logMove(IsTaken ? Event::StreamMoved : Event::StreamMoveRefused, C, Next,
           Reason, IsTaken ? "begun" : outcomeName(Begun.m_How), Asked);
   if (IsTaken) {
@@ -152,7 +152,7 @@
   // A failed write shows a disconnect before m_IsGone is set.
   const auto IsNeeded = [&C, Outcome] {
     return Outcome != AttemptOutcome::Delivered &&
-           Outcome != AttemptOutcome::Gone && !C.m_IsGone;
+           Outcome != AttemptOutcome::Gone && !C.m_IsGone && !C.m_IsEnded;
   };
   if (C.m_Handover && !IsNeeded())
     C.m_Handover->m_Cancel.cancel();
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -42,6 +42,9 @@
 /// Slots that first attempts leave free for repeated ones: a second refusal
 /// ends the caller's request.
 constexpr double FirstTryReserve = 1;
+/// Retry-After during the stop of this entry: other entries can take the
+/// request at once.
+constexpr Duration RetryAfterStop = milliseconds(50);
 /// Retry-After until the declaration has been read after a start.
 constexpr Duration RetryAfterStart = milliseconds(500);
 /// Minimum Retry-After when instances have just refused the request.
@@ -80,6 +83,11 @@
   return "";
 }
 
+milliseconds timeoutOf(const CallerTerms &Terms, const ServiceRoute &Route) {
+  return std::min(Terms.m_CallerTimeout.value_or(DefaultCallerTimeout),
+                  Route.m_Timeout);
+}
+
 std::string reasonOf(const HarmRefusal &Refusal) {
   if (!isPromptPart(Refusal.m_Cause))
     return "crashes its instances";
@@ -179,8 +187,67 @@
       Routes.find(Head.m_Headers.find("Host"), Head.path());
   if (!Route)
     return false;
+  const CallerTerms Terms = m_Adapter.readTerms(Head);
+  if (m_Stop &&
+      m_Stop->onArrival(
+                {now() + timeoutOf(Terms, *Route), isRepeatable(*Route)}, now())
+              .m_Action == StopAction::Refuse)
+    return false;
   const bool NeedsKey = Routes.hasOrganisations() && !Route->m_IsOpen;
-  return !NeedsKey || Routes.organisationOf(m_Adapter.readTerms(Head).m_Key);
+  return !NeedsKey || Routes.organisationOf(Terms.m_Key);
+}
+
+StopSubject EntryRequests::stopSubjectOf(const Call &C) {
+  return {C.m_Deadline, C.isRepeatable()};
+}
+
+/// Applies the deadline of the decision. False if the request must not be sent.
+bool EntryRequests::applyStop(Call &C, const StopDecision &Decision) {
+  if (Decision.m_Action == StopAction::Refuse)
+    return false;
+  C.m_IsCutShort =
+      C.m_IsCutShort || Decision.m_Action == StopAction::ServeWithin;
+  C.m_Deadline = Decision.m_Deadline;
+  return true;
+}
+
+/// Whether a request that has been received is served.
+bool EntryRequests::admitDuringStop(Call &C) {
+  if (!m_Stop)
+    return true;
+  const StopDecision Decision = m_Stop->onArrival(stopSubjectOf(C), now());
+  switch (Decision.m_Action) {
+  case StopAction::Serve:
+    ++m_StopCounts.m_Served;
+    break;
+  case StopAction::ServeWithin:
+    ++m_StopCounts.m_ServedWithin;
+    break;
+  case StopAction::Refuse:
+    ++m_StopCounts.m_Refused;
+    break;
+  }
+  return applyStop(C, Decision);
+}
+
+/// Whether a request may be sent now; it may have arrived before the stop.
+bool EntryRequests::maySendDuringStop(Call &C) {
+  if (!m_Stop || C.m_IsEnded)
+    return !C.m_IsEnded;
+  const bool MaySend = applyStop(C, m_Stop->onSend(stopSubjectOf(C), now()));
+  if (!MaySend)
+    ++m_StopCounts.m_Refused;
+  return MaySend;
+}
+
+void EntryRequests::endAll() {
+  for (const auto &[Number, Each] : m_Calls) {
+    Each->m_IsEnded = true;
+    Each->m_IsCutShort = true;
+    if (Each->m_Handover)
+      Each->m_Handover->m_Cancel.cancel();
+    Each->abort();
+  }
 }
 
 asio::awaitable<void> EntryRequests::serve(Call &C) {
@@ -203,6 +270,9 @@
   if (NeedsKey && !C.m_Organisation)
     co_return co_await rejectUnknown(C, FailureStatus::Unauthorized,
                                      "unknown key");
+  C.m_Deadline = C.m_Start + timeoutOf(C.m_Terms, *C.m_Route);
+  if (!admitDuringStop(C))
+    co_return co_await refuse(C, "this entry stops", RetryAfterStop);
   if (!C.m_Request.m_IsBodyRead)
     co_return co_await refuse(C, "route or key just declared", RetryAfterStart);
   C.m_Fingerprint = fingerprintOf(
@@ -227,9 +297,6 @@
   C.m_Query.m_AskedBeyond = AskedBeyond;
   C.m_Query.m_AvoidsLimited = !C.isRepeatable();
   C.m_Query.m_Size = {C.m_Terms.m_PromptTokens, C.m_Terms.m_LikelyTokens};
-  const milliseconds CallerTimeout =
-      C.m_Terms.m_CallerTimeout.value_or(DefaultCallerTimeout);
-  C.m_Deadline = C.m_Start + std::min(CallerTimeout, C.m_Route->m_Timeout);
   C.m_LastEventId = C.m_Terms.m_LastEventId;
   retriesOf(*Service).arrived(now());
   C.m_Query.m_Reserve = reserveFor(C);
@@ -253,7 +320,7 @@
   AttemptOutcome How = AttemptOutcome::NotRun;
   while (true) {
     const bool IsBegun = C.m_NextAnswer.m_Body != nullptr;
-    if (!IsBegun && C.timeLeft() < MinTimeLeft)
+    if (C.m_IsEnded || (!IsBegun && C.timeLeft() < MinTimeLeft))
       break;
     const bool IsMoving = std::exchange(C.m_IsMoving, false);
     InstanceChoice Chosen = C.m_Next;
@@ -279,6 +346,10 @@
       }
       break;
     }
+    if (!IsBegun && !maySendDuringStop(C)) {
+      C.m_IsEnded = true;
+      break;
+    }
     if (C.m_Sends.sends() == 0 && C.m_Unreachable == 0 &&
         !C.m_Query.m_Model.empty())
       m_RouteLoads[C.m_Route->m_Name].m_Sizes.admitted(C.size());
@@ -299,7 +370,7 @@
 /// at once. A caller that has received nothing yet is better served by a
 /// refusal.
 bool EntryRequests::mayRepeatSearch(Call &C) const {
-  if (C.m_IsGone || !C.m_Answer.started())
+  if (C.m_IsGone || C.m_IsEnded || !C.m_Answer.started())
     return false;
   const TimePoint Now = now();
   if (!C.m_SearchStart)
@@ -309,6 +380,8 @@
 
 /// Whether another attempt is allowed after one with the given outcome.
 bool EntryRequests::mayRetry(Call &C, AttemptOutcome Outcome) {
+  if (C.m_IsEnded)
+    return false;
   if (Outcome == AttemptOutcome::Unreachable)
     return ++C.m_Unreachable < MaxUnreachable;
   const bool MayRun = Outcome == AttemptOutcome::NotRun || C.isRepeatable();
@@ -354,6 +427,8 @@
                          " without a proof that it did not run";
     co_return co_await failUnknown(C, std::move(Reason));
   }
+  if (C.m_IsEnded)
+    co_return co_await refuse(C, "this entry stops", RetryAfterStop);
   co_await refuse(C, "not run", retryAfterNotRun(C));
 }
 
@@ -386,7 +461,7 @@
 /// Answers a request that may have run: 504 once its deadline has passed, else
 /// 502.
 asio::awaitable<void> EntryRequests::failUnknown(Call &C, std::string Reason) {
-  const bool IsLate = C.timeLeft() < MinTimeLeft;
+  const bool IsLate = C.timeLeft() < MinTimeLeft && !C.m_IsCutShort;
   co_await fail(
       C, IsLate ? FailureStatus::GatewayTimeout : FailureStatus::BadGateway,
       std::move(Reason));
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -8,6 +8,7 @@
 #include "deckpitch/retry-window.h"
 #include "deckpitch/route-index.h"
 #include "deckpitch/size-shares.h"
+#include "deckpitch/stop-plan.h"
 #include "deckpitch/store-freshness.h"
 #include "direct/adapter.h"
 #include "direct/harmful-request-tracker.h"
@@ -77,6 +78,21 @@
   /// than Length.
   void moveStreamsFromEvacuated(Duration Length, TimePoint Now);
 
+  /// Requests by what the stop meant for them.
+  struct StopCounts {
+    std::uint64_t m_Served = 0;       ///< arrived during the stop
+    std::uint64_t m_ServedWithin = 0; ///< the same, with less time than asked
+    std::uint64_t m_Refused = 0;      ///< also if they had arrived before
+  };
+
+  /// From now on, decides by the plan what is served and sent.
+  void beginStop(const StopPlan &Plan) { m_Stop = Plan; }
+  /// Ends all requests in progress: with a refusal if none of their sends may
+  /// have run, else with an answer that promises nothing. Streams that their
+  /// callers have a part of are broken off.
+  void endAll();
+  const StopCounts &stopCounts() const { return m_StopCounts; }
+
   std::size_t open() const { return m_Open; }
   /// Bytes of buffered answers beyond the allowance of each.
   std::size_t heldAnswerBytes() const { return m_AnswerBytes.used(); }
@@ -102,6 +118,10 @@
                          AttemptOutcome Outcome, std::uint64_t ListAgeMs);
 
   asio::awaitable<void> serve(Call &C);
+  bool admitDuringStop(Call &C);
+  bool maySendDuringStop(Call &C);
+  static bool applyStop(Call &C, const StopDecision &Decision);
+  static StopSubject stopSubjectOf(const Call &C);
   asio::awaitable<void> rejectUnknown(Call &C, FailureStatus Status,
                                       std::string Reason);
   asio::awaitable<void> tryInstances(Call &C);
@@ -215,7 +235,9 @@
   std::map<InstanceId, std::set<Call *>> m_AtInstance;
   std::set<InstanceId> m_Silent; ///< already logged as silent
   TimePoint m_NextUnreadableLog{};
-  ByteBudget m_AnswerBytes; ///< of all buffered answers in progress
+  ByteBudget m_AnswerBytes;       ///< of all buffered answers in progress
+  std::optional<StopPlan> m_Stop; ///< set during the entry's planned stop
+  StopCounts m_StopCounts;
   std::size_t m_Entries = 0;
   std::size_t m_Open = 0;
   std::mt19937_64 m_Random{std::random_device{}()};
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -3,6 +3,7 @@
 #include "daemon/clock.h"
 #include "direct/adapter.h"
 #include "direct/entry-directory.h"
+#include "direct/entry-drain.h"
 #include "direct/entry-link.h"
 #include "direct/entry-peers.h"
 #include "direct/entry-rate-limits.h"
@@ -34,11 +35,6 @@
 
 constexpr auto UseAwaitable = asio::as_tuple(asio::use_awaitable);
 constexpr Duration TickInterval = milliseconds(100);
-/// How long a draining entry accepts new requests: callers cache a directory
-/// answer for about this long.
-constexpr milliseconds AcceptAfterStop{2'500};
-/// Part of the grace period that is left unused before the process is killed.
-constexpr milliseconds GraceMargin{500};
 constexpr net::HttpLimits SmallLimits{
     std::size_t{8} * 1024, std::size_t{64} * 1024, milliseconds(2'000),
     milliseconds(30'000),  milliseconds(5'000),    true};
@@ -84,7 +80,6 @@
 private:
   FleetFollower::Callbacks followerCalls();
   asio::awaitable<void> tick();
-  asio::awaitable<void> waitUntilDrained(std::function<void()> OnDone);
   void noteReadiness();
   StoreFreshness listFreshness();
   void setEvacuated(const std::set<DataCentreId> &DataCentres);
@@ -113,8 +108,8 @@
   net::HttpServer m_CallerServer;
   net::HttpServer m_ReadyServer;
   net::HttpServer m_DirectoryServer;
+  EntryDrain m_Drain;
   std::set<DataCentreId> m_Evacuated;
-  bool m_Leaving = false;
   bool m_WasReady = false;
   bool m_WasListOutdated = false; ///< the instance list
   bool m_Stopped = false;
@@ -143,7 +138,7 @@
       m_Link(m_Io, Context.m_Incarnation, Context.m_Settings.m_AgentLinkPort,
              {m_Instances, m_Peers, m_RateLimits, m_Harmful, m_Follower,
               [this] {
-                return EntryStatus{isReady(), m_Leaving};
+                return EntryStatus{isReady(), m_Drain.hasBegun()};
               }}),
       m_Registration(m_Io, *m_Store, m_Peers, m_Harmful,
                      [this](const DatedWeights &Declared) {
@@ -173,7 +168,8 @@
           [this](net::HttpRequest Request, net::HttpResponder &Answer) {
             return m_Directory.answerAddresses(std::move(Request), Answer);
           },
-          SmallLimits, {Context.clients(), Listener::Directory, nullptr}) {
+          SmallLimits, {Context.clients(), Listener::Directory, nullptr}),
+      m_Drain(m_Io, m_CallerServer, m_Requests) {
   m_Requests.setFreshness([this] { return m_Follower.declarationFreshness(); },
                           [this] { return listFreshness(); });
   m_Instances.setRegions(Context.m_Settings.m_Regions);
@@ -255,7 +251,7 @@
 }
 
 bool Entry::isReady() const {
-  return !m_Leaving && m_Follower.knowsDeclaration() &&
+  return !m_Drain.hasBegun() && m_Follower.knowsDeclaration() &&
          m_Follower.knowsInstances() && m_Follower.knowsEvacuations();
 }
 
@@ -340,31 +336,10 @@
 }
 
 void Entry::drain(std::function<void()> OnDone) {
-  m_Leaving = true;
-  m_CallerServer.closeAfterAnswers();
+  m_Drain.begin(m_Context.m_Settings.m_Bounds.m_Grace, std::move(OnDone));
   // Sent at once: callers ask other entries for addresses, which must not
   // include this one any more.
   m_Link.sendHellos(now());
-  asio::co_spawn(m_Io, waitUntilDrained(std::move(OnDone)), asio::detached);
-}
-
-asio::awaitable<void> Entry::waitUntilDrained(std::function<void()> OnDone) {
-  const TimePoint Stop = now();
-  const TimePoint End =
-      Stop + m_Context.m_Settings.m_Bounds.m_Grace - GraceMargin;
-  asio::steady_timer Timer(m_Io);
-  bool Accepts = true;
-  while (now() < End) {
-    if (Accepts && now() - Stop > AcceptAfterStop) {
-      m_CallerServer.drain();
-      Accepts = false;
-    }
-    if (!Accepts && m_CallerServer.openRequests() == 0)
-      break;
-    Timer.expires_after(milliseconds(50));
-    co_await Timer.async_wait(UseAwaitable);
-  }
-  OnDone();
 }
 
 void Entry::stop() {
@@ -387,7 +362,8 @@
 
 boost::json::object Entry::dump() const {
   return {{"ready", isReady()},
-          {"leaving", m_Leaving},
+          {"leaving", m_Drain.hasBegun()},
+          {"stop", m_Drain.dump()},
           {"entries", m_Peers.liveCount(now())},
           {"instances", m_Instances.size()},
           {"inFlight", m_Instances.inFlight()},
