Try a refused part that most prompts share, and count forgiven losses once

What callers saw: after a second loss of power soon after the first, no stream was served for two minutes and longer: every one was refused because "part a1 of its prompt crashes its instances". All streams of the deployment share that part.

Cause: losses of instances were compared with nothing. When instances fail one after the other before they have answered anything, each loss follows a request sent after the previous loss, and three of them refuse the part at all entries. The refusal is stored and read again after a restart of everything.

Prompts without the part that the same service answered lately are the comparison. Without one, and after a restart unless another entry knows more, the refusal is tentative: the first entry by rank sends one request a second, from two seconds after the last loss. An answer ends the refusal for all, a loss makes it final for all. A part that only a few prompts have is refused as before.

The second fault, in the same decision: each entry forgave five losses of a part that had been answered shortly before, and marked them as cleared, which the others took for an answer. N entries forgave 5 N. Forgiven losses are now marked as such and counted by all entries together: eight refuse the part, or a whole request.

--- a/include/deckpitch/harmful-requests.h
+++ b/include/deckpitch/harmful-requests.h
@@ -23,6 +23,8 @@
   TimePoint m_At{};             ///< when the connection ended
   /// No longer counts, since an instance has answered the request completely.
   bool m_IsCleared = false;
+  /// Counts only among many, since an entry had an answer shortly before.
+  bool m_IsForgiven = false;
 
   friend bool operator==(const InstanceLoss &, const InstanceLoss &) = default;
 };
@@ -31,6 +33,10 @@
 struct SuspectRequest {
   RequestFingerprint m_Request;
   std::vector<InstanceLoss> m_Losses;
+  /// Instances of the same service answered others when one was lost.
+  bool m_HasControl = false;
+  /// An instance was lost under a trial of the refused request.
+  bool m_HasFailedTrial = false;
 
   friend bool operator==(const SuspectRequest &,
                          const SuspectRequest &) = default;
@@ -72,13 +78,29 @@
   /// this time again. A compromise: the refusal may be wrong, but each retry of
   /// a harmful request costs an instance.
   static constexpr Duration RefusalPeriod = std::chrono::minutes(2);
-
-  /// Records the loss of an instance. True if the request is refused from now
-  /// on and was not before.
+  /// Losses after which a request is refused that was answered shortly before
+  /// them: it may have become harmful since, by a change of the weights.
+  static constexpr std::size_t ForgivenLossesToRefuse = LossesToRefuse + 5;
+  /// Time from the last loss until a tentative refusal is tried: a power
+  /// failure of several machines may still be under way. The second process
+  /// that may try waits for twice that time, and so on.
+  static constexpr Duration TrialPause = std::chrono::seconds(2);
+  /// Time between two trials, within which a harmful request crashes its
+  /// instance.
+  static constexpr Duration TrialInterval = std::chrono::seconds(1);
+
+  /// Records the loss of an instance, and whether its service has answered
+  /// requests of that kind without this part lately. True if the request is
+  /// refused from now on and was not before.
   bool lost(const RequestFingerprint &Request, const InstanceId &At,
-            TimePoint Sent, TimePoint Now);
+            TimePoint Sent, TimePoint Now, bool HasControl = true);
   /// Records a complete answer, which clears the request's losses.
   void answered(const RequestFingerprint &Request, TimePoint Now);
+  /// Whether a request with these fingerprints, which is refused, may be sent
+  /// as a trial by the process of that rank among those that refuse it. Its
+  /// outcome is recorded by lost() or answered().
+  bool beginTrial(const std::vector<RequestFingerprint> &Carried,
+                  std::size_t Rank, TimePoint Now);
   /// Merges an update of another process. Returns the same as lost().
   bool receive(const SuspectRequest &Update, TimePoint Now);
 
@@ -91,7 +113,7 @@
   std::optional<HarmRefusal>
   refusalOf(const std::vector<RequestFingerprint> &Carried,
             TimePoint Now) const;
-  /// The number of successive losses.
+  /// The number of successive losses that are not forgiven.
   std::size_t lossCount(const RequestFingerprint &Request) const;
 
   /// Updates to send to other processes now: recent changes, repeated in case a
@@ -107,15 +129,23 @@
   struct Suspect {
     std::vector<InstanceLoss> m_Losses; ///< one for each instance
     TimePoint m_Changed{};
-    /// Losses since the last complete answer that did not count because of it.
-    std::size_t m_Forgiven = 0;
+    TimePoint m_RefusedSince{};
+    TimePoint m_LastTrial{};
+    bool m_HasControl = false;
+    bool m_HasFailedTrial = false;
 
     std::size_t count() const;
+    std::size_t countWithForgiven() const;
+    bool hasForgiven() const;
+    bool isTentative(bool IsPart) const;
+    bool isTrialDue(bool IsPart, std::size_t Rank, TimePoint Now) const;
+    TimePoint lastLoss() const;
     bool includes(const Suspect &Other) const;
     std::optional<TimePoint> refusedUntil(TimePoint Now) const;
     bool add(const InstanceLoss &Update);
     void dropLeastRelevant();
     bool clear();
+    bool forgive();
     bool isDueToSend(TimePoint Now) const;
   };
 
@@ -124,8 +154,8 @@
   bool isExplained(const RequestFingerprint &Which,
                    const std::vector<RequestFingerprint> &Carried,
                    TimePoint Now) const;
-  void forgive(const RequestFingerprint &Request, Suspect &Known,
-               TimePoint Now);
+  std::vector<RequestFingerprint>
+  causesOf(const std::vector<RequestFingerprint> &Carried, TimePoint Now) const;
   bool wasAnsweredRecently(const RequestFingerprint &Request,
                            TimePoint Now) const;
 
--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -414,8 +414,8 @@
   if (!m_Instances.lost(At, Sent, now()))
     return;
   const std::vector<RequestFingerprint> Whole{C.m_Fingerprint};
-  m_Harmful.lost(C.m_IsSound ? Whole : C.m_Fingerprints, At, Sent,
-                 C.m_Terms.m_AttemptId);
+  m_Harmful.lost(C.m_IsSound ? Whole : C.m_Fingerprints, C.m_Query.m_Service,
+                 At, Sent, C.m_Terms.m_AttemptId);
 }
 
 /// Records that the parts of the request's prompt are sound. A harmful one
@@ -423,8 +423,7 @@
 void EntryRequests::recordSound(Call &C) {
   if (std::exchange(C.m_IsSound, true))
     return;
-  for (const PromptPart &Each : C.m_Terms.m_SharedParts)
-    m_Harmful.answered(fingerprintOf(Each));
+  m_Harmful.answeredPrompt(C.m_Query.m_Service, C.m_Terms.m_SharedParts);
 }
 
 void EntryRequests::recordEnd(const InstanceId &At, InstanceTable::End Outcome,
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -212,7 +212,8 @@
   C.m_Fingerprints = {C.m_Fingerprint};
   for (const PromptPart &Each : C.m_Terms.m_SharedParts)
     C.m_Fingerprints.push_back(fingerprintOf(Each));
-  if (const auto Refusal = m_Harmful.refusalOf(C.m_Fingerprints))
+  const auto Refusal = m_Harmful.refusalOf(C.m_Fingerprints);
+  if (Refusal && !m_Harmful.beginTrial(C.m_Fingerprints))
     co_return co_await refuse(C, reasonOf(*Refusal), Refusal->m_Until - now());
   const ServiceId *Service = chooseService(*C.m_Route, m_Random());
   if (!Service)
--- a/src/direct/entry.cc
+++ b/src/direct/entry.cc
@@ -325,6 +325,7 @@
       m_Registration.recordChanged();
     m_Link.sendHellos(Now);
     m_Harmful.removeExpired();
+    m_Harmful.setRank(m_Peers.ownRank(Now).m_All);
     m_Instances.setEntries(m_Peers.liveCount(Now));
     m_Requests.setEntries(m_Registration.entriesThatRetry(), Now);
     m_Follower.setRank(m_Peers.ownRank(Now));
--- a/src/direct/harmful-request-tracker.cc
+++ b/src/direct/harmful-request-tracker.cc
@@ -15,7 +15,7 @@
 namespace {
 
 /// Suspects in one hello, which must fit into a datagram of 8 KB together with
-/// its summary of the store: most have one loss and take 50 bytes, some 220.
+/// its summary of the store: most have one loss and take 50 bytes, some 350.
 constexpr std::size_t MaxHelloSuspects = 100;
 constexpr std::size_t MaxHelloSuspectBytes = 5'000;
 /// Losses under a part of a prompt after which no request that has the part is
@@ -46,21 +46,28 @@
            wire::SuspectRequestState &To) {
   To.set_high(From.m_Request.m_High);
   To.set_low(From.m_Request.m_Low);
+  To.set_has_control(From.m_HasControl);
+  To.set_has_failed_trial(From.m_HasFailedTrial);
   for (const InstanceLoss &Each : From.m_Losses) {
     wire::InstanceLossState &Loss = *To.add_losses();
     Loss.set_instance(Each.m_Instance);
     Loss.set_age_us(microsOf(Now - Each.m_At));
     Loss.set_is_cleared(Each.m_IsCleared);
+    Loss.set_is_forgiven(Each.m_IsForgiven);
     Loss.set_lasted_us(microsOf(Each.m_At - Each.m_Sent));
   }
 }
 
 SuspectRequest read(const wire::SuspectRequestState &From, TimePoint Now) {
-  SuspectRequest Out{{From.high(), From.low()}, {}};
+  SuspectRequest Out{{From.high(), From.low()},
+                     {},
+                     From.has_control(),
+                     From.has_failed_trial()};
   for (const wire::InstanceLossState &Each : From.losses()) {
     const TimePoint At = Now - fromMicros(Each.age_us());
     const TimePoint Sent = At - fromMicros(Each.lasted_us());
-    Out.m_Losses.push_back({Each.instance(), Sent, At, Each.is_cleared()});
+    Out.m_Losses.push_back(
+        {Each.instance(), Sent, At, Each.is_cleared(), Each.is_forgiven()});
   }
   return Out;
 }
@@ -70,16 +77,19 @@
 void HarmfulRequestTracker::recordRefusal(const RequestFingerprint &Request,
                                           const std::string &From) {
   m_Refused.insert(Request);
-  net::log(Event::RequestHarmful,
-           {{"fingerprint", textOf(Request)},
-            {"losses", std::uint64_t{m_Known.lossCount(Request)}},
-            {"from", From}});
+  const auto Refusal = m_Known.refusalOf({Request}, now());
+  const std::size_t Losses =
+      Refusal ? Refusal->m_Losses : m_Known.lossCount(Request);
+  net::log(Event::RequestHarmful, {{"fingerprint", textOf(Request)},
+                                   {"losses", std::uint64_t{Losses}},
+                                   {"from", From}});
 }
 
 void HarmfulRequestTracker::lost(const RequestFingerprint &Request,
                                  const InstanceId &At, TimePoint Sent,
-                                 const std::string &AttemptId) {
-  const bool IsRefusedNow = m_Known.lost(Request, At, Sent, now());
+                                 const std::string &AttemptId,
+                                 bool HasControl) {
+  const bool IsRefusedNow = m_Known.lost(Request, At, Sent, now(), HasControl);
   net::log(Event::InstanceLostDuringRequest,
            {{"request", AttemptId},
             {"fingerprint", textOf(Request)},
@@ -91,15 +101,36 @@
   recordRefusal(Request, LocalSource);
 }
 
+/// The end of a refusal is announced like its begin: other entries refuse the
+/// request until they know.
 void HarmfulRequestTracker::answered(const RequestFingerprint &Request) {
+  const bool WasRefused = m_Known.refusedUntil(Request, now()).has_value();
   m_Known.answered(Request, now());
+  m_HasNewFinding = m_HasNewFinding || WasRefused;
+}
+
+void HarmfulRequestTracker::answeredPrompt(
+    const ServiceId &Service, const std::vector<PromptPart> &Parts) {
+  std::vector<RequestFingerprint> Carried;
+  for (const PromptPart &Each : Parts) {
+    Carried.push_back(fingerprintOf(Each));
+    answered(Carried.back());
+  }
+  if (!Carried.empty())
+    m_AnsweredPrompts.add(Service, std::move(Carried), now());
 }
 
 void HarmfulRequestTracker::lost(const std::vector<RequestFingerprint> &Carried,
-                                 const InstanceId &At, TimePoint Sent,
-                                 const std::string &AttemptId) {
+                                 const ServiceId &Service, const InstanceId &At,
+                                 TimePoint Sent, const std::string &AttemptId) {
   for (const RequestFingerprint &Each : Carried)
-    lost(Each, At, Sent, AttemptId);
+    lost(Each, At, Sent, AttemptId,
+         m_AnsweredPrompts.mostlyLack(Service, Each, now()));
+}
+
+bool HarmfulRequestTracker::beginTrial(
+    const std::vector<RequestFingerprint> &Carried) {
+  return m_Known.beginTrial(Carried, m_Rank, now());
 }
 
 bool HarmfulRequestTracker::isSuspect(
@@ -148,7 +179,7 @@
     const std::uint64_t AgeMs = UnixNow - std::min(Each.m_LostMs, UnixNow);
     if (AgeMs >= MaxAgeMs)
       continue;
-    SuspectRequest Received{Each.m_Request, {}};
+    SuspectRequest Received{Each.m_Request, {}, false, false};
     TimePoint At = now() - milliseconds(AgeMs);
     for (const std::uint64_t Instance : Each.m_Instances) {
       Received.m_Losses.push_back({Instance, At, At, /*m_IsCleared=*/false});
--- a/src/direct/harmful-request-tracker.h
+++ b/src/direct/harmful-request-tracker.h
@@ -2,6 +2,7 @@
 // the findings with other entries through hellos and the store.
 #pragma once
 
+#include "deckpitch/answered-prompts.h"
 #include "deckpitch/harmful-requests.h"
 #include "direct/entry-record.h"
 #include "proto/link.pb.h"
@@ -19,9 +20,13 @@
   /// Records that an instance was lost while it ran a request with these
   /// fingerprints: its own and those of its prompt's parts.
   void lost(const std::vector<RequestFingerprint> &Carried,
-            const InstanceId &At, TimePoint Sent, const std::string &AttemptId);
+            const ServiceId &Service, const InstanceId &At, TimePoint Sent,
+            const std::string &AttemptId);
   /// Records that an instance answered a request with this fingerprint.
   void answered(const RequestFingerprint &Request);
+  /// Records that an instance of the service answered a prompt of these parts.
+  void answeredPrompt(const ServiceId &Service,
+                      const std::vector<PromptPart> &Parts);
   /// Whether instances were lost under one of these fingerprints since it was
   /// last answered.
   bool isSuspect(const std::vector<RequestFingerprint> &Carried) const;
@@ -35,6 +40,10 @@
   /// it is not.
   std::optional<HarmRefusal>
   refusalOf(const std::vector<RequestFingerprint> &Carried) const;
+  /// Whether this entry may send the refused request once, as a trial.
+  bool beginTrial(const std::vector<RequestFingerprint> &Carried);
+  /// Sets the number of entries that may begin trials before this one.
+  void setRank(std::size_t Value) { m_Rank = Value; }
 
   /// Merges the suspects that another entry's hello reports.
   void receive(const wire::EntryHello &Received, const std::string &From);
@@ -56,11 +65,13 @@
 private:
   void receive(const SuspectRequest &Received, const std::string &From);
   void lost(const RequestFingerprint &Request, const InstanceId &At,
-            TimePoint Sent, const std::string &AttemptId);
+            TimePoint Sent, const std::string &AttemptId, bool HasControl);
   void recordRefusal(const RequestFingerprint &Request,
                      const std::string &From);
 
   HarmfulRequests m_Known;
+  AnsweredPrompts m_AnsweredPrompts;
+  std::size_t m_Rank = 0;
   std::set<RequestFingerprint> m_Refused;
   bool m_HasNewFinding = false;
 };
--- a/src/kernel/harmful-requests.cc
+++ b/src/kernel/harmful-requests.cc
@@ -16,16 +16,13 @@
 /// two processes.
 constexpr Duration ResendPeriod = std::chrono::seconds(5);
 /// Losses kept per request, including cleared ones.
-constexpr std::size_t MaxLosses = 8;
-static_assert(MaxLosses > HarmfulRequests::LossesToRefuse);
+constexpr std::size_t MaxLosses = 12;
+static_assert(MaxLosses > HarmfulRequests::ForgivenLossesToRefuse);
 /// Each takes about 200 bytes, and a crash adds a few dozen.
 constexpr std::size_t MaxSuspects = 2'048;
 /// Answers are remembered for one to two of these periods.
 constexpr Duration AnsweredPeriod = std::chrono::seconds(30);
 constexpr std::size_t MaxAnswered = 4'096;
-/// Losses of a part that was answered lately which do not count: it may have
-/// become harmful since, by a change of the weights.
-constexpr std::size_t MaxForgiven = 5;
 /// Evicted in one batch, so that a flood of suspects costs little.
 constexpr std::size_t EvictionBatch = MaxSuspects / 4;
 
@@ -36,19 +33,19 @@
 /// Orders suspects for eviction (lowest first) and sending (highest first).
 /// Many requests share a part, and each entry knows only some of its losses.
 template <typename Entry> auto rankOf(const Entry &Value) {
-  return std::tuple(Value.second.count(), isPromptPart(Value.first),
+  return std::tuple(Value.second.countWithForgiven(), isPromptPart(Value.first),
                     Value.second.m_Changed);
 }
 
-} // namespace
-
 /// The largest number of losses whose [sent, lost] intervals do not overlap:
 /// takes the one that ended first, then the first to end of those sent after
 /// it, and so on.
-std::size_t HarmfulRequests::Suspect::count() const {
+template <typename Condition>
+std::size_t countIf(const std::vector<InstanceLoss> &Losses,
+                    Condition IsCounted) {
   std::vector<const InstanceLoss *> ByEnd;
-  for (const InstanceLoss &Each : m_Losses)
-    if (!Each.m_IsCleared)
+  for (const InstanceLoss &Each : Losses)
+    if (IsCounted(Each))
       ByEnd.push_back(&Each);
   std::sort(ByEnd.begin(), ByEnd.end(), [](const auto *One, const auto *Other) {
     return One->m_At < Other->m_At;
@@ -63,37 +60,81 @@
   return Count;
 }
 
-std::optional<TimePoint>
-HarmfulRequests::Suspect::refusedUntil(TimePoint Now) const {
-  const std::size_t Count = count();
-  if (Count < LossesToRefuse)
-    return std::nullopt;
+} // namespace
+
+std::size_t HarmfulRequests::Suspect::count() const {
+  return countIf(m_Losses, [](const InstanceLoss &Each) {
+    return !Each.m_IsCleared && !Each.m_IsForgiven;
+  });
+}
+
+std::size_t HarmfulRequests::Suspect::countWithForgiven() const {
+  return countIf(m_Losses,
+                 [](const InstanceLoss &Each) { return !Each.m_IsCleared; });
+}
+
+bool HarmfulRequests::Suspect::hasForgiven() const {
+  return std::any_of(m_Losses.begin(), m_Losses.end(), [](const auto &Each) {
+    return Each.m_IsForgiven && !Each.m_IsCleared;
+  });
+}
+
+TimePoint HarmfulRequests::Suspect::lastLoss() const {
   TimePoint Last{};
   for (const InstanceLoss &Each : m_Losses)
     if (!Each.m_IsCleared)
       Last = std::max(Last, Each.m_At);
+  return Last;
+}
+
+std::optional<TimePoint>
+HarmfulRequests::Suspect::refusedUntil(TimePoint Now) const {
+  const std::size_t Counted = count();
+  const std::size_t All = countWithForgiven();
+  std::size_t Periods = 0;
+  if (Counted >= LossesToRefuse)
+    Periods = Counted - LossesToRefuse + 1;
+  if (All >= ForgivenLossesToRefuse)
+    Periods = std::max(Periods, All - ForgivenLossesToRefuse + 1);
   const TimePoint Until =
-      Last + RefusalPeriod * static_cast<int>(Count - LossesToRefuse + 1);
-  if (Until <= Now)
+      lastLoss() + RefusalPeriod * static_cast<int>(Periods);
+  if (Periods == 0 || Until <= Now)
     return std::nullopt;
   return Until;
 }
 
-/// Merges a loss; true if the count changes. A repeated loss keeps its first
+/// Whether the losses may have another cause than the request. A part that only
+/// few prompts have is hardly at many failing instances by chance.
+bool HarmfulRequests::Suspect::isTentative(bool IsPart) const {
+  return !m_HasFailedTrial && (IsPart ? !m_HasControl : hasForgiven());
+}
+
+bool HarmfulRequests::Suspect::isTrialDue(bool IsPart, std::size_t Rank,
+                                          TimePoint Now) const {
+  const TimePoint Last = std::max(lastLoss(), m_RefusedSince);
+  return isTentative(IsPart) &&
+         Now - Last >= TrialPause * static_cast<int>(Rank + 1) &&
+         Now - m_LastTrial >= TrialInterval;
+}
+
+/// Merges a loss; true if a count changes. A repeated loss keeps its first
 /// times, since the delay of each message would shift them.
 bool HarmfulRequests::Suspect::add(const InstanceLoss &Update) {
   const std::size_t Before = count();
+  const std::size_t BeforeAll = countWithForgiven();
   const auto Known = std::find_if(m_Losses.begin(), m_Losses.end(),
                                   [&](const InstanceLoss &Each) {
                                     return Each.m_Instance == Update.m_Instance;
                                   });
   if (Known == m_Losses.end())
     m_Losses.push_back(Update);
-  else
+  else {
     Known->m_IsCleared = Known->m_IsCleared || Update.m_IsCleared;
+    Known->m_IsForgiven = Known->m_IsForgiven || Update.m_IsForgiven;
+  }
   if (m_Losses.size() > MaxLosses)
     dropLeastRelevant();
-  return count() != Before;
+  return count() != Before || countWithForgiven() != BeforeAll;
 }
 
 /// Drops a cleared loss or else one that does not affect the count; the oldest
@@ -102,7 +143,9 @@
   const auto Rank = [this](const InstanceLoss &Loss) {
     Suspect Without = *this;
     std::erase(Without.m_Losses, Loss);
-    return std::tuple(!Loss.m_IsCleared, Without.count() < count(), Loss.m_At);
+    return std::tuple(!Loss.m_IsCleared,
+                      Without.countWithForgiven() < countWithForgiven(),
+                      Loss.m_At);
   };
   m_Losses.erase(
       std::min_element(m_Losses.begin(), m_Losses.end(),
@@ -112,12 +155,19 @@
 }
 
 bool HarmfulRequests::Suspect::clear() {
-  const bool HadLosses = count() > 0;
+  const bool HadLosses = countWithForgiven() > 0;
   for (InstanceLoss &Each : m_Losses)
     Each.m_IsCleared = true;
   return HadLosses;
 }
 
+bool HarmfulRequests::Suspect::forgive() {
+  const bool HadLosses = count() > 0;
+  for (InstanceLoss &Each : m_Losses)
+    Each.m_IsForgiven = true;
+  return HadLosses;
+}
+
 bool HarmfulRequests::Suspect::isDueToSend(TimePoint Now) const {
   return Now - m_Changed < ResendPeriod || refusedUntil(Now);
 }
@@ -160,19 +210,41 @@
       });
 }
 
+/// Those of the fingerprints for which the request is refused.
+std::vector<RequestFingerprint>
+HarmfulRequests::causesOf(const std::vector<RequestFingerprint> &Carried,
+                          TimePoint Now) const {
+  std::vector<RequestFingerprint> Out;
+  for (const RequestFingerprint &Each : Carried)
+    if (refusedUntil(Each, Now) && !isExplained(Each, Carried, Now))
+      Out.push_back(Each);
+  return Out;
+}
+
 std::optional<HarmRefusal>
 HarmfulRequests::refusalOf(const std::vector<RequestFingerprint> &Carried,
                            TimePoint Now) const {
   std::optional<HarmRefusal> Out;
-  for (const RequestFingerprint &Each : Carried) {
-    const auto Until = refusedUntil(Each, Now);
-    const bool IsLongest = Until && (!Out || *Until > Out->m_Until);
-    if (IsLongest && !isExplained(Each, Carried, Now))
-      Out = {Each, *Until, lossCount(Each)};
+  for (const RequestFingerprint &Each : causesOf(Carried, Now)) {
+    const Suspect &Known = m_Suspects.at(Each);
+    const TimePoint Until = *Known.refusedUntil(Now);
+    if (!Out || Until > Out->m_Until)
+      Out = {Each, Until, Known.countWithForgiven()};
   }
   return Out;
 }
 
+bool HarmfulRequests::beginTrial(const std::vector<RequestFingerprint> &Carried,
+                                 std::size_t Rank, TimePoint Now) {
+  const std::vector<RequestFingerprint> Causes = causesOf(Carried, Now);
+  for (const RequestFingerprint &Each : Causes)
+    if (!m_Suspects.at(Each).isTrialDue(isPromptPart(Each), Rank, Now))
+      return false;
+  for (const RequestFingerprint &Each : Causes)
+    m_Suspects.at(Each).m_LastTrial = Now;
+  return !Causes.empty();
+}
+
 std::size_t
 HarmfulRequests::lossCount(const RequestFingerprint &Request) const {
   const auto Found = m_Suspects.find(Request);
@@ -198,9 +270,14 @@
 }
 
 bool HarmfulRequests::lost(const RequestFingerprint &Request,
-                           const InstanceId &At, TimePoint Sent,
-                           TimePoint Now) {
-  return receive({Request, {{hashOf(At), Sent, Now, false}}}, Now);
+                           const InstanceId &At, TimePoint Sent, TimePoint Now,
+                           bool HasControl) {
+  SuspectRequest Update{Request, {{hashOf(At), Sent, Now}}, HasControl};
+  const auto Known = m_Suspects.find(Request);
+  Update.m_HasFailedTrial =
+      Known != m_Suspects.end() && Known->second.m_LastTrial > TimePoint{} &&
+      Sent >= Known->second.m_LastTrial && Known->second.refusedUntil(Now);
+  return receive(Update, Now);
 }
 
 void HarmfulRequests::answered(const RequestFingerprint &Request,
@@ -214,25 +291,12 @@
   const auto Found = m_Suspects.find(Request);
   if (Found == m_Suspects.end())
     return;
-  Found->second.m_Forgiven = 0;
+  Found->second.m_HasControl = false;
+  Found->second.m_HasFailedTrial = false;
   if (Found->second.clear())
     Found->second.m_Changed = Now;
 }
 
-/// Clears losses of a suspect that was answered shortly before. After several
-/// of them the answer of a part no longer proves anything.
-void HarmfulRequests::forgive(const RequestFingerprint &Request, Suspect &Known,
-                              TimePoint Now) {
-  if (!Known.clear())
-    return;
-  Known.m_Changed = Now;
-  if (!isPromptPart(Request) || ++Known.m_Forgiven < MaxForgiven)
-    return;
-  m_Answered.erase(Request);
-  m_AnsweredBefore.erase(Request);
-  Known.m_Forgiven = 0;
-}
-
 bool HarmfulRequests::wasAnsweredRecently(const RequestFingerprint &Request,
                                           TimePoint Now) const {
   const Duration Age = Now - m_AnsweredSince;
@@ -249,9 +313,18 @@
   for (const InstanceLoss &Each : Update.m_Losses)
     if (Now - Each.m_At < LossRetention && Known.add(Each))
       Known.m_Changed = Now;
-  if (wasAnsweredRecently(Update.m_Request, Now))
-    forgive(Update.m_Request, Known, Now);
-  return !WasRefused && Known.refusedUntil(Now);
+  if (wasAnsweredRecently(Update.m_Request, Now) && Known.forgive())
+    Known.m_Changed = Now;
+  if (Known.countWithForgiven() == 0) {
+    Known.m_HasControl = Known.m_HasFailedTrial = false;
+    return false;
+  }
+  Known.m_HasControl = Known.m_HasControl || Update.m_HasControl;
+  Known.m_HasFailedTrial = Known.m_HasFailedTrial || Update.m_HasFailedTrial;
+  if (WasRefused || !Known.refusedUntil(Now))
+    return false;
+  Known.m_RefusedSince = Now;
+  return true;
 }
 
 std::vector<SuspectRequest>
@@ -267,7 +340,9 @@
                     });
   std::vector<SuspectRequest> Out;
   for (std::size_t I = 0; I < Count; ++I)
-    Out.push_back({Due[I]->first, Due[I]->second.m_Losses});
+    Out.push_back({Due[I]->first, Due[I]->second.m_Losses,
+                   Due[I]->second.m_HasControl,
+                   Due[I]->second.m_HasFailedTrial});
   return Out;
 }
 
--- /dev/null
+++ b/test/harmful-trials-test.cc
@@ -0,0 +1,129 @@
+// Refusals of a part that all prompts share, which may be the failure of many
+// machines: one request at a time is tried.
+#include "deckpitch/answered-prompts.h"
+#include "deckpitch/harmful-requests.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+using namespace deckpitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1h};
+constexpr TimePoint Due = Start + 2s + HarmfulRequests::TrialPause;
+const RequestFingerprint Part = fingerprintOf(PromptPart{0xa1});
+const RequestFingerprint Other = fingerprintOf(PromptPart{0xb2});
+const ServiceId Pool{"pool"};
+
+/// Records three losses, one second apart.
+void loseThree(HarmfulRequests &At, bool HasControl) {
+  for (int I = 0; I < 3; ++I)
+    At.lost(Part, {"i-" + std::to_string(I)}, Start + I * 1s - 500ms,
+            Start + I * 1s, HasControl);
+}
+
+void exchange(HarmfulRequests &From, HarmfulRequests &To, TimePoint Now) {
+  for (const SuspectRequest &Each : From.updatesToSend(100, Now))
+    To.receive(Each, Now);
+}
+
+/// A power failure before anything was answered refused all prompts for two
+/// minutes.
+TEST(HarmfulTrials, AnswerToATrialEndsTheRefusalForAll) {
+  HarmfulRequests One;
+  HarmfulRequests Two;
+  loseThree(One, /*HasControl=*/false);
+  exchange(One, Two, Start + 2s);
+  ASSERT_TRUE(Two.refusalOf({Part}, Due));
+  EXPECT_FALSE(One.beginTrial({Part}, 0, Due - 1ms));
+  EXPECT_TRUE(One.beginTrial({Part}, 0, Due));
+  EXPECT_FALSE(One.beginTrial({Part}, 0, Due + 500ms));
+  One.answered(Part, Due + 600ms);
+  EXPECT_FALSE(One.refusalOf({Part}, Due + 600ms));
+  exchange(One, Two, Due + 600ms);
+  EXPECT_FALSE(Two.refusalOf({Part}, Due + 600ms));
+}
+
+/// A trial that finds no instance says nothing.
+TEST(HarmfulTrials, TrialWithoutOutcomeIsRepeated) {
+  HarmfulRequests All;
+  loseThree(All, /*HasControl=*/false);
+  EXPECT_TRUE(All.beginTrial({Part}, 0, Due));
+  EXPECT_TRUE(All.beginTrial({Part}, 0, Due + HarmfulRequests::TrialInterval));
+}
+
+/// A harmful part costs one more instance, whichever entry tries it.
+TEST(HarmfulTrials, LossUnderATrialEndsTrialsOfAll) {
+  HarmfulRequests One;
+  HarmfulRequests Two;
+  loseThree(One, /*HasControl=*/false);
+  exchange(One, Two, Start + 2s);
+  ASSERT_TRUE(One.beginTrial({Part}, 0, Due));
+  One.lost(Part, {"i-9"}, Due, Due + 100ms, /*HasControl=*/false);
+  exchange(One, Two, Due + 100ms);
+  for (HarmfulRequests *Each : {&One, &Two}) {
+    EXPECT_TRUE(Each->refusalOf({Part}, Due + 60s));
+    EXPECT_FALSE(Each->beginTrial({Part}, 1, Due + 60s));
+  }
+}
+
+/// Requests that were under way when the part was refused are no trials.
+TEST(HarmfulTrials, LossOfAnEarlierRequestEndsNoTrials) {
+  HarmfulRequests All;
+  loseThree(All, /*HasControl=*/false);
+  All.lost(Part, {"i-9"}, Start + 1s, Start + 3s, /*HasControl=*/false);
+  EXPECT_TRUE(All.beginTrial({Part}, 0, Due + 1s));
+}
+
+/// Other prompts were answered meanwhile: the part explains the losses.
+TEST(HarmfulTrials, PartThatOthersAreComparedWithIsNotTried) {
+  HarmfulRequests One;
+  HarmfulRequests Two;
+  loseThree(One, /*HasControl=*/true);
+  loseThree(Two, /*HasControl=*/false);
+  exchange(One, Two, Start + 2s);
+  EXPECT_FALSE(One.beginTrial({Part}, 0, Due + 60s));
+  EXPECT_FALSE(Two.beginTrial({Part}, 0, Due + 60s));
+}
+
+TEST(HarmfulTrials, SecondProcessWaitsForTheFirst) {
+  HarmfulRequests All;
+  loseThree(All, /*HasControl=*/false);
+  EXPECT_FALSE(All.beginTrial({Part}, 1, Due));
+  EXPECT_TRUE(All.beginTrial({Part}, 1, Due + HarmfulRequests::TrialPause));
+}
+
+/// An entry that has started again reads refusals from the store, and may find
+/// that all others have started again too.
+TEST(HarmfulTrials, RestoredRefusalIsTriedUnlessAnotherProcessKnowsMore) {
+  HarmfulRequests Restored;
+  HarmfulRequests Witness;
+  loseThree(Witness, /*HasControl=*/true);
+  SuspectRequest Stored{Part, {}, false, false};
+  for (const InstanceLoss &Each : Witness.updatesToSend(1, Start)[0].m_Losses)
+    Stored.m_Losses.push_back({Each.m_Instance, Each.m_At, Each.m_At});
+  Restored.receive(Stored, Start + 5s);
+  ASSERT_TRUE(Restored.refusalOf({Part}, Start + 5s));
+  EXPECT_FALSE(Restored.beginTrial({Part}, 0, Start + 6s));
+  EXPECT_TRUE(Restored.beginTrial({Part}, 0, Start + 7s));
+  exchange(Witness, Restored, Start + 7s);
+  EXPECT_FALSE(Restored.beginTrial({Part}, 0, Start + 60s));
+}
+
+TEST(HarmfulTrials, ComparesWithMostOfThePromptsOfTheService) {
+  AnsweredPrompts All;
+  EXPECT_FALSE(All.mostlyLack(Pool, Part, Start));
+  All.add(Pool, {Part, Other}, Start);
+  EXPECT_FALSE(All.mostlyLack(Pool, Part, Start));
+  EXPECT_FALSE(All.mostlyLack(Pool, Other, Start));
+  for (int I = 0; I < 2; ++I)
+    All.add(Pool, {Part}, Start);
+  EXPECT_TRUE(All.mostlyLack(Pool, Other, Start));
+  EXPECT_FALSE(All.mostlyLack({"desk"}, Other, Start));
+  EXPECT_FALSE(All.mostlyLack(Pool, Other, Start + AnsweredPrompts::Retention));
+}
+
+} // namespace
