Let the soak lose power, and hold it to the time for recovery

The soak waited 60 s for each check after all faults had healed; the deployment allows 12 s for a return. Each run ends with a loss of power of entries, agents, instances and store, with staged weights lost, and counts the share of the callers' sound requests that are served of those sent after the time for recovery: less than a quarter is a violation.

--- a/support/soak/faults.py
+++ b/support/soak/faults.py
@@ -7,7 +7,8 @@
 
 import addresses
 import standins
-from soak import APP, CALLERS, DRAIN_S, GRACE_S, KEY, MOST_MEMORY_MB, OPERATOR, SETTLE_S
+from soak import (APP, CALLERS, DRAIN_S, GRACE_S, KEY, MOST_MEMORY_MB, OBSERVED_S, OPERATOR,
+                  RECOVERY_S, SERVED_SHARE, STORE, UNTIMED_RECOVERY_S)
 from http_lite import call
 
 
@@ -206,6 +207,8 @@
     for instance in system.instances:
         instance.rests = False
         instance.set_limit(None)
+    await play_one(system, lose_power)
+    await judge_served(system, time.monotonic())
 
 
 async def play_one(system, fault):
@@ -213,6 +216,52 @@
     await fault(system)
 
 
+async def lose_power(system):
+    """Everything ends at about the same moment and is back together; staged
+    weights are lost. Instances are listed again within two seconds."""
+    daemons = system.entries + system.agents
+    locks = [each.lock for each in daemons + system.instances]
+    for each in locks:
+        await each.acquire()
+    try:
+        system.record.heed.all_disturbed()
+        ending = [each.kill() for each in daemons]
+        ending += [each.server.close() for each in [*system.instances, system.store]]
+        system.random.shuffle(ending)
+        gap = system.random.choice([0.0, 0.3, 2.0]) / len(ending)
+        for each in ending:
+            await each
+            await asyncio.sleep(gap)
+        await asyncio.sleep(system.random.uniform(0.8, 5.0))
+        await system.store.server.listen(addresses.store(), STORE)
+        for each in system.instances:
+            system.store.remove("servers", each.id)
+            each.staged.clear()
+            await each.start(0, APP)
+        await asyncio.gather(*(each.start() for each in daemons))
+        system.record.heed.all_disturbed()
+        await asyncio.gather(*(list_later(system, each) for each in system.instances))
+    finally:
+        for each in locks:
+            each.release()
+
+
+async def list_later(system, instance):
+    await asyncio.sleep(system.random.uniform(0.0, 2.0))
+    system.list_instance(instance)
+
+
+async def judge_served(system, back):
+    """Of the requests that are sent later than the time for recovery, enough are
+    served."""
+    begin = back + (RECOVERY_S if system.record.is_timed else UNTIMED_RECOVERY_S)
+    await asyncio.sleep(max(0.0, begin + OBSERVED_S - time.monotonic()))
+    counted = [is_served for sent, is_served in system.record.served if sent >= begin]
+    if counted and sum(counted) < SERVED_SHARE * len(counted):
+        system.record.violate(f"RECOVER {sum(counted)} of {len(counted)} requests are served that "
+                              f"were sent {begin - back:.0f} s after the return or later")
+
+
 async def settle(system, when):
     """All heals: every entry serves again, by the newest declaration, and every
     instance holds the newest weights."""
@@ -220,10 +269,11 @@
                         ("the newest declaration is in force", newest_declared),
                         ("every instance holds the newest weights", newest_weights),
                         ("every entry serves again", entries_serve)]:
-        end = time.monotonic() + SETTLE_S
+        limit = RECOVERY_S if system.record.is_timed else UNTIMED_RECOVERY_S
+        end = time.monotonic() + limit
         while not await holds(system):
             if time.monotonic() > end:
-                system.record.violate(f"RECOVER {when}, not within {SETTLE_S:.0f} s: {what}")
+                system.record.violate(f"RECOVER {when}, not within {limit:.0f} s: {what}")
                 await print_dumps(system)
                 return
             await asyncio.sleep(0.1)
--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -33,7 +33,9 @@
 LIMIT_KNOWN_S = 1.0  # until an entry keeps what an answer said, on a busy machine
 HARMFUL_SHARE = 0.02  # of the callers' requests, once any fault may come
 PART = 2  # harmful by a part of its prompt, after two by the whole request
-SETTLE_S = 60.0  # only a run that fails waits so long
+RECOVERY_S, SERVED_SHARE = 12.0, 0.25  # after a return, and of what is sent later
+OBSERVED_S = 3.0  # after the time for recovery
+UNTIMED_RECOVERY_S = 60.0  # on a very busy machine; only a run that fails waits so long
 MOST_MEMORY_MB = 128
 KEY = "k1"
 HELD_PORT = 7899  # bound by a run for as long as it has its addresses
@@ -46,6 +48,7 @@
         self.runs = Counter()
         self.refused = set()
         self.outcomes = Counter()
+        self.served = []  # by request: when it was sent, and whether it was served
         self.violations = []
         self.is_planned_only = True
         self.is_timed = True
@@ -415,10 +418,13 @@
         attempt = f"c{number}-{count}"
         is_harmful = not system.record.is_planned_only and choose.random() < HARMFUL_SHARE
         kind, harmful = ("stream", choose.randrange(PART + 1)) if is_harmful else (kind, None)
+        sent = time.monotonic()
         answer = await system.request(choose.choice(addresses), kind, attempt, harmful)
         system.record.answered(kind, attempt, answer)
         if harmful is None:
             system.record.sound_answered(attempt, answer)
+            is_served = answer is not None and answer.whole and answer.status == 200
+            system.record.served.append((sent, is_served))
         if answer is None:
             addresses = []
         await asyncio.sleep(0.02)
