Let no undeclared service supersede an instance of a declared one

Cause: of two listed instances at one address the later registration supersedes the earlier one, whatever service it names.

Before (no fix), InstanceTableTest.UndeclaredServiceSupersedesNoDeclaredOne: chosen() Which is: "none", expected "b" m_Table.hasFreshReport(Real.m_Id, Start) Actual: false and DeclaredServicesSupersedeEachOther failed at the same comparison.

Fix: at one address, instances of declared services come before the others; among equals the later registration counts, as before. The order is determined again when the declaration changes. So a newer incarnation still replaces an older one of the same or of another declared service.

Limit: while an address has passed to a service that this entry does not know yet, a request for the old instance may be sent there until that one leaves the list. It names the instance that it is for, so the new one rejects it unrun.

Measured: all 30 tests of instance-table-test.cc pass (once, in a binary of their own); the whole suite was not run.

--- a/src/kernel/instance-table.cc
+++ b/src/kernel/instance-table.cc
@@ -60,13 +60,13 @@
   m_Services.clear();
   for (const ServiceDeclaration &Each : Services)
     m_Services.emplace(Each.m_Id, Each);
+  markSuperseded();
 }
 
 void InstanceTable::setInstances(const std::vector<FleetInstance> &Listed,
                                  TimePoint Now) {
   for (auto &[Id, Each] : m_Instances)
     Each.m_IsListed = false;
-  m_ByAddress.clear();
   for (const FleetInstance &Each : Listed) {
     const auto [At, IsNew] = m_Instances.try_emplace(Each.m_Id);
     Instance &Known = At->second;
@@ -91,8 +91,11 @@
 
 /// The platform lists an instance that crashed for some seconds more, beside
 /// the one that has started at its address: after a loss of power, half of the
-/// listed ones were gone, and reports were taken for theirs.
+/// listed ones were gone, and reports were taken for theirs. Objects of other
+/// writers may name the address of an instance too, but supersede none whose
+/// service is declared unless theirs is.
 void InstanceTable::markSuperseded() {
+  m_ByAddress.clear();
   for (auto &[Id, Each] : m_Instances) {
     if (!Each.m_IsListed)
       continue;
@@ -102,10 +105,12 @@
     if (IsFirst)
       continue;
     Instance &Other = m_Instances.at(At->second);
-    const bool IsLater =
-        Each.m_Listed.m_Registration >= Other.m_Listed.m_Registration;
-    const bool IsKnown =
-        Each.m_Listed.m_Registration != Other.m_Listed.m_Registration;
+    const auto RankOf = [this](const Instance &Of) {
+      return std::pair(m_Services.contains(Of.m_Listed.m_Service),
+                       Of.m_Listed.m_Registration);
+    };
+    const bool IsLater = RankOf(Each) >= RankOf(Other);
+    const bool IsKnown = RankOf(Each) != RankOf(Other);
     (IsLater ? Other : Each).m_IsSuperseded = IsKnown;
     if (IsLater)
       At->second = Id;
--- a/test/instance-table-test.cc
+++ b/test/instance-table-test.cc
@@ -102,6 +102,45 @@
   }
 }
 
+/// An object of another writer named a service that is not declared, at the
+/// address of a real instance: that one counted as gone, and 0 of 60 requests
+/// were served.
+TEST_F(InstanceTableTest, UndeclaredServiceSupersedesNoDeclaredOne) {
+  for (const bool IsFirstInList : {true, false}) {
+    const FleetInstance Real = listed("b");
+    FleetInstance Foreign = listed(IsFirstInList ? "a" : "c");
+    Foreign.m_Address = Real.m_Address;
+    Foreign.m_Service = {"foreign"};
+    Foreign.m_Registration = 9;
+    list({Real, Foreign});
+    EXPECT_EQ(chosen(), "b");
+    EXPECT_TRUE(
+        m_Table.report(Real.m_Address, {.m_Weights = {{"m", 1, true}}}, Start));
+    EXPECT_TRUE(m_Table.hasFreshReport(Real.m_Id, Start));
+    EXPECT_EQ(chosen(), "b");
+  }
+}
+
+/// The address of an instance that is gone may be assigned to one of another
+/// service, also of one that is declared later.
+TEST_F(InstanceTableTest, DeclaredServicesSupersedeEachOther) {
+  FleetInstance Other = listed("a");
+  Other.m_Address = listed("b").m_Address;
+  Other.m_Service = {"desk"};
+  Other.m_Registration = 9;
+  list({listed("b"), Other});
+  EXPECT_EQ(chosen(), "b");
+  ServiceDeclaration Pooled;
+  Pooled.m_Id = Pool;
+  Pooled.m_Engine = EngineProfile{.m_Slots = 4};
+  ServiceDeclaration Desk;
+  Desk.m_Id = {"desk"};
+  m_Table.setServices({Pooled, Desk});
+  EXPECT_EQ(outcome(), ChoiceOutcome::NoInstance);
+  m_Table.setServices({Pooled});
+  EXPECT_EQ(chosen(), "b");
+}
+
 /// A list without registration numbers does not show which one is gone.
 TEST_F(InstanceTableTest, UnknownRegistrationsSupersedeNothing) {
   FleetInstance Other = listed("j");
