Send requests of all methods, and treat HEAD as what it is

A HEAD whose answer announced a length got 502 or 504; a HEAD answered by the entry itself, or by an agent, got a body, which its client takes for the beginning of the next response.

Cause: Beast's prepare_payload() throws for a TRACE with a body, and header fields of more than 64 KiB throw as well. Neither the client's parser nor the server's responder knew that a response to HEAD has no body.

The client now sets the length itself, so that method, path and body are forwarded unchanged, and makes the whole message before it connects: one that cannot be written is InvalidInput, and nothing was sent. Responses to HEAD, 204 and 304 are read and written without a body.

Before: AreSentUnchangedWithTheirBody fails at "TRACE x" (the call did not end), HeaderThatCannotBeSentIsAnError gets another error than InvalidInput, ResponseToHeadHasNoBody waits for its 2 s, ServerSendsNoBodyToHead receives the body.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -10,6 +10,7 @@
 
 #include <charconv>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 
 namespace deckpitch::net {
@@ -62,6 +63,41 @@
                detail::isClosedByPeer(Ec)};
 }
 
+using Message = http::request<http::string_body>;
+
+/// Whether a request of that method states a length though it has no body.
+bool statesEmptyBody(http::verb Method) {
+  return Method == http::verb::options || Method == http::verb::put ||
+         Method == http::verb::post;
+}
+
+/// The request as it is written. Errors: InvalidInput if it cannot be, as with
+/// a header of more than 64 KiB.
+Outcome<Message> makeMessage(HttpRequest Request, const std::string &Address,
+                             bool KeepsConnection) {
+  Message Out;
+  try {
+    Out.version(11);
+    Out.method_string(Request.m_Method);
+    Out.target(Request.m_Target);
+    for (const HttpHeader &Header : Request.m_Headers.m_List)
+      Out.insert(Header.m_Name, Header.m_Value);
+    if (Request.m_Headers.find("Host").empty())
+      Out.set(http::field::host, Address);
+    if (!KeepsConnection)
+      Out.set(http::field::connection, "close");
+  } catch (const std::logic_error &Thrown) {
+    return Error{ErrorCode::InvalidInput,
+                 std::string("the request cannot be sent: ") + Thrown.what()};
+  }
+  Out.body() = std::move(Request.m_Body);
+  // Not prepare_payload(), which throws for a TRACE with a body: whether a
+  // method may have one is for the server to decide.
+  if (!Out.body().empty() || statesEmptyBody(Out.method()))
+    Out.content_length(Out.body().size());
+  return Out;
+}
+
 /// Time left until End, at least 1 ms.
 std::chrono::milliseconds timeUntil(std::chrono::steady_clock::time_point End) {
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -78,9 +114,9 @@
 class Stream final : public HttpStream {
 public:
   Stream(std::weak_ptr<HttpClient::Impl> Pool, PoolKey Key,
-         std::unique_ptr<Connection> Conn, CallLimits Limits)
+         std::unique_ptr<Connection> Conn, CallLimits Limits, bool IsToHead)
       : m_Pool(std::move(Pool)), m_Key(std::move(Key)),
-        m_Connection(std::move(Conn)), m_Limits(Limits),
+        m_Connection(std::move(Conn)), m_Limits(Limits), m_IsToHead(IsToHead),
         m_IsFirst(!std::exchange(m_Connection->m_HasCarriedRequest, true)) {
     startParser();
   }
@@ -250,6 +286,8 @@
     m_Parser.emplace();
     m_Parser->header_limit(MaxHeadBytes);
     m_Parser->body_limit(boost::none);
+    // A response to HEAD may announce a body, and has none.
+    m_Parser->skip(m_IsToHead);
   }
 
   /// Closes the connection of a response that exceeds a bound. The reason
@@ -317,6 +355,7 @@
   PoolKey m_Key;
   std::unique_ptr<Connection> m_Connection;
   CallLimits m_Limits;
+  bool m_IsToHead;
   bool m_IsFirst;
   std::optional<http::response_parser<http::buffer_body>> m_Parser;
   HttpHeaders m_Headers;
@@ -339,19 +378,13 @@
   const std::weak_ptr<Impl> Pool = m_Impl;
   auto Executor = co_await asio::this_coro::executor;
   const PoolKey Key{&Executor.context(), Address};
-  http::request<http::string_body> Message;
-  Message.version(11);
-  Message.method_string(Request.m_Method);
-  Message.target(Request.m_Target);
-  for (const HttpHeader &Header : Request.m_Headers.m_List)
-    Message.insert(Header.m_Name, Header.m_Value);
-  if (Request.m_Headers.find("Host").empty())
-    Message.set(http::field::host, Address);
-  if (!Limits.m_KeepsConnection)
-    Message.set(http::field::connection, "close");
-  Message.body() = std::move(Request.m_Body);
-  Message.prepare_payload();
+  const bool IsToHead = Request.m_Method == "HEAD";
   const bool MayRetry = Request.m_Method == "GET" && Limits.m_RetriesGet;
+  auto Written =
+      makeMessage(std::move(Request), Address, Limits.m_KeepsConnection);
+  if (!Written)
+    co_return Written.error();
+  Message &Sending = *Written;
   bool Sent = false;
   while (!Cancel || !Cancel->cancelled()) {
     std::unique_ptr<Connection> Conn;
@@ -373,8 +406,9 @@
     Sent = true;
     Conn->m_Deadline.expiresAfter(Limits.m_FirstByte);
     auto [Ec, Bytes] =
-        co_await http::async_write(Conn->m_Socket, Message, UseAwaitable);
-    auto Answer = std::make_unique<Stream>(Pool, Key, std::move(Conn), Limits);
+        co_await http::async_write(Conn->m_Socket, Sending, UseAwaitable);
+    auto Answer =
+        std::make_unique<Stream>(Pool, Key, std::move(Conn), Limits, IsToHead);
     if (!Ec)
       Ec = co_await Answer->readHeader();
     if (!Ec)
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -39,12 +39,19 @@
     Fields.insert(Header.m_Name, Header.m_Value);
 }
 
+/// Whether responses with the status never have a body.
+bool hasNoBody(unsigned Status) {
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned NotModified = 304;
+  return Status == NoContent || Status == NotModified;
+}
+
 class Responder final : public HttpResponder {
 public:
   Responder(Connection &Conn, std::chrono::milliseconds WriteTimeout,
-            bool KeepAlive, bool IsHttp11 = false)
+            bool KeepAlive, bool IsHttp11 = false, bool IsToHead = false)
       : m_Conn(Conn), m_WriteTimeout(WriteTimeout), m_KeepAlive(KeepAlive),
-        m_IsHttp11(IsHttp11) {}
+        m_IsHttp11(IsHttp11), m_IsToHead(IsToHead) {}
 
   asio::awaitable<bool> send(HttpResponse Response) override {
     if (m_Started || m_Failed)
@@ -56,10 +63,19 @@
     setHeaders(Message.base(), Response.m_Headers);
     Message.body() = std::move(Response.m_Body);
     Message.keep_alive(m_KeepAlive);
-    Message.prepare_payload();
+    if (hasNoBody(Response.m_Status))
+      Message.body().clear();
+    else if (!m_IsToHead || !Message.body().empty())
+      Message.prepare_payload();
     m_Conn.m_Deadline.expiresAfter(m_WriteTimeout);
-    auto [Ec, Bytes] =
-        co_await http::async_write(m_Conn.m_Socket, Message, UseAwaitable);
+    http::response_serializer<http::string_body> Serializer(Message);
+    boost::system::error_code Ec;
+    if (m_IsToHead)
+      std::tie(Ec, std::ignore) = co_await http::async_write_header(
+          m_Conn.m_Socket, Serializer, UseAwaitable);
+    else
+      std::tie(Ec, std::ignore) =
+          co_await http::async_write(m_Conn.m_Socket, Serializer, UseAwaitable);
     m_Conn.m_Deadline.pause();
     m_Failed = static_cast<bool>(Ec);
     m_Ended = !Ec;
@@ -74,10 +90,11 @@
     Message.version(11);
     Message.result(Status);
     setHeaders(Message.base(), Headers);
+    m_HasNoBody = m_IsToHead || hasNoBody(Status);
     // HTTP/1.0 has no chunks: the end of the connection ends the body.
     m_KeepAlive = m_KeepAlive && m_IsHttp11;
     Message.keep_alive(m_KeepAlive);
-    Message.chunked(m_IsHttp11);
+    Message.chunked(m_IsHttp11 && !hasNoBody(Status));
     http::response_serializer<http::empty_body> Serializer(Message);
     m_Conn.m_Deadline.expiresAfter(m_WriteTimeout);
     auto [Ec, Bytes] = co_await http::async_write_header(
@@ -90,7 +107,7 @@
   asio::awaitable<bool> write(std::string_view Data) override {
     if (!m_Started || m_Ended || m_Failed)
       co_return false;
-    if (Data.empty())
+    if (Data.empty() || m_HasNoBody)
       co_return true;
     if (!m_IsHttp11)
       co_return co_await sendAll(Data);
@@ -107,7 +124,7 @@
     if (!m_Started || m_Ended || m_Failed)
       co_return false;
     bool IsSent = true;
-    if (m_IsHttp11)
+    if (m_IsHttp11 && !m_HasNoBody)
       IsSent = co_await sendAll("0\r\n\r\n");
     m_Ended = IsSent;
     co_return IsSent;
@@ -188,6 +205,8 @@
   std::chrono::milliseconds m_WriteTimeout;
   bool m_KeepAlive;
   bool m_IsHttp11;
+  bool m_IsToHead;
+  bool m_HasNoBody = false; ///< of a response that was begun
   bool m_Started = false;
   bool m_Ended = false;
   bool m_Failed = false;
@@ -342,8 +361,9 @@
     const bool KeepAlive =
         Received.m_KeepAlive && !m_Draining && !m_ClosesAfterAnswers;
     const bool IsBodyRead = Received.m_Request.m_IsBodyRead;
-    auto Answer = std::make_shared<Responder>(*Conn, m_Limits.m_WriteTimeout,
-                                              KeepAlive, Received.m_IsHttp11);
+    auto Answer = std::make_shared<Responder>(
+        *Conn, m_Limits.m_WriteTimeout, KeepAlive, Received.m_IsHttp11,
+        Received.m_Request.m_Method == "HEAD");
     Conn->m_IsAnswering = true;
     Conn->m_Session->enter(ClientPhase::Answering);
     watchForClose(Conn, Answer, Conn->m_Buffer);
