Keep no pointer to a request that ended by an exception

Callers saw: one TRACE with a body ended an entry by SIGSEGV, with all requests and kept connections there.

Cause: what threw while a request was handled skipped its removal from the containers of requests in progress, which held pointers to the freed request; the next periodic check followed them. Its load stayed at its instance, a handover that threw left its stream waiting for ever, and the responder kept a callback into the freed request.

Requests in progress are now held by number in one container, and entered there and at an instance by objects that remove them in their destructors; the load of a send ends with such an object, too, from the handover to the attempt that continues it. Other coroutines share the request. What an attempt throws counts as its loss (502, or a repetition where the route allows one), and `readError` of AttemptEnded names it. A request that cannot be written is refused, and says nothing about its instance.

--- a/src/direct/entry-attempts.cc
+++ b/src/direct/entry-attempts.cc
@@ -89,20 +89,17 @@
   C.m_SearchStart.reset();
   if (C.m_EventCount == 0)
     C.m_Version = m_Instances.versionAt(Chosen.m_Instance, C.m_Query.m_Model);
+  C.m_Stay =
+      IsBegun ? std::move(C.m_NextStay) : Stay(m_InProgress, Chosen.m_Instance);
   if (IsBegun)
     recordFirstByte(C);
-  else
-    m_Instances.started(Chosen.m_Instance, now());
-  m_AtInstance[Chosen.m_Instance].insert(&C);
-  AttemptOutcome How = co_await exchange(C, Chosen);
+  C.m_Stay.list(C.m_Number);
+  AttemptOutcome How = co_await tryExchange(C, Chosen);
   C.m_Abort = nullptr;
   co_await finishHandover(C, How);
   if (C.m_IsGone && How != AttemptOutcome::Delivered)
     How = AttemptOutcome::Gone;
-  const auto At = m_AtInstance.find(Chosen.m_Instance);
-  At->second.erase(&C);
-  if (At->second.empty())
-    m_AtInstance.erase(At);
+  C.m_Stay.unlist();
   if (C.m_IsPeerEnd)
     recordLoss(C, Chosen.m_Instance, C.m_Sent);
   if (How == AttemptOutcome::Delivered || How == AttemptOutcome::Failed ||
@@ -114,7 +111,7 @@
   if (How != AttemptOutcome::Failed)
     C.m_Body = {};
   C.m_Held->hold(C.m_Body.size() + C.m_Events.part().size());
-  recordEnd(Chosen.m_Instance, endOf(How), C.m_IsAnswering);
+  logEjection(Chosen.m_Instance, C.m_Stay.end(endOf(How)));
   logAttempt(C, Chosen, How, ListAgeMs);
   if (How == AttemptOutcome::Delivered)
     answers("answered").add();
@@ -319,6 +316,34 @@
   co_return IsUnproven ? AttemptOutcome::Unproven : AttemptOutcome::NotRun;
 }
 
+/// The same as send(), but what that throws counts as the loss of the request.
+asio::awaitable<EntryRequests::SendResult>
+EntryRequests::trySend(Call &C, const InstanceChoice &Chosen,
+                       net::CallCancel &Cancel) {
+  SendResult Lost;
+  Lost.m_Sent = now();
+  try {
+    co_return co_await send(C, Chosen, Cancel);
+  } catch (const std::exception &Thrown) {
+    Lost.m_ReadError = Thrown.what();
+  }
+  Cancel.onCancel(nullptr); // The answer that it would end is gone.
+  co_return Lost;
+}
+
+/// The same as exchange(), but what that throws counts as the loss of the
+/// request.
+asio::awaitable<EntryRequests::AttemptOutcome>
+EntryRequests::tryExchange(Call &C, const InstanceChoice &Chosen) {
+  try {
+    co_return co_await exchange(C, Chosen);
+  } catch (const std::exception &Thrown) {
+    C.m_ReadError = Thrown.what();
+  }
+  co_return C.m_Answer.started() ? AttemptOutcome::Broken
+                                 : AttemptOutcome::Lost;
+}
+
 /// Sends the request to an instance and reads the head of the answer.
 asio::awaitable<EntryRequests::SendResult>
 EntryRequests::send(Call &C, const InstanceChoice &Chosen,
@@ -336,9 +361,13 @@
   auto Answer = co_await m_Http.open(Chosen.m_Address,
                                      m_Adapter.toUpstream(C.m_Request, Terms),
                                      Limits, &Cancel);
-  if (!Answer && Answer.error().m_Code == ErrorCode::Unavailable) {
+  if (!Answer && Answer.error().m_Code != ErrorCode::Timeout) {
     C.m_Sends.endUnsent();
-    Out.m_How = AttemptOutcome::Unreachable;
+    // A request that cannot be sent says nothing about the instance.
+    const bool IsUnsendable = Answer.error().m_Code == ErrorCode::InvalidInput;
+    Out.m_How =
+        IsUnsendable ? AttemptOutcome::NotRun : AttemptOutcome::Unreachable;
+    Out.m_ReadError = Answer.error().m_Message;
     co_return Out;
   }
   if (!Answer) {
@@ -381,7 +410,7 @@
   if (!Begun.m_Body) {
     net::CallCancel Cancel;
     C.m_Abort = [&Cancel] { Cancel.cancel(); };
-    Begun = co_await send(C, Chosen, Cancel);
+    Begun = co_await trySend(C, Chosen, Cancel);
     C.m_Abort = nullptr;
   }
   C.m_IsPeerEnd = Begun.m_IsPeerEnd;
@@ -427,9 +456,9 @@
     m_Harmful.answered(fingerprintOf(Each));
 }
 
-void EntryRequests::recordEnd(const InstanceId &At, InstanceTable::End Outcome,
-                              bool WasAnswering) {
-  if (const auto For = m_Instances.ended(At, Outcome, WasAnswering, now()))
+void EntryRequests::logEjection(const InstanceId &At,
+                                std::optional<Duration> For) {
+  if (For)
     net::log(Event::InstanceEjected,
              {{"instance", At.m_Text}, {"forMs", msOf(*For)}});
 }
@@ -437,7 +466,7 @@
 void EntryRequests::recordFirstByte(Call &C) {
   C.m_IsAnswering = true;
   C.m_AnswerStart = now();
-  m_Instances.answerStarted(C.m_Instance);
+  C.m_Stay.answerStarted();
   m_Instances.firstToken(C.m_Query, now() - C.m_Sent);
 }
 
--- a/src/direct/entry-call.h
+++ b/src/direct/entry-call.h
@@ -1,4 +1,5 @@
-// State of one request while an entry serves it. Private to EntryRequests.
+// State of one request while an entry serves it, and the requests in progress.
+// Private to EntryRequests.
 #pragma once
 
 #include "daemon/clock.h"
@@ -14,7 +15,9 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +43,63 @@
 
 inline bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
+/// The requests in progress, and at which instances. Only Registration and Stay
+/// add to it, and remove what they added however the request ends. Both refer
+/// to it weakly: when the process stops, their frames may outlive it.
+struct EntryRequests::CallsInProgress {
+  explicit CallsInProgress(InstanceTable &Instances) : m_Instances(Instances) {}
+
+  std::shared_ptr<Call> find(std::uint64_t Number) const {
+    const auto Found = m_ById.find(Number);
+    return Found == m_ById.end() ? nullptr : Found->second;
+  }
+  /// Requests at the instance that are still in progress.
+  std::vector<std::shared_ptr<Call>> at(const InstanceId &Id) const;
+
+  InstanceTable &m_Instances;
+  std::map<std::uint64_t, std::shared_ptr<Call>> m_ById;
+  std::map<InstanceId, std::set<std::uint64_t>> m_AtInstance;
+};
+
+/// A request among those in progress, for the lifetime of this object.
+class EntryRequests::Registration {
+public:
+  Registration(const std::shared_ptr<CallsInProgress> &Among,
+               std::shared_ptr<Call> Of);
+  ~Registration();
+  Registration(const Registration &) = delete;
+  Registration &operator=(const Registration &) = delete;
+
+private:
+  std::weak_ptr<CallsInProgress> m_Among;
+  std::uint64_t m_Number;
+};
+
+/// The load of one request at an instance, from its send until its end. Without
+/// a call of end() it ends when this is destroyed, and says nothing about the
+/// instance.
+class EntryRequests::Stay {
+public:
+  Stay() = default;
+  Stay(const std::shared_ptr<CallsInProgress> &Among, InstanceId At);
+  ~Stay() { end(InstanceTable::End::Neutral); }
+  Stay(Stay &&Other) noexcept;
+  Stay &operator=(Stay &&Other) noexcept;
+
+  /// Lists the request among those at the instance, until the end.
+  void list(std::uint64_t CallNumber);
+  void unlist();
+  void answerStarted();
+  /// Returns for how long the instance is ejected, if it is.
+  std::optional<Duration> end(InstanceTable::End Outcome);
+
+private:
+  std::weak_ptr<CallsInProgress> m_Among;
+  InstanceId m_Instance;
+  std::uint64_t m_Listed = 0; ///< number of the request; 0: not listed
+  bool m_IsAnswering = false;
+};
+
 /// State of one request from its arrival until its answer has ended.
 struct EntryRequests::Call {
   net::HttpRequest m_Request;
@@ -64,8 +124,10 @@
   /// m_Next.
   bool m_IsMoving = false;
   InstanceChoice m_Next;
-  /// The answer from m_Next, if it has begun already.
+  /// The answer from m_Next, if it has begun already, and its load there.
   SendResult m_NextAnswer;
+  Stay m_NextStay;
+  Stay m_Stay; ///< of the current attempt
   /// Transfer of a stream's remainder to another instance while the current one
   /// is still connected.
   struct Handover {
--- a/src/direct/entry-moves.cc
+++ b/src/direct/entry-moves.cc
@@ -61,26 +61,25 @@
 /// meanwhile.
 asio::awaitable<void> EntryRequests::move(std::uint64_t CallNumber,
                                           InstanceId From, const char *Reason) {
-  const auto Asking = m_Calls.find(CallNumber);
-  if (Asking == m_Calls.end())
+  const auto Asking = m_InProgress->find(CallNumber);
+  if (!Asking)
     co_return;
-  ChoiceQuery Query = queryForRemainder(*Asking->second);
+  ChoiceQuery Query = queryForRemainder(*Asking);
   Query.m_Tried.insert(From);
-  Query.m_Avoided = instancesOfOtherSuspects(*Asking->second);
+  Query.m_Avoided = instancesOfOtherSuspects(*Asking);
   // The request was admitted before, so it leaves no slots to others.
   Query.m_Reserve = 0;
   // It must not move from one silent instance to another: both would begin it
   // once they run again, after its caller has left.
   Query.m_NeedsReport = true;
   const InstanceChoice Chosen = co_await chooseInstance(std::move(Query));
-  const auto Found = m_Calls.find(CallNumber);
-  if (Found == m_Calls.end())
+  const auto Of = m_InProgress->find(CallNumber);
+  if (!Of)
     co_return;
-  Call &Of = *Found->second;
-  Of.m_IsMoveSought = false;
+  Of->m_IsMoveSought = false;
   const bool IsPossible = Chosen.m_Outcome == ChoiceOutcome::Chosen &&
-                          Of.m_Instance == From && mayMove(Of);
-  if (!IsPossible || !takeRetry(Of))
+                          Of->m_Instance == From && mayMove(*Of);
+  if (!IsPossible || !takeRetry(*Of))
     co_return;
   co_await handOver(Of, Chosen, Reason);
 }
@@ -93,16 +92,17 @@
 /// forwarded meanwhile, so that the next instance continues exactly after what
 /// the caller has. The current attempt waits for the outcome, which keeps the
 /// call alive.
-asio::awaitable<void> EntryRequests::handOver(Call &C,
-                                              const InstanceChoice &Next,
+asio::awaitable<void> EntryRequests::handOver(std::shared_ptr<Call> Of,
+                                              InstanceChoice Next,
                                               const char *Reason) {
+  Call &C = *Of;
   // Shared, since this coroutine's frame and that of the call may be destroyed
   // in any order when the process stops.
   const auto Pending = std::make_shared<Call::Handover>(m_Io);
   C.m_Handover = Pending;
   C.m_IsMoveSought = true;
-  m_Instances.started(Next.m_Instance, now());
-  SendResult Begun = co_await send(C, Next, Pending->m_Cancel);
+  Stay There(m_InProgress, Next.m_Instance);
+  SendResult Begun = co_await trySend(C, Next, Pending->m_Cancel);
   const Duration Asked = now() - Pending->m_Sent;
   const bool IsTaken =
       Begun.m_Body && isSuccess(Begun.m_Body->status()) && !C.m_IsGone;
@@ -111,6 +111,7 @@
   if (IsTaken) {
     C.m_Next = Next;
     C.m_NextAnswer = std::move(Begun);
+    C.m_NextStay = std::move(There);
     C.m_IsMoving = true;
     C.abort();
   } else {
@@ -120,7 +121,8 @@
     C.m_Query.m_Tried.insert(Next.m_Instance);
     if (Begun.m_IsPeerEnd)
       recordLoss(C, Next.m_Instance, Begun.m_Sent);
-    recordEnd(Next.m_Instance, HasFailed ? End::Failed : End::Neutral, false);
+    logEjection(Next.m_Instance,
+                There.end(HasFailed ? End::Failed : End::Neutral));
   }
   C.m_IsMoveSought = false;
   C.m_Handover.reset();
@@ -161,7 +163,7 @@
   if (!IsDropped)
     co_return;
   C.m_NextAnswer = {};
-  recordEnd(C.m_Next.m_Instance, InstanceTable::End::Neutral, false);
+  C.m_NextStay.end(InstanceTable::End::Neutral);
 }
 
 void EntryRequests::logMove(Event What, const Call &C,
@@ -210,24 +212,25 @@
 /// margin kept when a request is sent to it: requests that had waited there for
 /// 2.3 s began up to 60 ms after the bound.
 void EntryRequests::withdrawOverdue(TimePoint Now) {
-  std::vector<Call *> Overdue;
-  for (const auto &[Id, Calls] : m_AtInstance) {
+  std::vector<std::shared_ptr<Call>> Overdue;
+  for (const auto &[Id, Numbers] : m_InProgress->m_AtInstance) {
+    const auto Calls = m_InProgress->at(Id);
     const auto By =
         Calls.empty()
             ? std::nullopt
-            : m_Instances.latestBegin(Id, (*Calls.begin())->m_Query.m_Model);
+            : m_Instances.latestBegin(Id, Calls.front()->m_Query.m_Model);
     if (!By || Now < *By - MoveMargin)
       continue;
     moveStreamsFrom(Id, "weights are due",
                     [](const Call &Each) { return !Each.m_IsAnswering; });
     if (Now < *By - CloseMargin)
       continue;
-    for (Call *Each : Calls)
+    for (const auto &Each : Calls)
       if (Each->isStream() && !Each->m_IsAnswering && !Each->m_IsMoving &&
           !Each->m_Query.m_Model.empty() && Each->m_Abort)
         Overdue.push_back(Each);
   }
-  for (Call *Each : Overdue) {
+  for (const auto &Each : Overdue) {
     net::log(Event::RequestWithdrawn, {{"request", Each->m_Terms.m_AttemptId},
                                        {"instance", Each->m_Instance.m_Text},
                                        {"sentMs", msOf(Now - Each->m_Sent)}});
@@ -249,7 +252,7 @@
                     [](const Call &) { return true; });
   m_Silent = std::move(Silent);
   cancelSilentHandovers(Now);
-  for (const auto &[Id, Calls] : m_AtInstance)
+  for (const auto &[Id, Numbers] : m_InProgress->m_AtInstance)
     moveStreamsFrom(Id, "stream silent", [Now](const Call &Each) {
       return Now - Each.m_LastActivity > StreamSilence;
     });
@@ -258,7 +261,7 @@
 /// Cancels handovers in which the next instance is silent as well, so that a
 /// third one can take the stream if the route allows one more run.
 void EntryRequests::cancelSilentHandovers(TimePoint Now) {
-  for (const auto &[Number, Each] : m_Calls) {
+  for (const auto &[Number, Each] : m_InProgress->m_ById) {
     const bool IsSilent =
         Each->m_Handover && Now - Each->m_Handover->m_Sent > InstanceSilence;
     if (IsSilent && Each->m_Sends.runs() < Each->m_Route->m_Attempts)
@@ -270,10 +273,7 @@
 template <typename Condition>
 void EntryRequests::moveStreamsFrom(const InstanceId &Id, const char *Reason,
                                     Condition &&Holds) {
-  const auto Calls = m_AtInstance.find(Id);
-  if (Calls == m_AtInstance.end())
-    return;
-  for (Call *Each : Calls->second) {
+  for (const auto &Each : m_InProgress->at(Id)) {
     if (Each->m_IsMoveSought || !mayMove(*Each) || !Holds(*Each))
       continue;
     Each->m_IsMoveSought = true;
--- a/src/direct/entry-requests.cc
+++ b/src/direct/entry-requests.cc
@@ -103,7 +103,11 @@
       m_Harmful(Harmful), m_Retries{UsedRetryFraction * Retries.m_Share,
                                     UsedRetryFraction * Retries.m_Slack,
                                     Retries.m_Window},
-      m_Start(now()), m_Ask(std::move(Ask)), m_AnswerBytes(AnswerBytes) {}
+      m_Start(now()), m_Ask(std::move(Ask)),
+      m_InProgress(std::make_shared<CallsInProgress>(Instances)),
+      m_AnswerBytes(AnswerBytes) {}
+
+std::size_t EntryRequests::open() const { return m_InProgress->m_ById.size(); }
 
 void EntryRequests::setEntries(std::size_t Count, TimePoint Now) {
   m_Entries = Count;
@@ -155,22 +159,23 @@
 
 asio::awaitable<void> EntryRequests::handle(net::HttpRequest Request,
                                             net::HttpResponder &Answer) {
-  Call C{std::move(Request), Answer, m_Routes};
-  C.m_Held.emplace(m_AnswerBytes, AnswerLimits);
-  C.m_Start = now();
-  C.m_Terms = m_Adapter.readTerms(C.m_Request);
-  Answer.onDisconnect([&C] {
-    C.m_IsGone = true;
-    if (C.m_Handover)
-      C.m_Handover->m_Cancel.cancel();
-    C.abort();
+  const auto C = std::make_shared<Call>(std::move(Request), Answer, m_Routes);
+  C->m_Held.emplace(m_AnswerBytes, AnswerLimits);
+  C->m_Start = now();
+  C->m_Terms = m_Adapter.readTerms(C->m_Request);
+  C->m_Number = ++m_LastCall;
+  const Registration Registered(m_InProgress, C);
+  // The responder may outlive the request, if that ends by an exception.
+  Answer.onDisconnect([Weak = std::weak_ptr(C)] {
+    const auto Left = Weak.lock();
+    if (!Left)
+      return;
+    Left->m_IsGone = true;
+    if (Left->m_Handover)
+      Left->m_Handover->m_Cancel.cancel();
+    Left->abort();
   });
-  C.m_Number = ++m_LastCall;
-  m_Calls.emplace(C.m_Number, &C);
-  ++m_Open;
-  co_await serve(C);
-  --m_Open;
-  m_Calls.erase(C.m_Number);
+  co_await serve(*C);
 }
 
 bool EntryRequests::acceptsBody(const net::HttpRequest &Head) const {
--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -77,12 +77,15 @@
   /// than Length.
   void moveStreamsFromEvacuated(Duration Length, TimePoint Now);
 
-  std::size_t open() const { return m_Open; }
+  std::size_t open() const;
   /// Bytes of buffered answers beyond the allowance of each.
   std::size_t heldAnswerBytes() const { return m_AnswerBytes.used(); }
 
 private:
   struct Call;
+  struct CallsInProgress;
+  class Registration;
+  class Stay;
   /// Outcome of one attempt.
   enum class AttemptOutcome {
     Delivered,   ///< the caller received the whole answer
@@ -142,6 +145,10 @@
                                                    net::HttpStream &Body);
   asio::awaitable<SendResult> send(Call &C, const InstanceChoice &Chosen,
                                    net::CallCancel &Cancel);
+  asio::awaitable<SendResult> trySend(Call &C, const InstanceChoice &Chosen,
+                                      net::CallCancel &Cancel);
+  asio::awaitable<AttemptOutcome> tryExchange(Call &C,
+                                              const InstanceChoice &Chosen);
   asio::awaitable<AttemptOutcome> exchange(Call &C,
                                            const InstanceChoice &Chosen);
   asio::awaitable<AttemptOutcome> readWhole(Call &C, net::HttpStream &Body);
@@ -150,8 +157,7 @@
   void recordFirstByte(Call &C);
   void recordSound(Call &C);
   void recordLoss(const Call &C, const InstanceId &At, TimePoint Sent);
-  void recordEnd(const InstanceId &At, InstanceTable::End Outcome,
-                 bool WasAnswering);
+  static void logEjection(const InstanceId &At, std::optional<Duration> For);
   static bool reserveBuffered(Call &C);
   static std::string takeNewEvents(Call &C);
   static asio::awaitable<bool> writeNewEvents(Call &C);
@@ -160,7 +166,7 @@
   bool mayMove(const Call &C) const;
   asio::awaitable<void> move(std::uint64_t CallNumber, InstanceId From,
                              const char *Reason);
-  asio::awaitable<void> handOver(Call &C, const InstanceChoice &Next,
+  asio::awaitable<void> handOver(std::shared_ptr<Call> Of, InstanceChoice Next,
                                  const char *Reason);
   asio::awaitable<void> limitHandover(Call &C, bool IsEnd);
   static asio::awaitable<void> waitForHandover(Call &C);
@@ -208,16 +214,12 @@
     std::chrono::milliseconds m_LongestTimeout{};
   };
   std::map<std::string, RouteLoad> m_RouteLoads; ///< by route name
-  /// Requests in progress, by number.
-  std::map<std::uint64_t, Call *> m_Calls;
+  std::shared_ptr<CallsInProgress> m_InProgress;
   std::uint64_t m_LastCall = 0;
-  /// Requests in progress at each instance.
-  std::map<InstanceId, std::set<Call *>> m_AtInstance;
   std::set<InstanceId> m_Silent; ///< already logged as silent
   TimePoint m_NextUnreadableLog{};
   ByteBudget m_AnswerBytes; ///< of all buffered answers in progress
   std::size_t m_Entries = 0;
-  std::size_t m_Open = 0;
   std::mt19937_64 m_Random{std::random_device{}()};
 };
 
--- a/src/direct/entry-slots.cc
+++ b/src/direct/entry-slots.cc
@@ -132,11 +132,13 @@
   std::set<InstanceId> Out;
   if (!m_Harmful.isSuspect(C.m_Fingerprints))
     return Out;
-  for (const auto &[Id, Calls] : m_AtInstance)
-    if (std::any_of(Calls.begin(), Calls.end(), [&](const Call *Each) {
-          return Each != &C && m_Harmful.isSuspect(Each->m_Fingerprints);
+  for (const auto &[Id, Numbers] : m_InProgress->m_AtInstance) {
+    const auto Calls = m_InProgress->at(Id);
+    if (std::any_of(Calls.begin(), Calls.end(), [&](const auto &Each) {
+          return Each.get() != &C && m_Harmful.isSuspect(Each->m_Fingerprints);
         }))
       Out.insert(Id);
+  }
   return Out;
 }
 
