--- a/src/direct/entry-requests.h
+++ b/src/direct/entry-requests.h
@@ -118,6 +118,7 @@
                          AttemptOutcome Outcome, std::uint64_t ListAgeMs);
 
   asio::awaitable<void> serve(Call &C);
+  bool isRefusedByStop(const StopSubject &Of, TimePoint Now) const;
   bool admitDuringStop(Call &C);
   bool maySendDuringStop(Call &C);
   static bool applyStop(Call &C, const StopDecision &Decision);
