Keep SIGHUP from ending a process that has no handler yet

SIGHUP only announces changed settings, but one that arrived before the signal set existed ended the process, and processes outside direct mode at any time.

The other mode logs ReloadIgnored.

Partial: the loader's own work is not covered, as no code of the program runs then, and it is most of the time.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -8,6 +8,7 @@
 #include "net/log.h"
 #include "net/origin.h"
 #include "net/platform.h"
+#include "net/signals.h"
 #include "net/text-file.h"
 
 #include <absl/flags/flag.h>
@@ -104,6 +105,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  deckpitch::net::holdReloadSignal();
   mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes);
   mallopt(M_TRIM_THRESHOLD, ReturnedBlockBytes);
   absl::SetProgramUsageMessage(
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -2,6 +2,7 @@
 #include "daemon/module.h"
 #include "net/log.h"
 #include "net/metrics.h"
+#include "net/signals.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -78,7 +79,8 @@
   explicit Runner(Settings Value)
       : m_Threads(Value.m_Threads),
         m_Process(std::move(Value), newIncarnation(), m_Threads),
-        m_Signals(m_Threads.control(), SIGINT, SIGTERM) {
+        m_Signals(m_Threads.control(), SIGINT, SIGTERM, SIGHUP) {
+    net::deliverReloadSignal();
     m_Process.m_StartDrain = [this](std::string Source) {
       asio::post(m_Threads.control(),
                  [this, Source = std::move(Source)] { beginDrain(Source); });
@@ -172,11 +174,21 @@
       Each.m_Module->onMessage(Message);
   }
 
+  void waitForSignal() {
+    m_Signals.async_wait(
+        [this](const boost::system::error_code &Ec, int Number) {
+          if (Ec)
+            return;
+          if (Number == SIGHUP)
+            net::log(Event::ReloadIgnored);
+          else
+            beginDrain("signal");
+          waitForSignal();
+        });
+  }
+
   void startModules() {
-    m_Signals.async_wait([this](const boost::system::error_code &Ec, int) {
-      if (!Ec)
-        beginDrain("signal");
-    });
+    waitForSignal();
     for (NamedModule &Each : m_Modules) {
       const auto Started = outcomeOf([&]() -> Result<bool> {
         BOOST_LEAF_CHECK(Each.m_Module->start());
--- a/src/direct/process.cc
+++ b/src/direct/process.cc
@@ -6,6 +6,7 @@
 #include "net/log.h"
 #include "net/metrics.h"
 #include "net/platform.h"
+#include "net/signals.h"
 #include "net/text-file.h"
 
 #include <boost/asio.hpp>
@@ -34,7 +35,9 @@
       : m_Context{m_Threads, std::move(Settings), newIncarnation()},
         m_Path(std::move(Path)),
         m_Signals(m_Threads.control(), SIGINT, SIGTERM, SIGHUP),
-        m_Flush(m_Threads.control()) {}
+        m_Flush(m_Threads.control()) {
+    net::deliverReloadSignal();
+  }
 
   int run() {
     m_Role = m_Context.m_Settings.m_Role == Role::Entry ? makeEntry(m_Context)
