Go on without a reader of the log

SIGPIPE ended a process when the reader of its standard output had gone. It is ignored now; writes fail, are counted and repeated at the next flush, and lines beyond the buffer are dropped and counted.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -106,6 +106,7 @@
 
 int main(int Argc, char **Argv) {
   deckpitch::net::holdReloadSignal();
+  deckpitch::net::ignoreBrokenPipes();
   mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes);
   mallopt(M_TRIM_THRESHOLD, ReturnedBlockBytes);
   absl::SetProgramUsageMessage(
--- a/src/net/line-sink.cc
+++ b/src/net/line-sink.cc
@@ -31,8 +31,10 @@
         std::min<std::size_t>(m_Pending.size() - Total, PIPE_BUF);
     const ssize_t Written =
         write(m_Descriptor, m_Pending.data() + Total, Length);
-    if (Written <= 0)
+    if (Written <= 0) {
+      ++m_Failures;
       break;
+    }
     Total += static_cast<std::size_t>(Written);
   }
   m_Pending.erase(0, Total);
@@ -44,6 +46,11 @@
   return std::exchange(m_Dropped, 0);
 }
 
+std::uint64_t LineSink::takeFailures() {
+  std::lock_guard Lock(m_Mutex);
+  return std::exchange(m_Failures, 0);
+}
+
 std::uint64_t LineSink::bytesWritten() const {
   std::lock_guard Lock(m_Mutex);
   return m_Written;
--- a/src/net/line-sink.h
+++ b/src/net/line-sink.h
@@ -19,11 +19,14 @@
       : m_Descriptor(Descriptor), m_MaxBytes(MaxBytes) {}
 
   void add(std::string_view Line);
-  /// Writes as much as the descriptor accepts without blocking.
+  /// Writes as much as the descriptor accepts without blocking. What a failed
+  /// write leaves is tried again next time: another reader may follow.
   void flush();
   /// Returns the number of lines dropped since the last call.
   std::uint64_t takeDropped();
   std::uint64_t bytesWritten() const;
+  /// Returns the number of writes that failed since the last call.
+  std::uint64_t takeFailures();
 
 private:
   mutable std::mutex m_Mutex;
@@ -32,6 +35,7 @@
   std::string m_Pending;
   std::uint64_t m_Dropped = 0;
   std::uint64_t m_Written = 0;
+  std::uint64_t m_Failures = 0;
 };
 
 } // namespace deckpitch::net
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -1,6 +1,7 @@
 #include "net/log.h"
 
 #include "net/line-sink.h"
+#include "net/metrics.h"
 
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
@@ -141,9 +142,13 @@
 
 void flushLog() {
   const std::uint64_t Dropped = standardOutput().takeDropped();
-  if (Dropped > 0)
+  if (Dropped > 0) {
+    metrics().counter("deckpitch_log_lines_dropped_total").add(Dropped);
     log(Event::LinesDropped, {{"lines", Dropped}});
+  }
   standardOutput().flush();
+  if (const std::uint64_t Failures = standardOutput().takeFailures())
+    metrics().counter("deckpitch_log_write_failures_total").add(Failures);
 }
 
 void setUpLog(std::string_view Process, Severity MinSeverity) {
--- a/test/line-sink-test.cc
+++ b/test/line-sink-test.cc
@@ -1,11 +1,14 @@
 #include "net/line-sink.h"
 #include "net/log.h"
+#include "net/signals.h"
 
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include <array>
+#include <csignal>
 #include <unistd.h>
+#include <utility>
 
 using namespace deckpitch;
 
@@ -21,6 +24,7 @@
   Pipe(const Pipe &) = delete;
   Pipe &operator=(const Pipe &) = delete;
   int writeEnd() const { return m_Ends[1]; }
+  void closeReadEnd() { close(std::exchange(m_Ends[0], -1)); }
   std::string readAvailable() {
     std::string Out(std::size_t{64} * 1024, '\0');
     const ssize_t Got = read(m_Ends[0], Out.data(), Out.size());
@@ -58,6 +62,25 @@
   EXPECT_EQ(Reader.readAvailable().substr(0, 1'000), Line + "\n");
 }
 
+/// The process ended at the first write after the reader had gone.
+TEST(LineSink, KeepsAndDropsLinesWhileThereIsNoReader) {
+  const auto Former = std::signal(SIGPIPE, SIG_DFL);
+  net::ignoreBrokenPipes();
+  Pipe Reader;
+  Reader.closeReadEnd();
+  net::LineSink Sink(Reader.writeEnd(), 10);
+  Sink.add("12345");
+  Sink.flush();
+  Sink.add("123");
+  Sink.add("1");
+  Sink.flush();
+  EXPECT_EQ(Sink.takeFailures(), 2U);
+  EXPECT_EQ(Sink.takeFailures(), 0U);
+  EXPECT_EQ(Sink.takeDropped(), 1U);
+  EXPECT_EQ(Sink.bytesWritten(), 0U);
+  std::signal(SIGPIPE, Former);
+}
+
 TEST(LineSink, DropsWholeLines) {
   Pipe Reader;
   net::LineSink Sink(Reader.writeEnd(), 10);
