Wait for settings that are being written

A start that found settings absent, empty or half written ended with code 2, and a read after SIGHUP was given up.

Before: StartsOnceTheFileIsComplete, StartsOnceTheFileIsThere and ReadsAgainUntilTheFileIsComplete of SettingsWait fail. After: all pass.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -21,6 +21,9 @@
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <thread>
+#include <utility>
+#include <variant>
 
 ABSL_FLAG(std::string, settings, "",
           "file with the settings: JSON with comments");
@@ -31,6 +34,9 @@
 
 constexpr int ExitUsage = 2;
 
+using AnySettings =
+    std::variant<deckpitch::DirectSettings, deckpitch::Settings>;
+
 template <typename Port>
 void checkAdapter(const std::string &Key, const std::string &Address,
                   deckpitch::Problems &Found) {
@@ -60,23 +66,49 @@
     std::cerr << Path << ": " << Line << "\n";
 }
 
-std::optional<deckpitch::Settings> readSettings(const std::string &Path) {
-  const std::optional<std::string> Text = deckpitch::net::readTextFile(Path);
-  if (!Text) {
-    std::cerr << Path << ": cannot be read\n";
-    return std::nullopt;
-  }
-  const auto Parsed =
-      deckpitch::outcomeOf([&] { return deckpitch::parseSettings(*Text); });
-  if (!Parsed) {
-    printErrors(Path, Parsed.error().m_Message);
-    return std::nullopt;
+deckpitch::Outcome<AnySettings> parseAny(const std::string &Text) {
+  if (deckpitch::areDirectSettings(Text)) {
+    auto Direct = deckpitch::outcomeOf(
+        [&] { return deckpitch::parseDirectSettings(Text); });
+    if (!Direct)
+      return Direct.error();
+    return AnySettings(std::move(*Direct));
   }
+  auto Parsed =
+      deckpitch::outcomeOf([&] { return deckpitch::parseSettings(Text); });
+  if (!Parsed)
+    return Parsed.error();
   const deckpitch::Problems Found = checkAdapters(*Parsed);
-  printErrors(Path, deckpitch::formatProblems(Found));
   if (!Found.m_List.empty())
-    return std::nullopt;
-  return *Parsed;
+    return deckpitch::Error{deckpitch::ErrorCode::InvalidInput,
+                            deckpitch::formatProblems(Found)};
+  return AnySettings(std::move(*Parsed));
+}
+
+deckpitch::Outcome<AnySettings> readSettings(const std::string &Path) {
+  const std::optional<std::string> Text = deckpitch::net::readTextFile(Path);
+  if (!Text)
+    return deckpitch::Error{deckpitch::ErrorCode::Unavailable,
+                            "cannot be read"};
+  return parseAny(*Text);
+}
+
+/// Reads the file until it is valid: it may be absent or incomplete while the
+/// platform writes it. Prints each error; returns nothing after the last read.
+std::optional<AnySettings> awaitSettings(const std::string &Path, int Reads) {
+  std::string Printed;
+  for (int Read = 1;; ++Read) {
+    auto Found = readSettings(Path);
+    if (Found)
+      return std::move(*Found);
+    const std::string &Error = Found.error().m_Message;
+    if (Error != Printed)
+      printErrors(Path, Error);
+    Printed = Error;
+    if (Read >= Reads)
+      return std::nullopt;
+    std::this_thread::sleep_for(deckpitch::net::SettingsReadInterval);
+  }
 }
 
 /// Blocks of this size and more are returned to the system when they are freed.
@@ -84,23 +116,20 @@
 /// and freed memory still counts towards the process's limit.
 constexpr int ReturnedBlockBytes = 128 * 1024;
 
-/// Runs a process of a direct deployment, in which entries send requests
-/// straight to the instances.
-int runDirectProcess(const std::string &Path, const std::string &Text,
-                     deckpitch::Severity MinSeverity) {
-  const auto Parsed = deckpitch::outcomeOf(
-      [&] { return deckpitch::parseDirectSettings(Text); });
-  if (!Parsed) {
-    printErrors(Path, Parsed.error().m_Message);
-    return ExitUsage;
+struct StartProcess {
+  const std::string &m_Path;
+  deckpitch::Severity m_MinSeverity;
+
+  /// Entries send requests straight to the instances.
+  int operator()(const deckpitch::DirectSettings &Value) const {
+    deckpitch::net::setUpJsonLog(Value.m_Instance.m_Text, m_MinSeverity);
+    return deckpitch::direct::runDirect(Value, m_Path);
   }
-  if (absl::GetFlag(FLAGS_check)) {
-    std::cout << Path << ": good\n";
-    return 0;
+  int operator()(const deckpitch::Settings &Value) const {
+    deckpitch::net::setUpLog(Value.m_Instance.m_Text, m_MinSeverity);
+    return deckpitch::daemon::runProcess(Value);
   }
-  deckpitch::net::setUpJsonLog(Parsed->m_Instance.m_Text, MinSeverity);
-  return deckpitch::direct::runDirect(*Parsed, Path);
-}
+};
 
 } // namespace
 
@@ -115,7 +144,7 @@
       "  deckpitchd --settings=FILE --check    checks the settings and exits\n"
       "flags: --settings, --check, --verbose, --version, --help\n"
       "exit codes: 0 normal stop or valid settings, 1 could not start,\n"
-      "  2 invalid flags or settings");
+      "  2 invalid flags, or settings that stayed invalid for 5 s");
   absl::FlagsUsageConfig Usage;
   Usage.version_string = [] {
     return std::string("deckpitchd " DECKPITCH_VERSION "\n");
@@ -135,16 +164,14 @@
   const auto MinSeverity = absl::GetFlag(FLAGS_verbose)
                                ? deckpitch::Severity::Debug
                                : deckpitch::Severity::Info;
-  const std::optional<std::string> Text = deckpitch::net::readTextFile(Path);
-  if (Text && deckpitch::areDirectSettings(*Text))
-    return runDirectProcess(Path, *Text, MinSeverity);
-  const std::optional<deckpitch::Settings> Value = readSettings(Path);
+  const bool IsCheck = absl::GetFlag(FLAGS_check);
+  const std::optional<AnySettings> Value =
+      awaitSettings(Path, IsCheck ? 1 : deckpitch::net::SettingsReads);
   if (!Value)
     return ExitUsage;
-  if (absl::GetFlag(FLAGS_check)) {
+  if (IsCheck) {
     std::cout << Path << ": good\n";
     return 0;
   }
-  deckpitch::net::setUpLog(Value->m_Instance.m_Text, MinSeverity);
-  return deckpitch::daemon::runProcess(*Value);
+  return std::visit(StartProcess{Path, MinSeverity}, *Value);
 }
--- a/src/direct/process.cc
+++ b/src/direct/process.cc
@@ -39,7 +39,7 @@
       : m_Context{m_Threads, std::move(Settings), newIncarnation()},
         m_Path(std::move(Path)),
         m_Signals(m_Threads.control(), SIGINT, SIGTERM, SIGHUP),
-        m_Flush(m_Threads.control()) {
+        m_Flush(m_Threads.control()), m_Reread(m_Threads.control()) {
     net::deliverReloadSignal();
   }
 
@@ -122,26 +122,40 @@
         [this](const boost::system::error_code &Ec, int Number) {
           if (Ec)
             return;
-          if (Number == SIGHUP)
+          if (Number == SIGHUP) {
+            m_Reread.cancel();
             readSettings();
-          else
+          } else {
             beginDrain();
+          }
           waitForSignal();
         });
   }
 
-  void readSettings() {
+  void readSettings(int Read = 1) {
     const auto Text = net::readTextFile(m_Path);
-    const auto Read = outcomeOf([&]() -> Result<DirectSettings> {
+    const auto Parsed = outcomeOf([&]() -> Result<DirectSettings> {
       if (!Text)
         return fail(ErrorCode::Unavailable, "cannot be read");
       return parseDirectSettings(*Text);
     });
-    if (!Read)
-      return net::log(Event::SettingsRefused,
-                      {{"path", m_Path}, {"error", Read.error().m_Message}});
+    if (!Parsed)
+      return readSettingsAgain(Read, Parsed.error().m_Message);
     net::log(Event::SettingsRead, {{"path", m_Path}});
-    m_Role->apply(*Read);
+    m_Role->apply(*Parsed);
+  }
+
+  void readSettingsAgain(int Read, const std::string &Error) {
+    if (Read == 1)
+      net::log(Event::SettingsIncomplete, {{"path", m_Path}, {"error", Error}});
+    if (Read >= net::SettingsReads)
+      return net::log(Event::SettingsRefused,
+                      {{"path", m_Path}, {"error", Error}});
+    m_Reread.expires_after(net::SettingsReadInterval);
+    m_Reread.async_wait([this, Read](const boost::system::error_code &Ec) {
+      if (!Ec)
+        readSettings(Read + 1);
+    });
   }
 
   void beginDrain() {
@@ -201,6 +215,7 @@
   std::string m_Path;
   asio::signal_set m_Signals;
   asio::steady_timer m_Flush;
+  asio::steady_timer m_Reread; ///< of the settings
   std::unique_ptr<DirectRole> m_Role;
   net::HttpServer m_Operator{
       m_Threads,
