Accept fractional and absent figures in the settings templates

The templates appended 000 to seconds, so that 7.5 s became the invalid 7.5000 ms, and an absent figure left invalid JSON: no process started.

The older test's way of filling in templates now gives each section its own value, since any figure may be one. Not tried with the platform's own renderer.

--- a/include/deckpitch/json-reader.h
+++ b/include/deckpitch/json-reader.h
@@ -47,6 +47,14 @@
   /// A number of milliseconds.
   void optional(std::string_view Key, std::chrono::milliseconds &Out,
                 std::chrono::milliseconds Min, std::chrono::milliseconds Max);
+  /// A number of the given units, whole or with a fraction, rounded down to
+  /// milliseconds.
+  void duration(std::string_view Key, std::chrono::milliseconds &Out,
+                std::chrono::milliseconds Unit, std::chrono::milliseconds Min,
+                std::chrono::milliseconds Max);
+  /// A number, whole or with a fraction, rounded down.
+  void rounded(std::string_view Key, std::uint32_t &Out, std::uint32_t Min,
+               std::uint32_t Max);
   /// An object whose values are all strings.
   void optional(std::string_view Key, std::map<std::string, std::string> &Out);
   /// Reads one of the given words and stores its index.
--- a/src/kernel/direct-settings.cc
+++ b/src/kernel/direct-settings.cc
@@ -41,14 +41,20 @@
   return RegionMap(std::move(Out));
 }
 
+/// The platform gives some bounds in seconds, and any of them as a fraction.
 void readBounds(JsonObjectReader &Reader, DirectBounds &Out) {
-  Reader.optional("drainMs", Out.m_Drain, milliseconds(1), Hour);
-  Reader.optional("applyMs", Out.m_Apply, milliseconds(1), Hour);
-  Reader.optional("graceMs", Out.m_Grace, milliseconds(1), Hour);
-  Reader.optional("versionMs", Out.m_Version, milliseconds(1), Hour);
+  constexpr milliseconds Second{1'000};
+  constexpr milliseconds Least{1};
+  const auto InMs = [&](std::string_view Key, milliseconds &Bound) {
+    Reader.duration(Key, Bound, Least, Least, Hour);
+  };
+  InMs("drainMs", Out.m_Drain);
+  InMs("applyMs", Out.m_Apply);
+  InMs("graceMs", Out.m_Grace);
+  Reader.duration("graceS", Out.m_Grace, Second, Least, Hour);
+  InMs("versionMs", Out.m_Version);
   if (Reader.has("evacuateMs"))
-    Reader.optional("evacuateMs", Out.m_Evacuate.emplace(), milliseconds(1),
-                    Hour);
+    InMs("evacuateMs", Out.m_Evacuate.emplace());
   if (Reader.has("coldBurst") || Reader.has("coldSlack")) {
     ColdStartBound &Cold = Out.m_ColdStart.emplace();
     Reader.optional("coldBurst", Cold.m_Factor, 0.0, 1'000.0);
@@ -56,8 +62,9 @@
   }
   RetryShare &Retries = Out.m_Retries;
   Reader.optional("retryShare", Retries.m_Share, 0.0, 1.0);
-  Reader.optional("retrySlack", Retries.m_Slack, 0, 1'000'000);
-  Reader.optional("retryWindowMs", Retries.m_Window, milliseconds(1), Hour);
+  Reader.optional("retrySlack", Retries.m_Slack, 0.0, 1e6);
+  InMs("retryWindowMs", Retries.m_Window);
+  Reader.duration("retryWindowS", Retries.m_Window, Second, Least, Hour);
   Reader.optional("addressLifetimeMs", Out.m_AddressLifetime, milliseconds(100),
                   Hour);
 }
--- a/src/kernel/json-reader.cc
+++ b/src/kernel/json-reader.cc
@@ -162,6 +162,30 @@
   Out = std::chrono::milliseconds(Count);
 }
 
+void JsonObjectReader::duration(std::string_view Key,
+                                std::chrono::milliseconds &Out,
+                                std::chrono::milliseconds Unit,
+                                std::chrono::milliseconds Min,
+                                std::chrono::milliseconds Max) {
+  const auto PerUnit = static_cast<double>(Unit.count());
+  const auto InUnits = [&](std::chrono::milliseconds Value) {
+    return static_cast<double>(Value.count()) / PerUnit;
+  };
+  if (!has(Key))
+    return;
+  double Count = InUnits(Out);
+  optional(Key, Count, InUnits(Min), InUnits(Max));
+  Out = std::chrono::milliseconds(
+      static_cast<std::chrono::milliseconds::rep>(Count * PerUnit));
+}
+
+void JsonObjectReader::rounded(std::string_view Key, std::uint32_t &Out,
+                               std::uint32_t Min, std::uint32_t Max) {
+  double Number = Out;
+  optional(Key, Number, Min, Max);
+  Out = static_cast<std::uint32_t>(Number);
+}
+
 void JsonObjectReader::optional(std::string_view Key,
                                 std::map<std::string, std::string> &Out) {
   const boost::json::value *Value = takeValue(Key);
--- a/src/kernel/process-limits.cc
+++ b/src/kernel/process-limits.cc
@@ -12,9 +12,9 @@
 } // namespace
 
 void readProcessLimits(JsonObjectReader &Reader, ProcessLimits &Out) {
-  Reader.optional("memoryMb", Out.m_MemoryMb, MinMemoryMb, MaxMemoryMb);
-  Reader.optional("descriptors", Out.m_Descriptors, MinDescriptors,
-                  MaxDescriptors);
+  Reader.rounded("memoryMb", Out.m_MemoryMb, MinMemoryMb, MaxMemoryMb);
+  Reader.rounded("descriptors", Out.m_Descriptors, MinDescriptors,
+                 MaxDescriptors);
 }
 
 } // namespace deckpitch
--- a/test/direct-settings-test.cc
+++ b/test/direct-settings-test.cc
@@ -85,6 +85,8 @@
     Out = std::regex_replace(Out, std::regex(Pattern), Value);
   };
   const std::string Section = R"(\{\{#([^}]*)\}\}(.*)\{\{/\1\}\})";
+  // The current entry of a section is the value that it names.
+  Fill(R"(\{\{#([^}]*)\}\}([^{\n]*)\{\{\.\}\})", "{{#$1}}$2{{$1}}");
   Fill(Section, HasOptional ? "$2" : "");
   Fill(R"(\{\{zones\|json\}\})", R"({"a": "north"})");
   Fill(R"(\{\{[^}]*\|json\}\})", "\"127.0.0.1:1\"");
