--- a/src/direct/entry-registration.cc
+++ b/src/direct/entry-registration.cc
@@ -1,7 +1,7 @@
 #include "direct/entry-registration.h"
 
 #include "daemon/clock.h"
-#include "direct/store-updates.h"
+#include "direct/unix-time.h"
 #include "net/log.h"
 
 #include <boost/asio.hpp>
@@ -69,8 +69,8 @@
   const std::uint64_t UnixNow = daemon::unixMs();
   bool IsChanged = false;
   for (const DatedWeights &Each : Seen) {
-    const std::uint64_t AgeMs = ageMs(Each.m_Since, now());
-    IsChanged = addDeclared({Each.m_Declared, UnixNow - AgeMs}) || IsChanged;
+    const auto Since = unixMsOf(Each.m_Since, now(), UnixNow);
+    IsChanged = (Since && addDeclared({Each.m_Declared, *Since})) || IsChanged;
   }
   if (IsChanged)
     recordChanged();
@@ -88,9 +88,10 @@
   m_Harmful.receive(Known->m_Refused, Record.m_Name);
   const std::uint64_t UnixNow = daemon::unixMs();
   for (const StoredDeclaration &Each : Known->m_Declared) {
-    // The clock may have been set back since.
-    const std::uint64_t AgeMs = UnixNow - std::min(Each.m_SinceMs, UnixNow);
-    m_OnDeclared({Each.m_Declared, now() - milliseconds(AgeMs)});
+    const auto Age = unixAge(Each.m_SinceMs, UnixNow);
+    if (!Age)
+      continue;
+    m_OnDeclared({Each.m_Declared, now() - *Age});
     if (Record.m_Name == m_Peers.own().m_Id.m_Text)
       addDeclared(Each);
   }
--- a/src/direct/harmful-request-tracker.cc
+++ b/src/direct/harmful-request-tracker.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/clock.h"
 #include "direct/store-updates.h"
+#include "direct/unix-time.h"
 #include "net/log.h"
 
 #include <algorithm>
@@ -170,8 +171,8 @@
     for (const InstanceLoss &Loss : Each.m_Losses)
       if (!Loss.m_IsCleared) {
         Stored.m_Instances.push_back(Loss.m_Instance);
-        Stored.m_LostMs =
-            std::max(Stored.m_LostMs, UnixNow - ageMs(Loss.m_At, Now));
+        Stored.m_LostMs = std::max(
+            Stored.m_LostMs, unixMsOf(Loss.m_At, Now, UnixNow).value_or(0));
       }
     Out.push_back(std::move(Stored));
   }
--- a/src/direct/store-updates.cc
+++ b/src/direct/store-updates.cc
@@ -80,7 +80,8 @@
 std::uint32_t ageMs(TimePoint Since, TimePoint Now) {
   using std::chrono::milliseconds;
   const auto Age = std::chrono::ceil<milliseconds>(Now - Since).count();
-  return static_cast<std::uint32_t>(std::max<milliseconds::rep>(Age, 0));
+  return static_cast<std::uint32_t>(
+      std::clamp<milliseconds::rep>(Age, 0, UINT32_MAX));
 }
 
 void writeWhole(const InstanceList &From, std::uint64_t Fingerprint,
