Log an exception that ends the process

An exception that reached an event loop ended the process without a line, as buffered lines were lost. It is now logged and flushed before the end. The process still ends: the coroutine that threw would be missing for good.

--- a/src/net/io-threads.cc
+++ b/src/net/io-threads.cc
@@ -1,7 +1,27 @@
 #include "net/io-threads.h"
 
+#include "net/log.h"
+
+#include <exception>
+
 namespace deckpitch::net {
 
+namespace {
+
+/// An exception ends the process: the coroutine that it ended would be missing
+/// for good. The last line of the log says why.
+void runUntilStopped(boost::asio::io_context &Io) {
+  try {
+    Io.run();
+  } catch (const std::exception &Fault) {
+    log(Event::UnhandledException, {{"error", Fault.what()}});
+    flushLog();
+    throw;
+  }
+}
+
+} // namespace
+
 IoThreads::IoThreads(unsigned Workers) {
   for (unsigned I = 0; I <= Workers; ++I)
     m_Loops.push_back(std::make_unique<Loop>());
@@ -11,7 +31,7 @@
 
 void IoThreads::start() {
   for (auto &Each : m_Loops)
-    Each->m_Thread = std::thread([&Io = Each->m_Io] { Io.run(); });
+    Each->m_Thread = std::thread([&Io = Each->m_Io] { runUntilStopped(Io); });
 }
 
 void IoThreads::stop() {
--- a/test/io-threads-test.cc
+++ b/test/io-threads-test.cc
@@ -1,4 +1,5 @@
 #include "net/http.h"
+#include "net/log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <stdexcept>
 
 using namespace deckpitch;
 using namespace deckpitch::net;
@@ -80,4 +82,19 @@
   EXPECT_TRUE(Destroyed);
 }
 
+/// A process ended by an exception of a handler left no trace in its log.
+TEST(IoThreadsDeathTest, AnExceptionOfAHandlerIsLoggedBeforeTheEnd) {
+  GTEST_FLAG_SET(death_test_style, "threadsafe");
+  EXPECT_DEATH(
+      {
+        setUpLog("p", Severity::Info);
+        IoThreads Threads(0);
+        asio::post(Threads.control(),
+                   [] { throw std::runtime_error("no such key"); });
+        Threads.start();
+        std::promise<void>().get_future().wait();
+      },
+      "UnhandledException error=\"no such key\"");
+}
+
 } // namespace
