Take a status above 599 for no answer

Callers saw: statuses like 600, 700 and 999 of an instance's answer, with its proof, as if they were an answer in the protocol.

Cause: the HTTP client refused what has no three digits, statuses below 100 and an unasked 101, but had no upper bound. It reads all answers of instances, in both modes.

Statuses in 200 to 599 are forwarded as before, 204 and 304 without a body.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -39,6 +39,7 @@
 constexpr std::size_t MaxInterimBytes = std::size_t{64} * 1024;
 constexpr unsigned FirstInterimStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastFinalStatus = 599;
 constexpr unsigned StatusSwitchingProtocols = 101;
 
 /// Parses the idle timeout from the value of a Keep-Alive header.
@@ -266,9 +267,10 @@
   /// Whether a final response follows this one.
   bool isInterim() const { return status() < FirstFinalStatus; }
 
-  /// Whether the status is none, or one that nothing has asked for.
+  /// Whether the status is none in the protocol, or one that nothing has asked
+  /// for.
   bool isMalformed() const {
-    return status() < FirstInterimStatus ||
+    return status() < FirstInterimStatus || status() > LastFinalStatus ||
            status() == StatusSwitchingProtocols;
   }
 
