Play a store and entries that return long after the rest

An agent waits up to 24 s between two reads of the store in place of an entry. Two cases look for what that wait delays: the store, or all entries, return 20 s after everything else.

--- a/support/soak/power_loss.py
+++ b/support/soak/power_loss.py
@@ -51,6 +51,8 @@
     "store-first": {"order": ["store", "entries", "agents", "instances", "desk"], "within": 2.0},
     "mixed": {"order": None, "within": 1.0},
     "store-late": {"store": 4.0},
+    "store-much-later": {"store": 20.0},
+    "entries-later": {"entries": 20.0},
     "store-early": {"store": -3.0, "down": 5.0},
     "twice": {"order": ALL, "within": 0.5, "again": 3.0},
     "twice-soon": {"order": ALL, "within": 0.5, "again": 1.5},
@@ -285,13 +287,17 @@
         store_back.set()
         await asyncio.sleep(early)
     back = time.monotonic()
+    entries = fleet.entries if case.get("entries") else []
     tasks = [asyncio.create_task(fleet.bring_back(each, store_back))
-             for each in members if each is not fleet.store]
+             for each in members if each is not fleet.store and each not in entries]
     if not store_back.is_set():
         await asyncio.sleep(case.get("store", 0.0))
         await fleet.bring_back(fleet.store, store_back)
         store_back.set()
-    if case.get("store", 0.0) > 0:
+    if entries:
+        await asyncio.sleep(case["entries"])
+        await asyncio.gather(*(fleet.bring_back(each, store_back) for each in entries))
+    if entries or case.get("store", 0.0) > 0:
         back = time.monotonic()
     if case.get("origin"):
         tasks.append(asyncio.create_task(bring_back_origin(fleet, case["origin"])))
