Parse each object of the store by itself, so that none hides the others

Callers saw 503 from every entry: with one object of another writer in the list of instances that cannot be parsed, no entry that starts gets ready, and running entries keep the list that they have. Instances that are added get nothing, and ones that leave are still sent requests.

Cause: platform/store.cc parsed a whole answer with Boost.JSON, which refuses it for nesting deeper than 32, unpaired surrogates, control characters, numbers and literals that are no JSON, wherever they stand.

An object whose metadata cannot be read is reported beside the others (PlatformList::m_Unreadable, PlatformEvent::Type::Unreadable), with its name as far as that can be read, and is logged once. A value that cannot be read reaches its parser as it was sent, which refuses it as before. An evacuation that can no longer be read stays in force.

--- a/src/daemon/declarations-follower.cc
+++ b/src/daemon/declarations-follower.cc
@@ -118,7 +118,8 @@
 bool PlatformFollower::onEvent(const net::PlatformEvent &Event) {
   if (m_Stopping || !m_Process.m_FollowsPlatform.load())
     return false;
-  if (Event.m_Type == net::PlatformEvent::Type::Bookmark)
+  if (Event.m_Type == net::PlatformEvent::Type::Bookmark ||
+      Event.m_Type == net::PlatformEvent::Type::Unreadable)
     return true;
   ++m_Events;
   const bool Deleted = Event.m_Type == net::PlatformEvent::Type::Delete;
--- a/src/direct/entry-registration.cc
+++ b/src/direct/entry-registration.cc
@@ -79,11 +79,9 @@
 void EntryRegistration::addListed(const net::PlatformObject &Record) {
   const auto Known =
       outcomeOf([&] { return parseEntry(Record.m_Name, Record.m_Json); });
-  if (!Known) {
-    net::log(Event::EntryUnreadable,
-             {{"entry", Record.m_Name}, {"error", Known.error().m_Message}});
-    return;
-  }
+  if (!Known)
+    return logUnreadable(Record.m_Name, Known.error().m_Message);
+  m_Unreadable.noteReadable(Record.m_Name);
   m_Peers.addListed(Known->m_Address);
   m_Harmful.receive(Known->m_Refused, Record.m_Name);
   const std::uint64_t UnixNow = daemon::unixMs();
@@ -96,6 +94,13 @@
   }
 }
 
+void EntryRegistration::logUnreadable(const std::string &Name,
+                                      const std::string &Fault) {
+  const std::string Shortened = shortened(Fault);
+  if (m_Unreadable.note(Name, Shortened))
+    net::log(Event::EntryUnreadable, {{"entry", Name}, {"error", Shortened}});
+}
+
 /// Writes this entry's record; true if the store holds the current record.
 asio::awaitable<bool> EntryRegistration::writeOwnRecord() {
   const std::string &Name = m_Peers.own().m_Id.m_Text;
@@ -123,6 +128,8 @@
   m_HasListed = true;
   for (const net::PlatformObject &Each : List->m_Items)
     addListed(Each);
+  for (const net::UnreadableObject &Each : List->m_Unreadable)
+    logUnreadable(Each.m_Name, Each.m_Fault);
   co_return true;
 }
 
--- a/src/direct/entry-registration.h
+++ b/src/direct/entry-registration.h
@@ -6,6 +6,7 @@
 #include "direct/entry-peers.h"
 #include "direct/entry-record.h"
 #include "direct/harmful-request-tracker.h"
+#include "direct/unreadable-log.h"
 #include "net/platform.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -48,6 +49,7 @@
   bool mustList() const;
   std::string ownRecord() const;
   void addListed(const net::PlatformObject &Record);
+  void logUnreadable(const std::string &Name, const std::string &Fault);
   bool addDeclared(const StoredDeclaration &Seen);
 
   asio::io_context &m_Io;
@@ -56,6 +58,7 @@
   HarmfulRequestTracker &m_Harmful;
   std::function<void(const DatedWeights &)> m_OnDeclared;
   std::vector<StoredDeclaration> m_Declared; ///< of this entry's record
+  UnreadableLog m_Unreadable;                ///< by the name of the record
   asio::steady_timer m_Wake;
   bool m_IsWritten = false; ///< the stored record is current
   bool m_HasListed = false; ///< the store has listed all entries
--- a/src/direct/fleet-evacuations.cc
+++ b/src/direct/fleet-evacuations.cc
@@ -34,6 +34,10 @@
     std::set<DataCentreId> Listed;
     for (const net::PlatformObject &Each : Read.m_Items)
       Listed.insert({Each.m_Name});
+    // One that can no longer be read has not been taken back.
+    for (const net::UnreadableObject &Each : Read.m_Unreadable)
+      if (m_Evacuated.contains({Each.m_Name}))
+        Listed.insert({Each.m_Name});
     setEvacuations(std::move(Listed));
   };
   Out.m_FillUpdate = [this](wire::StoreNews &News) {
--- a/src/direct/fleet-follower.cc
+++ b/src/direct/fleet-follower.cc
@@ -266,7 +266,20 @@
     m_Declarations.m_Reading.noteBehind(now(), Duration::zero());
 }
 
+/// Logs an object of the declarations, weights or evacuations once until it
+/// changes.
+void FleetFollower::logUnreadable(const std::string &Kind,
+                                  const std::string &Name,
+                                  const std::string &Fault) {
+  const std::string Shortened = shortened(Fault);
+  if (m_UnreadableOfKinds.note(Kind + "/" + Name, Shortened))
+    net::log(Event::DeclarationUnreadable,
+             {{"kind", Kind}, {"name", Name}, {"error", Shortened}});
+}
+
 void FleetFollower::apply(FollowedKind &Kind, const net::PlatformList &Read) {
+  for (const net::UnreadableObject &Each : Read.m_Unreadable)
+    logUnreadable(Kind.m_Kind, Each.m_Name, Each.m_Fault);
   if (!Kind.m_ApplyList) {
     for (const net::PlatformObject &Each : Read.m_Items)
       Kind.m_Apply(Each);
@@ -311,6 +324,9 @@
         if (Update.m_Type == net::PlatformEvent::Type::Delete &&
             Kind.m_ApplyDeleted)
           Kind.m_ApplyDeleted(Update.m_Object);
+        if (Update.m_Type == net::PlatformEvent::Type::Unreadable)
+          logUnreadable(Kind.m_Kind, Update.m_Unreadable.m_Name,
+                        Update.m_Unreadable.m_Fault);
         if (Update.m_Type == net::PlatformEvent::Type::Bookmark) {
           Kind.m_Seen = std::max(Kind.m_Seen, Update.m_Object.m_Revision);
           Kind.m_Reading.confirm(now() - Update.m_Age);
@@ -362,9 +378,10 @@
   const auto Parsed =
       outcomeOf([&] { return m_Adapter.parseDeclaration(Object.m_Json); });
   if (!Parsed)
-    return net::log(
-        Event::DeclarationUnreadable,
-        {{"name", Object.m_Name}, {"error", Parsed.error().m_Message}});
+    return logUnreadable(m_Kinds.m_Declarations, Object.m_Name,
+                         Parsed.error().m_Message);
+  m_UnreadableOfKinds.noteReadable(m_Kinds.m_Declarations + "/" +
+                                   Object.m_Name);
   // An older read that completes late must not bring the older version back.
   if (Parsed->m_Version <= m_Version)
     return;
@@ -384,9 +401,9 @@
   const auto Parsed =
       outcomeOf([&] { return m_Adapter.parseWeights(Object.m_Json); });
   if (!Parsed)
-    return net::log(
-        Event::DeclarationUnreadable,
-        {{"name", Object.m_Name}, {"error", Parsed.error().m_Message}});
+    return logUnreadable(m_Kinds.m_Weights, Object.m_Name,
+                         Parsed.error().m_Message);
+  m_UnreadableOfKinds.noteReadable(m_Kinds.m_Weights + "/" + Object.m_Name);
   // It may have been declared at any time since the previous read.
   const TimePoint ReadBefore = m_WeightVersions.m_Reading.asOf();
   const bool WasAway = now() - ReadBefore > OutageThreshold;
--- a/src/direct/fleet-follower.h
+++ b/src/direct/fleet-follower.h
@@ -12,6 +12,7 @@
 #include "direct/adapter.h"
 #include "direct/entry-peers.h"
 #include "direct/store-relay.h"
+#include "direct/unreadable-log.h"
 #include "net/platform.h"
 #include "proto/link.pb.h"
 
@@ -158,7 +159,9 @@
   asio::awaitable<bool> refreshOnce(FollowedKind &Kind);
   asio::awaitable<bool> listOnce(FollowedKind &Kind);
   asio::awaitable<bool> fetchAnnounced();
-  static void apply(FollowedKind &Kind, const net::PlatformList &Read);
+  void apply(FollowedKind &Kind, const net::PlatformList &Read);
+  void logUnreadable(const std::string &Kind, const std::string &Name,
+                     const std::string &Fault);
   bool handleRead(FollowedKind &Kind, const Outcome<net::PlatformList> &Read,
                   TimePoint Asked, const std::string &Call);
   asio::awaitable<void> pollInstances();
@@ -202,7 +205,7 @@
   void keepInstances(Revision At, const ListTimes &AsOf);
   void noteInstancesAsOf(Revision At, const ListTimes &AsOf);
   InstanceList parseInstances(const net::PlatformList &List);
-  void logUnreadable(std::map<std::string, std::string> Unreadable);
+  void logUnreadableInstances(std::map<std::string, std::string> Unreadable);
   void applyInstances(InstanceList Listed);
   void logChanges(const InstanceList &Now);
   void logStoreAvailability(const std::string &Call,
@@ -232,6 +235,7 @@
   /// Objects of the list that could not be parsed, with the error of each.
   std::map<std::string, std::string> m_Unreadable;
   bool m_KnowsInstances = false;
+  UnreadableLog m_UnreadableOfKinds; ///< by kind and name
   FollowedKind m_Declarations;
   FollowedKind m_WeightVersions;
   std::set<DataCentreId> m_Evacuated;
--- a/src/direct/fleet-instances.cc
+++ b/src/direct/fleet-instances.cc
@@ -143,11 +143,13 @@
 InstanceList FleetFollower::parseInstances(const net::PlatformList &List) {
   InstanceList Out;
   std::map<std::string, std::string> Unreadable;
+  for (const net::UnreadableObject &Each : List.m_Unreadable)
+    Unreadable.emplace(Each.m_Name, shortened(Each.m_Fault));
   for (const net::PlatformObject &Each : List.m_Items) {
     auto Parsed = outcomeOf(
         [&] { return m_Adapter.parseInstance(Each.m_Name, Each.m_Json); });
     if (!Parsed) {
-      Unreadable.emplace(Each.m_Name, Parsed.error().m_Message);
+      Unreadable.emplace(Each.m_Name, shortened(Parsed.error().m_Message));
       continue;
     }
     Parsed->m_Registration = Each.m_Created;
@@ -155,12 +157,12 @@
       Parsed->m_ColdLeft = {};
     Out.emplace(Parsed->m_Id, std::move(*Parsed));
   }
-  logUnreadable(std::move(Unreadable));
+  logUnreadableInstances(std::move(Unreadable));
   return Out;
 }
 
 /// Logs each change of the unreadable objects once rather than at each read.
-void FleetFollower::logUnreadable(
+void FleetFollower::logUnreadableInstances(
     std::map<std::string, std::string> Unreadable) {
   for (const auto &[Name, Fault] : Unreadable) {
     const auto Known = m_Unreadable.find(Name);
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -26,15 +26,26 @@
                          const PlatformObject &) = default;
 };
 
+/// An object of which not even the name and revision can be used.
+struct UnreadableObject {
+  std::string m_Name; ///< as far as it can be read; may be empty
+  std::string m_Fault;
+
+  friend bool operator==(const UnreadableObject &,
+                         const UnreadableObject &) = default;
+};
+
 struct PlatformList {
   Revision m_Revision; ///< complete for its kind as of this revision
   std::vector<PlatformObject> m_Items;
+  std::vector<UnreadableObject> m_Unreadable = {};
 };
 
 struct PlatformEvent {
-  enum class Type { Put, Delete, Bookmark };
+  enum class Type { Put, Delete, Bookmark, Unreadable };
   Type m_Type = Type::Put;
   PlatformObject m_Object; ///< only the revision is set for a bookmark
+  UnreadableObject m_Unreadable = {}; ///< if it was put and cannot be read
   /// Upper bound of a bookmark's age: at most this long ago, the platform had
   /// no newer change. 0 if the adapter does not know it.
   Duration m_Age{};
