--- a/support/fuzz/targets.h
+++ b/support/fuzz/targets.h
@@ -27,6 +27,8 @@
 void fuzzDeclaredTerms(Bytes Input);
 /// Input: pairs of lines, an instance's name and its record in the store.
 void fuzzInstances(Bytes Input);
+/// Input: an element of a list of the platform's store, or a whole answer.
+void fuzzStoreAnswer(Bytes Input);
 /// Input: one byte that seeds the split of the remainder, an event stream.
 void fuzzEvents(Bytes Input);
 /// Input: the text of settings.
@@ -52,6 +54,7 @@
     Target{"declaration", fuzzDeclaration, 300},
     Target{"declared-terms", fuzzDeclaredTerms, 300},
     Target{"instances", fuzzInstances, 300},
+    Target{"store-answer", fuzzStoreAnswer, 300},
     Target{"events", fuzzEvents, 300},
     Target{"settings", fuzzSettings, 300},
     Target{"manifest", fuzzManifest, 300},
