Take a part for rare only if none of many answered prompts had it

What callers would see: where prompts share one of several parts, a power failure after the first few answers leaves some of these parts refused for minutes.

Cause: a part counted as compared with others as soon as more answers lacked it than had it, which one answer of another kind of prompts brings about. With a comparison a refusal is not tried.

Now a part is rare if none of at least 32 answered prompts had it. A part that crashes its instances is never answered, so it is rare as soon as others are.

--- a/include/deckpitch/answered-prompts.h
+++ b/include/deckpitch/answered-prompts.h
@@ -17,15 +17,19 @@
 class AnsweredPrompts {
 public:
   /// Answers that are compared, for each service.
-  static constexpr std::size_t MaxCompared = 32;
+  static constexpr std::size_t MaxCompared = 64;
   static constexpr Duration Retention = std::chrono::seconds(30);
+  /// Answers that show whether a part is rare.
+  static constexpr std::size_t MinCompared = 32;
 
   void add(const ServiceId &Service, std::vector<RequestFingerprint> Parts,
            TimePoint Now);
-  /// Whether most of the prompts that the service answered lately were without
-  /// the part; false if it answered none.
-  bool mostlyLack(const ServiceId &Service, const RequestFingerprint &Part,
-                  TimePoint Now) const;
+  /// Whether none of the prompts that the service answered lately had the part,
+  /// so that it is hardly at several failing instances by chance. False if too
+  /// few were answered to tell: a part of one prompt in eight is in flight at
+  /// nearly every instance.
+  bool isRare(const ServiceId &Service, const RequestFingerprint &Part,
+              TimePoint Now) const;
 
 private:
   struct Answer {
--- a/src/direct/harmful-request-tracker.cc
+++ b/src/direct/harmful-request-tracker.cc
@@ -126,7 +126,7 @@
                                  TimePoint Sent, const std::string &AttemptId) {
   for (const RequestFingerprint &Each : Carried)
     lost(Each, At, Sent, AttemptId,
-         m_AnsweredPrompts.mostlyLack(Service, Each, now()));
+         m_AnsweredPrompts.isRare(Service, Each, now()));
 }
 
 bool HarmfulRequestTracker::beginTrial(
--- a/src/kernel/answered-prompts.cc
+++ b/src/kernel/answered-prompts.cc
@@ -14,22 +14,23 @@
     Known.pop_front();
 }
 
-bool AnsweredPrompts::mostlyLack(const ServiceId &Service,
-                                 const RequestFingerprint &Part,
-                                 TimePoint Now) const {
+bool AnsweredPrompts::isRare(const ServiceId &Service,
+                             const RequestFingerprint &Part,
+                             TimePoint Now) const {
   const auto Found = m_Answers.find(Service);
   if (Found == m_Answers.end())
     return false;
-  std::size_t With = 0;
-  std::size_t Without = 0;
+  std::size_t Compared = 0;
   for (const Answer &Each : Found->second) {
     if (Now - Each.m_At >= Retention)
       continue;
     const bool Has = std::find(Each.m_Parts.begin(), Each.m_Parts.end(),
                                Part) != Each.m_Parts.end();
-    ++(Has ? With : Without);
+    if (Has)
+      return false;
+    ++Compared;
   }
-  return Without > With;
+  return Compared >= MinCompared;
 }
 
 } // namespace deckpitch
