Store a refusal with the losses that it counts

A refusal of two minutes came back as one of up to twenty after a restart of everything.

Now as many losses are stored as the length of the refusal stands for. No test of its own; a request refused as a whole is still not tried after a restart.

--- a/src/direct/harmful-request-tracker.cc
+++ b/src/direct/harmful-request-tracker.cc
@@ -190,21 +190,40 @@
   }
 }
 
+namespace {
+
+/// The number of losses that refuse a request for that long. Those that overlap
+/// or are forgiven count less, and all that are read back count fully.
+std::size_t lossesFor(Duration Refused) {
+  const auto Periods =
+      static_cast<std::size_t>(Refused / HarmfulRequests::RefusalPeriod);
+  return HarmfulRequests::LossesToRefuse + std::max<std::size_t>(Periods, 1) -
+         1;
+}
+
+} // namespace
+
 std::vector<RefusedRequest> HarmfulRequestTracker::toStore() const {
   const TimePoint Now = now();
   const std::uint64_t UnixNow = daemon::unixMs();
   std::vector<RefusedRequest> Out;
   for (const SuspectRequest &Each :
        m_Known.updatesToSend(MaxStoredSuspects, Now)) {
-    if (!m_Known.refusedUntil(Each.m_Request, Now))
+    const auto Until = m_Known.refusedUntil(Each.m_Request, Now);
+    if (!Until)
       continue;
     RefusedRequest Stored{Each.m_Request, {}, 0};
+    TimePoint LastLoss{};
     for (const InstanceLoss &Loss : Each.m_Losses)
       if (!Loss.m_IsCleared) {
         Stored.m_Instances.push_back(Loss.m_Instance);
         Stored.m_LostMs = std::max(
             Stored.m_LostMs, unixMsOf(Loss.m_At, Now, UnixNow).value_or(0));
+        LastLoss = std::max(LastLoss, Loss.m_At);
       }
+    const std::size_t Counted = lossesFor(*Until - LastLoss);
+    if (Stored.m_Instances.size() > Counted)
+      Stored.m_Instances.resize(Counted);
     Out.push_back(std::move(Stored));
   }
   return Out;
