--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -229,6 +229,30 @@
 
 } // namespace
 
+namespace {
+
+/// A request from its first bytes until its answer has ended, however it ends.
+class OpenRequest {
+public:
+  OpenRequest(std::atomic<std::size_t> &Count, Connection &Conn)
+      : m_Count(Count), m_Conn(Conn) {
+    m_Conn.m_IsBusy = true;
+    m_Count.fetch_add(1);
+  }
+  ~OpenRequest() {
+    m_Count.fetch_sub(1);
+    m_Conn.m_IsBusy = false;
+  }
+  OpenRequest(const OpenRequest &) = delete;
+  OpenRequest &operator=(const OpenRequest &) = delete;
+
+private:
+  std::atomic<std::size_t> &m_Count;
+  Connection &m_Conn;
+};
+
+} // namespace
+
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(IoThreads &Threads, HttpHandler Handler, HttpLimits Limits,
        HttpAdmission Admission)
@@ -403,19 +427,18 @@
       co_return false;
     // Those in force when the request begins: they may have changed meanwhile.
     const HttpLimits Limits = m_Limits;
-    Conn->m_IsBusy = true;
-    m_OpenRequests.fetch_add(1);
+    const OpenRequest Open(m_OpenRequests, *Conn);
     Conn->m_Session->enter(ClientPhase::Receiving);
+    Conn->m_IsReceiving = true;
     auto Received = co_await detail::receiveRequest(*Conn, Limits,
                                                     m_Admission.m_AcceptsBody);
+    Conn->m_IsReceiving = false;
     Conn->m_Deadline.pause();
     bool CanReuse = false;
     if (Received.m_Error)
       co_await refuse(*Conn, std::move(*Received.m_Error));
     else
       CanReuse = co_await answer(Conn, std::move(Received));
-    m_OpenRequests.fetch_sub(1);
-    Conn->m_IsBusy = false;
     co_return CanReuse && (!m_Draining || Conn->hasMore()) &&
         !Conn->m_IsEvicted;
   }
--- a/src/net/server-connection.cc
+++ b/src/net/server-connection.cc
@@ -144,7 +144,8 @@
 void ServerConnection::refuseUnread() {
   m_IsStopping = true;
   boost::system::error_code Ignored;
-  if (m_IsBusy && !m_IsAnswering)
+  // A refusal that is being written, or read past, must reach its client.
+  if (m_IsReceiving)
     m_Socket.cancel(Ignored);
 }
 
--- a/src/net/server-connection.h
+++ b/src/net/server-connection.h
@@ -39,6 +39,7 @@
   boost::beast::flat_buffer m_Buffer; ///< received and not parsed yet
   std::optional<ClientSession> m_Session;
   std::atomic<bool> m_IsBusy{false}; ///< a request has begun
+  bool m_IsReceiving = false;        ///< the request that has begun
   bool m_IsAnswering = false;
   bool m_IsEvicted = false;
   bool m_IsStopping = false; ///< receives no request to its end any more
