Make each seed of the simulation of harmful parts a test of its own

With all seeds in one test, PowerFailureDoesNotEndService took 175 s under the address sanitizer beside a build, and the thread sanitizer, which is slower, would have passed the limit of 300 s a test. The cases and what they expect are the same: 180, 60, 20 and 40.

--- a/test/harmful-parts-simulation-test.cc
+++ b/test/harmful-parts-simulation-test.cc
@@ -208,23 +208,25 @@
   double m_SoundPerSecond = 0;
 };
 
+/// Each seed is a test of its own: a sanitizer takes minutes for all of them.
+class HarmfulPartsOfSeed : public testing::TestWithParam<unsigned> {};
+
 /// All instances lost power one after the other, before or soon after they had
 /// answered: the part that all prompts share was refused for two minutes.
-TEST(HarmfulParts, PowerFailureDoesNotEndService) {
+TEST_P(HarmfulPartsOfSeed, PowerFailureDoesNotEndService) {
+  const unsigned Seed = GetParam();
   for (const Duration Up : std::vector<Duration>{0s, 300ms, 5s})
     for (const Duration Within :
-         std::vector<Duration>{300ms, 600ms, 1s, 1500ms, 2s, 3s})
-      for (unsigned Seed = 0; Seed < 10; ++Seed) {
-        Scene Run({.m_Entries = 2 + 4 * (Seed % 2)}, Seed);
-        Run.run(Up);
-        Run.losePower(Within);
-        Run.run(1s);
-        Run.restorePower();
-        Run.run(12s);
-        EXPECT_EQ(Run.refusing(Shared), 0U)
-            << "after " << Up / 1ms << " ms, within " << Within / 1ms
-            << " ms, seed " << Seed;
-      }
+         std::vector<Duration>{300ms, 600ms, 1s, 1500ms, 2s, 3s}) {
+      Scene Run({.m_Entries = 2 + 4 * (Seed % 2)}, Seed);
+      Run.run(Up);
+      Run.losePower(Within);
+      Run.run(1s);
+      Run.restorePower();
+      Run.run(12s);
+      EXPECT_EQ(Run.refusing(Shared), 0U)
+          << "after " << Up / 1ms << " ms, within " << Within / 1ms << " ms";
+    }
 }
 
 /// Two power failures, the second one up to 1.2 s after the return from the
@@ -242,25 +244,27 @@
   return Run.refusedGroups();
 }
 
-void expectNoneRefused(std::size_t Groups) {
+void expectNoneRefused(std::size_t Groups, unsigned Seed) {
   for (const Duration Up : std::vector<Duration>{600ms, 800ms, 1200ms})
-    for (unsigned Seed = 0; Seed < 10; ++Seed)
-      EXPECT_EQ(refusedAfterTwoFailures(Groups, Up, Seed), 0U)
-          << Groups << " groups, up " << Up / 1ms << " ms, seed " << Seed;
+    EXPECT_EQ(refusedAfterTwoFailures(Groups, Up, Seed), 0U)
+        << Groups << " groups, up " << Up / 1ms << " ms, seed " << Seed;
 }
 
 /// Prompts of several kinds: one answer of any kind made the parts of all
 /// others look rare, so that their refusals were never tried.
-TEST(HarmfulParts, PowerFailuresDoNotEndServiceOfSeveralKinds) {
+TEST_P(HarmfulPartsOfSeed, PowerFailuresDoNotEndServiceOfSeveralKinds) {
   for (const std::size_t Groups : std::vector<std::size_t>{2, 4})
-    expectNoneRefused(Groups);
+    expectNoneRefused(Groups, GetParam());
 }
 
+INSTANTIATE_TEST_SUITE_P(Seeds, HarmfulPartsOfSeed, testing::Range(0U, 10U));
+
 /// A power failure during a trial made the refusal final, as a loss under a
 /// harmful part does.
 TEST(HarmfulParts, PowerFailureDuringATrialDoesNotEndService) {
   constexpr std::size_t Groups = 8;
-  expectNoneRefused(Groups);
+  for (unsigned Seed = 0; Seed < 10; ++Seed)
+    expectNoneRefused(Groups, Seed);
 }
 
 /// The number of the part's arrivals later than three seconds after the fifth.
@@ -272,34 +276,37 @@
       }));
 }
 
+class CrashingPartOfSeed : public testing::TestWithParam<unsigned> {};
+
 /// Requests with the part arrive from the start: nothing is tried.
-TEST(HarmfulParts, PartThatCrashesInstancesIsRefused) {
-  for (unsigned Seed = 0; Seed < 20; ++Seed) {
+TEST_P(CrashingPartOfSeed, PartThatCrashesInstancesIsRefused) {
+  const unsigned Seed = GetParam();
+  Scene Run({.m_Entries = 2 + 4 * (Seed % 2)}, Seed);
+  Run.run(5s);
+  Run.setCrashing(6);
+  Run.run(30s);
+  EXPECT_LE(Run.crashes().size(), 10U);
+  EXPECT_LE(lateCrashes(Run), 3U);
+  EXPECT_EQ(Run.refusing(Crashing), 2U + 4 * (Seed % 2));
+  EXPECT_EQ(Run.refusing(Shared), 0U);
+}
+
+/// Each entry forgave five losses for itself, so that the part crashed instance
+/// after instance.
+TEST_P(CrashingPartOfSeed, PartThatBecomesHarmfulIsRefused) {
+  const unsigned Seed = GetParam();
+  for (const double PerSecond : {2.0, 6.0}) {
     Scene Run({.m_Entries = 2 + 4 * (Seed % 2)}, Seed);
-    Run.run(5s);
-    Run.setCrashing(6);
+    Run.sendSound(PerSecond);
+    Run.run(12s);
+    Run.sendSound(0);
+    Run.setCrashing(PerSecond);
     Run.run(30s);
-    EXPECT_LE(Run.crashes().size(), 10U) << Seed;
-    EXPECT_LE(lateCrashes(Run), 3U) << Seed;
+    EXPECT_LE(lateCrashes(Run), 3U) << PerSecond << ' ' << Seed;
     EXPECT_EQ(Run.refusing(Crashing), 2U + 4 * (Seed % 2)) << Seed;
-    EXPECT_EQ(Run.refusing(Shared), 0U) << Seed;
   }
 }
 
-/// Each entry forgave five losses for itself, so that the part crashed instance
-/// after instance.
-TEST(HarmfulParts, PartThatBecomesHarmfulIsRefused) {
-  for (const double PerSecond : {2.0, 6.0})
-    for (unsigned Seed = 0; Seed < 20; ++Seed) {
-      Scene Run({.m_Entries = 2 + 4 * (Seed % 2)}, Seed);
-      Run.sendSound(PerSecond);
-      Run.run(12s);
-      Run.sendSound(0);
-      Run.setCrashing(PerSecond);
-      Run.run(30s);
-      EXPECT_LE(lateCrashes(Run), 3U) << PerSecond << ' ' << Seed;
-      EXPECT_EQ(Run.refusing(Crashing), 2U + 4 * (Seed % 2)) << Seed;
-    }
-}
+INSTANTIATE_TEST_SUITE_P(Seeds, CrashingPartOfSeed, testing::Range(0U, 20U));
 
 } // namespace
