Play silent connections, equal requests and the regions' rate in power_loss.py

What was missing: no two requests of a run were equal, connections to a machine without power ended with a reset, and only calls to the store had the rate between two regions. Each could hide a slow return.

Change: cases alike, alike-instances, instances-silent, zone-silent, zone-instances-silent and store-silent. Proxies can lose power: what is open stays open and passes neither a byte nor its end, new connections wait. regions.py carries copies of weights, datagrams and lists between entries and agents, requests to other regions and a third of the origin's chunks per region at 26 Mbit/s each way; no change of the product was needed, since ports and the store's records name the proxies. A run prints what crossed regions in the 12 s after the return.

--- a/support/soak/addresses.py
+++ b/support/soak/addresses.py
@@ -33,3 +33,11 @@
 
 def agent_store(number):
     return host(4, 1, number)
+
+
+def entry_at_entry(number, by):  # as another entry knows it: a proxy stands there
+    return host(5, by, number)
+
+
+def entry_at_agent(number, by):  # as an agent knows it: a proxy stands there
+    return host(6, by, number)
--- a/support/soak/power_loss.py
+++ b/support/soak/power_loss.py
@@ -6,7 +6,9 @@
 
 import argparse
 import asyncio
+import itertools
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -22,15 +24,18 @@
 import soak  # noqa: E402
 import standins  # noqa: E402
 from http_lite import Answer, call  # noqa: E402
-from proxy import Proxy, reset  # noqa: E402
+from proxy import Proxy  # noqa: E402
+from regions import DELAY_S, Rate, RegionProxy, Regions, join_datagrams  # noqa: E402
 
 standins.CHUNKS, standins.CHUNK_BYTES = 48, 49_152
 standins.STREAM_EVENTS = 20  # a stream takes 0.6 s and more
 standins.is_framed = lambda attempt: True  # The other kind is the soak's.
 REGIONS = ["lahore", "karachi", "multan"]
 STORE_REGION, ORIGIN_REGION = "lahore", "multan"
-REGION_MBPS, ORIGIN_MBPS, INSTANCE_MBPS = 26.0, 15.0, 9.4
-DELAY_S = 0.0028
+ORIGIN_MBPS, INSTANCE_MBPS, LOCAL_MBPS = 15.0, 9.4, 1000.0
+OWN_BULK = 7702
+SEEN_BULK = 7710  # and the place of the region that asks: proxies stand there
+SEEN_LINK = 7720  # and the number of the entry that sends: proxies stand there
 OBSERVED_S = 5.0  # after the time for recovery
 LISTED_WITHIN_S = 2.0  # after the return of the store
 KINDS = {"stream": 187.1, "once": 16.0, "often": 6.4}  # a second
@@ -39,8 +44,12 @@
 ALL = ["instances", "desk", "agents", "entries", "store"]
 
 # order: groups that end one after the other; within: s from the first to the
-# last, 0: at once; again: s until the second loss, or until half of the instances
-# have served a stream; store: s from the return of the machines to that of the store.
+# last, 0: at once; again: s until the second loss, or until a share of the
+# instances, half unless served says otherwise, has served a stream; store: s from
+# the return of the machines to that of the store; alike: all streams are equal, and
+# all other requests of a route; warm: s of traffic before; silent: connections to
+# what ends stay open and never pass a byte again.
+ALIKE = {"alike": True, "warm": 0.5, "within": 0.4, "again": "served", "served": 0.25}
 CASES = {
     "at-once": {},
     "instances-first": {"order": ALL, "within": 1.0},
@@ -72,40 +81,16 @@
     "staged-kept": {"keeps": True},
     "slow-store": {"mode": "slow"},
     "limited-store": {"limited": True},
+    "alike": ALIKE | {"order": ALL},
+    "alike-instances": ALIKE | {"order": ["instances"]},
+    "instances-silent": {"silent": True, "order": ["instances", "desk", "agents"]},
+    "zone-silent": {"silent": True, "zone": "lahore"},
+    "zone-instances-silent": {"silent": True, "zone": "lahore", "down": 6.0,
+                              "order": ["instances", "desk", "agents"]},
+    "store-silent": {"silent": True, "order": ["store"]},
 }
 
 
-class Rate:
-    """What one direction between two regions carries, common to all connections."""
-
-    def __init__(self, mbps):
-        self._per_byte = 8 / (mbps * 1e6)
-        self._free_at = 0.0
-
-    async def carry(self, count):
-        self._free_at = max(self._free_at, time.monotonic()) + count * self._per_byte
-        await asyncio.sleep(self._free_at - time.monotonic())
-
-
-class RegionProxy(Proxy):
-    """Carries the calls of one process to another region, with delay and rate."""
-
-    def __init__(self, to_host, to_port, there, back):
-        super().__init__(to_host, to_port)
-        self._rates = {False: there, True: back}
-
-    async def _pump(self, reader, writer, is_answer, born):
-        try:
-            while block := await reader.read(16384):
-                await self._rates[is_answer].carry(len(block))
-                await asyncio.sleep(DELAY_S)
-                writer.write(block)
-                await writer.drain()
-            writer.write_eof()
-        except (ConnectionError, OSError, RuntimeError):
-            reset(writer)
-
-
 class LimitedStore(standins.Store):
     """Refuses calls above its limits when it is told to."""
 
@@ -113,6 +98,7 @@
         super().__init__()
         self.is_limited = False
         self.refused = 0
+        self.shown = {}  # by reader: addresses in the store, and as it knows them
         self._left = dict(CALLS_PER_S)
         self._at = time.monotonic()
 
@@ -127,17 +113,25 @@
             self.refused += 1
             return Answer(429, {"Retry-After": "1"})
         self._left[is_write] -= 1
-        return await super()._answer(request, writer)
+        answer = await super()._answer(request, writer)
+        for own, seen in self.shown.get(writer.get_extra_info("peername")[0], {}).items():
+            answer.body = answer.body.replace(own, seen)
+        return answer
 
 
 class Origin(standins.Origin):
-    def __init__(self):
+    def __init__(self, regions):
         super().__init__()
         self._rate = Rate(ORIGIN_MBPS)
+        # Who asks is not known here: each region gets a third.
+        self._ways = itertools.cycle([regions.rate(ORIGIN_REGION, each) for each in REGIONS])
 
     async def _answer(self, request, writer):
         answer = await super()._answer(request, writer)
-        await self._rate.carry(len(answer.body))
+        await self._rate.carry(len(answer.body), "origin")
+        way = next(self._ways)
+        if way is not None:
+            await way.carry(len(answer.body), "origin")
         return answer
 
 
@@ -150,11 +144,15 @@
 
 
 class Fleet(soak.System):
+    bulk_port = OWN_BULK
+
     def __init__(self, options, folder):
         super().__init__(options, folder)
         self.options = options
-        self.store, self.origin = LimitedStore(), Origin()
-        self._rates = {}
+        self.regions = Regions()
+        self.store, self.origin = LimitedStore(), Origin(self.regions)
+        self.is_alike = "alike" in CASES[options.case]
+        self._ends = []  # of connections: the proxy and what it connects
         self.served_at = {}  # by instance: the first request that it ran since the return
         ran = self.record.ran
         def note(attempt, path, instance):
@@ -166,6 +164,7 @@
         return REGIONS[number % len(REGIONS)]
 
     async def start(self):
+        await self._join_entries()
         await super().start()
         for number in range(self.options.instances + 1, self.options.instances + DESK_COUNT + 1):
             desk = Desk(number, self.record)
@@ -175,20 +174,76 @@
             self.list_instance(desk)
 
     async def _proxy(self, name, host, port, to_host, to_port, into):
-        if into is not self.store_proxies:
-            return await super()._proxy(name, host, port, to_host, to_port, into)
-        region = self.zone(int(name.split("-")[1]))
-        rates = [self._rates.setdefault(pair, Rate(1000.0 if region == STORE_REGION else REGION_MBPS))
-                 for pair in ((region, STORE_REGION), (STORE_REGION, region))]
-        into[name] = RegionProxy(to_host, to_port, *rates)
+        if into is self.store_proxies:
+            number = int(name.split("-")[1])
+            ways = self.regions.pair(self.zone(number), STORE_REGION)
+            local = {each: Rate(LOCAL_MBPS, DELAY_S) for each in ways}
+            rates = ways if ways[False] else local
+            into[name] = RegionProxy(to_host, to_port, "store", lambda _: rates, host)
+            self._ends.append((into[name], {name, "store"}))
+        else:
+            into[name] = RegionProxy(to_host, to_port, "requests",
+                                     lambda block: self._rates_to(name, block))
+            self._ends.append((into[name], {f"instance-{name}"}))
         await into[name].listen(host, port)
 
+    def _rates_to(self, instance, block):
+        """Only entries send the ids of attempts; other calls come from the agent."""
+        attempt = re.search(rb"Attempt-Id: ([^\r]+)", block, re.IGNORECASE)
+        entry = self.record.heed.entry_of(attempt[1].decode()) if attempt else None
+        here = self.zone(int(entry.split(".")[-1])) if entry else self.zone(instance)
+        return self.regions.pair(here, self.zone(instance))
+
+    async def _relay(self, host, port, to, ends, rates, kind="relay"):
+        proxy = RegionProxy(*to, kind, lambda _: rates)
+        self._ends.append((proxy, ends))
+        await proxy.listen(host, port)
+
+    async def _join_entries(self):
+        """Entries of different regions know each other by addresses of proxies."""
+        count = self.options.entries
+        for one, two in itertools.combinations(range(1, count + 1), 2):
+            if self.zone(one) == self.zone(two):
+                continue
+            rates = self.regions.pair(self.zone(one), self.zone(two))
+            seen = {number: (addresses.entry_at_entry(number, by), soak.LINK)
+                    for number, by in ((one, two), (two, one))}
+            real = {number: (addresses.entry(number), soak.LINK) for number in (one, two)}
+            await join_datagrams(real[one], real[two], seen[one], seen[two], rates)
+            for number, by in ((one, two), (two, one)):
+                await self._relay(*seen[number], real[number], {f"entry-{one}", f"entry-{two}"},
+                                  self.regions.pair(self.zone(by), self.zone(number)))
+                shown = self.store.shown.setdefault(addresses.entry_store(by), {})
+                text = [f'"{host}:{port}"'.encode() for host, port in (real[number], seen[number])]
+                shown[text[0]] = text[1]
+
+    async def _add_instance(self, number):
+        await super()._add_instance(number)
+        host, agent = addresses.instance(number), f"agent-{number}"
+        for place, region in enumerate(REGIONS):
+            await self._relay(host, SEEN_BULK + place, (host, OWN_BULK), {agent},
+                              self.regions.pair(region, self.zone(number)), "weights")
+        for entry in range(1, self.options.entries + 1):
+            seen = (addresses.entry_at_agent(entry, number), soak.LINK)
+            real = (addresses.entry(entry), soak.LINK)
+            await join_datagrams(real, (host, soak.LINK), seen, (host, SEEN_LINK + entry),
+                                 self.regions.pair(self.zone(entry), self.zone(number)))
+            await self._relay(*seen, real, {agent, f"entry-{entry}"},
+                              self.regions.pair(self.zone(number), self.zone(entry)))
+
     def _settings(self, role, name, number, store):
         settings = super()._settings(role, name, number, store)
+        settings["agents"] = {"linkPort": SEEN_LINK + number,
+                              "bulkPort": SEEN_BULK + REGIONS.index(self.zone(number))}
         if role == "agent":
             settings["linkMbps"] = INSTANCE_MBPS
         return settings
 
+    def proxies_of(self, members):
+        names = {"store" if each is self.store else each.name if isinstance(each, soak.Daemon)
+                 else f"instance-{each.number}" for each in members}
+        return [proxy for proxy, ends in self._ends if ends & names]
+
     def declare(self):
         super().declare()
         config = self.store._objects["config"]["main"]["spec"]
@@ -200,13 +255,15 @@
         self.store.put("config", "main", config)
 
     async def request(self, host, kind, attempt, harmful=None):
-        """No two of them are alike; all streams share the first part."""
+        """All streams share the first part; no two requests are equal, unless the
+        case says so."""
+        own = "equal" if self.is_alike else attempt
         headers = {"Attempt-Id": attempt, "Deadline-Ms": "6000", "Authorization": f"Token {soak.KEY}"}
         if kind == "stream":
             headers |= {"Model": standins.MODEL, "Token-Counts": "240,120",
-                        "Prompt-Prefix": f"a1:40,{zlib.crc32(attempt.encode()):x}:200"}
+                        "Prompt-Prefix": f"a1:40,{zlib.crc32(own.encode()):x}:200"}
         self.record.heed.sent(attempt, host)
-        return await call(host, soak.CALLERS, "POST", f"/{kind}/x", headers, attempt.encode(), 8.0)
+        return await call(host, soak.CALLERS, "POST", f"/{kind}/x", headers, own.encode(), 8.0)
 
     def store_refusal(self):
         """Entries have found the part that all streams share to be harmful."""
@@ -262,6 +319,9 @@
 async def lose_and_return(fleet, case):
     """All that the case names ends and is back; the time of the return."""
     members = members_in_order(fleet, case)
+    silent = fleet.proxies_of(members) if case.get("silent") else []
+    for each in silent:
+        each.lose_power()
     gap = case.get("within", 0.0) / max(1, len(members) - 1)
     begin = time.monotonic()
     ending = []
@@ -286,7 +346,10 @@
         await fleet.bring_back(fleet.store, store_back)
         store_back.set()
         await asyncio.sleep(early)
+    for each in silent:
+        each.return_power()
     back = time.monotonic()
+    fleet.regions.clear()
     entries = fleet.entries if case.get("entries") else []
     tasks = [asyncio.create_task(fleet.bring_back(each, store_back))
              for each in members if each is not fleet.store and each not in entries]
@@ -324,7 +387,8 @@
         fleet.store.put("servers", "odd", {"service": "pool", "addr": 7, "zone": "\ud800"})
     back = await lose_and_return(fleet, case)
     if case.get("again") == "served":
-        await wait_until(lambda: fleet.models_served() >= fleet.options.instances // 2, 20.0)
+        wanted = int(case.get("served", 0.5) * fleet.options.instances)
+        await wait_until(lambda: fleet.models_served() >= wanted, 20.0)
     elif case.get("again"):
         await asyncio.sleep(case["again"])
     if case.get("again"):
@@ -409,9 +473,12 @@
     try:
         await note_ready(fleet, 0.0, {})
         tasks.append(asyncio.create_task(callers.run()))
-        await asyncio.sleep(options.warm)
+        await asyncio.sleep(case.get("warm", options.warm))
         back = await play_case(fleet, case)
         tasks.append(asyncio.create_task(note_ready(fleet, back, ready)))
+        await asyncio.sleep(max(0.0, back + options.recovery - time.monotonic()))
+        print("  between regions since the return, with the longest wait:",
+              *fleet.regions.usage(), sep="\n    ")
         await asyncio.sleep(max(0.0, back + options.recovery + OBSERVED_S - time.monotonic()))
         tasks[0].cancel()
         await asyncio.sleep(1.0)
--- a/support/soak/soak.py
+++ b/support/soak/soak.py
@@ -275,6 +275,8 @@
 class System:
     """Stand-ins, proxies and daemons of one run."""
 
+    bulk_port = LINK  # that agents listen on
+
     def __init__(self, options, folder):
         self.random = random.Random(options.seed)
         # For what happens beside the faults that the seed draws.
@@ -322,7 +324,7 @@
         await self._proxy(name, addresses.agent_store(number), STORE, addresses.store(), STORE, self.store_proxies)
         settings = self._settings("agent", name, number, addresses.agent_store(number))
         settings["listen"] = {"operator": f"{instance.host}:{OPERATOR}",
-                              "link": f"{instance.host}:{LINK}", "bulk": f"{instance.host}:{LINK}"}
+                              "link": f"{instance.host}:{LINK}", "bulk": f"{instance.host}:{self.bulk_port}"}
         settings |= {"upstream": f"instance://{instance.host}:{APP}", "service": "pool"}
         self.agents.append(Daemon(self._program, self._folder, name, settings))
 
